Skeleton: identifiers, units, settings, resources, peer streams

Why: every part needs the same newtypes, the checked settings, the authenticated streams between daemons and the platform's interface before it can be built apart.

--- /dev/null
+++ b/src/bin/wagtailtrack.rs
@@ -0,0 +1,2 @@
+//! The daemon's entry point.
+fn main() {}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! A small HTTP server over `actix-http`, used by every listener.
+
+mod http_server;
+mod reply;
+
+pub use http_server::{HttpHandler, HttpServer};
+pub use reply::{BodyError, json, read_body, text};
--- /dev/null
+++ b/src/ids/mod.rs
@@ -0,0 +1,34 @@
+//! Identifiers: checked names and numbers, one newtype each.
+
+mod account_id;
+mod boot_id;
+mod daemon_id;
+mod incarnation;
+mod instance_id;
+mod key_id;
+mod name;
+mod number;
+mod operation_id;
+mod region_id;
+mod request_id;
+mod revision;
+mod route_id;
+mod service_id;
+mod version;
+mod zone_id;
+
+pub use account_id::AccountId;
+pub use boot_id::BootId;
+pub use daemon_id::DaemonId;
+pub use incarnation::Incarnation;
+pub use instance_id::InstanceId;
+pub use key_id::KeyId;
+pub use name::{MAX_NAME_BYTES, NameError, check_name};
+pub use operation_id::OperationId;
+pub use region_id::RegionId;
+pub use request_id::RequestId;
+pub use revision::Revision;
+pub use route_id::RouteId;
+pub use service_id::ServiceId;
+pub use version::Version;
+pub use zone_id::ZoneId;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! A proxy fleet for backend servers with gray failures.
+//!
+//! The library holds the decisions as pure state machines and the tasks that
+//! drive them; the programs in `src/bin` are thin.
+
+#![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+pub mod daemon;
+pub mod exit;
+pub mod hash;
+pub mod http;
+pub mod ids;
+pub mod logs;
+pub mod peers;
+pub mod platform;
+pub mod resource;
+pub mod settings;
+pub mod time;
+pub mod units;
+pub mod verdict;
+pub mod wire;
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,63 @@
+//! Structured logs: one line an event, a fixed prefix per part, key-values at the end.
+
+use std::fmt::Write as _;
+use std::time::SystemTime;
+
+use log::kv::{Key, Value, VisitSource};
+
+/// Prefixes of the parts, given as the log target.
+pub mod part {
+    /// Start, stop and wiring.
+    pub const DAEMON: &str = "daemon";
+    /// Callers' requests.
+    pub const INGRESS: &str = "ingress";
+    /// Requests to the instances beside the daemon.
+    pub const EGRESS: &str = "egress";
+    /// Connections between daemons.
+    pub const PEERS: &str = "peers";
+    /// Membership gossip.
+    pub const MEMBERS: &str = "members";
+    /// Announcements of instances.
+    pub const INSTANCES: &str = "instances";
+    /// Rate limits.
+    pub const LIMITS: &str = "limits";
+    /// Ejection and readmission.
+    pub const HEALTH: &str = "health";
+    /// Configuration.
+    pub const CONFIG: &str = "config";
+    /// Operators' API.
+    pub const API: &str = "api";
+}
+
+/// Sends log records to the standard error output.
+///
+/// # Errors
+/// Fails when a logger is set already.
+pub fn open(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+    fern::Dispatch::new()
+        .level(level)
+        .format(|out, message, record| {
+            let time = humantime::format_rfc3339_millis(SystemTime::now());
+            let fields = fields_of(record);
+            let (level, part) = (record.level(), record.target());
+            out.finish(format_args!("{time} {level} {part}: {message}{fields}"));
+        })
+        .chain(std::io::stderr())
+        .apply()
+}
+
+fn fields_of(record: &log::Record<'_>) -> String {
+    let mut fields = FieldText(String::new());
+    // Writing into a string cannot fail.
+    let _ = record.key_values().visit(&mut fields);
+    fields.0
+}
+
+struct FieldText(String);
+
+impl<'kvs> VisitSource<'kvs> for FieldText {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let _ = write!(self.0, " {key}={value}");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,18 @@
+//! Authenticated `h2` streams of `bincode` messages between daemons.
+
+mod fleet_key;
+mod peer_connection;
+mod peer_error;
+mod peer_listener;
+mod peer_pool;
+mod peer_stream;
+mod session_key;
+mod stream_receiver;
+
+pub use fleet_key::{FleetKey, MAC_BYTES, Mac};
+pub use peer_connection::PeerConnection;
+pub use peer_error::PeerError;
+pub use peer_listener::{PeerHandler, PeerListener};
+pub use peer_pool::PeerPool;
+pub use peer_stream::PeerStream;
+pub use session_key::SessionKey;
--- /dev/null
+++ b/src/resource/mod.rs
@@ -0,0 +1,27 @@
+//! What operators configure: client accounts, keys, rate limits, routes and services.
+
+mod access;
+mod client_account;
+mod client_key;
+mod config_resource;
+mod idempotency;
+mod key_hash;
+mod rate_limit;
+mod request_class;
+mod resource_kind;
+mod resource_name;
+mod service_route;
+mod service_spec;
+
+pub use access::RouteAccess;
+pub use client_account::ClientAccount;
+pub use client_key::ClientKey;
+pub use config_resource::ConfigResource;
+pub use idempotency::IdempotencyRule;
+pub use key_hash::KeyHash;
+pub use rate_limit::RateLimit;
+pub use request_class::{ClassWeights, RequestClass};
+pub use resource_kind::ResourceKind;
+pub use resource_name::ResourceName;
+pub use service_route::ServiceRoute;
+pub use service_spec::ServiceSpec;
--- /dev/null
+++ b/src/resource/request_class.rs
@@ -0,0 +1,88 @@
+//! The classes of requests and their weights.
+
+use std::fmt;
+use std::str::FromStr;
+
+use bincode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+use crate::units::{UnitError, Weight};
+
+/// What kind of work a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Encode, Decode)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestClass {
+    /// A question, repeated freely.
+    Lookup,
+    /// A permit or return filing.
+    Filing,
+    /// A bulk delivery from the archive.
+    Extract,
+    /// A check that one service asks of another; earns no credit.
+    InternalCheck,
+}
+
+impl RequestClass {
+    /// Every class.
+    pub const ALL: [Self; 4] = [
+        Self::Lookup,
+        Self::Filing,
+        Self::Extract,
+        Self::InternalCheck,
+    ];
+
+    /// Whether a completed request of the class earns credit.
+    #[must_use]
+    pub const fn earns_credit(self) -> bool {
+        !matches!(self, Self::InternalCheck)
+    }
+}
+
+impl fmt::Display for RequestClass {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Lookup => "lookup",
+            Self::Filing => "filing",
+            Self::Extract => "extract",
+            Self::InternalCheck => "internal-check",
+        })
+    }
+}
+
+impl FromStr for RequestClass {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|class| class.to_string() == text)
+            .ok_or_else(|| UnitError::Form("class", text.to_owned(), "lookup"))
+    }
+}
+
+/// The weight of each class in a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ClassWeights {
+    /// Weight of lookups.
+    pub lookup: Weight,
+    /// Weight of filings.
+    pub filing: Weight,
+    /// Weight of extracts.
+    pub extract: Weight,
+    /// Weight of internal checks, their guaranteed share.
+    pub internal_check: Weight,
+}
+
+impl ClassWeights {
+    /// The weight of `class`.
+    #[must_use]
+    pub const fn of(&self, class: RequestClass) -> Weight {
+        match class {
+            RequestClass::Lookup => self.lookup,
+            RequestClass::Filing => self.filing,
+            RequestClass::Extract => self.extract,
+            RequestClass::InternalCheck => self.internal_check,
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,17 @@
+//! The daemon's settings: read from TOML, checked whole before anything starts.
+
+mod daemon_settings;
+mod limits_settings;
+mod listen_settings;
+mod operator_settings;
+mod platform_settings;
+mod proxy_settings;
+mod settings_error;
+
+pub use daemon_settings::DaemonSettings;
+pub use limits_settings::LimitsSettings;
+pub use listen_settings::ListenSettings;
+pub use operator_settings::OperatorSettings;
+pub use platform_settings::PlatformSettings;
+pub use proxy_settings::ProxySettings;
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/src/units/mod.rs
@@ -0,0 +1,20 @@
+//! Sizes, rates and spans as newtypes that read and print with their unit.
+
+mod burst;
+mod byte_size;
+mod macros;
+mod percent;
+mod rate;
+mod slots;
+mod time_span;
+mod unit_error;
+mod weight;
+
+pub use burst::Burst;
+pub use byte_size::ByteSize;
+pub use percent::Percent;
+pub use rate::Rate;
+pub use slots::Slots;
+pub use time_span::TimeSpan;
+pub use unit_error::UnitError;
+pub use weight::Weight;
--- /dev/null
+++ b/src/units/rate.rs
@@ -0,0 +1,97 @@
+//! A number of events over time.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::text_serde;
+use crate::units::UnitError;
+
+const MILLIS_PER_EVENT: u64 = 1_000;
+const SECONDS_PER_MINUTE: u64 = 60;
+const SECONDS_PER_HOUR: u64 = 3_600;
+
+/// A rate in thousandths of an event a second, written like `3 per second`.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, bincode::Encode, bincode::Decode,
+)]
+pub struct Rate {
+    milli_per_second: u64,
+}
+
+impl Rate {
+    const MOST_PER_SECOND: u64 = 10_000_000;
+
+    /// A rate of `events` a second.
+    ///
+    /// # Errors
+    /// `UnitError::Range` when it is zero or beyond ten million a second.
+    pub fn per_second(events: u64) -> Result<Self, UnitError> {
+        Self::over(events, 1, &format!("{events} per second"))
+    }
+
+    /// Thousandths of an event a second.
+    #[must_use]
+    pub const fn milli_per_second(self) -> u64 {
+        self.milli_per_second
+    }
+
+    /// Events a second.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "rates lie far below 2^52")]
+    pub fn as_f64(self) -> f64 {
+        self.milli_per_second as f64 / MILLIS_PER_EVENT as f64
+    }
+
+    /// Events expected within `span`.
+    #[must_use]
+    pub fn over_span(self, span: Duration) -> f64 {
+        self.as_f64() * span.as_secs_f64()
+    }
+
+    fn over(events: u64, seconds: u64, text: &str) -> Result<Self, UnitError> {
+        let out_of_range = || UnitError::Range("rate", text.to_owned(), 1, Self::MOST_PER_SECOND);
+        let milli = events
+            .checked_mul(MILLIS_PER_EVENT)
+            .ok_or_else(out_of_range)?
+            / seconds;
+        if milli == 0 || milli > Self::MOST_PER_SECOND * MILLIS_PER_EVENT {
+            return Err(out_of_range());
+        }
+        Ok(Self {
+            milli_per_second: milli,
+        })
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let milli = self.milli_per_second;
+        if milli.is_multiple_of(MILLIS_PER_EVENT) {
+            return write!(formatter, "{} per second", milli / MILLIS_PER_EVENT);
+        }
+        let per_hour = (milli * SECONDS_PER_HOUR).div_ceil(MILLIS_PER_EVENT);
+        if per_hour.is_multiple_of(SECONDS_PER_MINUTE) {
+            return write!(formatter, "{} per minute", per_hour / SECONDS_PER_MINUTE);
+        }
+        write!(formatter, "{per_hour} per hour")
+    }
+}
+
+impl FromStr for Rate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let malformed = || UnitError::Form("rate", text.to_owned(), "3 per second");
+        let (count, unit) = text.split_once(" per ").ok_or_else(malformed)?;
+        let events = count.trim().parse().map_err(|_| malformed())?;
+        match unit.trim() {
+            "second" => Self::over(events, 1, text),
+            "minute" => Self::over(events, SECONDS_PER_MINUTE, text),
+            "hour" => Self::over(events, SECONDS_PER_HOUR, text),
+            _ => Err(malformed()),
+        }
+    }
+}
+
+text_serde!(Rate);
--- /dev/null
+++ b/src/units/unit_error.rs
@@ -0,0 +1,18 @@
+//! Why a text is no quantity.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// A quantity that could not be read; names the text and the remedy.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum UnitError {
+        /// The text does not have the form of the quantity.
+        Form(kind: &'static str, text: String, example: &'static str) {
+            display("{kind} '{text}' is not understood; write it like '{example}'")
+        }
+        /// The number lies outside what is allowed.
+        Range(kind: &'static str, text: String, least: u64, most: u64) {
+            display("{kind} '{text}' is out of range; use {least} to {most}")
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,51 @@
+//! Encoding and decoding of messages, with a bound on their size.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bincode::{Decode, Encode};
+use quick_error::quick_error;
+
+/// Largest message accepted, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+
+const CODEC: Configuration<LittleEndian, Varint, Limit<MAX_MESSAGE_BYTES>> =
+    bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+
+quick_error! {
+    /// A message that could not be encoded or decoded.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum CodecError {
+        /// The message does not fit the bound.
+        Encode(cause: String) {
+            display("message cannot be encoded: {cause}")
+        }
+        /// The bytes are no such message.
+        Decode(cause: String) {
+            display("message cannot be decoded: {cause}")
+        }
+        /// Bytes follow the message.
+        Surplus(bytes: usize) {
+            display("message has {bytes} surplus bytes")
+        }
+    }
+}
+
+/// Encodes `message`.
+///
+/// # Errors
+/// `CodecError::Encode` when it is larger than `MAX_MESSAGE_BYTES`.
+pub fn encode<T: Encode>(message: &T) -> Result<Vec<u8>, CodecError> {
+    bincode::encode_to_vec(message, CODEC).map_err(|cause| CodecError::Encode(cause.to_string()))
+}
+
+/// Decodes one message that fills `bytes`.
+///
+/// # Errors
+/// `CodecError` when the bytes are malformed, too many or too few.
+pub fn decode<T: Decode<()>>(bytes: &[u8]) -> Result<T, CodecError> {
+    let (message, used) = bincode::decode_from_slice(bytes, CODEC)
+        .map_err(|cause| CodecError::Decode(cause.to_string()))?;
+    match bytes.len() - used {
+        0 => Ok(message),
+        surplus => Err(CodecError::Surplus(surplus)),
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,23 @@
+//! Messages between daemons: plain types with derived `bincode` codecs.
+
+mod codec;
+mod config_call;
+mod instance_record;
+mod instances_call;
+mod limits_call;
+mod load_figure;
+mod peer_call;
+mod peer_opening;
+mod peer_reply;
+mod request_offer;
+
+pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
+pub use config_call::{ConfigCall, ConfigReply};
+pub use instance_record::{HealthState, InstancePhase, InstanceRecord};
+pub use instances_call::{InstancesCall, InstancesReply};
+pub use limits_call::{LimitsCall, LimitsReply};
+pub use load_figure::LoadFigure;
+pub use peer_call::PeerCall;
+pub use peer_opening::PeerOpening;
+pub use peer_reply::PeerReply;
+pub use request_offer::RequestOffer;
--- /dev/null
+++ b/src/wire/request_offer.rs
@@ -0,0 +1,37 @@
+//! An ingress's offer of a request to an egress.
+
+use bincode::{Decode, Encode};
+
+use crate::ids::{AccountId, BootId, InstanceId, RequestId, RouteId, ServiceId};
+use crate::resource::RequestClass;
+
+/// A request that waits for a slot of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct RequestOffer {
+    /// The ingress's boot.
+    pub boot: BootId,
+    /// The request within the boot.
+    pub request: RequestId,
+    /// The instance chosen.
+    pub instance: InstanceId,
+    /// Its service.
+    pub service: ServiceId,
+    /// The route taken.
+    pub route: RouteId,
+    /// The client account served.
+    pub account: AccountId,
+    /// The class of the work.
+    pub class: RequestClass,
+    /// Whether it may be repeated; if not, the egress waits for go.
+    pub idempotent: bool,
+    /// Time left until the caller's deadline, in microseconds.
+    pub remaining_micros: u64,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Headers without any that carry keys or belong to the connection.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
--- /dev/null
+++ b/tests/process_settings.rs
@@ -0,0 +1,89 @@
+//! Bad settings through the real daemon: each names the field, the value and the remedy.
+
+mod common;
+
+use std::process::{Command, Output};
+
+use common::ScratchDir;
+
+const GOOD: &str = r#"
+daemon = "d1"
+region = "r1"
+zone = "z1"
+fleet_secret = "0123456789abcdef"
+
+[listen]
+callers = "127.0.0.1:7001"
+peers = "127.0.0.1:7002"
+admin = "127.0.0.1:7003"
+announce = "127.0.0.1:7004"
+
+[platform]
+address = "127.0.0.1:7005"
+
+[operators]
+token_hash = "00000000000000000000000000000000"
+"#;
+
+fn start(name: &str, text: &str) -> Output {
+    let folder = ScratchDir::open(name);
+    let path = folder.write("settings.toml", text);
+    Command::new(env!("CARGO_BIN_EXE_wagtailtrackd"))
+        .arg("--config")
+        .arg(path)
+        .output()
+        .unwrap()
+}
+
+fn refused(name: &str, text: &str, words: &[&str]) {
+    let output = start(name, text);
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    for word in words {
+        assert!(message.contains(word), "'{word}' is not in: {message}");
+    }
+}
+
+#[test]
+fn unknown_field() {
+    refused(
+        "unknown",
+        &format!("colour = 3\n{GOOD}"),
+        &["colour", "unknown field"],
+    );
+}
+
+#[test]
+fn bad_unit() {
+    let text = format!("{GOOD}\n[proxy]\nslot_hold = \"500\"\n");
+    refused("unit", &text, &["slot_hold", "'500'", "250ms"]);
+}
+
+#[test]
+fn short_secret() {
+    let text = GOOD.replace("0123456789abcdef", "short");
+    refused("secret", &text, &["fleet_secret", "5 bytes", "at least 16"]);
+}
+
+#[test]
+fn same_address() {
+    let text = GOOD.replace("127.0.0.1:7002", "127.0.0.1:7001");
+    refused(
+        "address",
+        &text,
+        &["listen.peers", "127.0.0.1:7001", "of its own"],
+    );
+}
+
+#[test]
+fn missing_file() {
+    let output = Command::new(env!("CARGO_BIN_EXE_wagtailtrackd"))
+        .args(["--config", "/nonexistent.toml"])
+        .output()
+        .unwrap();
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        message.contains("/nonexistent.toml") && message.contains("--config"),
+        "{message}"
+    );
+}
--- /dev/null
+++ b/tests/units.rs
@@ -0,0 +1,53 @@
+//! Quantities and names as text.
+
+use wagtailtrack::ids::AccountId;
+use wagtailtrack::units::{ByteSize, Percent, Rate, TimeSpan};
+
+#[test]
+fn rate_text() {
+    let rate: Rate = "3 per second".parse().unwrap();
+    assert_eq!(rate.milli_per_second(), 3_000);
+    assert_eq!(rate.to_string(), "3 per second");
+    assert_eq!(
+        "90 per minute".parse::<Rate>().unwrap().milli_per_second(),
+        1_500
+    );
+}
+
+#[test]
+fn bad_rate() {
+    let error = "3/s".parse::<Rate>().unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "rate '3/s' is not understood; write it like '3 per second'"
+    );
+    assert!("0 per second".parse::<Rate>().is_err());
+}
+
+#[test]
+fn size_text() {
+    assert_eq!("64KiB".parse::<ByteSize>().unwrap().bytes(), 65_536);
+    assert!("64KB".parse::<ByteSize>().is_err());
+}
+
+#[test]
+fn span_text() {
+    assert_eq!(
+        "250ms".parse::<TimeSpan>().unwrap(),
+        TimeSpan::from_millis(250)
+    );
+    assert!("250".parse::<TimeSpan>().is_err());
+}
+
+#[test]
+fn percent_bounds() {
+    assert_eq!("60%".parse::<Percent>().unwrap().of_rounded_up(17), 11);
+    assert!("101%".parse::<Percent>().is_err());
+}
+
+#[test]
+fn name_characters() {
+    assert!("crew-7".parse::<AccountId>().is_ok());
+    assert!("Crew 7".parse::<AccountId>().is_err());
+    assert!("".parse::<AccountId>().is_err());
+}
