Health, floor, picking, fair queueing and retry budgets, first version

The decisions under load as pure state machines, thin but whole: - queue: start-time fair queueing on measured service time, first among classes by weight, then among accounts; refuses at once what cannot finish in time. - health: cumulative sums of log-likelihood ratios for slowness and for failures, a hold in which peers' medians arrive, a stall watch, probes, a ramp, and waits that double for repeat offenders. - floor: counted in slots, from the records alone. - balance: two random choices by load a slot, own zone when equal. - retry: a share of recent first attempts plus a small reserve.

--- /dev/null
+++ b/src/balance/mod.rs
@@ -0,0 +1,7 @@
+//! The choice of an instance for a request.
+
+mod instance_picker;
+mod load_estimate;
+mod path_state;
+
+pub use instance_picker::InstancePicker;
--- /dev/null
+++ b/src/health/mod.rs
@@ -0,0 +1,28 @@
+//! Health of instances: detection, ejection, readmission and the floor of capacity.
+//!
+//! Pure state machines: an egress passes measured answers and the time in and
+//! publishes the changes that come back; a picker asks which instances may take work.
+
+mod admitted_instance;
+mod class_scales;
+mod eject_backoff;
+mod evidence_track;
+pub mod floor;
+mod health_cause;
+mod health_change;
+mod instance_health;
+mod ramp_progress;
+mod recent_times;
+mod sample_outcome;
+mod service_baseline;
+mod service_sample;
+mod stall_watch;
+
+pub use admitted_instance::AdmittedInstance;
+pub use floor::admissible;
+pub use health_cause::HealthCause;
+pub use health_change::HealthChange;
+pub use instance_health::InstanceHealth;
+pub use sample_outcome::SampleOutcome;
+pub use service_baseline::ServiceBaseline;
+pub use service_sample::ServiceSample;
--- /dev/null
+++ b/src/health/stall_watch.rs
@@ -0,0 +1,62 @@
+//! Whether an instance finishes anything at all.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::time::MonoTime;
+
+/// Usual service times without an answer that make a stall.
+const STALL_RATIO: u32 = 8;
+const MIN_STALL: Duration = Duration::from_millis(250);
+const UNKNOWN_STALL: Duration = Duration::from_secs(2);
+/// Gap between ticks that shows a pause of this process.
+const PAUSE_GAP: Duration = Duration::from_millis(600);
+
+/// Sees requests that run without end while nothing else finishes.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct StallWatch {
+    finished_at: MonoTime,
+    ticked_at: MonoTime,
+}
+
+impl StallWatch {
+    /// A watch that has seen nothing.
+    pub(super) const fn open() -> Self {
+        Self {
+            finished_at: MonoTime::ZERO,
+            ticked_at: MonoTime::ZERO,
+        }
+    }
+
+    /// The instance has answered.
+    pub(super) fn finished(&mut self, now: MonoTime) {
+        self.finished_at = self.finished_at.max(now);
+    }
+
+    /// Notes a tick; true when this process had stopped for a while before it.
+    pub(super) fn has_paused(&mut self, now: MonoTime) -> bool {
+        let gap = now.since(self.ticked_at);
+        let has_paused = self.ticked_at > MonoTime::ZERO && gap >= PAUSE_GAP;
+        self.ticked_at = now;
+        if has_paused {
+            self.finished_at = now;
+        }
+        has_paused
+    }
+
+    /// How long the instance has been stalled, when it has.
+    pub(super) fn stalled_for(
+        &self,
+        running_oldest: Option<Duration>,
+        usual: Option<Duration>,
+        now: MonoTime,
+    ) -> Option<Duration> {
+        let silence = running_oldest?.min(now.since(self.finished_at));
+        let limit = match usual {
+            Some(usual) => (usual * STALL_RATIO).max(MIN_STALL),
+            None => UNKNOWN_STALL,
+        };
+        (silence >= limit).then_some(silence)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,15 +5,19 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub mod balance;
 pub mod daemon;
 pub mod exit;
 pub mod hash;
+pub mod health;
 pub mod http;
 pub mod ids;
 pub mod logs;
 pub mod peers;
 pub mod platform;
+pub mod queue;
 pub mod resource;
+pub mod retry;
 pub mod settings;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/src/queue/instance_queue.rs
@@ -0,0 +1,288 @@
+//! The queue before one instance.
+
+use std::time::Duration;
+
+use crate::hash::FastMap;
+use crate::ids::AccountId;
+use crate::queue::class_queue::ClassQueue;
+use crate::queue::running_request::RunningRequest;
+use crate::queue::{OfferOutcome, QueueAction, QueuedRequest, RequestKey};
+use crate::resource::{ClassWeights, RequestClass};
+use crate::time::MonoTime;
+use crate::units::Slots;
+use crate::wire::LoadFigure;
+
+/// Requests of one account and class that may wait.
+const MAX_WAITING_PER_ACCOUNT: usize = 64;
+/// Shortest advice on when to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Shares the slots of one instance among classes by weight, then among accounts.
+///
+/// Never leaves a slot free while a request waits, and refuses at once what cannot
+/// finish in time.
+#[derive(Debug)]
+pub struct InstanceQueue {
+    slots: u32,
+    weights: ClassWeights,
+    virtual_time: f64,
+    classes: [ClassQueue; RequestClass::ALL.len()],
+    running: FastMap<RequestKey, RunningRequest>,
+    waiting: FastMap<RequestKey, (RequestClass, AccountId)>,
+}
+
+impl InstanceQueue {
+    /// An empty queue before an instance with `slots`.
+    #[must_use]
+    pub fn open(slots: Slots, weights: ClassWeights) -> Self {
+        Self {
+            slots: slots.get(),
+            weights,
+            virtual_time: 0.0,
+            classes: std::array::from_fn(|_| ClassQueue::open()),
+            running: FastMap::default(),
+            waiting: FastMap::default(),
+        }
+    }
+
+    /// Takes a request in; a request that is here already keeps waiting or running.
+    pub fn offer(&mut self, request: QueuedRequest, now: MonoTime) -> OfferOutcome {
+        let QueuedRequest {
+            key,
+            account,
+            class,
+            deadline,
+        } = request;
+        if self.running.contains_key(&key) || self.waiting.contains_key(&key) {
+            return OfferOutcome::Wait;
+        }
+        let finish_secs = self.wait_secs(class, &account, now) + self.mean_secs(class);
+        let late_secs = finish_secs - deadline.remaining(now).as_secs_f64();
+        if late_secs > 0.0 {
+            return refuse_after(late_secs);
+        }
+        if self.classes[class as usize].waiting_of(&account) >= MAX_WAITING_PER_ACCOUNT {
+            return refuse_after(finish_secs / 2.0);
+        }
+        self.push(class, &account, key, deadline);
+        if self.has_free_slot() && self.waiting.len() == 1 {
+            self.start_next(now);
+            return OfferOutcome::Start;
+        }
+        OfferOutcome::Wait
+    }
+
+    /// A request has ended after `service_time` on the instance, without queue wait.
+    pub fn finish(
+        &mut self,
+        key: RequestKey,
+        service_time: Duration,
+        now: MonoTime,
+    ) -> Vec<QueueAction> {
+        if let Some(request) = self.running.remove(&key) {
+            let queue = &mut self.classes[request.class as usize];
+            queue.estimate.observe(service_time);
+            self.settle(&request, service_time);
+        }
+        self.dispatch(now)
+    }
+
+    /// A request is wanted no more, whether it waits or runs.
+    pub fn cancel(&mut self, key: RequestKey, now: MonoTime) -> Vec<QueueAction> {
+        if let Some((class, account)) = self.waiting.remove(&key) {
+            self.classes[class as usize].remove(&account, key);
+        } else if let Some(request) = self.running.remove(&key) {
+            self.settle(&request, request.age(now));
+        }
+        self.dispatch(now)
+    }
+
+    /// Refuses what can no longer finish in time.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<QueueAction> {
+        let first_secs = self.first_free_secs(now);
+        let mut actions = Vec::new();
+        for class in RequestClass::ALL {
+            let pace_secs = self.pace_secs(class);
+            let queue = &mut self.classes[class as usize];
+            for (account, key, over) in queue.late_requests(first_secs, pace_secs, now) {
+                queue.remove(&account, key);
+                self.waiting.remove(&key);
+                let retry_after = over.max(MIN_RETRY_AFTER);
+                actions.push(QueueAction::Refuse { key, retry_after });
+            }
+            queue.sweep();
+        }
+        actions.extend(self.dispatch(now));
+        actions
+    }
+
+    /// Changes the slots and weights; what runs keeps running.
+    pub fn resize(&mut self, slots: Slots, weights: ClassWeights) {
+        self.slots = slots.get();
+        self.weights = weights;
+    }
+
+    /// Slots in use and requests that wait.
+    #[must_use]
+    pub fn load(&self) -> LoadFigure {
+        LoadFigure {
+            in_use: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// How long the oldest running request has run.
+    ///
+    /// Scaled by class, so that a request of a long class counts as one of the shortest
+    /// class that is as late.
+    #[must_use]
+    pub fn running_oldest(&self, now: MonoTime) -> Option<Duration> {
+        let shortest_secs = self
+            .running
+            .values()
+            .map(|request| request.charged_secs)
+            .fold(f64::INFINITY, f64::min);
+        let ages = self.running.values().map(|request| {
+            let scale = shortest_secs / request.charged_secs.max(f64::MIN_POSITIVE);
+            request.age(now).mul_f64(scale.min(1.0))
+        });
+        ages.max()
+    }
+
+    /// The state for the dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let classes: serde_json::Map<_, _> = RequestClass::ALL
+            .into_iter()
+            .map(|class| (class.to_string(), self.classes[class as usize].dump()))
+            .collect();
+        serde_json::json!({
+            "slots": self.slots,
+            "load": self.load(),
+            "classes": classes,
+        })
+    }
+}
+
+/// Sharing: tags, charges and the choice of the next request.
+impl InstanceQueue {
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < self.slots as usize
+    }
+
+    fn mean_secs(&self, class: RequestClass) -> f64 {
+        self.classes[class as usize].estimate.mean_secs()
+    }
+
+    fn weight_of(&self, class: RequestClass) -> f64 {
+        f64::from(self.weights.of(class).get())
+    }
+
+    fn push(
+        &mut self,
+        class: RequestClass,
+        account: &AccountId,
+        key: RequestKey,
+        deadline: crate::time::Deadline,
+    ) {
+        let queue = &mut self.classes[class as usize];
+        if queue.waiting() == 0 {
+            queue.start_tag = queue.start_tag.max(self.virtual_time);
+        }
+        queue.push(account, key, deadline);
+        self.waiting.insert(key, (class, account.clone()));
+    }
+
+    fn dispatch(&mut self, now: MonoTime) -> Vec<QueueAction> {
+        let mut actions = Vec::new();
+        while self.has_free_slot() {
+            let Some(action) = self.start_next(now) else {
+                break;
+            };
+            actions.push(action);
+        }
+        actions
+    }
+
+    fn start_next(&mut self, now: MonoTime) -> Option<QueueAction> {
+        let class = self.next_class()?;
+        let weight = self.weight_of(class);
+        let queue = &mut self.classes[class as usize];
+        let (account, request) = queue.pop()?;
+        let key = request.key;
+        self.waiting.remove(&key);
+        let mean_secs = queue.estimate.mean_secs();
+        let left_secs = request.deadline.remaining(now).as_secs_f64();
+        if left_secs < mean_secs {
+            let retry_after = MIN_RETRY_AFTER.max(Duration::from_secs_f64(mean_secs));
+            return Some(QueueAction::Refuse { key, retry_after });
+        }
+        let charged_secs = queue.charge(&account);
+        self.virtual_time = self.virtual_time.max(queue.start_tag);
+        queue.start_tag += charged_secs / weight;
+        let running = RunningRequest {
+            account,
+            class,
+            started: now,
+            charged_secs,
+        };
+        self.running.insert(key, running);
+        Some(QueueAction::Start(key))
+    }
+
+    fn next_class(&self) -> Option<RequestClass> {
+        let waiting = |class: &RequestClass| self.classes[*class as usize].waiting() > 0;
+        let tag = |class: &RequestClass| self.classes[*class as usize].start_tag;
+        let classes = RequestClass::ALL.into_iter().filter(waiting);
+        classes.min_by(|class, other| tag(class).total_cmp(&tag(other)))
+    }
+
+    fn settle(&mut self, request: &RunningRequest, service_time: Duration) {
+        let excess_secs = service_time.as_secs_f64() - request.charged_secs;
+        let weight = self.weight_of(request.class);
+        let queue = &mut self.classes[request.class as usize];
+        queue.start_tag += excess_secs / weight;
+        queue.settle(&request.account, excess_secs);
+    }
+}
+
+/// Prediction: how long a request would wait.
+impl InstanceQueue {
+    /// Expected wait of a new request.
+    fn wait_secs(&self, class: RequestClass, account: &AccountId, now: MonoTime) -> f64 {
+        if self.has_free_slot() && self.waiting.is_empty() {
+            return 0.0;
+        }
+        let debt_secs = self.classes[class as usize].debt_secs(account);
+        self.first_free_secs(now) + debt_secs * self.pace_secs(class)
+    }
+
+    /// Expected time until a slot is free.
+    fn first_free_secs(&self, now: MonoTime) -> f64 {
+        if self.has_free_slot() {
+            return 0.0;
+        }
+        let residuals = self.running.values();
+        residuals
+            .map(|request| request.residual_secs(now))
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Seconds that pass for each second of service of one account of `class`.
+    fn pace_secs(&self, class: RequestClass) -> f64 {
+        let rival_weights: f64 = RequestClass::ALL
+            .into_iter()
+            .filter(|other| *other != class && self.classes[*other as usize].waiting() > 0)
+            .map(|other| self.weight_of(other))
+            .sum();
+        let share = self.weight_of(class) / (self.weight_of(class) + rival_weights);
+        let accounts = self.classes[class as usize].backlogged_accounts().max(1);
+        let accounts = f64::from(u32::try_from(accounts).unwrap_or(u32::MAX));
+        accounts / (f64::from(self.slots) * share)
+    }
+}
+
+fn refuse_after(late_secs: f64) -> OfferOutcome {
+    let retry_after = Duration::from_secs_f64(late_secs).max(MIN_RETRY_AFTER);
+    OfferOutcome::Refuse { retry_after }
+}
--- a/src/units/percent.rs
+++ b/src/units/percent.rs
@@ -15,6 +15,9 @@
 impl Percent {
     const MOST: u8 = 100;
 
+    /// The whole.
+    pub const FULL: Self = Self(Self::MOST);
+
     /// The percentage `value`.
     ///
     /// # Errors
--- /dev/null
+++ b/tests/health_states.rs
@@ -0,0 +1,109 @@
+//! Ejection and the way back, answer by answer.
+
+mod models;
+
+use std::time::Duration;
+
+use wagtailtrack::health::{
+    HealthCause, HealthChange, InstanceHealth, SampleOutcome, ServiceBaseline, ServiceSample,
+};
+use wagtailtrack::resource::RequestClass;
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::wire::HealthState;
+
+const USUAL: Duration = Duration::from_millis(20);
+const STEP: Duration = Duration::from_millis(20);
+
+fn baseline() -> ServiceBaseline {
+    ServiceBaseline::of(&models::service_of(10, 3))
+}
+
+fn sample(outcome: SampleOutcome, service_time: Duration) -> ServiceSample {
+    ServiceSample {
+        outcome,
+        service_time,
+        class: RequestClass::Lookup,
+    }
+}
+
+/// Feeds one answer every 20 ms from `from` until `until` or the first change.
+fn feed(
+    health: &mut InstanceHealth,
+    sample: ServiceSample,
+    from: MonoTime,
+    until: MonoTime,
+) -> Option<(HealthChange, MonoTime)> {
+    let mut now = from;
+    while now < until {
+        let change = health.observe(&sample, &baseline(), now);
+        let change = change.or_else(|| health.tick(&baseline(), now, None));
+        if let Some(change) = change {
+            return Some((change, now));
+        }
+        now = now + STEP;
+    }
+    None
+}
+
+fn warm() -> InstanceHealth {
+    let mut health = InstanceHealth::open(1);
+    let good = sample(SampleOutcome::Good, USUAL);
+    let change = feed(
+        &mut health,
+        good,
+        MonoTime::ZERO,
+        MonoTime::from_millis(20_000),
+    );
+    assert_eq!(change, None);
+    health
+}
+
+#[test]
+fn slow_ejected() {
+    let mut health = warm();
+    let slow = sample(SampleOutcome::Good, USUAL * 10);
+    let start = MonoTime::from_millis(20_000);
+    let (change, at) = feed(&mut health, slow, start, MonoTime::from_millis(25_000)).unwrap();
+    assert_eq!(change.cause, HealthCause::Slow);
+    assert_eq!(health.state(), HealthState::Ejected);
+    assert!(at.since(start) < Duration::from_millis(2_000), "{at}");
+}
+
+#[test]
+fn shedding_is_load() {
+    let mut health = warm();
+    let shed = sample(SampleOutcome::Shed, Duration::from_millis(1));
+    let start = MonoTime::from_millis(20_000);
+    let change = feed(&mut health, shed, start, MonoTime::from_millis(30_000));
+    assert_eq!(change, None);
+}
+
+#[test]
+fn way_back() {
+    let mut health = warm();
+    let failed = sample(SampleOutcome::Failed, USUAL);
+    let start = MonoTime::from_millis(20_000);
+    let (change, at) = feed(&mut health, failed, start, MonoTime::from_millis(25_000)).unwrap();
+    assert_eq!(change.cause, HealthCause::Failing);
+    assert!(!health.probe_due(at));
+    let mut now = at + Duration::from_secs(3);
+    let mut states = Vec::new();
+    while health.state() == HealthState::Ejected {
+        if health.probe_due(now) {
+            assert!(!health.probe_due(now), "two probes at once");
+            health.probe_done(SampleOutcome::Good, USUAL, now);
+        }
+        now = now + STEP;
+    }
+    while let Some((change, at)) = feed(
+        &mut health,
+        sample(SampleOutcome::Good, USUAL),
+        now,
+        now + Duration::from_secs(10),
+    ) {
+        states.push(change.to);
+        now = at;
+    }
+    assert_eq!(states.len(), 4, "{states:?}");
+    assert_eq!(health.state(), HealthState::Healthy);
+}
--- /dev/null
+++ b/tests/queueing.rs
@@ -0,0 +1,106 @@
+//! Fair sharing of the slots of one instance.
+
+use std::time::Duration;
+
+use wagtailtrack::ids::{BootId, RequestId};
+use wagtailtrack::queue::{InstanceQueue, OfferOutcome, QueueAction, QueuedRequest, RequestKey};
+use wagtailtrack::resource::{ClassWeights, RequestClass};
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::units::{Slots, Weight};
+
+fn weights() -> ClassWeights {
+    let weight = |value| Weight::new(value).unwrap();
+    ClassWeights {
+        lookup: weight(2),
+        filing: weight(4),
+        extract: weight(1),
+        internal_check: weight(4),
+    }
+}
+
+fn queue(slots: u32) -> InstanceQueue {
+    InstanceQueue::open(Slots::new(slots).unwrap(), weights())
+}
+
+fn key(number: u64) -> RequestKey {
+    RequestKey {
+        boot: BootId(1),
+        request: RequestId(number),
+    }
+}
+
+fn request(number: u64, account: &str, class: RequestClass, millis: u64) -> QueuedRequest {
+    QueuedRequest {
+        key: key(number),
+        account: account.parse().unwrap(),
+        class,
+        deadline: MonoTime::ZERO.after(Duration::from_millis(millis)),
+    }
+}
+
+#[test]
+fn check_passes_lookups() {
+    let mut queue = queue(1);
+    let now = MonoTime::ZERO;
+    for number in 0..10 {
+        queue.offer(request(number, "a", RequestClass::Lookup, 10_000), now);
+    }
+    let check = request(99, "desk", RequestClass::InternalCheck, 10_000);
+    assert_eq!(queue.offer(check, now), OfferOutcome::Wait);
+    let actions = queue.finish(key(0), Duration::from_millis(20), MonoTime::from_millis(20));
+    assert_eq!(actions, vec![QueueAction::Start(key(99))]);
+}
+
+#[test]
+fn accounts_in_turn() {
+    let mut queue = queue(1);
+    let now = MonoTime::ZERO;
+    for number in 0..10 {
+        queue.offer(request(number, "large", RequestClass::Lookup, 10_000), now);
+    }
+    queue.offer(request(50, "small", RequestClass::Lookup, 10_000), now);
+    let actions = queue.finish(key(0), Duration::from_millis(20), MonoTime::from_millis(20));
+    assert_eq!(actions, vec![QueueAction::Start(key(50))]);
+}
+
+#[test]
+fn hopeless_refused() {
+    let mut queue = queue(1);
+    let now = MonoTime::ZERO;
+    queue.offer(request(0, "a", RequestClass::Lookup, 10_000), now);
+    let outcome = queue.offer(request(1, "a", RequestClass::Lookup, 10), now);
+    assert!(
+        matches!(outcome, OfferOutcome::Refuse { .. }),
+        "{outcome:?}"
+    );
+}
+
+#[test]
+fn late_refused() {
+    let mut queue = queue(1);
+    queue.offer(
+        request(0, "a", RequestClass::Lookup, 10_000),
+        MonoTime::ZERO,
+    );
+    let outcome = queue.offer(request(1, "b", RequestClass::Lookup, 100), MonoTime::ZERO);
+    assert_eq!(outcome, OfferOutcome::Wait);
+    let actions = queue.tick(MonoTime::from_millis(90));
+    assert!(
+        matches!(actions[..], [QueueAction::Refuse { key: refused, .. }] if refused == key(1)),
+        "{actions:?}"
+    );
+    assert_eq!(queue.load().queued, 0);
+}
+
+#[test]
+fn cancel_frees() {
+    let mut queue = queue(1);
+    let now = MonoTime::ZERO;
+    queue.offer(request(0, "a", RequestClass::Lookup, 10_000), now);
+    queue.offer(request(1, "a", RequestClass::Lookup, 10_000), now);
+    queue.offer(request(2, "a", RequestClass::Lookup, 10_000), now);
+    assert!(queue.cancel(key(1), now).is_empty());
+    let actions = queue.cancel(key(0), now);
+    assert_eq!(actions, vec![QueueAction::Start(key(2))]);
+    assert_eq!(queue.load().in_use, 1);
+}
