Stand-in backend, loopback relay, and the environment of process tests

The proofs need backend servers that turn sick on request and record what they ran, links that are cut, one-way or silent, and real processes that can be killed and paused.

Ruled out: the project's shared HTTP listener for the instances, because a half-closed connection must cancel its request here.

--- /dev/null
+++ b/standins/relay/relay_handle.rs
@@ -0,0 +1,86 @@
+//! The handle of a running relay.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::thread;
+
+use tokio::sync::watch;
+
+use super::relay_mode::RelayMode;
+use super::{tcp_relay, udp_relay};
+
+/// The mode, and the number of times that open connections were silenced.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct RelayState {
+    pub(super) mode: RelayMode,
+    pub(super) silences: u64,
+}
+
+/// A relay that runs on a thread of its own; dropping it ends it.
+pub struct RelayHandle {
+    address: SocketAddr,
+    state: Option<watch::Sender<RelayState>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl RelayHandle {
+    /// Binds a free port on the target's address for TCP and UDP and relays it to `to`.
+    ///
+    /// # Errors
+    /// Any I/O error of binding.
+    pub fn bind(to: SocketAddr) -> io::Result<Self> {
+        Self::bind_at(SocketAddr::new(to.ip(), 0), to)
+    }
+
+    /// Binds `listen` for TCP and UDP and relays it to `to`.
+    ///
+    /// # Errors
+    /// Any I/O error of binding.
+    pub fn bind_at(listen: SocketAddr, to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (state, seen) = watch::channel(RelayState::default());
+        let thread = thread::spawn(move || {
+            runtime.block_on(async {
+                tokio::join!(
+                    tcp_relay::run(listener, to, seen.clone()),
+                    udp_relay::run(socket, to, seen)
+                );
+            });
+        });
+        Ok(Self {
+            address,
+            state: Some(state),
+            thread: Some(thread),
+        })
+    }
+
+    /// The address to use in place of the target's.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Puts `mode` in force.
+    pub fn set(&self, mode: RelayMode) {
+        let Some(state) = &self.state else { return };
+        state.send_modify(|state| {
+            state.mode = mode;
+            state.silences += u64::from(mode == RelayMode::Silent);
+        });
+    }
+}
+
+impl Drop for RelayHandle {
+    fn drop(&mut self) {
+        self.state = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,24 @@
 //! The environment that tests share.
 #![allow(dead_code, reason = "each test file uses a part")]
+#![allow(unused_imports, reason = "each test file uses a part")]
 
+mod backend_process;
+mod caller_client;
+mod child_process;
+mod daemon_process;
+mod free_ports;
+mod patience;
+#[path = "../../standins/relay/mod.rs"]
+mod relay;
 mod scratch_dir;
+mod test_fleet;
 
+pub use backend_process::{BackendPlan, BackendProcess, RanRequest};
+pub use caller_client::{CallerAnswer, CallerClient, CallerError};
+pub use child_process::{ChildProcess, program};
+pub use daemon_process::{DaemonPlan, DaemonProcess, FLEET_SECRET, OPERATOR_TOKEN};
+pub use free_ports::{free_address, free_host};
+pub use patience::{PATIENCE, eventually};
+pub use relay::{RelayHandle, RelayMode};
 pub use scratch_dir::ScratchDir;
+pub use test_fleet::{FleetPlan, TestFleet};
