Membership gossip, instance records and announcements

Daemons find each other by seeds and rows, probe directly and through others, and gossip changes of members and instances over MACed datagrams; digests of random buckets of owners find what one side lacks, and a newcomer pulls the whole view over h2. Backend servers announce themselves under a lease; a drain is final until the instance announces 'starting'.

--- /dev/null
+++ b/src/instances/announce_error.rs
@@ -0,0 +1,75 @@
+//! Why an announcement was refused.
+
+use std::net::SocketAddr;
+
+use actix_http::StatusCode;
+use quick_error::quick_error;
+
+use crate::http::BodyError;
+use crate::ids::{InstanceId, NameError};
+use crate::instances::{LEAST_LEASE, MOST_LEASE};
+use crate::units::TimeSpan;
+
+quick_error! {
+    /// Names what is wrong and the remedy.
+    #[derive(Debug, PartialEq, Eq)]
+    pub enum AnnounceError {
+        /// The instance's name in the path is no name.
+        Name(cause: NameError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// The body is not valid.
+        Body(cause: String) {
+            display("announcement is not valid: {cause}; send service, address, phase, slots and lease")
+        }
+        /// The body could not be read.
+        Read(cause: BodyError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// The lease is out of range.
+        Lease(lease: TimeSpan) {
+            display("lease '{lease}' is out of range; use {LEAST_LEASE} to {MOST_LEASE}")
+        }
+        /// The address is not one of this VM.
+        Address(address: SocketAddr) {
+            display("address '{address}' is not on this VM; announce it to the daemon beside it")
+        }
+        /// The announcement came from another VM.
+        Remote(peer: String) {
+            display("announcements from '{peer}' are refused; announce to the daemon on the same VM")
+        }
+        /// The instance has said that it leaves.
+        Leaving(instance: InstanceId) {
+            display("instance '{instance}' is leaving; announce 'starting' to begin anew")
+        }
+        /// There is no room for another instance.
+        Full(most: usize) {
+            display("this daemon serves {most} instances already; run fewer on one VM")
+        }
+        /// The daemon stops.
+        Stopping {
+            display("this daemon is stopping; announce again to its successor")
+        }
+    }
+}
+
+impl AnnounceError {
+    /// The HTTP status that tells it.
+    #[must_use]
+    pub const fn status(&self) -> StatusCode {
+        match self {
+            Self::Name(_) | Self::Body(_) | Self::Lease(_) | Self::Address(_) => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::Read(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Read(BodyError::Malformed(_)) => StatusCode::BAD_REQUEST,
+            Self::Remote(_) => StatusCode::FORBIDDEN,
+            Self::Leaving(_) => StatusCode::CONFLICT,
+            Self::Full(_) | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
--- /dev/null
+++ b/src/instances/announce_server.rs
@@ -0,0 +1,186 @@
+//! The HTTP listener for announcements.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{ALLOW, HeaderValue, RETRY_AFTER};
+use actix_http::{Method, Request, Response, StatusCode};
+use serde_json::json;
+
+use crate::http::{self, HttpHandler, HttpServer};
+use crate::ids::InstanceId;
+use crate::instances::{
+    AnnounceError, AnnounceSources, AnnounceTable, Announcement, LocalInstance,
+};
+use crate::logs::part;
+use crate::units::ByteSize;
+
+const PATH: &str = "/v1/instances";
+const MOST_BODY: ByteSize = ByteSize::from_kib(4);
+const TICK: Duration = Duration::from_millis(100);
+
+struct AnnounceState {
+    sources: AnnounceSources,
+    table: RefCell<AnnounceTable>,
+}
+
+/// A running listener; dropping it ends it and the watch over the leases.
+pub struct AnnounceServer {
+    state: Rc<AnnounceState>,
+    server: HttpServer,
+    ticks: actix_rt::task::JoinHandle<()>,
+}
+
+impl AnnounceServer {
+    /// Binds the address and takes announcements.
+    ///
+    /// # Errors
+    /// Any I/O error of binding.
+    pub async fn bind(sources: AnnounceSources) -> io::Result<Self> {
+        let address = sources.address;
+        let state = Rc::new(AnnounceState {
+            sources,
+            table: RefCell::default(),
+        });
+        let handler_state = Rc::clone(&state);
+        let handler: HttpHandler = Rc::new(move |request| {
+            let state = Rc::clone(&handler_state);
+            Box::pin(async move { state.answer(request).await })
+        });
+        let server = HttpServer::bind(address, handler).await?;
+        let ticks = actix_rt::spawn(run_ticks(Rc::clone(&state)));
+        Ok(Self {
+            state,
+            server,
+            ticks,
+        })
+    }
+
+    /// The address bound.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The instances that are not gone, by name.
+    #[must_use]
+    pub fn local(&self) -> Vec<LocalInstance> {
+        self.state.table.borrow().local()
+    }
+
+    /// The state for operators.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        json!({ "instances": self.local() })
+    }
+}
+
+impl Drop for AnnounceServer {
+    fn drop(&mut self) {
+        self.ticks.abort();
+    }
+}
+
+async fn run_ticks(state: Rc<AnnounceState>) {
+    loop {
+        actix_rt::time::sleep(TICK).await;
+        let now = state.sources.clock.now();
+        let changed = state.table.borrow_mut().tick(now);
+        for local in changed {
+            log::warn!(target: part::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Lease missed.");
+            (state.sources.on_change)(local);
+        }
+    }
+}
+
+impl AnnounceState {
+    async fn answer(&self, mut request: Request) -> Response<BoxBody> {
+        let path = request.path().to_owned();
+        match (request.method().clone(), path.strip_prefix(PATH)) {
+            (Method::GET, Some("")) => http::json(StatusCode::OK, &self.table.borrow().local()),
+            (Method::PUT, Some(rest)) if rest.len() > 1 && rest.starts_with('/') => {
+                match self.announce(&rest[1..], &mut request).await {
+                    Ok(local) => http::json(StatusCode::OK, &local),
+                    Err(error) => refuse(&error),
+                }
+            }
+            (_, Some(rest)) if rest.is_empty() || rest.starts_with('/') => wrong_method(),
+            _ => http::text(
+                StatusCode::NOT_FOUND,
+                "unknown path; use PUT /v1/instances/{instance}",
+            ),
+        }
+    }
+
+    async fn announce(
+        &self,
+        name: &str,
+        request: &mut Request,
+    ) -> Result<LocalInstance, AnnounceError> {
+        check_peer(request.peer_addr())?;
+        let instance: InstanceId = name.parse()?;
+        let body = http::read_body(request.payload(), MOST_BODY).await?;
+        let announcement = Announcement::parse(&body)?;
+        if !is_on_this_vm(announcement.address.ip()) {
+            return Err(AnnounceError::Address(announcement.address));
+        }
+        self.apply(&instance, &announcement)
+    }
+
+    fn apply(
+        &self,
+        instance: &InstanceId,
+        announcement: &Announcement,
+    ) -> Result<LocalInstance, AnnounceError> {
+        let now = self.sources.clock.now();
+        let is_new = self.table.borrow().get(instance).is_none();
+        if is_new && (self.sources.is_stopping)() {
+            return Err(AnnounceError::Stopping);
+        }
+        let outcome = self
+            .table
+            .borrow_mut()
+            .announce(instance, announcement, now);
+        let (local, changed) = outcome?;
+        if changed {
+            log::info!(target: part::INSTANCES, instance:%, phase:? = local.phase; "Instance changed.");
+            (self.sources.on_change)(local.clone());
+        }
+        Ok(local)
+    }
+}
+
+fn refuse(error: &AnnounceError) -> Response<BoxBody> {
+    log::debug!(target: part::INSTANCES, error:%; "Announcement refused.");
+    let mut response = http::text(error.status(), &error.to_string());
+    if error.status() == StatusCode::SERVICE_UNAVAILABLE {
+        let second = HeaderValue::from_static("1");
+        response.headers_mut().insert(RETRY_AFTER, second);
+    }
+    response
+}
+
+fn wrong_method() -> Response<BoxBody> {
+    let message = "use PUT /v1/instances/{instance}, or GET /v1/instances";
+    let mut response = http::text(StatusCode::METHOD_NOT_ALLOWED, message);
+    let allowed = HeaderValue::from_static("GET, PUT");
+    response.headers_mut().insert(ALLOW, allowed);
+    response
+}
+
+fn check_peer(peer: Option<SocketAddr>) -> Result<(), AnnounceError> {
+    match peer {
+        Some(peer) if is_on_this_vm(peer.ip()) => Ok(()),
+        Some(peer) => Err(AnnounceError::Remote(peer.ip().to_string())),
+        None => Err(AnnounceError::Remote("unknown".to_owned())),
+    }
+}
+
+/// Whether `ip` is an address of this VM: only then can a socket be bound to it.
+fn is_on_this_vm(ip: IpAddr) -> bool {
+    ip.is_loopback() || UdpSocket::bind((ip, 0)).is_ok()
+}
--- /dev/null
+++ b/src/instances/announce_table.rs
@@ -0,0 +1,146 @@
+//! The instances beside this daemon and their leases.
+
+use std::time::Duration;
+
+use crate::hash::FastMap;
+use crate::ids::InstanceId;
+use crate::instances::{AnnounceError, Announcement, LocalInstance};
+use crate::time::{Deadline, MonoTime};
+use crate::wire::InstancePhase;
+
+const MOST_INSTANCES: usize = 64;
+const GONE_AFTER_MISSED: Duration = Duration::from_secs(10);
+const REMEMBER_GONE: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Clone)]
+struct LeasedInstance {
+    local: LocalInstance,
+    /// The instance itself said that it leaves.
+    has_left: bool,
+    /// When the next step without a renewal is due.
+    due: Deadline,
+}
+
+/// Turns announcements and missed leases into phases.
+///
+/// An instance that said that it drains or is gone stays so until it announces `starting`:
+/// a renewal that was sent before the drain and arrives after it changes nothing.
+#[derive(Debug, Default)]
+pub struct AnnounceTable {
+    instances: FastMap<InstanceId, LeasedInstance>,
+}
+
+impl AnnounceTable {
+    /// Takes in an announcement; the instance, and whether more than its lease changed.
+    ///
+    /// # Errors
+    /// `AnnounceError::Leaving` for a renewal after a drain, and `AnnounceError::Full`.
+    pub fn announce(
+        &mut self,
+        instance: &InstanceId,
+        announcement: &Announcement,
+        now: MonoTime,
+    ) -> Result<(LocalInstance, bool), AnnounceError> {
+        let known = self.instances.get(instance);
+        let has_left = known.is_some_and(|known| known.has_left);
+        if has_left && announcement.phase == InstancePhase::Ready {
+            return Err(AnnounceError::Leaving(instance.clone()));
+        }
+        if known.is_none() && self.instances.len() >= MOST_INSTANCES {
+            return Err(AnnounceError::Full(MOST_INSTANCES));
+        }
+        let phase = phase_after(known, announcement.phase);
+        let leased = lease(instance, announcement, phase, now);
+        let changed = known.is_none_or(|known| known.local != leased.local);
+        let local = leased.local.clone();
+        self.instances.insert(instance.clone(), leased);
+        Ok((local, changed))
+    }
+
+    /// Moves on to `now`; the instances that a missed lease changed.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<LocalInstance> {
+        let mut changed = Vec::new();
+        self.instances.retain(|_, leased| {
+            if !leased.due.has_passed(now) {
+                return true;
+            }
+            let keep = leased.local.phase != InstancePhase::Gone;
+            if keep {
+                changed.extend(leased.miss(now));
+            }
+            keep
+        });
+        changed
+    }
+
+    /// The instance of this name, unless it is gone.
+    #[must_use]
+    pub fn get(&self, instance: &InstanceId) -> Option<&LocalInstance> {
+        let leased = self.instances.get(instance)?;
+        is_present(&leased.local).then_some(&leased.local)
+    }
+
+    /// Every instance that is not gone, by name.
+    #[must_use]
+    pub fn local(&self) -> Vec<LocalInstance> {
+        let all = self.instances.values().map(|leased| &leased.local);
+        let mut present: Vec<_> = all.filter(|local| is_present(local)).cloned().collect();
+        present.sort_unstable_by(|left, right| left.instance.cmp(&right.instance));
+        present
+    }
+}
+
+impl LeasedInstance {
+    /// Takes the step that a missed lease asks for.
+    fn miss(&mut self, now: MonoTime) -> Option<LocalInstance> {
+        let (phase, wait) = match self.local.phase {
+            InstancePhase::Starting | InstancePhase::Ready => {
+                (InstancePhase::Draining, GONE_AFTER_MISSED)
+            }
+            InstancePhase::Draining => (InstancePhase::Gone, REMEMBER_GONE),
+            InstancePhase::Gone => return None,
+        };
+        self.local.phase = phase;
+        self.due = now.after(wait);
+        Some(self.local.clone())
+    }
+}
+
+fn lease(
+    instance: &InstanceId,
+    announcement: &Announcement,
+    phase: InstancePhase,
+    now: MonoTime,
+) -> LeasedInstance {
+    let span = match phase {
+        InstancePhase::Gone => REMEMBER_GONE,
+        _ => announcement.lease.get(),
+    };
+    LeasedInstance {
+        local: LocalInstance {
+            instance: instance.clone(),
+            service: announcement.service.clone(),
+            address: announcement.address,
+            phase,
+            slots: announcement.slots,
+        },
+        has_left: matches!(phase, InstancePhase::Draining | InstancePhase::Gone),
+        due: now.after(span),
+    }
+}
+
+/// A late drain does not bring back an instance that said that it is gone.
+fn phase_after(known: Option<&LeasedInstance>, announced: InstancePhase) -> InstancePhase {
+    match (known, announced) {
+        (Some(known), InstancePhase::Draining)
+            if known.has_left && known.local.phase == InstancePhase::Gone =>
+        {
+            InstancePhase::Gone
+        }
+        _ => announced,
+    }
+}
+
+fn is_present(local: &LocalInstance) -> bool {
+    local.phase != InstancePhase::Gone
+}
--- /dev/null
+++ b/src/instances/announcement.rs
@@ -0,0 +1,50 @@
+//! The body of an announcement.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::ids::ServiceId;
+use crate::instances::AnnounceError;
+use crate::units::{Slots, TimeSpan};
+use crate::wire::InstancePhase;
+
+/// Shortest lease that an instance may ask for.
+pub const LEAST_LEASE: TimeSpan = TimeSpan::from_millis(500);
+/// Longest lease that an instance may ask for.
+pub const MOST_LEASE: TimeSpan = TimeSpan::from_secs(60);
+
+/// What a backend server says of one of its instances.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its phase.
+    pub phase: InstancePhase,
+    /// Requests that it runs at the same time.
+    pub slots: Slots,
+    /// How long the announcement holds without a renewal.
+    pub lease: TimeSpan,
+}
+
+impl Announcement {
+    /// Reads an announcement from JSON.
+    ///
+    /// # Errors
+    /// `AnnounceError` names what is wrong and the remedy.
+    pub fn parse(body: &[u8]) -> Result<Self, AnnounceError> {
+        let announcement: Self =
+            serde_json::from_slice(body).map_err(|cause| AnnounceError::Body(cause.to_string()))?;
+        let lease = announcement.lease;
+        if lease < LEAST_LEASE || lease > MOST_LEASE {
+            return Err(AnnounceError::Lease(lease));
+        }
+        if announcement.address.port() == 0 || announcement.address.ip().is_unspecified() {
+            return Err(AnnounceError::Address(announcement.address));
+        }
+        Ok(announcement)
+    }
+}
--- /dev/null
+++ b/src/instances/mod.rs
@@ -0,0 +1,15 @@
+//! Announcements of the backend servers on this VM, under short leases.
+
+mod announce_error;
+mod announce_server;
+mod announce_sources;
+mod announce_table;
+mod announcement;
+mod local_instance;
+
+pub use announce_error::AnnounceError;
+pub use announce_server::AnnounceServer;
+pub use announce_sources::AnnounceSources;
+pub use announce_table::AnnounceTable;
+pub use announcement::{Announcement, LEAST_LEASE, MOST_LEASE};
+pub use local_instance::LocalInstance;
--- /dev/null
+++ b/src/members/gossip_action.rs
@@ -0,0 +1,22 @@
+//! What the membership decides to do.
+
+use std::net::SocketAddr;
+
+use crate::ids::Revision;
+use crate::wire::GossipMessage;
+
+/// An effect that the caller carries out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GossipAction {
+    /// Sends a datagram.
+    Send {
+        /// The receiver's address.
+        to: SocketAddr,
+        /// What is sent.
+        message: GossipMessage,
+    },
+    /// A peer has this configuration revision.
+    Revision(Revision, SocketAddr),
+    /// The view differs much from this peer's: pull from it.
+    Pull(SocketAddr),
+}
--- /dev/null
+++ b/src/members/gossip_send.rs
@@ -0,0 +1,196 @@
+//! How `GossipCore` composes messages.
+
+use std::net::SocketAddr;
+
+use crate::ids::DaemonId;
+use crate::members::{ChangeKey, GossipAction, GossipCore, MessageSpace, ProbeStep};
+use crate::time::MonoTime;
+use crate::wire::{GossipBody, GossipMessage, MemberRecord, MemberState};
+
+const RELAYS: usize = 3;
+const MOST_CHANGES: usize = 24;
+const EXTRA_SENDINGS: u32 = 3;
+const MOST_INSTANCE_SENDINGS: u32 = 6;
+
+impl GossipCore {
+    /// Carries out a step of the probe cycle.
+    pub(super) fn carry_out(
+        &mut self,
+        step: ProbeStep,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        match step {
+            ProbeStep::Ping { probe, target, to } => {
+                self.send(to, Some(&target), GossipBody::Ping(probe), rng, actions);
+            }
+            ProbeStep::Relay { probe, target, to } => {
+                self.ask_relays(probe, &target, to, rng, actions);
+            }
+            ProbeStep::Failed { target, since } => self.suspect(&target, since, now),
+        }
+    }
+
+    /// Pings an address outside the cycle.
+    pub(super) fn ping(
+        &mut self,
+        to: SocketAddr,
+        target: Option<&DaemonId>,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let probe = GossipBody::Ping(self.cycle.take_number());
+        self.send(to, target, probe, rng, actions);
+    }
+
+    /// Sends `body` with as many changes as fit.
+    pub(super) fn send(
+        &mut self,
+        to: SocketAddr,
+        target: Option<&DaemonId>,
+        body: GossipBody,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let message = self.compose(target, body, rng);
+        actions.push(GossipAction::Send { to, message });
+    }
+
+    /// Pushes the newest changes to at most `count` members, those of the own region first.
+    pub(super) fn push_to_some(
+        &mut self,
+        count: usize,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        for record in self.sample(count, None, rng) {
+            let target = Some(&record.daemon);
+            self.send(record.address, target, GossipBody::Push, rng, actions);
+        }
+    }
+
+    /// How often a change is sent by each daemon that learns of it.
+    pub(super) fn sendings_of(&self, key: &ChangeKey) -> u32 {
+        let live = self.view.members().live_count() + 1;
+        let full = live.ilog2() + EXTRA_SENDINGS;
+        match key {
+            ChangeKey::Member(_) => full,
+            ChangeKey::Instance(_) => full.min(MOST_INSTANCE_SENDINGS),
+        }
+    }
+
+    /// A message without changes.
+    pub(super) fn bare(&self, body: GossipBody) -> GossipMessage {
+        GossipMessage {
+            sender: self.view.own().daemon.clone(),
+            revision: self.revision,
+            body,
+            digest: None,
+            members: Vec::new(),
+            instances: Vec::new(),
+        }
+    }
+
+    fn compose(
+        &mut self,
+        target: Option<&DaemonId>,
+        body: GossipBody,
+        rng: &mut fastrand::Rng,
+    ) -> GossipMessage {
+        let mut message = self.bare(body);
+        if matches!(message.body, GossipBody::Ping(_) | GossipBody::Ack(_)) {
+            let is_left = self.view.own().state == MemberState::Left;
+            message.digest = (!is_left).then(|| self.view.draw_bucket(rng));
+        }
+        let mut space = MessageSpace::open(message);
+        self.tell_accused(target, &mut space);
+        self.fill(target, &mut space);
+        space.finish()
+    }
+
+    /// Tells a daemon that it is held for dead or suspect, so that it can refute that.
+    fn tell_accused(&self, target: Option<&DaemonId>, space: &mut MessageSpace) {
+        let Some(record) = target.and_then(|target| self.view.member(target)) else {
+            return;
+        };
+        if record.state != MemberState::Alive {
+            space.add_member(record);
+        }
+    }
+
+    fn fill(&mut self, target: Option<&DaemonId>, space: &mut MessageSpace) {
+        for key in self.queue.first(MOST_CHANGES) {
+            let added = match &key {
+                ChangeKey::Member(daemon) if Some(daemon) == target => continue,
+                ChangeKey::Member(daemon) => {
+                    let record = self.view.member(daemon);
+                    record.map(|record| space.add_member(record))
+                }
+                ChangeKey::Instance(instance) => {
+                    let record = self.view.records().get(instance);
+                    record.map(|record| space.add_instance(record))
+                }
+            };
+            match added {
+                Some(true) => self.queue.count(&key, self.sendings_of(&key)),
+                Some(false) => return,
+                None => self.queue.forget(&key),
+            }
+        }
+    }
+
+    fn ask_relays(
+        &mut self,
+        probe: u32,
+        target: &DaemonId,
+        to: SocketAddr,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        for relay in self.sample(RELAYS, Some(target), rng) {
+            let body = GossipBody::PingRequest { probe, target: to };
+            self.send(relay.address, Some(&relay.daemon), body, rng, actions);
+        }
+    }
+
+    fn suspect(&mut self, target: &DaemonId, since: MonoTime, now: MonoTime) {
+        if self.heard_since(target, since) {
+            return;
+        }
+        let Some(entry) = self.view.members().get(target) else {
+            return;
+        };
+        if !entry.record.state.is_live() {
+            return;
+        }
+        let own = self.view.own().daemon.clone();
+        let accusation = entry.record.in_state(MemberState::Suspect(own));
+        self.counters.suspicions += 1;
+        let awareness = self.cycle.awareness().saturating_sub(1);
+        self.view.merge_member(&accusation, awareness, now);
+        self.queue.push(ChangeKey::Member(target.clone()));
+    }
+
+    /// Random live members other than `except`; half of them from other regions at most.
+    fn sample(
+        &self,
+        count: usize,
+        except: Option<&DaemonId>,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<MemberRecord> {
+        let region = &self.view.own().region;
+        let live = self.view.members().live();
+        let mut pool: Vec<_> = live
+            .filter(|record| Some(&record.daemon) != except)
+            .collect();
+        pool.sort_unstable_by(|left, right| left.daemon.cmp(&right.daemon));
+        rng.shuffle(&mut pool);
+        let (near, far): (Vec<_>, Vec<_>) = pool
+            .into_iter()
+            .partition(|record| record.region == *region);
+        let far_count = (count / 4).max(count.saturating_sub(near.len()));
+        let far = far.into_iter().take(far_count);
+        far.chain(near).take(count).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/members/member_rows.rs
@@ -0,0 +1,92 @@
+//! The table's rows of daemons, by which a newcomer finds the others.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{BootId, DaemonId, RegionId, ZoneId};
+use crate::platform::{PlatformError, PlatformService, RowKey, RowWrite, Transaction};
+
+const PREFIX: &str = "members/";
+
+/// What a daemon writes of itself when it starts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberRow {
+    /// Its address for other daemons.
+    pub address: SocketAddr,
+    /// Its boot.
+    pub boot: BootId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+}
+
+/// Reads and writes the rows.
+#[derive(Clone)]
+pub struct MemberRows {
+    platform: Rc<dyn PlatformService>,
+}
+
+impl MemberRows {
+    /// The rows in `platform`.
+    #[must_use]
+    pub fn open(platform: Rc<dyn PlatformService>) -> Self {
+        Self { platform }
+    }
+
+    /// Writes the row of `daemon`, whatever it held.
+    ///
+    /// # Errors
+    /// `PlatformError` when the platform did not confirm it; writing it again does no harm.
+    pub async fn write(&self, daemon: &DaemonId, row: &MemberRow) -> Result<(), PlatformError> {
+        let value = serde_json::to_vec(row)
+            .map_err(|cause| PlatformError::Unavailable(cause.to_string()))?;
+        self.commit(daemon, Some(value)).await
+    }
+
+    /// Deletes the row of `daemon`.
+    ///
+    /// # Errors
+    /// `PlatformError` when the platform did not confirm it.
+    pub async fn delete(&self, daemon: &DaemonId) -> Result<(), PlatformError> {
+        self.commit(daemon, None).await
+    }
+
+    /// Reads the addresses of up to `limit` daemons whose names follow `after` in order.
+    ///
+    /// # Errors
+    /// `PlatformError` when the platform cannot be read.
+    pub async fn addresses(
+        &self,
+        after: Option<&DaemonId>,
+        limit: usize,
+    ) -> Result<Vec<SocketAddr>, PlatformError> {
+        let after = after.map(key_of);
+        let rows = self.platform.scan(PREFIX, after.as_ref(), limit).await?;
+        let decoded = rows.iter().filter_map(|row| decode(&row.value));
+        Ok(decoded.map(|row| row.address).collect())
+    }
+
+    async fn commit(&self, daemon: &DaemonId, value: Option<Vec<u8>>) -> Result<(), PlatformError> {
+        let write = RowWrite {
+            key: key_of(daemon),
+            value,
+        };
+        let transaction = Transaction {
+            checks: Vec::new(),
+            writes: vec![write],
+        };
+        self.platform.commit(&transaction).await.map(|_| ())
+    }
+}
+
+fn key_of(daemon: &DaemonId) -> RowKey {
+    RowKey(format!("{PREFIX}{daemon}"))
+}
+
+fn decode(value: &[u8]) -> Option<MemberRow> {
+    serde_json::from_slice(value).ok()
+}
--- /dev/null
+++ b/src/members/mod.rs
@@ -0,0 +1,44 @@
+//! Membership: which daemons live, and the instance records that they publish.
+//!
+//! `GossipCore` decides; `MembersHandle` drives it over UDP and `h2`. Membership is a
+//! hint: an egress, and not this view, decides whether an instance takes a request.
+
+mod change_queue;
+mod datagram_codec;
+mod fleet_view;
+mod gossip_action;
+mod gossip_core;
+mod gossip_counters;
+mod gossip_receive;
+mod gossip_send;
+mod live_member;
+mod member_rows;
+mod member_sources;
+mod member_table;
+mod members_handle;
+mod message_space;
+mod name_digest;
+mod own_instances;
+mod probe_cycle;
+mod record_table;
+mod relay_table;
+mod suspicion_timer;
+
+pub use change_queue::{ChangeKey, ChangeQueue};
+pub use datagram_codec::{DatagramCodec, DatagramError, MAX_DATAGRAM_BYTES};
+pub use fleet_view::FleetView;
+pub use gossip_action::GossipAction;
+pub use gossip_core::GossipCore;
+pub use gossip_counters::GossipCounters;
+pub use live_member::LiveMember;
+pub use member_rows::{MemberRow, MemberRows};
+pub use member_sources::MemberSources;
+pub use member_table::{MemberChange, MemberEntry, MemberTable};
+pub use members_handle::MembersHandle;
+pub use message_space::MessageSpace;
+pub use name_digest::NameDigest;
+pub use own_instances::OwnInstances;
+pub use probe_cycle::{ProbeCycle, ProbeStep};
+pub use record_table::{RecordChange, RecordTable};
+pub use relay_table::{RelayTable, RelayedProbe};
+pub use suspicion_timer::SuspicionTimer;
--- /dev/null
+++ b/src/members/name_digest.rs
@@ -0,0 +1,43 @@
+//! Digests that are the same in every process.
+
+use crate::wire::BucketDigest;
+
+/// Hashes names and numbers for the comparison of views.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NameDigest(u64);
+
+impl NameDigest {
+    /// The digest of `name` and `number`.
+    #[must_use]
+    pub fn of(name: &str, number: u64) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(name.as_bytes());
+        hasher.update(&number.to_le_bytes());
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Self(u64::from_le_bytes(bytes))
+    }
+
+    /// All 64 bits.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// The lower half.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "the lower half is meant")]
+    pub const fn low(self) -> u32 {
+        self.0 as u32
+    }
+}
+
+/// Whether the hash `owner` lies in `bucket`.
+#[must_use]
+pub fn lies_in(owner: u32, bucket: &BucketDigest) -> bool {
+    match u32::from(bucket.bits) {
+        0 => true,
+        bits @ 1..=32 => owner >> (32 - bits) == bucket.bucket,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/src/members/record_table.rs
@@ -0,0 +1,193 @@
+//! The instance records of the fleet.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::hash::{FastMap, FastSet};
+use crate::ids::{DaemonId, Incarnation, InstanceId, RegionId, ServiceId, ZoneId};
+use crate::members::NameDigest;
+use crate::time::{Deadline, MonoTime};
+use crate::wire::{InstancePhase, InstanceRecord};
+
+const REMEMBER_GONE: Duration = Duration::from_secs(600);
+
+/// What a record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordChange {
+    /// It is older than what is known.
+    Stale,
+    /// It is what is known.
+    Same,
+    /// It is newer.
+    Newer,
+}
+
+#[derive(Debug, Default)]
+struct OwnerRecords {
+    instances: Vec<InstanceId>,
+    digest: u64,
+}
+
+/// The newest record of each instance, by instance, owner and service.
+#[derive(Debug, Default)]
+pub struct RecordTable {
+    records: FastMap<InstanceId, InstanceRecord>,
+    owners: FastMap<DaemonId, OwnerRecords>,
+    services: FastMap<ServiceId, Vec<InstanceId>>,
+    zones: FastSet<ZoneId>,
+    regions: FastSet<RegionId>,
+    gone: VecDeque<(Deadline, InstanceId, Incarnation)>,
+}
+
+impl RecordTable {
+    /// Takes in a record.
+    pub fn merge(&mut self, record: &InstanceRecord, now: MonoTime) -> RecordChange {
+        if let Some(known) = self.records.get(&record.instance) {
+            if record.incarnation < known.incarnation {
+                return RecordChange::Stale;
+            }
+            if record.incarnation == known.incarnation {
+                return RecordChange::Same;
+            }
+        }
+        self.remove(&record.instance.clone());
+        if record.phase == InstancePhase::Gone {
+            let end = now.after(REMEMBER_GONE);
+            let tombstone = (end, record.instance.clone(), record.incarnation);
+            self.gone.push_back(tombstone);
+        }
+        self.insert(record);
+        RecordChange::Newer
+    }
+
+    /// The record of `instance`.
+    #[must_use]
+    pub fn get(&self, instance: &InstanceId) -> Option<&InstanceRecord> {
+        self.records.get(instance)
+    }
+
+    /// The records of `service`, those that are gone left out, by instance.
+    #[must_use]
+    pub fn of_service(&self, service: &ServiceId) -> Vec<&InstanceRecord> {
+        let instances = self.services.get(service).into_iter().flatten();
+        let records = instances.filter_map(|instance| self.records.get(instance));
+        let mut present: Vec<_> = records
+            .filter(|record| record.phase != InstancePhase::Gone)
+            .collect();
+        present.sort_unstable_by(|left, right| left.instance.cmp(&right.instance));
+        present
+    }
+
+    /// The records that `daemon` published, gone ones included.
+    pub fn of_owner(&self, daemon: &DaemonId) -> impl Iterator<Item = &InstanceRecord> {
+        let owned = self.owners.get(daemon).into_iter();
+        owned
+            .flat_map(|owner| &owner.instances)
+            .filter_map(|instance| self.records.get(instance))
+    }
+
+    /// Every daemon that published a record.
+    pub fn owners(&self) -> impl Iterator<Item = &DaemonId> {
+        self.owners.keys()
+    }
+
+    /// Digest of the records of `daemon` that are not gone.
+    #[must_use]
+    pub fn digest_of(&self, daemon: &DaemonId) -> u64 {
+        self.owners.get(daemon).map_or(0, |owner| owner.digest)
+    }
+
+    /// Number of records, gone ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Forgets every record of `daemon`.
+    pub fn forget_owner(&mut self, daemon: &DaemonId) {
+        let instances = match self.owners.get(daemon) {
+            Some(owner) => owner.instances.clone(),
+            None => return,
+        };
+        for instance in &instances {
+            self.remove(instance);
+        }
+    }
+
+    /// Forgets records that have been gone for long.
+    pub fn forget_gone(&mut self, now: MonoTime) {
+        while let Some((end, ..)) = self.gone.front()
+            && end.has_passed(now)
+        {
+            let Some((_, instance, incarnation)) = self.gone.pop_front() else {
+                return;
+            };
+            let known = self.records.get(&instance);
+            if known.is_some_and(|record| record.incarnation == incarnation) {
+                self.remove(&instance);
+            }
+        }
+    }
+
+    fn insert(&mut self, record: &InstanceRecord) {
+        let record = self.share_names(record);
+        let owner = self.owners.entry(record.daemon.clone()).or_default();
+        owner.instances.push(record.instance.clone());
+        owner.digest ^= digest_of(&record);
+        let service = self.services.entry(record.service.clone()).or_default();
+        service.push(record.instance.clone());
+        self.records.insert(record.instance.clone(), record);
+    }
+
+    fn remove(&mut self, instance: &InstanceId) {
+        let Some(record) = self.records.remove(instance) else {
+            return;
+        };
+        if let Some(owner) = self.owners.get_mut(&record.daemon) {
+            owner.instances.retain(|other| other != instance);
+            owner.digest ^= digest_of(&record);
+            if owner.instances.is_empty() {
+                self.owners.remove(&record.daemon);
+            }
+        }
+        if let Some(service) = self.services.get_mut(&record.service) {
+            service.retain(|other| other != instance);
+            if service.is_empty() {
+                self.services.remove(&record.service);
+            }
+        }
+    }
+
+    /// The record with its names shared with those of other records, which saves memory.
+    fn share_names(&mut self, record: &InstanceRecord) -> InstanceRecord {
+        let mut shared = record.clone();
+        if let Some((daemon, _)) = self.owners.get_key_value(&record.daemon) {
+            shared.daemon = daemon.clone();
+        }
+        if let Some((service, _)) = self.services.get_key_value(&record.service) {
+            shared.service = service.clone();
+        }
+        match self.zones.get(&record.zone) {
+            Some(zone) => shared.zone = zone.clone(),
+            None => _ = self.zones.insert(record.zone.clone()),
+        }
+        match self.regions.get(&record.region) {
+            Some(region) => shared.region = region.clone(),
+            None => _ = self.regions.insert(record.region.clone()),
+        }
+        shared
+    }
+}
+
+fn digest_of(record: &InstanceRecord) -> u64 {
+    match record.phase {
+        InstancePhase::Gone => 0,
+        _ => NameDigest::of(record.instance.as_str(), record.incarnation.0).get(),
+    }
+}
--- a/src/wire/instances_call.rs
+++ b/src/wire/instances_call.rs
@@ -1,17 +1,38 @@
-//! Calls between daemons about instances.
+//! Calls between daemons about members and instances.
 
 use bincode::{Decode, Encode};
 
+use crate::wire::{InstanceRecord, MemberRecord, OwnerDigest};
+
 /// What a daemon asks.
-#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum InstancesCall {
-    /// Asks for a sign of life.
-    Ping,
+    /// Asks for the owners that the caller lacks, in the order of their hashes.
+    Pull {
+        /// Only owners whose hash is at least this.
+        from: u32,
+        /// What the caller has of them.
+        known: Vec<OwnerDigest>,
+    },
 }
 
 /// What it is answered.
-#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum InstancesReply {
-    /// The sign of life.
-    Pong,
+    /// One page of owners.
+    Owners {
+        /// The owners that differ.
+        owners: Vec<OwnerState>,
+        /// Where the next page starts, or none after the last one.
+        next: Option<u32>,
+    },
+}
+
+/// A daemon and the records of the instances beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct OwnerState {
+    /// The daemon.
+    pub member: MemberRecord,
+    /// Its instances.
+    pub instances: Vec<InstanceRecord>,
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,10 +2,12 @@
 
 mod codec;
 mod config_call;
+mod gossip_message;
 mod instance_record;
 mod instances_call;
 mod limits_call;
 mod load_figure;
+mod member_record;
 mod peer_call;
 mod peer_opening;
 mod peer_reply;
@@ -13,10 +15,12 @@
 
 pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
 pub use config_call::{ConfigCall, ConfigReply};
+pub use gossip_message::{BucketDigest, GossipBody, GossipMessage, OwnerDigest};
 pub use instance_record::{HealthState, InstancePhase, InstanceRecord};
-pub use instances_call::{InstancesCall, InstancesReply};
+pub use instances_call::{InstancesCall, InstancesReply, OwnerState};
 pub use limits_call::{LimitsCall, LimitsReply};
 pub use load_figure::LoadFigure;
+pub use member_record::{MemberRecord, MemberState};
 pub use peer_call::PeerCall;
 pub use peer_opening::PeerOpening;
 pub use peer_reply::PeerReply;
--- /dev/null
+++ b/tests/gossip_net/mod.rs
@@ -0,0 +1,296 @@
+//! A network of gossip state machines in virtual time.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wagtailtrack::ids::{BootId, Incarnation, Revision};
+use wagtailtrack::members::{DatagramCodec, GossipAction, GossipCore};
+use wagtailtrack::peers::FleetKey;
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::units::Slots;
+use wagtailtrack::wire::{
+    self, HealthState, InstancePhase, InstanceRecord, InstancesCall, InstancesReply, MemberRecord,
+    MemberState,
+};
+
+/// Seeds that every randomised test runs.
+pub const SEEDS: [u64; 6] = [1, 2, 3, 5, 8, 13];
+
+const TICK: Duration = Duration::from_millis(100);
+const EPOCH: u64 = 1_790_000_000_000;
+
+pub struct Node {
+    pub core: GossipCore,
+    pub rng: fastrand::Rng,
+    pub is_down: bool,
+    pub is_paused: bool,
+    pub udp_bytes: u64,
+    pub pull_bytes: u64,
+}
+
+type Parcel = Reverse<(MonoTime, u64, usize, usize, Vec<u8>)>;
+
+pub struct GossipNet {
+    pub nodes: Vec<Node>,
+    pub now: MonoTime,
+    pub rng: fastrand::Rng,
+    pub loss: f64,
+    pub doubling: f64,
+    pub delay: Duration,
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub revisions: Vec<(usize, Revision)>,
+    codec: DatagramCodec,
+    parcels: BinaryHeap<Parcel>,
+    counter: u64,
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    let ip = [10, 0, (index / 200) as u8, (index % 200) as u8 + 1];
+    SocketAddr::from((ip, 7000))
+}
+
+fn index(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(v4) => {
+            let octets = v4.ip().octets();
+            usize::from(octets[2]) * 200 + usize::from(octets[3]) - 1
+        }
+        SocketAddr::V6(_) => unreachable!(),
+    }
+}
+
+pub fn member(index: usize, boot: u64, regions: usize) -> MemberRecord {
+    MemberRecord {
+        daemon: format!("daemon-{index:04}").parse().unwrap(),
+        boot: BootId(boot),
+        incarnation: Incarnation(EPOCH + boot),
+        address: address(index),
+        zone: format!("zone-{}", index % 11).parse().unwrap(),
+        region: format!("region-{}", index % regions).parse().unwrap(),
+        state: MemberState::Alive,
+    }
+}
+
+/// Instance `number` beside the daemon `index`; one service in three daemons.
+pub fn instance(index: usize, number: usize, phase: InstancePhase) -> InstanceRecord {
+    let place = member(index, 0, 1);
+    InstanceRecord {
+        instance: format!("desk-{index:04}-{number:02}").parse().unwrap(),
+        service: format!("service-{:04}", index / 3).parse().unwrap(),
+        daemon: place.daemon,
+        egress: place.address,
+        zone: place.zone,
+        region: place.region,
+        incarnation: Incarnation(0),
+        phase,
+        health: HealthState::Healthy,
+        slots: Slots::new(3).unwrap(),
+        median_micros: 25_000,
+    }
+}
+
+impl GossipNet {
+    /// `count` daemons that know the first as their seed.
+    pub fn open(count: usize, regions: usize, seed: u64) -> Self {
+        let mut net = Self {
+            nodes: Vec::new(),
+            now: MonoTime::from_millis(1_000),
+            rng: fastrand::Rng::with_seed(seed),
+            loss: 0.0,
+            doubling: 0.0,
+            delay: Duration::from_millis(3),
+            cuts: BTreeSet::new(),
+            revisions: Vec::new(),
+            codec: DatagramCodec::open(FleetKey::open("a secret of the fleet")),
+            parcels: BinaryHeap::new(),
+            counter: 0,
+        };
+        for index in 0..count {
+            let node = net.start(member(index, 1, regions));
+            net.nodes.push(node);
+        }
+        net
+    }
+
+    fn start(&mut self, own: MemberRecord) -> Node {
+        let mut rng = fastrand::Rng::with_seed(self.rng.u64(..));
+        Node {
+            core: GossipCore::open(own, vec![address(0), address(1)], self.now, &mut rng),
+            rng,
+            is_down: false,
+            is_paused: false,
+            udp_bytes: 0,
+            pull_bytes: 0,
+        }
+    }
+
+    /// Starts a new process in the place of `index`, with an incarnation hint `ahead` or behind.
+    pub fn restart(&mut self, index: usize, boot: u64, hint: i64) {
+        let mut own = member(index, boot, 1);
+        own.region = self.nodes[index].core.view().own().region.clone();
+        own.incarnation = Incarnation(EPOCH.checked_add_signed(hint).unwrap());
+        self.nodes[index] = self.start(own);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    /// Runs until `goal` holds; the time that it took.
+    pub fn run_until(&mut self, most: Duration, goal: impl Fn(&mut Self) -> bool) -> Duration {
+        let start = self.now;
+        while self.now.since(start) < most {
+            if goal(self) {
+                return self.now.since(start);
+            }
+            self.tick();
+        }
+        panic!("goal not reached within {most:?}");
+    }
+
+    fn tick(&mut self) {
+        let next = self.now + TICK;
+        while let Some(Reverse((at, ..))) = self.parcels.peek()
+            && *at <= next
+        {
+            let Reverse((at, _, from, to, datagram)) = self.parcels.pop().unwrap();
+            if self.nodes[to].is_paused {
+                self.counter += 1;
+                let later = Reverse((next + TICK, self.counter, from, to, datagram));
+                self.parcels.push(later);
+                continue;
+            }
+            self.now = at.max(self.now);
+            self.deliver(from, to, &datagram);
+        }
+        self.now = next;
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if node.is_down || node.is_paused {
+                continue;
+            }
+            let actions = node.core.tick(next, &mut node.rng);
+            self.carry_out(index, actions);
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, datagram: &[u8]) {
+        let message = self.codec.unseal(datagram).unwrap();
+        let node = &mut self.nodes[to];
+        if node.is_down {
+            return;
+        }
+        let now = self.now;
+        let actions = node
+            .core
+            .receive(&message, address(from), now, &mut node.rng);
+        self.carry_out(to, actions);
+    }
+
+    pub fn publish(&mut self, index: usize, record: &InstanceRecord) {
+        let node = &mut self.nodes[index];
+        let actions = node.core.publish(record, self.now, &mut node.rng);
+        self.carry_out(index, actions);
+    }
+
+    pub fn remove(&mut self, index: usize, record: &InstanceRecord) {
+        let node = &mut self.nodes[index];
+        let actions = node.core.remove(&record.instance, self.now, &mut node.rng);
+        self.carry_out(index, actions);
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let actions = node.core.leave(&mut node.rng);
+        self.carry_out(index, actions);
+    }
+
+    pub fn carry_out(&mut self, from: usize, actions: Vec<GossipAction>) {
+        for action in actions {
+            match action {
+                GossipAction::Send { to, message } => {
+                    let datagram = self.codec.seal(&message).unwrap();
+                    self.nodes[from].udp_bytes += datagram.len() as u64;
+                    self.post(from, index(to), datagram);
+                }
+                GossipAction::Revision(revision, _) => self.revisions.push((from, revision)),
+                GossipAction::Pull(peer) => self.pull(from, index(peer)),
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, datagram: Vec<u8>) {
+        if to >= self.nodes.len() || self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.f64() < self.doubling);
+        for _ in 0..copies {
+            if self.rng.f64() < self.loss {
+                continue;
+            }
+            let at = self.now + self.delay.mul_f64(0.5 + self.rng.f64());
+            self.counter += 1;
+            let parcel = Reverse((at, self.counter, from, to, datagram.clone()));
+            self.parcels.push(parcel);
+        }
+    }
+
+    fn pull(&mut self, from: usize, peer: usize) {
+        let is_cut = self.cuts.contains(&(from, peer)) || self.cuts.contains(&(peer, from));
+        if is_cut || self.nodes[peer].is_down || self.nodes[peer].is_paused {
+            return;
+        }
+        let mut next = Some(0);
+        while let Some(page) = next {
+            let known = self.nodes[from].core.known_owners(page);
+            let call = InstancesCall::Pull { from: page, known };
+            let reply = self.nodes[peer].core.serve(&call);
+            self.nodes[from].pull_bytes += wire::encode(&call).unwrap().len() as u64;
+            self.nodes[peer].pull_bytes += wire::encode(&reply).unwrap().len() as u64;
+            let InstancesReply::Owners {
+                owners,
+                next: following,
+            } = reply;
+            next = following;
+            let node = &mut self.nodes[from];
+            let actions = node.core.absorb(&owners, self.now, &mut node.rng);
+            self.carry_out(from, actions);
+        }
+    }
+
+    /// Cuts what `from` sends to `to`.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Whether every running daemon counts `live` live members.
+    pub fn all_count(&self, live: usize) -> bool {
+        let running = self.nodes.iter().filter(|node| !node.is_down);
+        running
+            .into_iter()
+            .all(|node| node.core.live().len() == live)
+    }
+
+    /// Whether every running daemon but `except` sees `record`'s instance in `phase`.
+    pub fn all_see(&mut self, record: &InstanceRecord, phase: Option<InstancePhase>) -> bool {
+        let running = self.nodes.iter_mut().filter(|node| !node.is_down);
+        running.into_iter().all(|node| {
+            let records = node.core.instances_of(&record.service);
+            let found = records
+                .iter()
+                .find(|found| found.instance == record.instance);
+            found.map(|found| found.phase) == phase
+        })
+    }
+
+    pub fn deaths(&self) -> u64 {
+        let counts = self.nodes.iter().map(|node| node.core.counters().deaths);
+        counts.sum()
+    }
+}
