--- /dev/null
+++ b/src/daemon/daemon_handle.rs
@@ -0,0 +1,133 @@
+//! Wires the parts of one daemon together.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::admin::AdminServer;
+use crate::config::ConfigHandle;
+use crate::daemon::daemon_parts::{DaemonParts, in_field};
+use crate::daemon::daemon_view::DaemonView;
+use crate::daemon::peer_calls;
+use crate::egress::EgressHandle;
+use crate::exit::ExitStatus;
+use crate::ingress::IngressHandle;
+use crate::instances::AnnounceServer;
+use crate::limits::LimitsHandle;
+use crate::logs::part;
+use crate::members::MembersHandle;
+use crate::peers::PeerListener;
+use crate::settings::DaemonSettings;
+use crate::time::ProcessClock;
+
+/// How often a stopping daemon looks whether its work is done.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long a stopping daemon serves on, so that the others learn of it.
+const STOP_LINGER: Duration = Duration::from_secs(2);
+
+/// A running daemon.
+pub struct DaemonHandle {
+    settings: DaemonSettings,
+    clock: ProcessClock,
+    config: ConfigHandle,
+    members: MembersHandle,
+    limits: LimitsHandle,
+    egress: EgressHandle,
+    ingress: IngressHandle,
+    stopping: Rc<Cell<bool>>,
+    _listener: Rc<PeerListener>,
+    _admin: AdminServer,
+    _announce: Rc<AnnounceServer>,
+}
+
+impl DaemonHandle {
+    /// Binds every listener and starts every part.
+    ///
+    /// # Errors
+    /// Any I/O error of binding names the setting and its address.
+    pub async fn open(settings: DaemonSettings) -> io::Result<Self> {
+        let parts = DaemonParts::open(&settings);
+        let config = parts.spawn_config(&settings);
+        let members = parts.spawn_members(&settings, &config).await?;
+        let limits = parts.spawn_limits(&settings, &config, &members);
+        let egress = parts.spawn_egress(&settings, &config, &members);
+        let announce = parts.bind_announce(&settings, &egress).await?;
+        let handler = peer_calls::handler(&config, &members, &limits, &egress);
+        let peers_address = settings.listen.peers;
+        let listener = PeerListener::bind(peers_address, parts.key.clone(), handler)
+            .await
+            .map_err(|cause| in_field("listen.peers", peers_address, &cause))?;
+        let listener = Rc::new(listener);
+        let ingress = parts.bind_ingress(&settings, &config, &limits, &members).await?;
+        let view = DaemonView {
+            config: config.clone(),
+            members: members.clone(),
+            limits: limits.clone(),
+            egress: egress.clone(),
+            ingress: ingress.clone(),
+            announce: Rc::clone(&announce),
+            listener: Rc::clone(&listener),
+            settings: settings.clone(),
+            boot: parts.boot,
+        };
+        let admin = parts.bind_admin(&settings, view).await?;
+        Ok(Self {
+            settings,
+            clock: parts.clock,
+            config,
+            members,
+            limits,
+            egress,
+            ingress,
+            stopping: parts.stopping,
+            _listener: listener,
+            _admin: admin,
+            _announce: announce,
+        })
+    }
+
+    /// Waits until the first configuration is in force.
+    pub async fn wait_ready(&self) {
+        while !self.config.is_loaded() {
+            actix_rt::time::sleep(STOP_POLL).await;
+        }
+        log::info!(
+            target: part::DAEMON,
+            daemon:% = self.settings.daemon,
+            callers:% = self.settings.listen.callers,
+            revision:% = self.config.revision();
+            "Ready."
+        );
+    }
+
+    /// Stops gracefully: takes no new work, finishes what runs, hands over.
+    pub async fn stop(&self) -> ExitStatus {
+        log::info!(target: part::DAEMON, "Stopping.");
+        let now = self.clock.now();
+        let deadline = now.after(self.settings.proxy.shutdown.get());
+        let linger = now.after(STOP_LINGER);
+        self.stopping.set(true);
+        self.egress.stop();
+        self.ingress.stop();
+        self.limits.hand_over().await;
+        while !(self.is_idle() && linger.has_passed(self.clock.now())) {
+            if deadline.has_passed(self.clock.now()) {
+                log::error!(target: part::DAEMON, under_way = self.under_way(); "Stop took too long, work is cut off.");
+                return ExitStatus::CutOff;
+            }
+            actix_rt::time::sleep(STOP_POLL).await;
+        }
+        self.members.leave().await;
+        log::info!(target: part::DAEMON, "Stopped.");
+        ExitStatus::Success
+    }
+
+    fn is_idle(&self) -> bool {
+        self.under_way() == 0
+    }
+
+    fn under_way(&self) -> usize {
+        self.ingress.under_way() + self.egress.under_way()
+    }
+}
--- /dev/null
+++ b/src/daemon/daemon_parts.rs
@@ -0,0 +1,263 @@
+//! Starts the parts of a daemon, each with what it learns from the others.
+
+use std::cell::{Cell, OnceCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::admin::{AdminServer, AdminSources};
+use crate::config::{ConfigHandle, ConfigSources};
+use crate::daemon::daemon_view::DaemonView;
+use crate::egress::{EgressHandle, EgressSources};
+use crate::ids::{BootId, Incarnation};
+use crate::ingress::{IngressHandle, IngressSources};
+use crate::instances::{AnnounceServer, AnnounceSources, LocalInstance};
+use crate::limits::{HomeCandidate, LimitsHandle, LimitsSources};
+use crate::members::{MemberSources, MembersHandle};
+use crate::metrics::MetricsExport;
+use crate::peers::{FleetKey, PeerPool};
+use crate::platform::{HttpPlatform, PlatformService};
+use crate::settings::DaemonSettings;
+use crate::time::ProcessClock;
+use crate::wire::{InstancePhase, InstanceRecord};
+
+/// What all parts share.
+pub(crate) struct DaemonParts {
+    pub(crate) boot: BootId,
+    pub(crate) clock: ProcessClock,
+    pub(crate) key: FleetKey,
+    pub(crate) stopping: Rc<Cell<bool>>,
+    peers: PeerPool,
+    platform: Rc<dyn PlatformService>,
+    members: Rc<OnceCell<MembersHandle>>,
+}
+
+impl DaemonParts {
+    pub(crate) fn open(settings: &DaemonSettings) -> Self {
+        let key = FleetKey::open(&settings.fleet_secret);
+        Self {
+            boot: BootId(fastrand::u64(1..)),
+            clock: ProcessClock::open(),
+            peers: PeerPool::open(key.clone()),
+            key,
+            stopping: Rc::default(),
+            platform: Rc::new(HttpPlatform::open(&settings.platform)),
+            members: Rc::default(),
+        }
+    }
+
+    pub(crate) fn spawn_config(&self, settings: &DaemonSettings) -> ConfigHandle {
+        let members = Rc::clone(&self.members);
+        let own = settings.listen.peers;
+        ConfigHandle::spawn(ConfigSources {
+            settings: settings.platform.clone(),
+            daemon: settings.daemon.clone(),
+            clock: self.clock,
+            peers: self.peers.clone(),
+            platform: Rc::clone(&self.platform),
+            peer_addresses: Rc::new(move || other_addresses(&members, own)),
+        })
+    }
+
+    pub(crate) async fn spawn_members(
+        &self,
+        settings: &DaemonSettings,
+        config: &ConfigHandle,
+    ) -> io::Result<MembersHandle> {
+        let own = config.clone();
+        let hint = config.clone();
+        let sources = MemberSources {
+            daemon: settings.daemon.clone(),
+            boot: self.boot,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            address: settings.listen.peers,
+            seeds: settings.seeds.clone(),
+            key: self.key.clone(),
+            clock: self.clock,
+            peers: self.peers.clone(),
+            platform: Rc::clone(&self.platform),
+            own_revision: Rc::new(move || own.revision()),
+            on_revision: Rc::new(move |revision, from| hint.heard(revision, from)),
+            seed: fastrand::u64(..),
+        };
+        let handle = MembersHandle::spawn(sources)
+            .await
+            .map_err(|cause| in_field("listen.peers", settings.listen.peers, &cause))?;
+        // Set once: this function runs once a daemon.
+        let _ = self.members.set(handle.clone());
+        Ok(handle)
+    }
+
+    pub(crate) fn spawn_limits(
+        &self,
+        settings: &DaemonSettings,
+        config: &ConfigHandle,
+        members: &MembersHandle,
+    ) -> LimitsHandle {
+        let config = config.clone();
+        let members = members.clone();
+        LimitsHandle::spawn(LimitsSources {
+            settings: settings.limits.clone(),
+            daemon: settings.daemon.clone(),
+            boot: self.boot,
+            clock: self.clock,
+            own_address: settings.listen.peers,
+            peers: self.peers.clone(),
+            platform: Rc::clone(&self.platform),
+            members: Rc::new(move || home_candidates(&members)),
+            rate_of: Rc::new(move |account| config.catalog().rate_of(account).cloned()),
+        })
+    }
+
+    pub(crate) fn spawn_egress(
+        &self,
+        settings: &DaemonSettings,
+        config: &ConfigHandle,
+        members: &MembersHandle,
+    ) -> EgressHandle {
+        let config = config.clone();
+        let records = members.clone();
+        let publisher = RecordPublisher {
+            settings: settings.clone(),
+            members: members.clone(),
+            stopping: Rc::clone(&self.stopping),
+        };
+        EgressHandle::spawn(EgressSources {
+            clock: self.clock,
+            hold: settings.proxy.slot_hold.get(),
+            spec_of: Rc::new(move |service| config.catalog().service(service).cloned()),
+            records_of: Rc::new(move |service| records.instances_of(service)),
+            publish: Rc::new(move |local, state, median| {
+                let record = publisher.record(local, state, median);
+                publisher.members.publish(record);
+            }),
+        })
+    }
+
+    pub(crate) async fn bind_announce(
+        &self,
+        settings: &DaemonSettings,
+        egress: &EgressHandle,
+    ) -> io::Result<Rc<AnnounceServer>> {
+        let address = settings.listen.announce;
+        let egress = egress.clone();
+        let stopping = Rc::clone(&self.stopping);
+        let server = AnnounceServer::bind(AnnounceSources {
+            address,
+            clock: self.clock,
+            on_change: Rc::new(move |local| egress.announce(&local)),
+            is_stopping: Rc::new(move || stopping.get()),
+        });
+        let server = server.await.map_err(|cause| in_field("listen.announce", address, &cause))?;
+        Ok(Rc::new(server))
+    }
+
+    pub(crate) async fn bind_ingress(
+        &self,
+        settings: &DaemonSettings,
+        config: &ConfigHandle,
+        limits: &LimitsHandle,
+        members: &MembersHandle,
+    ) -> io::Result<IngressHandle> {
+        let address = settings.listen.callers;
+        let sources = IngressSources {
+            clock: self.clock,
+            boot: self.boot,
+            zone: settings.zone.clone(),
+            proxy: settings.proxy.clone(),
+            peers: self.peers.clone(),
+            config: config.clone(),
+            limits: limits.clone(),
+            members: members.clone(),
+        };
+        IngressHandle::bind(address, sources)
+            .await
+            .map_err(|cause| in_field("listen.callers", address, &cause))
+    }
+
+    pub(crate) async fn bind_admin(
+        &self,
+        settings: &DaemonSettings,
+        view: DaemonView,
+    ) -> io::Result<AdminServer> {
+        let address = settings.listen.admin;
+        let view = Rc::new(view);
+        let (shown, measured) = (Rc::clone(&view), Rc::clone(&view));
+        let export = MetricsExport::open().map_err(io::Error::other)?;
+        let stopping = Rc::clone(&self.stopping);
+        let loaded = view.config.clone();
+        AdminServer::bind(AdminSources {
+            address,
+            token_hash: settings.operators.token_hash,
+            config: view.config.clone(),
+            is_ready: Rc::new(move || loaded.is_loaded() && !stopping.get()),
+            dump: Rc::new(move || shown.dump()),
+            metrics: Rc::new(move || export.text(measured.metrics())),
+        })
+        .await
+        .map_err(|cause| in_field("listen.admin", address, &cause))
+    }
+}
+
+/// Makes the fleet's record of an instance beside the daemon.
+struct RecordPublisher {
+    settings: DaemonSettings,
+    members: MembersHandle,
+    stopping: Rc<Cell<bool>>,
+}
+
+impl RecordPublisher {
+    fn record(
+        &self,
+        local: &LocalInstance,
+        health: crate::wire::HealthState,
+        median: Option<std::time::Duration>,
+    ) -> InstanceRecord {
+        let settings = &self.settings;
+        let phase = match local.phase {
+            InstancePhase::Ready | InstancePhase::Starting if self.stopping.get() => {
+                InstancePhase::Draining
+            }
+            phase => phase,
+        };
+        InstanceRecord {
+            instance: local.instance.clone(),
+            service: local.service.clone(),
+            daemon: settings.daemon.clone(),
+            egress: settings.listen.peers,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            incarnation: Incarnation::default(),
+            phase,
+            health,
+            slots: local.slots,
+            median_micros: median.map_or(0, |span| u32::try_from(span.as_micros()).unwrap_or(u32::MAX)),
+        }
+    }
+}
+
+/// Says which setting an address that cannot be bound stands in.
+pub(crate) fn in_field(field: &str, address: SocketAddr, cause: &io::Error) -> io::Error {
+    let remedy = "choose an address of this VM that is free";
+    io::Error::new(
+        cause.kind(),
+        format!("settings field '{field}' has value '{address}', which cannot be bound: {cause}; {remedy}"),
+    )
+}
+
+fn other_addresses(members: &OnceCell<MembersHandle>, own: SocketAddr) -> Vec<SocketAddr> {
+    let Some(members) = members.get() else {
+        return Vec::new();
+    };
+    let live = members.live();
+    live.iter().map(|member| member.address).filter(|address| *address != own).collect()
+}
+
+fn home_candidates(members: &MembersHandle) -> Vec<HomeCandidate> {
+    members
+        .live()
+        .into_iter()
+        .map(|member| HomeCandidate { daemon: member.daemon, address: member.address })
+        .collect()
+}
--- /dev/null
+++ b/src/daemon/daemon_view.rs
@@ -0,0 +1,60 @@
+//! What a daemon shows of itself: its dump and its metrics.
+
+use std::rc::Rc;
+
+use serde_json::{Value, json};
+
+use crate::config::ConfigHandle;
+use crate::egress::EgressHandle;
+use crate::ids::BootId;
+use crate::ingress::IngressHandle;
+use crate::instances::AnnounceServer;
+use crate::limits::LimitsHandle;
+use crate::members::MembersHandle;
+use crate::metrics::MetricsSources;
+use crate::peers::PeerListener;
+use crate::settings::DaemonSettings;
+
+/// Every part, for reading.
+pub(crate) struct DaemonView {
+    pub(crate) config: ConfigHandle,
+    pub(crate) members: MembersHandle,
+    pub(crate) limits: LimitsHandle,
+    pub(crate) egress: EgressHandle,
+    pub(crate) ingress: IngressHandle,
+    pub(crate) announce: Rc<AnnounceServer>,
+    pub(crate) listener: Rc<PeerListener>,
+    pub(crate) settings: DaemonSettings,
+    pub(crate) boot: BootId,
+}
+
+impl DaemonView {
+    /// The whole state, without secrets.
+    pub(crate) fn dump(&self) -> Value {
+        json!({
+            "daemon": self.settings.daemon,
+            "zone": self.settings.zone,
+            "region": self.settings.region,
+            "boot": self.boot,
+            "config": self.config.dump(),
+            "members": self.members.dump(),
+            "instances": self.announce.dump(),
+            "limits": self.limits.dump(),
+            "ingress": self.ingress.dump(),
+            "egress": self.egress.dump(),
+            "refused_messages": self.listener.refused(),
+        })
+    }
+
+    /// The counts for the metrics.
+    pub(crate) fn metrics(&self) -> MetricsSources {
+        MetricsSources {
+            totals: self.ingress.totals(),
+            credits: self.ingress.credits(),
+            egress_under_way: self.egress.under_way() as u64,
+            members: self.members.live().len() as u64,
+            revision: self.config.revision().0,
+            refused_messages: self.listener.refused(),
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/run.rs
@@ -0,0 +1,49 @@
+//! Runs a daemon until it is told to stop.
+
+use futures_util::future::{Either, select};
+use std::pin::pin;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::daemon::{CommandLine, DaemonHandle};
+use crate::exit::ExitStatus;
+use crate::logs;
+use crate::settings::DaemonSettings;
+
+/// Runs the daemon that the command line names.
+#[must_use]
+pub fn run(line: &CommandLine) -> ExitStatus {
+    let settings = match DaemonSettings::open(&line.config) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error.to_string()),
+    };
+    if let Err(error) = logs::open(settings.log_level) {
+        return fail(&error.to_string());
+    }
+    actix_rt::System::new().block_on(serve(settings))
+}
+
+async fn serve(settings: DaemonSettings) -> ExitStatus {
+    let (terminate, interrupt) = match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
+        (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
+        (Err(error), _) | (_, Err(error)) => return fail(&error.to_string()),
+    };
+    let daemon = match DaemonHandle::open(settings).await {
+        Ok(daemon) => daemon,
+        Err(error) => return fail(&error.to_string()),
+    };
+    let asked = wait_asked(terminate, interrupt);
+    let ready = pin!(daemon.wait_ready());
+    if let Either::Left(((), asked)) = select(ready, pin!(asked)).await {
+        asked.await;
+    }
+    daemon.stop().await
+}
+
+async fn wait_asked(mut terminate: Signal, mut interrupt: Signal) {
+    select(pin!(terminate.recv()), pin!(interrupt.recv())).await;
+}
+
+fn fail(message: &str) -> ExitStatus {
+    eprintln!("wagtailtrackd: {message}");
+    ExitStatus::Usage
+}
--- /dev/null
+++ b/src/egress/egress_handle.rs
@@ -0,0 +1,216 @@
+//! The running egress.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::egress::{BackendClient, InstanceGate, offer_task, probe_task};
+use crate::hash::FastMap;
+use crate::health::{ServiceBaseline, ServiceSample};
+use crate::ids::{InstanceId, ServiceId};
+use crate::instances::LocalInstance;
+use crate::logs::part;
+use crate::peers::PeerStream;
+use crate::resource::ServiceSpec;
+use crate::time::ProcessClock;
+use crate::wire::{HealthState, InstancePhase, InstanceRecord, RequestOffer};
+
+const TICK: Duration = Duration::from_millis(20);
+
+/// Tells how a service is configured.
+pub type SpecSource = Rc<dyn Fn(&ServiceId) -> Option<ServiceSpec>>;
+
+/// Tells what the fleet knows of a service's instances.
+pub type RecordSource = Rc<dyn Fn(&ServiceId) -> Rc<[InstanceRecord]>>;
+
+/// Publishes an instance's health and its median service time.
+pub type StatePublisher = Rc<dyn Fn(&LocalInstance, HealthState, Option<Duration>)>;
+
+/// What the egress learns from the rest of the daemon.
+#[derive(Clone)]
+pub struct EgressSources {
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// How long a held slot waits for go.
+    pub hold: Duration,
+    /// How a service is configured.
+    pub spec_of: SpecSource,
+    /// What the fleet knows of a service's instances.
+    pub records_of: RecordSource,
+    /// Publishes the state of an instance beside this daemon.
+    pub publish: StatePublisher,
+}
+
+pub(crate) type SharedGate = Rc<RefCell<InstanceGate>>;
+
+/// The running egress; clones share it.
+#[derive(Clone)]
+pub struct EgressHandle {
+    pub(crate) sources: EgressSources,
+    pub(crate) client: BackendClient,
+    gates: Rc<RefCell<FastMap<InstanceId, SharedGate>>>,
+    /// Announced instances whose service is not configured yet.
+    unknown: Rc<RefCell<FastMap<InstanceId, LocalInstance>>>,
+    stopping: Rc<Cell<bool>>,
+    under_way: Rc<Cell<usize>>,
+}
+
+impl EgressHandle {
+    /// Starts the egress.
+    #[must_use]
+    pub fn spawn(sources: EgressSources) -> Self {
+        let handle = Self {
+            sources,
+            client: BackendClient::open(),
+            gates: Rc::default(),
+            unknown: Rc::default(),
+            stopping: Rc::default(),
+            under_way: Rc::default(),
+        };
+        actix_rt::spawn(handle.clone().keep_time());
+        handle
+    }
+
+    /// Takes an announcement of an instance beside the daemon.
+    pub fn announce(&self, local: &LocalInstance) {
+        let Some(spec) = (self.sources.spec_of)(&local.service) else {
+            log::warn!(target: part::EGRESS, instance:% = local.instance, service:% = local.service; "Instance of an unknown service.");
+            self.unknown
+                .borrow_mut()
+                .insert(local.instance.clone(), local.clone());
+            return;
+        };
+        self.unknown.borrow_mut().remove(&local.instance);
+        if local.phase == InstancePhase::Gone {
+            self.gates.borrow_mut().remove(&local.instance);
+        } else {
+            self.open_gate(local, &spec);
+        }
+        self.publish(&local.instance, local);
+    }
+
+    /// Takes no new work: offers are refused, and the fleet is told.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        for gate in self.all_gates() {
+            self.publish_gate(&gate);
+        }
+    }
+
+    /// Whether `stop` was called.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Serves an offer until its stream ends.
+    pub async fn serve(&self, offer: RequestOffer, stream: PeerStream) {
+        self.under_way.set(self.under_way.get() + 1);
+        offer_task::run(self, offer, stream).await;
+        self.under_way.set(self.under_way.get() - 1);
+    }
+
+    /// Requests that are waiting or running.
+    #[must_use]
+    pub fn under_way(&self) -> usize {
+        self.under_way.get()
+    }
+
+    /// The state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let gates: Vec<_> = self
+            .gates
+            .borrow()
+            .values()
+            .map(|gate| gate.borrow().dump())
+            .collect();
+        json!({ "under_way": self.under_way.get(), "instances": gates })
+    }
+
+    pub(crate) fn gate(&self, instance: &InstanceId) -> Option<SharedGate> {
+        self.gates.borrow().get(instance).map(Rc::clone)
+    }
+
+    /// Learns from a request that is over.
+    pub(crate) fn observe(&self, gate: &SharedGate, sample: &ServiceSample) {
+        let baseline = self.baseline(&gate.borrow().local().service);
+        let now = self.sources.clock.now();
+        let change = gate.borrow_mut().observe(sample, &baseline, now);
+        if change.is_some() {
+            self.publish_gate(gate);
+        }
+    }
+
+    pub(crate) fn publish_gate(&self, gate: &SharedGate) {
+        let local = gate.borrow().local().clone();
+        self.publish(&local.instance, &local);
+    }
+
+    fn open_gate(&self, local: &LocalInstance, spec: &ServiceSpec) {
+        let mut gates = self.gates.borrow_mut();
+        match gates.get(&local.instance) {
+            Some(gate) => gate.borrow_mut().announce(local.clone(), spec),
+            None => {
+                let gate = InstanceGate::open(local.clone(), spec, fastrand::u64(..));
+                gates.insert(local.instance.clone(), Rc::new(RefCell::new(gate)));
+            }
+        }
+    }
+
+    fn publish(&self, instance: &InstanceId, local: &LocalInstance) {
+        let (state, median) = match self.gate(instance) {
+            Some(gate) => {
+                let mut gate = gate.borrow_mut();
+                (gate.health().state(), gate.health().median())
+            }
+            None => (HealthState::Healthy, None),
+        };
+        (self.sources.publish)(local, state, median);
+    }
+
+    fn baseline(&self, service: &ServiceId) -> ServiceBaseline {
+        ServiceBaseline::of(&(self.sources.records_of)(service))
+    }
+
+    fn all_gates(&self) -> Vec<SharedGate> {
+        self.gates.borrow().values().map(Rc::clone).collect()
+    }
+
+    /// Opens the gates of instances whose service has been configured meanwhile.
+    fn retry_unknown(&self) {
+        let known: Vec<LocalInstance> = self
+            .unknown
+            .borrow()
+            .values()
+            .filter(|local| (self.sources.spec_of)(&local.service).is_some())
+            .cloned()
+            .collect();
+        for local in known {
+            self.announce(&local);
+        }
+    }
+
+    async fn keep_time(self) {
+        loop {
+            actix_rt::time::sleep(TICK).await;
+            self.retry_unknown();
+            for gate in self.all_gates() {
+                self.tick(&gate);
+            }
+        }
+    }
+
+    fn tick(&self, gate: &SharedGate) {
+        let baseline = self.baseline(&gate.borrow().local().service);
+        let now = self.sources.clock.now();
+        let change = gate.borrow_mut().tick(&baseline, now);
+        if change.is_some() {
+            self.publish_gate(gate);
+        }
+        if gate.borrow_mut().health().probe_due(now) {
+            actix_rt::spawn(probe_task::run(self.clone(), Rc::clone(gate)));
+        }
+    }
+}
--- /dev/null
+++ b/src/egress/instance_gate.rs
@@ -0,0 +1,183 @@
+//! The only way to one instance: its queue, its health and the requests under way.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use crate::hash::FastMap;
+use crate::health::{HealthChange, ServiceBaseline};
+use crate::health::{InstanceHealth, ServiceSample};
+use crate::instances::LocalInstance;
+use crate::queue::{InstanceQueue, OfferOutcome, QueueAction, QueuedRequest, RequestKey};
+use crate::resource::ServiceSpec;
+use crate::time::MonoTime;
+use crate::wire::{InstancePhase, LoadFigure};
+
+/// What the queue tells a request that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueWord {
+    /// It holds a slot.
+    Granted,
+    /// It cannot run in time.
+    Refused(Duration),
+}
+
+/// How a request enters the gate.
+pub enum GateEntry {
+    /// The word is known at once.
+    Decided(QueueWord),
+    /// The word comes later.
+    Waiting(oneshot::Receiver<QueueWord>),
+}
+
+/// The state of one instance beside the daemon.
+pub struct InstanceGate {
+    local: LocalInstance,
+    queue: InstanceQueue,
+    health: InstanceHealth,
+    waiting: FastMap<RequestKey, oneshot::Sender<QueueWord>>,
+    running: FastMap<RequestKey, MonoTime>,
+    probe_target: Option<String>,
+}
+
+impl InstanceGate {
+    /// The gate of an instance that was just announced.
+    #[must_use]
+    pub fn open(local: LocalInstance, spec: &ServiceSpec, seed: u64) -> Self {
+        Self {
+            queue: InstanceQueue::open(local.slots, spec.weights),
+            health: InstanceHealth::open(seed),
+            local,
+            waiting: FastMap::default(),
+            running: FastMap::default(),
+            probe_target: None,
+        }
+    }
+
+    /// What the instance announced last.
+    #[must_use]
+    pub const fn local(&self) -> &LocalInstance {
+        &self.local
+    }
+
+    /// Takes a new announcement.
+    pub fn announce(&mut self, local: LocalInstance, spec: &ServiceSpec) {
+        self.queue.resize(local.slots, spec.weights);
+        self.local = local;
+    }
+
+    /// Whether new requests may enter.
+    #[must_use]
+    pub const fn takes_work(&self) -> bool {
+        matches!(self.local.phase, InstancePhase::Ready)
+    }
+
+    /// A request asks for a slot.
+    pub fn enter(&mut self, request: QueuedRequest, now: MonoTime) -> GateEntry {
+        let key = request.key;
+        match self.queue.offer(request, now) {
+            OfferOutcome::Start => GateEntry::Decided(QueueWord::Granted),
+            OfferOutcome::Refuse { retry_after } => {
+                GateEntry::Decided(QueueWord::Refused(retry_after))
+            }
+            OfferOutcome::Wait => {
+                let (sender, receiver) = oneshot::channel();
+                self.waiting.insert(key, sender);
+                GateEntry::Waiting(receiver)
+            }
+        }
+    }
+
+    /// A request was sent to the instance.
+    pub fn sent(&mut self, key: RequestKey, now: MonoTime) {
+        self.running.insert(key, now);
+    }
+
+    /// A request that was sent is over.
+    pub fn finish(&mut self, key: RequestKey, now: MonoTime) {
+        let started = self.running.remove(&key).unwrap_or(now);
+        let actions = self.queue.finish(key, now.since(started), now);
+        self.carry_out(actions);
+    }
+
+    /// A request leaves without having been sent.
+    pub fn leave(&mut self, key: RequestKey, now: MonoTime) {
+        self.waiting.remove(&key);
+        let actions = self.queue.cancel(key, now);
+        self.carry_out(actions);
+    }
+
+    /// Learns from a request that is over.
+    pub fn observe(
+        &mut self,
+        sample: &ServiceSample,
+        baseline: &ServiceBaseline,
+        now: MonoTime,
+    ) -> Option<HealthChange> {
+        self.health.observe(sample, baseline, now)
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, baseline: &ServiceBaseline, now: MonoTime) -> Option<HealthChange> {
+        let actions = self.queue.tick(now);
+        self.carry_out(actions);
+        let oldest = self.running.values().min().map(|start| now.since(*start));
+        self.health.tick(baseline, now, oldest)
+    }
+
+    /// The instance's health.
+    pub const fn health(&mut self) -> &mut InstanceHealth {
+        &mut self.health
+    }
+
+    /// Remembers a target that answers well, to probe with.
+    pub fn remember_target(&mut self, target: &str) {
+        if self.probe_target.as_deref() != Some(target) {
+            self.probe_target = Some(target.to_owned());
+        }
+    }
+
+    /// The target to probe with.
+    #[must_use]
+    pub fn probe_target(&self) -> &str {
+        self.probe_target.as_deref().unwrap_or("/")
+    }
+
+    /// How busy the instance is.
+    #[must_use]
+    pub fn load(&self) -> LoadFigure {
+        self.queue.load()
+    }
+
+    /// Whether no request is waiting or running.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.queue.load() == LoadFigure::default()
+    }
+
+    /// The state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        json!({
+            "instance": self.local.instance,
+            "phase": self.local.phase,
+            "running": self.running.len(),
+            "queue": self.queue.dump(),
+            "health": self.health.dump(),
+        })
+    }
+
+    fn carry_out(&mut self, actions: Vec<QueueAction>) {
+        for action in actions {
+            let (key, word) = match action {
+                QueueAction::Start(key) => (key, QueueWord::Granted),
+                QueueAction::Refuse { key, retry_after } => (key, QueueWord::Refused(retry_after)),
+            };
+            if let Some(sender) = self.waiting.remove(&key) {
+                // A receiver that is gone leaves through its own guard.
+                let _ = sender.send(word);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/egress/mod.rs
@@ -0,0 +1,15 @@
+//! The egress: the only way to the instances beside the daemon.
+
+mod backend_client;
+mod egress_handle;
+mod instance_gate;
+mod offer_task;
+mod probe_task;
+mod slot_guard;
+mod start_machine;
+
+pub use backend_client::{BackendAnswer, BackendClient, SendFailure};
+pub use egress_handle::{EgressHandle, EgressSources};
+pub use instance_gate::{GateEntry, InstanceGate, QueueWord};
+pub use slot_guard::SlotGuard;
+pub use start_machine::{StartAction, StartEvent, StartMachine, StartState};
--- /dev/null
+++ b/src/egress/offer_task.rs
@@ -0,0 +1,325 @@
+//! Serves one offer: drives its start machine, runs it, and passes the answer on.
+
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use std::pin::pin;
+use tokio::sync::oneshot;
+
+use crate::egress::egress_handle::SharedGate;
+use crate::egress::probe_task::{outcome_of_failure, outcome_of_status};
+use crate::egress::{
+    BackendAnswer, EgressHandle, GateEntry, QueueWord, SendFailure, SlotGuard, StartAction,
+    StartEvent, StartMachine,
+};
+use crate::health::{SampleOutcome, ServiceSample};
+use crate::peers::{PeerError, PeerReceiver, PeerSender, PeerStream};
+use crate::queue::{QueuedRequest, RequestKey};
+use crate::time::{Deadline, MonoTime, ProcessClock};
+use crate::verdict::Verdict;
+use crate::wire::{
+    EgressMessage, FailureCause, IngressMessage, LoadFigure, RefusalReason, RequestOffer,
+};
+
+/// When to come back to an instance that takes no work.
+const NOT_READY_RETRY: Duration = Duration::from_millis(100);
+
+/// Serves `offer` until its stream ends.
+pub(crate) async fn run(egress: &EgressHandle, offer: RequestOffer, stream: PeerStream) {
+    let (mut sender, receiver) = stream.split();
+    let result = match egress.gate(&offer.instance) {
+        None => {
+            refuse(
+                &mut sender,
+                RefusalReason::UnknownInstance,
+                NOT_READY_RETRY,
+                LoadFigure::default(),
+            )
+            .await
+        }
+        Some(gate) if egress.is_stopping() || !gate.borrow().takes_work() => {
+            let load = gate.borrow().load();
+            refuse(&mut sender, RefusalReason::NotReady, NOT_READY_RETRY, load).await
+        }
+        Some(gate) => {
+            OfferTask::open(egress, offer, gate, sender, receiver)
+                .run()
+                .await
+        }
+    };
+    if let Err(cause) = result {
+        log::debug!(target: crate::logs::part::EGRESS, cause:%; "Stream to the ingress ended.");
+    }
+}
+
+async fn refuse(
+    sender: &mut PeerSender,
+    reason: RefusalReason,
+    retry_after: Duration,
+    load: LoadFigure,
+) -> Result<(), PeerError> {
+    let retry_after_micros = u64::try_from(retry_after.as_micros()).unwrap_or(u64::MAX);
+    sender
+        .send(&EgressMessage::Refused {
+            reason,
+            retry_after_micros,
+            load,
+        })
+        .await?;
+    sender.finish()
+}
+
+struct OfferTask<'a> {
+    egress: &'a EgressHandle,
+    offer: RequestOffer,
+    gate: SharedGate,
+    sender: PeerSender,
+    receiver: PeerReceiver,
+    clock: ProcessClock,
+    deadline: Deadline,
+}
+
+impl<'a> OfferTask<'a> {
+    fn open(
+        egress: &'a EgressHandle,
+        offer: RequestOffer,
+        gate: SharedGate,
+        sender: PeerSender,
+        receiver: PeerReceiver,
+    ) -> Self {
+        let clock = egress.sources.clock;
+        let deadline = clock
+            .now()
+            .after(Duration::from_micros(offer.remaining_micros));
+        Self {
+            egress,
+            offer,
+            gate,
+            sender,
+            receiver,
+            clock,
+            deadline,
+        }
+    }
+
+    async fn run(mut self) -> Result<(), PeerError> {
+        let key = RequestKey {
+            boot: self.offer.boot,
+            request: self.offer.request,
+        };
+        let mut guard = SlotGuard::open(self.gate.clone(), key, self.clock);
+        match self.start(key).await? {
+            StartEnd::Run => {}
+            StartEnd::Refused(reason, retry_after) => {
+                drop(guard);
+                let load = self.gate.borrow().load();
+                return refuse(&mut self.sender, reason, retry_after, load).await;
+            }
+            StartEnd::Abandoned => return Ok(()),
+        }
+        guard.mark_sent();
+        self.execute(guard).await
+    }
+
+    /// Drives the start machine until the request may run, or never will.
+    async fn start(&mut self, key: RequestKey) -> Result<StartEnd, PeerError> {
+        let needs_go = !self.offer.idempotent;
+        let hold = self.egress.sources.hold;
+        let mut machine = StartMachine::open(needs_go, hold, self.deadline);
+        let mut retry_after = NOT_READY_RETRY;
+        let mut waiting = None;
+        let mut event = match self.enter(key) {
+            GateEntry::Decided(word) => event_of_word(word, &mut retry_after),
+            GateEntry::Waiting(receiver) => {
+                waiting = Some(receiver);
+                StartEvent::Tick
+            }
+        };
+        loop {
+            match machine.take(event, self.clock.now()) {
+                StartAction::Wait => {}
+                StartAction::SendReady => self.sender.send(&EgressMessage::Ready).await?,
+                StartAction::Run => return Ok(StartEnd::Run),
+                StartAction::Refuse(reason) => return Ok(StartEnd::Refused(reason, retry_after)),
+                StartAction::Abandon => return Ok(StartEnd::Abandoned),
+            }
+            event = self
+                .next_event(machine.wake_at(), &mut waiting, &mut retry_after)
+                .await;
+        }
+    }
+
+    fn enter(&self, key: RequestKey) -> GateEntry {
+        let request = QueuedRequest {
+            key,
+            account: self.offer.account.clone(),
+            class: self.offer.class,
+            deadline: self.deadline,
+        };
+        self.gate.borrow_mut().enter(request, self.clock.now())
+    }
+
+    async fn next_event(
+        &mut self,
+        wake_at: Deadline,
+        waiting: &mut Option<oneshot::Receiver<QueueWord>>,
+        retry_after: &mut Duration,
+    ) -> StartEvent {
+        let word = pin!(next_word(waiting));
+        let message = pin!(self.receiver.receive::<IngressMessage>());
+        let timer = pin!(actix_rt::time::sleep(wake_at.remaining(self.clock.now())));
+        match select(select(word, message), timer).await {
+            Either::Left((Either::Left((word, _)), _)) => event_of_word(word, retry_after),
+            Either::Left((Either::Right((Ok(Some(IngressMessage::Go)), _)), _)) => StartEvent::Go,
+            Either::Left((Either::Right((Ok(None) | Err(_), _)), _)) => StartEvent::StreamLost,
+            Either::Right(_) => StartEvent::Tick,
+        }
+    }
+
+    /// Runs the request; an idempotent one is cancelled when its ingress goes away.
+    async fn execute(mut self, guard: SlotGuard) -> Result<(), PeerError> {
+        let start = guard.sent().unwrap_or_else(|| self.clock.now());
+        match self.send_to_instance().await {
+            None => Ok(()),
+            Some(Ok(answer)) => self.pass_on(answer, start, guard).await,
+            Some(Err(failure)) => {
+                self.observe(outcome_of_failure(failure.cause), start, Duration::ZERO);
+                drop(guard);
+                self.fail(failure).await
+            }
+        }
+    }
+
+    /// The answer's head, or none when the request was cancelled.
+    async fn send_to_instance(&mut self) -> Option<Result<BackendAnswer, SendFailure>> {
+        let address = self.gate.borrow().local().address;
+        let remaining = self.deadline.remaining(self.clock.now());
+        let sending = pin!(self.egress.client.send(address, &self.offer, remaining));
+        let lost = pin!(wait_lost(&mut self.receiver));
+        match select(sending, lost).await {
+            Either::Left((result, _)) => Some(result),
+            Either::Right(((), _)) if self.offer.idempotent => None,
+            Either::Right(((), sending)) => Some(sending.await),
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        mut answer: BackendAnswer,
+        start: MonoTime,
+        guard: SlotGuard,
+    ) -> Result<(), PeerError> {
+        let mut blocked = Duration::ZERO;
+        self.sender
+            .send(&EgressMessage::Head(answer.head.clone()))
+            .await?;
+        loop {
+            match self.next_chunk(&mut answer).await {
+                Ok(Some(chunk)) => {
+                    let before = self.clock.now();
+                    self.sender
+                        .send(&EgressMessage::Chunk(chunk.to_vec()))
+                        .await?;
+                    blocked += self.clock.now().since(before);
+                }
+                Ok(None) => break,
+                Err(cause) => {
+                    self.observe(outcome_of_failure(cause), start, blocked);
+                    drop(guard);
+                    return self
+                        .fail(SendFailure {
+                            verdict: Verdict::MayHaveRun,
+                            cause,
+                        })
+                        .await;
+                }
+            }
+        }
+        self.observe(outcome_of_status(answer.head.status), start, blocked);
+        self.remember(answer.head.status);
+        drop(guard);
+        let load = self.gate.borrow().load();
+        let total_bytes = answer.received();
+        self.sender
+            .send(&EgressMessage::End { total_bytes, load })
+            .await?;
+        self.sender.finish()
+    }
+
+    async fn next_chunk(
+        &self,
+        answer: &mut BackendAnswer,
+    ) -> Result<Option<bytes::Bytes>, FailureCause> {
+        let remaining = self.deadline.remaining(self.clock.now());
+        actix_rt::time::timeout(remaining, answer.next())
+            .await
+            .unwrap_or(Err(FailureCause::Timeout))
+    }
+
+    async fn fail(&mut self, failure: SendFailure) -> Result<(), PeerError> {
+        let load = self.gate.borrow().load();
+        if failure.verdict == Verdict::NotRun {
+            return refuse(
+                &mut self.sender,
+                RefusalReason::ConnectFailed,
+                NOT_READY_RETRY,
+                load,
+            )
+            .await;
+        }
+        let message = EgressMessage::Failed {
+            verdict: failure.verdict,
+            cause: failure.cause,
+            load,
+        };
+        self.sender.send(&message).await?;
+        self.sender.finish()
+    }
+
+    fn observe(&self, outcome: SampleOutcome, start: MonoTime, blocked: Duration) {
+        let total = self.clock.now().since(start);
+        let sample = ServiceSample {
+            outcome,
+            service_time: total.saturating_sub(blocked),
+            class: self.offer.class,
+        };
+        self.egress.observe(&self.gate, &sample);
+    }
+
+    fn remember(&self, status: u16) {
+        if self.offer.method == "GET" && self.offer.idempotent && (200..300).contains(&status) {
+            self.gate.borrow_mut().remember_target(&self.offer.target);
+        }
+    }
+}
+
+enum StartEnd {
+    Run,
+    Refused(RefusalReason, Duration),
+    Abandoned,
+}
+
+fn event_of_word(word: QueueWord, retry_after: &mut Duration) -> StartEvent {
+    match word {
+        QueueWord::Granted => StartEvent::SlotGranted,
+        QueueWord::Refused(span) => {
+            *retry_after = span;
+            StartEvent::QueueRefused
+        }
+    }
+}
+
+/// The queue's word, once; pending while there is none to come.
+async fn next_word(waiting: &mut Option<oneshot::Receiver<QueueWord>>) -> QueueWord {
+    let Some(receiver) = waiting.as_mut() else {
+        return std::future::pending().await;
+    };
+    let word = receiver.await;
+    *waiting = None;
+    word.unwrap_or(QueueWord::Refused(NOT_READY_RETRY))
+}
+
+/// Ends when the ingress has gone away.
+async fn wait_lost(receiver: &mut PeerReceiver) {
+    while let Ok(Some(_)) = receiver.receive::<IngressMessage>().await {}
+}
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -9,10 +9,11 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, Request, Response};
-use actix_rt::net::TcpListener;
+use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::future::LocalBoxFuture;
 
+use crate::http::ConnectionMark;
 use crate::logs::part;
 
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
@@ -25,6 +26,7 @@
 pub struct HttpServer {
     address: SocketAddr,
     connections: Rc<Cell<usize>>,
+    closing: Rc<Cell<usize>>,
     task: actix_rt::task::JoinHandle<()>,
 }
 
@@ -37,10 +39,13 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let connections = Rc::new(Cell::new(0));
-        let task = actix_rt::spawn(accept(listener, handler, Rc::clone(&connections)));
+        let closing = Rc::new(Cell::new(0));
+        let counts = (Rc::clone(&connections), Rc::clone(&closing));
+        let task = actix_rt::spawn(accept(listener, handler, counts.0, counts.1));
         Ok(Self {
             address,
             connections,
+            closing,
             task,
         })
     }
@@ -56,6 +61,12 @@
     pub fn connections(&self) -> usize {
         self.connections.get()
     }
+
+    /// Connections that were told to close and have not ended yet; the count outlives the listener.
+    #[must_use]
+    pub fn closing(&self) -> Rc<Cell<usize>> {
+        Rc::clone(&self.closing)
+    }
 }
 
 impl Drop for HttpServer {
@@ -64,7 +75,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, handler: HttpHandler, connections: Rc<Cell<usize>>) {
+async fn accept(
+    listener: TcpListener,
+    handler: HttpHandler,
+    connections: Rc<Cell<usize>>,
+    closing: Rc<Cell<usize>>,
+) {
     let answer = fn_service(move |request: Request| {
         let reply = handler(request);
         async move { Ok::<_, Infallible>(reply.await) }
@@ -72,6 +88,9 @@
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+        .on_connect_ext(move |_: &TcpStream, data| {
+            data.insert(ConnectionMark::open(Rc::clone(&closing)));
+        })
         .h1(answer)
         .tcp();
     let Ok(service) = factory.new_service(()).await else {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,7 +1,9 @@
 //! A small HTTP server over `actix-http`, used by every listener.
 
+mod connection_mark;
 mod http_server;
 mod reply;
 
+pub use connection_mark::ConnectionMark;
 pub use http_server::{HttpHandler, HttpServer};
 pub use reply::{BodyError, json, read_body, text};
--- /dev/null
+++ b/src/ingress/attempt_history.rs
@@ -0,0 +1,83 @@
+//! What all attempts at one request prove together, as a pure state machine.
+
+use std::time::Duration;
+
+use crate::ids::InstanceId;
+use crate::ingress::RequestRefusal;
+use crate::verdict::Verdict;
+use crate::wire::{FailureCause, RefusalReason};
+
+/// Attempts at one request, the first included.
+pub const MAX_ATTEMPTS: usize = 4;
+/// When to come back to a service without instances.
+const NO_INSTANCE_RETRY: Duration = Duration::from_secs(1);
+
+/// Why an attempt brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptFailure {
+    /// What the attempt proves.
+    pub verdict: Verdict,
+    /// Why the egress refused, if it did.
+    pub reason: Option<RefusalReason>,
+    /// What went wrong after the start, as the egress tells.
+    pub cause: Option<FailureCause>,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// Collects the attempts; one that may have run is never forgotten.
+#[derive(Debug, Default)]
+pub struct AttemptHistory {
+    tried: Vec<InstanceId>,
+    may_have_run: bool,
+    last: Option<AttemptFailure>,
+}
+
+impl AttemptHistory {
+    /// The instances tried so far.
+    #[must_use]
+    pub fn tried(&self) -> &[InstanceId] {
+        &self.tried
+    }
+
+    /// Whether this is the last attempt allowed.
+    #[must_use]
+    pub fn is_last(&self) -> bool {
+        self.tried.len() >= MAX_ATTEMPTS
+    }
+
+    /// An attempt at `instance` begins.
+    pub fn begin(&mut self, instance: InstanceId) {
+        self.tried.push(instance);
+    }
+
+    /// The attempt brought an answer that is held back for a retry.
+    pub const fn answered(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// The attempt brought no answer.
+    pub const fn fail(&mut self, failure: AttemptFailure) {
+        self.may_have_run |= !matches!(failure.verdict, Verdict::NotRun);
+        self.last = Some(failure);
+    }
+
+    /// Whether the request may be sent again after an attempt with `verdict`.
+    #[must_use]
+    pub fn allows_retry(&self, verdict: Verdict, idempotent: bool) -> bool {
+        !self.is_last() && verdict.allows_retry(idempotent)
+    }
+
+    /// The refusal once no further attempt follows.
+    #[must_use]
+    pub fn refusal(&self, deadline_passed: bool) -> RequestRefusal {
+        if self.may_have_run {
+            return RequestRefusal::Lost(self.last.and_then(|failure| failure.cause));
+        }
+        match self.last {
+            Some(_) if deadline_passed => RequestRefusal::DeadlinePassed,
+            Some(failure) => RequestRefusal::NoCapacity(failure.reason, failure.retry_after),
+            None => RequestRefusal::NoCapacity(None, NO_INSTANCE_RETRY),
+        }
+    }
+}
--- /dev/null
+++ b/src/ingress/attempt_task.rs
@@ -0,0 +1,168 @@
+//! One attempt at a request: drives its attempt machine over a stream to an egress.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::ingress::{AttemptAction, AttemptEvent, AttemptFailure, AttemptMachine};
+use crate::peers::{PeerError, PeerPool, PeerReceiver, PeerSender};
+use crate::time::{Deadline, ProcessClock};
+use crate::verdict::Verdict;
+use crate::wire::{
+    AnswerHead, EgressMessage, FailureCause, IngressMessage, LoadFigure, PeerOpening, RefusalReason,
+    RequestOffer,
+};
+
+/// How long past its deadline an egress is heard, whose own word tells more than silence.
+const LAST_WORD: Duration = Duration::from_millis(50);
+
+/// How an attempt ended.
+pub(crate) enum AttemptEnd {
+    /// The whole answer is here.
+    Whole { head: AnswerHead, body: Vec<u8>, load: LoadFigure },
+    /// The answer is long; its rest is still to come.
+    Long(LongAnswer),
+    /// There is no answer.
+    Failed {
+        failure: AttemptFailure,
+        /// None when the path failed, not the instance.
+        load: Option<LoadFigure>,
+    },
+}
+
+/// A long answer of which the first part has come.
+pub(crate) struct LongAnswer {
+    pub(crate) head: AnswerHead,
+    pub(crate) read: VecDeque<Bytes>,
+    pub(crate) sender: PeerSender,
+    pub(crate) receiver: PeerReceiver,
+}
+
+/// What an attempt works with.
+pub(crate) struct AttemptTask<'a> {
+    pub(crate) peers: &'a PeerPool,
+    pub(crate) clock: ProcessClock,
+    pub(crate) address: SocketAddr,
+    pub(crate) deadline: Deadline,
+    pub(crate) buffer_bytes: usize,
+}
+
+impl AttemptTask<'_> {
+    /// Offers the request to the egress and waits for the answer.
+    pub(crate) async fn run(&self, offer: RequestOffer) -> AttemptEnd {
+        let mut machine = AttemptMachine::open(!offer.idempotent);
+        let patience = self.deadline.remaining(self.clock.now()) + LAST_WORD;
+        let exchange = self.exchange(offer, &mut machine);
+        match actix_rt::time::timeout(patience, exchange).await {
+            Ok(Ok(end)) => end,
+            Ok(Err(error)) if error.never_arrived() => lost(&mut machine, AttemptEvent::Refused),
+            Ok(Err(_)) | Err(_) => lost(&mut machine, AttemptEvent::Lost),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        offer: RequestOffer,
+        machine: &mut AttemptMachine,
+    ) -> Result<AttemptEnd, PeerError> {
+        let stream = self.peers.open_stream(self.address).await?;
+        let (mut sender, mut receiver) = stream.split();
+        machine.take(AttemptEvent::OfferLeaves);
+        sender.send(&PeerOpening::Request(offer)).await?;
+        loop {
+            match receiver.expect().await? {
+                EgressMessage::Ready => {
+                    if machine.take(AttemptEvent::Ready) == AttemptAction::SendGo {
+                        sender.send(&IngressMessage::Go).await?;
+                    }
+                }
+                EgressMessage::Head(head) => {
+                    return self.read_body(head, sender, receiver, machine).await;
+                }
+                EgressMessage::Refused { reason, retry_after_micros, load } => {
+                    machine.take(AttemptEvent::Refused);
+                    return Ok(refused(reason, retry_after_micros, load));
+                }
+                EgressMessage::Failed { verdict, cause, load } => {
+                    return Ok(failed(machine, verdict, cause, load));
+                }
+                EgressMessage::Chunk(_) | EgressMessage::End { .. } => {
+                    return Err(PeerError::Unexpected);
+                }
+            }
+        }
+    }
+
+    async fn read_body(
+        &self,
+        head: AnswerHead,
+        sender: PeerSender,
+        mut receiver: PeerReceiver,
+        machine: &mut AttemptMachine,
+    ) -> Result<AttemptEnd, PeerError> {
+        let mut read = VecDeque::new();
+        let mut count = 0;
+        while count <= self.buffer_bytes {
+            match receiver.expect().await? {
+                EgressMessage::Chunk(bytes) => {
+                    count += bytes.len();
+                    read.push_back(Bytes::from(bytes));
+                }
+                EgressMessage::End { total_bytes, load } if total_bytes == count as u64 => {
+                    machine.take(AttemptEvent::Answered);
+                    let body = read.into_iter().flatten().collect();
+                    return Ok(AttemptEnd::Whole { head, body, load });
+                }
+                EgressMessage::Failed { verdict, cause, load } => {
+                    return Ok(failed(machine, verdict, cause, load));
+                }
+                _ => return Err(PeerError::Unexpected),
+            }
+        }
+        machine.take(AttemptEvent::Answered);
+        Ok(AttemptEnd::Long(LongAnswer { head, read, sender, receiver }))
+    }
+}
+
+fn failed(
+    machine: &mut AttemptMachine,
+    verdict: Verdict,
+    cause: FailureCause,
+    load: LoadFigure,
+) -> AttemptEnd {
+    machine.take(AttemptEvent::Failed(verdict));
+    let failure = AttemptFailure {
+        verdict,
+        reason: None,
+        cause: Some(cause),
+        retry_after: Duration::ZERO,
+    };
+    AttemptEnd::Failed { failure, load: Some(load) }
+}
+
+fn refused(reason: RefusalReason, retry_after_micros: u64, load: LoadFigure) -> AttemptEnd {
+    let failure = AttemptFailure {
+        verdict: Verdict::NotRun,
+        reason: Some(reason),
+        cause: None,
+        retry_after: Duration::from_micros(retry_after_micros),
+    };
+    AttemptEnd::Failed { failure, load: Some(load) }
+}
+
+/// The stream failed; the machine knows what that proves.
+fn lost(machine: &mut AttemptMachine, event: AttemptEvent) -> AttemptEnd {
+    let verdict = match machine.take(event) {
+        AttemptAction::End(verdict) => verdict,
+        AttemptAction::Wait | AttemptAction::SendGo => Verdict::MayHaveRun,
+    };
+    let failure = AttemptFailure {
+        verdict,
+        reason: None,
+        cause: None,
+        retry_after: Duration::ZERO,
+    };
+    AttemptEnd::Failed { failure, load: None }
+}
--- /dev/null
+++ b/src/ingress/caller_key.rs
@@ -0,0 +1,27 @@
+//! Reads the caller's key.
+
+use actix_http::header::HeaderMap;
+
+use crate::ingress::header_rules::KEY_HEADER;
+use crate::ingress::request_refusal::RequestRefusal;
+
+const SCHEME: &str = "bearer";
+
+/// The secret in the one `Authorization: Bearer` header.
+///
+/// # Errors
+/// `RequestRefusal::NoKey` when there is none, several, or one in another form.
+pub fn caller_key(headers: &HeaderMap) -> Result<&str, RequestRefusal> {
+    let mut values = headers.get_all(KEY_HEADER);
+    let value = values.next().ok_or(RequestRefusal::NoKey)?;
+    if values.next().is_some() {
+        return Err(RequestRefusal::NoKey);
+    }
+    let text = value.to_str().map_err(|_| RequestRefusal::NoKey)?;
+    let (scheme, secret) = text.split_once(' ').ok_or(RequestRefusal::NoKey)?;
+    let secret = secret.trim();
+    if !scheme.eq_ignore_ascii_case(SCHEME) || secret.is_empty() {
+        return Err(RequestRefusal::NoKey);
+    }
+    Ok(secret)
+}
--- /dev/null
+++ b/src/ingress/credit_ledger.rs
@@ -0,0 +1,54 @@
+//! Counts completed requests, from which credit is earned.
+
+use serde::Serialize;
+
+use crate::hash::FastMap;
+use crate::ids::AccountId;
+use crate::resource::RequestClass;
+
+/// Completed requests of one client account in one class.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct CreditLine {
+    /// The client account.
+    pub account: AccountId,
+    /// The class.
+    pub class: RequestClass,
+    /// Requests completed since the daemon started.
+    pub completed: u64,
+    /// Credit earned: completed requests times the class's weight in the service.
+    pub credit: u64,
+}
+
+/// Completed requests by client account and class.
+#[derive(Debug, Default)]
+pub struct CreditLedger {
+    lines: FastMap<(AccountId, RequestClass), (u64, u64)>,
+}
+
+impl CreditLedger {
+    /// Counts one completed request whose class weighs `weight`.
+    pub fn complete(&mut self, account: &AccountId, class: RequestClass, weight: u32) {
+        let (completed, credit) = self.lines.entry((account.clone(), class)).or_default();
+        *completed += 1;
+        if class.earns_credit() {
+            *credit += u64::from(weight);
+        }
+    }
+
+    /// Every line, in the order of the accounts.
+    #[must_use]
+    pub fn lines(&self) -> Vec<CreditLine> {
+        let mut lines: Vec<_> = self
+            .lines
+            .iter()
+            .map(|((account, class), (completed, credit))| CreditLine {
+                account: account.clone(),
+                class: *class,
+                completed: *completed,
+                credit: *credit,
+            })
+            .collect();
+        lines.sort_by_key(|line| (line.account.clone(), line.class.to_string()));
+        lines
+    }
+}
--- /dev/null
+++ b/src/ingress/ingress_handle.rs
@@ -0,0 +1,202 @@
+//! The running ingress.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use serde_json::json;
+
+use crate::balance::InstancePicker;
+use crate::config::ConfigHandle;
+use crate::hash::FastMap;
+use crate::http::{HttpHandler, HttpServer};
+use crate::ids::{BootId, RequestId, ServiceId, ZoneId};
+use crate::ingress::{CreditLedger, RequestTotals, request_task};
+use crate::limits::LimitsHandle;
+use crate::members::MembersHandle;
+use crate::peers::PeerPool;
+use crate::retry::RetryBudget;
+use crate::settings::ProxySettings;
+use crate::time::ProcessClock;
+use crate::units::Percent;
+
+/// What the ingress works with.
+#[derive(Clone)]
+pub struct IngressSources {
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// The daemon's boot.
+    pub boot: BootId,
+    /// The daemon's availability zone.
+    pub zone: ZoneId,
+    /// Bounds of the request path.
+    pub proxy: ProxySettings,
+    /// Connections to the egresses.
+    pub peers: PeerPool,
+    /// The configuration.
+    pub config: ConfigHandle,
+    /// The rate limits.
+    pub limits: LimitsHandle,
+    /// The members and their instances.
+    pub members: MembersHandle,
+}
+
+/// What the ingress keeps between requests.
+pub(crate) struct IngressState {
+    pub(crate) pickers: FastMap<ServiceId, InstancePicker>,
+    pub(crate) budgets: FastMap<ServiceId, RetryBudget>,
+    pub(crate) credits: CreditLedger,
+    pub(crate) totals: RequestTotals,
+    pub(crate) rng: fastrand::Rng,
+    next: RequestId,
+}
+
+/// The running ingress; clones share it.
+#[derive(Clone)]
+pub struct IngressHandle {
+    pub(crate) sources: Rc<IngressSources>,
+    pub(crate) state: Rc<RefCell<IngressState>>,
+    server: Rc<RefCell<Option<HttpServer>>>,
+    closing: Rc<RefCell<Rc<Cell<usize>>>>,
+    under_way: Rc<Cell<usize>>,
+    stopping: Rc<Cell<bool>>,
+}
+
+impl IngressHandle {
+    /// Binds `address` and serves callers.
+    ///
+    /// # Errors
+    /// Any I/O error of binding.
+    pub async fn bind(address: SocketAddr, sources: IngressSources) -> io::Result<Self> {
+        let state = IngressState {
+            pickers: FastMap::default(),
+            budgets: FastMap::default(),
+            credits: CreditLedger::default(),
+            totals: RequestTotals::default(),
+            rng: fastrand::Rng::new(),
+            next: RequestId(1),
+        };
+        let handle = Self {
+            sources: Rc::new(sources),
+            state: Rc::new(RefCell::new(state)),
+            server: Rc::default(),
+            closing: Rc::default(),
+            under_way: Rc::default(),
+            stopping: Rc::default(),
+        };
+        let server = HttpServer::bind(address, handle.clone().handler()).await?;
+        *handle.closing.borrow_mut() = server.closing();
+        *handle.server.borrow_mut() = Some(server);
+        Ok(handle)
+    }
+
+    /// Stops accepting connections; requests on open ones are served and told to close.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        *self.server.borrow_mut() = None;
+    }
+
+    /// Whether `stop` was called.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Requests that are being served, and connections whose last answer has not left yet.
+    #[must_use]
+    pub fn under_way(&self) -> usize {
+        self.under_way.get() + self.closing.borrow().get()
+    }
+
+    /// The counts so far.
+    #[must_use]
+    pub fn totals(&self) -> RequestTotals {
+        self.state.borrow().totals
+    }
+
+    /// Completed requests by client account and class.
+    #[must_use]
+    pub fn credits(&self) -> Vec<crate::ingress::CreditLine> {
+        self.state.borrow().credits.lines()
+    }
+
+    /// The state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let state = self.state.borrow();
+        let pickers: FastMap<String, serde_json::Value> = state
+            .pickers
+            .iter()
+            .map(|(service, picker)| (service.to_string(), picker.dump()))
+            .collect();
+        json!({
+            "under_way": self.under_way.get(),
+            "totals": state.totals,
+            "credits": state.credits.lines(),
+            "pickers": pickers,
+        })
+    }
+
+    pub(crate) fn next_request(&self) -> RequestId {
+        let mut state = self.state.borrow_mut();
+        let request = state.next;
+        state.next = request.next();
+        request
+    }
+
+    pub(crate) fn with_picker<T>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut InstancePicker, &mut fastrand::Rng) -> T,
+    ) -> T {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let zone = &self.sources.zone;
+        let picker = state
+            .pickers
+            .entry(service.clone())
+            .or_insert_with(|| InstancePicker::open(zone.clone()));
+        act(picker, &mut state.rng)
+    }
+
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        share: Percent,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut state = self.state.borrow_mut();
+        let budget = state
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::open(share));
+        act(budget)
+    }
+
+    fn handler(self) -> HttpHandler {
+        Rc::new(move |request| {
+            let handle = self.clone();
+            Box::pin(async move {
+                let count = UnderWay::open(&handle.under_way);
+                request_task::answer(&handle, request, count).await
+            })
+        })
+    }
+}
+
+/// Counts a request as under way until its answer has left.
+pub(crate) struct UnderWay(Rc<Cell<usize>>);
+
+impl UnderWay {
+    fn open(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/ingress/mod.rs
@@ -0,0 +1,4 @@
+//! The ingress.
+mod attempt_machine;
+pub mod header_rules;
+pub use attempt_machine::{AttemptAction, AttemptEvent, AttemptMachine, AttemptState};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,11 +7,13 @@
 
 pub mod balance;
 pub mod daemon;
+pub mod egress;
 pub mod exit;
 pub mod hash;
 pub mod health;
 pub mod http;
 pub mod ids;
+pub mod ingress;
 pub mod instances;
 pub mod logs;
 pub mod members;
--- /dev/null
+++ b/src/metrics/metrics_export.rs
@@ -0,0 +1,127 @@
+//! Observes the parts' counts whenever the metrics are read.
+
+use std::fmt;
+use std::sync::{Arc, Mutex};
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{AsyncInstrument, Meter, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::ingress::{CreditLine, RequestTotals};
+
+/// A snapshot of what is exported.
+#[derive(Debug, Clone, Default)]
+pub struct MetricsSources {
+    /// What the ingress answered.
+    pub totals: RequestTotals,
+    /// Completed requests by client account and class.
+    pub credits: Vec<CreditLine>,
+    /// Requests under way at the egress.
+    pub egress_under_way: u64,
+    /// Live members, this daemon included.
+    pub members: u64,
+    /// Revision of the configuration in force.
+    pub revision: u64,
+    /// Messages of other daemons that were refused.
+    pub refused_messages: u64,
+}
+
+/// The running exporter.
+pub struct MetricsExport {
+    registry: Registry,
+    latest: Arc<Mutex<MetricsSources>>,
+    _provider: SdkMeterProvider,
+}
+
+impl MetricsExport {
+    /// Opens an exporter with an empty snapshot.
+    ///
+    /// # Errors
+    /// Fails when the registry refuses the exporter.
+    pub fn open() -> Result<Self, Box<dyn std::error::Error>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let latest = Arc::new(Mutex::new(MetricsSources::default()));
+        observe_all(&provider.meter("wagtailtrack"), &latest);
+        Ok(Self { registry, latest, _provider: provider })
+    }
+
+    /// The metrics of `sources` as text.
+    #[must_use]
+    pub fn text(&self, sources: MetricsSources) -> String {
+        if let Ok(mut latest) = self.latest.lock() {
+            *latest = sources;
+        }
+        let mut buffer = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
+            Err(cause) => format!("# metrics cannot be encoded: {cause}\n"),
+        }
+    }
+}
+
+impl fmt::Debug for MetricsExport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("MetricsExport(..)")
+    }
+}
+
+type Latest = Arc<Mutex<MetricsSources>>;
+
+fn observe_all(meter: &Meter, latest: &Latest) {
+    count(meter, latest, "requests_taken", |sources| sources.totals.requests);
+    count(meter, latest, "requests_ran", |sources| sources.totals.ran);
+    count(meter, latest, "requests_not_run", |sources| sources.totals.not_run);
+    count(meter, latest, "requests_may_have_run", |sources| sources.totals.may_have_run);
+    count(meter, latest, "requests_over_rate", |sources| sources.totals.over_rate);
+    count(meter, latest, "request_retries", |sources| sources.totals.retries);
+    count(meter, latest, "peer_messages_refused", |sources| sources.refused_messages);
+    gauge(meter, latest, "egress_under_way", |sources| sources.egress_under_way);
+    gauge(meter, latest, "members_live", |sources| sources.members);
+    gauge(meter, latest, "configuration_revision", |sources| sources.revision);
+    credits(meter, latest, "requests_completed", |line| line.completed);
+    credits(meter, latest, "credit_earned", |line| line.credit);
+}
+
+fn count(meter: &Meter, latest: &Latest, name: &'static str, read: fn(&MetricsSources) -> u64) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_counter(name)
+        .with_callback(move |instrument| observe(instrument, &latest, read))
+        .build();
+}
+
+fn gauge(meter: &Meter, latest: &Latest, name: &'static str, read: fn(&MetricsSources) -> u64) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_gauge(name)
+        .with_callback(move |instrument| observe(instrument, &latest, read))
+        .build();
+}
+
+fn observe(instrument: &dyn AsyncInstrument<u64>, latest: &Latest, read: fn(&MetricsSources) -> u64) {
+    if let Ok(sources) = latest.lock() {
+        instrument.observe(read(&sources), &[]);
+    }
+}
+
+fn credits(meter: &Meter, latest: &Latest, name: &'static str, read: fn(&CreditLine) -> u64) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_counter(name)
+        .with_callback(move |instrument| {
+            let Ok(sources) = latest.lock() else {
+                return;
+            };
+            for line in &sources.credits {
+                let account = KeyValue::new("account", line.account.to_string());
+                let class = KeyValue::new("class", line.class.to_string());
+                instrument.observe(read(line), &[account, class]);
+            }
+        })
+        .build();
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,10 +1,13 @@
 //! Authenticated `h2` streams of `bincode` messages between daemons.
 
 mod fleet_key;
+mod frame_seal;
 mod peer_connection;
 mod peer_error;
 mod peer_listener;
 mod peer_pool;
+mod peer_receiver;
+mod peer_sender;
 mod peer_stream;
 mod session_key;
 mod stream_receiver;
@@ -14,5 +17,7 @@
 pub use peer_error::PeerError;
 pub use peer_listener::{PeerHandler, PeerListener};
 pub use peer_pool::PeerPool;
+pub use peer_receiver::PeerReceiver;
+pub use peer_sender::PeerSender;
 pub use peer_stream::PeerStream;
 pub use session_key::SessionKey;
--- a/src/peers/peer_connection.rs
+++ b/src/peers/peer_connection.rs
@@ -12,7 +12,7 @@
 use h2::client::{Connection, SendRequest};
 
 use crate::logs::part;
-use crate::peers::peer_stream::StreamSide;
+use crate::peers::frame_seal::StreamSide;
 use crate::peers::stream_receiver::StreamReceiver;
 use crate::peers::{FleetKey, PeerError, PeerStream, SessionKey};
 
@@ -77,7 +77,7 @@
         let (response, sender) = opener.send_request(request, false)?;
         let receiver = StreamReceiver::Waiting(response);
         Ok(PeerStream::open(
-            self.key.key().clone(),
+            self.key.key(),
             StreamSide::Opener,
             sender,
             receiver,
--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -12,7 +12,7 @@
 use h2::server::{Connection, SendResponse};
 
 use crate::logs::part;
-use crate::peers::peer_stream::StreamSide;
+use crate::peers::frame_seal::StreamSide;
 use crate::peers::stream_receiver::StreamReceiver;
 use crate::peers::{FleetKey, PeerError, PeerStream, SessionKey};
 use crate::wire::PeerOpening;
@@ -131,7 +131,7 @@
     let sender = respond.send_response(http::Response::new(()), false)?;
     let receiver = StreamReceiver::Open(receiver);
     Ok(PeerStream::open(
-        session.key().clone(),
+        session.key(),
         StreamSide::Acceptor,
         sender,
         receiver,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,7 +2,9 @@
 
 mod codec;
 mod config_call;
+mod egress_message;
 mod gossip_message;
+mod ingress_message;
 mod instance_record;
 mod instances_call;
 mod limits_call;
@@ -15,7 +17,9 @@
 
 pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
 pub use config_call::{ConfigCall, ConfigReply};
+pub use egress_message::{AnswerHead, EgressMessage, FailureCause, RefusalReason};
 pub use gossip_message::{BucketDigest, GossipBody, GossipMessage, OwnerDigest};
+pub use ingress_message::IngressMessage;
 pub use instance_record::{HealthState, InstancePhase, InstanceRecord};
 pub use instances_call::{InstancesCall, InstancesReply, OwnerState};
 pub use limits_call::{LimitsCall, LimitsReply};
