Configuration: catalog, operators' changes, resource API, platform adapter

The daemon polls the head and loads by a table scan.

Rate limits come out of the packed table by value: a reference would need a struct of its own per client account.

Not covered yet: peers' pulls, freshness, watch, tests of its own.

--- /dev/null
+++ b/src/admin/admin_server.rs
@@ -0,0 +1,179 @@
+//! The operators' listener.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::header::AUTHORIZATION;
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
+use futures_util::future::LocalBoxFuture;
+
+use crate::admin::resource_api::ResourceApi;
+use crate::admin::{ApiError, ApiPath, ChangeHeaders};
+use crate::config::ConfigHandle;
+use crate::http::{HttpServer, json, read_body, text};
+use crate::resource::KeyHash;
+use crate::units::ByteSize;
+
+const MAX_BODY: ByteSize = ByteSize::from_kib(128);
+
+type Answer = Result<Response<BoxBody>, ApiError>;
+
+/// What the listener needs of the daemon.
+pub struct AdminSources {
+    /// Where to listen.
+    pub address: SocketAddr,
+    /// Hash of the operators' token.
+    pub token_hash: KeyHash,
+    /// The configuration.
+    pub config: ConfigHandle,
+    /// Whether the daemon takes callers' requests.
+    pub is_ready: Rc<dyn Fn() -> bool>,
+    /// The daemon's state.
+    pub dump: Rc<dyn Fn() -> serde_json::Value>,
+    /// The metrics in the Prometheus format.
+    pub metrics: Rc<dyn Fn() -> String>,
+}
+
+/// A running operators' listener; dropping it stops accepting.
+pub struct AdminServer {
+    server: HttpServer,
+}
+
+struct AdminState {
+    sources: AdminSources,
+    api: ResourceApi,
+}
+
+impl AdminServer {
+    /// Binds the listener.
+    ///
+    /// # Errors
+    /// Any I/O error of binding.
+    pub async fn bind(sources: AdminSources) -> io::Result<Self> {
+        let address = sources.address;
+        let api = ResourceApi::open(sources.config.clone());
+        let state = Rc::new(AdminState { sources, api });
+        let handler = move |request| -> LocalBoxFuture<'static, Response<BoxBody>> {
+            let state = Rc::clone(&state);
+            Box::pin(async move { state.answer(request).await })
+        };
+        let server = HttpServer::bind(address, Rc::new(handler)).await?;
+        Ok(Self { server })
+    }
+
+    /// The address bound.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+impl AdminState {
+    async fn answer(&self, request: Request) -> Response<BoxBody> {
+        match self.route(request).await {
+            Ok(response) => response,
+            Err(error) => error.response(),
+        }
+    }
+
+    async fn route(&self, request: Request) -> Answer {
+        let path = request.path().to_owned();
+        match path.as_str() {
+            "/readyz" => Ok(self.readiness()),
+            "/metrics" => Ok(text(StatusCode::OK, (self.sources.metrics)().trim_end())),
+            _ => {
+                self.check_token(&request)?;
+                self.route_operator(request, &path).await
+            }
+        }
+    }
+
+    fn readiness(&self) -> Response<BoxBody> {
+        if (self.sources.is_ready)() {
+            text(StatusCode::OK, "ready")
+        } else {
+            text(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+    }
+
+    fn check_token(&self, request: &Request) -> Result<(), ApiError> {
+        let token = request
+            .headers()
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .ok_or(ApiError::Token)?;
+        if KeyHash::of_secret(token.trim()) == self.sources.token_hash {
+            Ok(())
+        } else {
+            Err(ApiError::Token)
+        }
+    }
+
+    async fn route_operator(&self, request: Request, path: &str) -> Answer {
+        if path == "/dump" {
+            return Ok(json(StatusCode::OK, &(self.sources.dump)()));
+        }
+        let below = path
+            .strip_prefix("/v1/")
+            .ok_or_else(|| ApiError::Path(path.to_owned()))?;
+        match ApiPath::parse(below)? {
+            ApiPath::Kind(kind) => match *request.method() {
+                Method::GET => {
+                    let after = parameter(&request, "after");
+                    self.api.list(kind, after.as_deref()).await
+                }
+                Method::POST => {
+                    let (headers, body) = change_parts(request).await?;
+                    self.api.create(kind, headers, &body).await
+                }
+                _ => Err(wrong_method(&request, "GET or POST")),
+            },
+            ApiPath::Resource(name) => match *request.method() {
+                Method::GET => self.api.get(&name).await,
+                Method::PUT => {
+                    let (headers, body) = change_parts(request).await?;
+                    self.api.put(name, headers, &body).await
+                }
+                Method::DELETE => {
+                    let (headers, _) = change_parts(request).await?;
+                    self.api.delete(name, headers).await
+                }
+                _ => Err(wrong_method(&request, "GET, PUT or DELETE")),
+            },
+            ApiPath::Withdraw(name) => match *request.method() {
+                Method::POST => {
+                    let (headers, _) = change_parts(request).await?;
+                    self.api.withdraw(name, headers).await
+                }
+                _ => Err(wrong_method(&request, "POST")),
+            },
+            ApiPath::Operation(operation) => match *request.method() {
+                Method::GET => self.api.operation(&operation).await,
+                _ => Err(wrong_method(&request, "GET")),
+            },
+            ApiPath::Watch => Err(ApiError::Path(path.to_owned())),
+        }
+    }
+}
+
+async fn change_parts(mut request: Request) -> Result<(ChangeHeaders, bytes::Bytes), ApiError> {
+    let headers = ChangeHeaders::parse(request.headers())?;
+    let body = read_body(&mut request.take_payload(), MAX_BODY).await?;
+    Ok((headers, body))
+}
+
+fn wrong_method(request: &Request, allowed: &'static str) -> ApiError {
+    ApiError::Method(request.method().to_string(), allowed)
+}
+
+fn parameter(request: &Request, name: &str) -> Option<String> {
+    let query = request.uri().query()?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(found, _)| *found == name)
+        .map(|(_, value)| value.to_owned())
+}
--- /dev/null
+++ b/src/admin/api_error.rs
@@ -0,0 +1,187 @@
+//! Why the API refused a request.
+
+use actix_http::body::BoxBody;
+use actix_http::header::{HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
+use actix_http::{Response, StatusCode};
+use quick_error::quick_error;
+
+use crate::admin::ErrorBody;
+use crate::config::ChangeRefusal;
+use crate::http::{BodyError, json};
+use crate::ids::{NameError, OperationId, Revision};
+
+const RETRY_AFTER_SECONDS: &str = "5";
+
+quick_error! {
+    /// A request that was refused or could not be answered.
+    #[derive(Debug)]
+    pub enum ApiError {
+        /// No valid token.
+        Token {
+            display("the operators' token is missing or wrong; send it as 'Authorization: Bearer TOKEN'")
+        }
+        /// No such path.
+        Path(path: String) {
+            display("path '{path}' is unknown; see /v1/accounts, /v1/keys, /v1/rates, /v1/routes, /v1/services, /v1/operations and /v1/watch")
+        }
+        /// The method does not fit the path.
+        Method(method: String, allowed: &'static str) {
+            display("method {method} is not allowed here; use {allowed}")
+        }
+        /// A name in the path is wrong.
+        Name(cause: NameError) {
+            display("{cause}")
+            from()
+        }
+        /// A header is wrong.
+        Header(name: &'static str, value: String, remedy: &'static str) {
+            display("header '{name}' has value '{value}'; {remedy}")
+        }
+        /// A parameter of the query is wrong.
+        Parameter(name: String, value: String, remedy: &'static str) {
+            display("parameter '{name}' has value '{value}'; {remedy}")
+        }
+        /// The version that the change builds on is not named.
+        Precondition {
+            display("header 'If-Match' is missing; send the version that you read, or 'If-None-Match: *' to create")
+        }
+        /// The body could not be read.
+        Body(cause: BodyError) {
+            display("{cause}")
+            from()
+        }
+        /// The body is no such resource.
+        Json(cause: String) {
+            display("request body is not valid: {cause}")
+        }
+        /// The resource does not exist.
+        NotFound(what: String) {
+            display("{what} does not exist")
+        }
+        /// The change was refused.
+        Refused(refusal: ChangeRefusal) {
+            display("{refusal}")
+            from()
+        }
+        /// The platform could not be reached.
+        NotAccepted(cause: String) {
+            display("not accepted: {cause}; repeat the change later")
+        }
+        /// The platform could not be read.
+        Unreadable(cause: String) {
+            display("the configuration cannot be read now: {cause}; ask again later")
+        }
+        /// The answer of the platform was lost.
+        Unknown(operation: OperationId) {
+            display("unknown, operation id {operation}: the change may have been accepted; ask for the operation, or repeat the change with the same operation id")
+        }
+        /// The changes asked for are no longer kept.
+        TooOld(from: Revision, oldest: Revision) {
+            display("parameter 'from' has value '{from}', but changes are kept from revision {oldest}; list the resources and watch from there")
+        }
+        /// The random generator failed.
+        Random(cause: String) {
+            display("no secret could be drawn: {cause}")
+        }
+    }
+}
+
+impl ApiError {
+    /// The status of the answer.
+    #[must_use]
+    pub const fn status(&self) -> StatusCode {
+        match self {
+            Self::Token => StatusCode::UNAUTHORIZED,
+            Self::Path(_) | Self::NotFound(_) => StatusCode::NOT_FOUND,
+            Self::Method(..) => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Name(_) | Self::Header(..) | Self::Parameter(..) | Self::Json(_) => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::Precondition => StatusCode::PRECONDITION_REQUIRED,
+            Self::Body(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Body(BodyError::Malformed(_)) => StatusCode::BAD_REQUEST,
+            Self::Refused(refusal) => refused_status(refusal),
+            Self::NotAccepted(_) | Self::Unreadable(_) | Self::Unknown(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::TooOld(..) => StatusCode::GONE,
+            Self::Random(_) => StatusCode::INTERNAL_SERVER_ERROR,
+        }
+    }
+
+    /// A stable word for programs.
+    #[must_use]
+    pub const fn reason(&self) -> &'static str {
+        match self {
+            Self::Token => "token",
+            Self::Path(_) => "path",
+            Self::Method(..) => "method",
+            Self::Name(_) => "name",
+            Self::Header(..) => "header",
+            Self::Parameter(..) => "parameter",
+            Self::Precondition => "precondition",
+            Self::Body(_) | Self::Json(_) => "body",
+            Self::NotFound(_) => "not-found",
+            Self::Refused(refusal) => refused_reason(refusal),
+            Self::NotAccepted(_) => "not-accepted",
+            Self::Unreadable(_) => "unreadable",
+            Self::Unknown(_) => "unknown",
+            Self::TooOld(..) => "too-old",
+            Self::Random(_) => "random",
+        }
+    }
+
+    /// The answer to the operator.
+    #[must_use]
+    pub fn response(&self) -> Response<BoxBody> {
+        let body = ErrorBody {
+            reason: self.reason().to_owned(),
+            message: self.to_string(),
+            operation: match self {
+                Self::Unknown(operation) => Some(operation.clone()),
+                _ => None,
+            },
+        };
+        let mut response = json(self.status(), &body);
+        let headers = response.headers_mut();
+        if self.status() == StatusCode::SERVICE_UNAVAILABLE {
+            headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
+        }
+        if matches!(self, Self::Token) {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
+        response
+    }
+}
+
+const fn refused_status(refusal: &ChangeRefusal) -> StatusCode {
+    match refusal {
+        ChangeRefusal::Absent(_) => StatusCode::NOT_FOUND,
+        ChangeRefusal::Exists(..) | ChangeRefusal::VersionMismatch(..) => {
+            StatusCode::PRECONDITION_FAILED
+        }
+        ChangeRefusal::InUse(..)
+        | ChangeRefusal::PrefixTaken(..)
+        | ChangeRefusal::KeyActive(_)
+        | ChangeRefusal::OperationReused(_)
+        | ChangeRefusal::Edit(..) => StatusCode::CONFLICT,
+        ChangeRefusal::MissingReference(..) | ChangeRefusal::Field(..) => {
+            StatusCode::UNPROCESSABLE_ENTITY
+        }
+    }
+}
+
+const fn refused_reason(refusal: &ChangeRefusal) -> &'static str {
+    match refusal {
+        ChangeRefusal::Absent(_) => "not-found",
+        ChangeRefusal::Exists(..) => "exists",
+        ChangeRefusal::VersionMismatch(..) => "version-mismatch",
+        ChangeRefusal::InUse(..) => "in-use",
+        ChangeRefusal::MissingReference(..) => "missing-reference",
+        ChangeRefusal::PrefixTaken(..) => "prefix-taken",
+        ChangeRefusal::KeyActive(_) => "key-active",
+        ChangeRefusal::OperationReused(_) => "operation-reused",
+        ChangeRefusal::Edit(..) => "edit",
+        ChangeRefusal::Field(..) => "field",
+    }
+}
--- /dev/null
+++ b/src/admin/change_headers.rs
@@ -0,0 +1,71 @@
+//! The headers that govern a change.
+
+use actix_http::header::{HeaderMap, IF_MATCH, IF_NONE_MATCH};
+
+use crate::admin::{ApiError, key_secret};
+use crate::config::VersionCondition;
+use crate::ids::{OperationId, Version};
+
+/// Header that names an operation.
+pub const OPERATION_HEADER: &str = "operation-id";
+
+/// What the headers of a change say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangeHeaders {
+    /// The operation, as sent or newly drawn.
+    pub operation: OperationId,
+    /// What must hold of the resource, if named.
+    pub condition: Option<VersionCondition>,
+}
+
+impl ChangeHeaders {
+    /// Reads `headers`.
+    ///
+    /// # Errors
+    /// `ApiError::Header` names the header, the value and the remedy.
+    pub fn parse(headers: &HeaderMap) -> Result<Self, ApiError> {
+        let operation = match headers.get(OPERATION_HEADER) {
+            Some(value) => value.to_str().unwrap_or("").parse()?,
+            None => key_secret::draw_operation()?,
+        };
+        Ok(Self {
+            operation,
+            condition: condition(headers)?,
+        })
+    }
+
+    /// The condition.
+    ///
+    /// # Errors
+    /// `ApiError::Precondition` when none is named.
+    pub fn required(&self) -> Result<VersionCondition, ApiError> {
+        self.condition.ok_or(ApiError::Precondition)
+    }
+}
+
+fn condition(headers: &HeaderMap) -> Result<Option<VersionCondition>, ApiError> {
+    let text = |value: &actix_http::header::HeaderValue| {
+        String::from_utf8_lossy(value.as_bytes()).trim().to_owned()
+    };
+    if let Some(value) = headers.get(IF_NONE_MATCH).map(text) {
+        return match value.as_str() {
+            "*" => Ok(Some(VersionCondition::Absent)),
+            _ => Err(ApiError::Header("If-None-Match", value, "use '*'")),
+        };
+    }
+    let Some(value) = headers.get(IF_MATCH).map(text) else {
+        return Ok(None);
+    };
+    if value == "*" {
+        return Ok(Some(VersionCondition::Exists));
+    }
+    match value.trim_matches('"').parse() {
+        Ok(0) => Ok(Some(VersionCondition::Absent)),
+        Ok(version) => Ok(Some(VersionCondition::Is(Version(version)))),
+        Err(_) => Err(ApiError::Header(
+            "If-Match",
+            value,
+            "use the resource's version, a number",
+        )),
+    }
+}
--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,15 @@
+//! The operators' HTTP listener: resource API, readiness, metrics and dumps.
+
+mod admin_server;
+mod api_body;
+mod api_error;
+mod api_path;
+mod change_headers;
+mod key_secret;
+mod resource_api;
+
+pub use admin_server::{AdminServer, AdminSources};
+pub use api_body::{ChangeBody, ErrorBody, ListBody, ResourceBody};
+pub use api_error::ApiError;
+pub use api_path::ApiPath;
+pub use change_headers::{ChangeHeaders, OPERATION_HEADER};
--- /dev/null
+++ b/src/config/catalog.rs
@@ -0,0 +1,179 @@
+//! The configuration in force at this daemon.
+
+use crate::config::{
+    AccountTable, CatalogError, ConfigAction, ConfigChange, KeyLookup, KeyTable, RouteTable,
+};
+use crate::hash::FastMap;
+use crate::ids::{AccountId, Revision, RouteId, ServiceId};
+use crate::resource::{ConfigResource, KeyHash, RateLimit, ServiceRoute, ServiceSpec};
+
+/// What refers to a client account.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AccountUses {
+    /// Number of its keys, withdrawn ones included.
+    pub keys: usize,
+    /// Whether it has a rate limit.
+    pub has_rate: bool,
+    /// Routes that name it.
+    pub routes: Vec<RouteId>,
+}
+
+/// Everything that a request needs, at one revision; changes are applied in order, without a gap.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    revision: Revision,
+    accounts: AccountTable,
+    keys: KeyTable,
+    routes: RouteTable,
+    services: FastMap<ServiceId, ServiceSpec>,
+}
+
+impl Catalog {
+    /// The catalog of `resources` at `revision`.
+    #[must_use]
+    pub fn of_resources(
+        revision: Revision,
+        resources: impl IntoIterator<Item = ConfigResource>,
+    ) -> Self {
+        let mut catalog = Self {
+            revision,
+            ..Self::default()
+        };
+        for resource in resources {
+            catalog.load(resource);
+        }
+        catalog
+    }
+
+    /// Adds a resource of a snapshot that is being read.
+    pub fn load(&mut self, resource: ConfigResource) {
+        self.put(resource);
+    }
+
+    /// Applies the next change.
+    ///
+    /// # Errors
+    /// `CatalogError::NotNext` unless its revision follows at once; nothing changes then.
+    pub fn apply(&mut self, change: &ConfigChange) -> Result<(), CatalogError> {
+        if change.revision != self.revision.next() {
+            return Err(CatalogError::NotNext(self.revision, change.revision));
+        }
+        match &change.action {
+            ConfigAction::Put(resource) => self.put(resource.clone()),
+            ConfigAction::Remove(resource) => self.remove(resource),
+        }
+        self.revision = change.revision;
+        Ok(())
+    }
+
+    /// The revision in force.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The client account that a secret's hash stands for.
+    #[must_use]
+    pub fn account_of_key(&self, hash: &KeyHash) -> KeyLookup {
+        match self.keys.find(hash) {
+            Some((_, true)) => KeyLookup::Withdrawn,
+            Some((number, false)) => self
+                .accounts
+                .account(number)
+                .map_or(KeyLookup::Unknown, KeyLookup::Known),
+            None => KeyLookup::Unknown,
+        }
+    }
+
+    /// The route of `path`, by its longest prefix of whole segments.
+    #[must_use]
+    pub fn route_for(&self, path: &str) -> Option<&ServiceRoute> {
+        self.routes.find(path)
+    }
+
+    /// The rate limit of `account`, put together from the packed table.
+    #[must_use]
+    pub fn rate_of(&self, account: &AccountId) -> Option<RateLimit> {
+        self.accounts.rate(account)
+    }
+
+    /// The service called `id`.
+    #[must_use]
+    pub fn service(&self, id: &ServiceId) -> Option<&ServiceSpec> {
+        self.services.get(id)
+    }
+
+    /// Every service.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
+    /// Every route.
+    pub fn routes(&self) -> impl Iterator<Item = &ServiceRoute> {
+        self.routes.iter()
+    }
+
+    /// The route that has exactly `prefix`.
+    #[must_use]
+    pub fn route_with_prefix(&self, prefix: &str) -> Option<&ServiceRoute> {
+        self.routes.with_prefix(prefix)
+    }
+
+    /// What refers to `account`.
+    #[must_use]
+    pub fn uses_of_account(&self, account: &AccountId) -> AccountUses {
+        let number = self.accounts.find(account);
+        AccountUses {
+            keys: number.map_or(0, |number| self.keys.count_of(number)),
+            has_rate: self.accounts.rate(account).is_some(),
+            routes: self.routes.of_account(account),
+        }
+    }
+
+    /// Names of the routes that lead to `service`.
+    #[must_use]
+    pub fn routes_of_service(&self, service: &ServiceId) -> Vec<RouteId> {
+        self.routes.of_service(service)
+    }
+
+    /// Numbers of accounts, keys, routes and services.
+    #[must_use]
+    pub fn counts(&self) -> [usize; 4] {
+        let routes = self.routes.iter().count();
+        [
+            self.accounts.len(),
+            self.keys.len(),
+            routes,
+            self.services.len(),
+        ]
+    }
+
+    fn put(&mut self, resource: ConfigResource) {
+        match resource {
+            ConfigResource::Account(account) => {
+                self.accounts.intern(&account.id);
+            }
+            ConfigResource::Key(key) => {
+                let number = self.accounts.intern(&key.account);
+                self.keys.insert(key.hash, number, key.withdrawn);
+            }
+            ConfigResource::Rate(limit) => self.accounts.set_rate(&limit),
+            ConfigResource::Route(route) => self.routes.insert(route),
+            ConfigResource::Service(service) => {
+                self.services.insert(service.id.clone(), service);
+            }
+        }
+    }
+
+    fn remove(&mut self, resource: &ConfigResource) {
+        match resource {
+            ConfigResource::Account(account) => self.accounts.remove(&account.id),
+            ConfigResource::Key(key) => self.keys.remove(&key.hash),
+            ConfigResource::Rate(limit) => self.accounts.clear_rate(&limit.account),
+            ConfigResource::Route(route) => self.routes.remove(&route.id),
+            ConfigResource::Service(service) => {
+                self.services.remove(&service.id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/config/change_planner.rs
@@ -0,0 +1,197 @@
+//! Decides whether a change may be made, and by which transaction.
+
+use crate::config::plan_rows::row_value;
+use crate::config::{
+    Catalog, ChangeRefusal, ChangeRequest, ConfigAction, ConfigChange, OperationRecord, PlanRows,
+    ResourceEdit, RowLayout, StoredResource, VersionCondition, resource_rules,
+};
+use crate::ids::{Revision, Version};
+use crate::platform::{RowCheck, RowKey, RowWrite, Transaction};
+use crate::resource::{ConfigResource, ResourceName};
+
+/// Revisions that the log keeps; each change removes the one that falls out.
+pub const LOG_REVISIONS: u64 = 20_000;
+
+/// A change that may be made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangePlan {
+    /// What the log will say.
+    pub change: ConfigChange,
+    /// The transaction; it takes effect at most once, however often it is sent.
+    pub transaction: Transaction,
+}
+
+/// Plans `request` from `rows`; `catalog` must stand at the revision of the head among them.
+///
+/// # Errors
+/// `ChangeRefusal` when the change must not be made.
+pub fn plan_change(
+    request: &ChangeRequest,
+    rows: &PlanRows,
+    catalog: &Catalog,
+) -> Result<ChangePlan, ChangeRefusal> {
+    check_condition(request, rows)?;
+    let action = decide_action(request, rows, catalog)?;
+    let revision = rows.head.revision.next();
+    let change = ConfigChange {
+        revision,
+        operation: request.operation.clone(),
+        action,
+    };
+    let transaction = Transaction {
+        checks: checks(request, rows),
+        writes: writes(request, &change),
+    };
+    Ok(ChangePlan {
+        change,
+        transaction,
+    })
+}
+
+fn check_condition(request: &ChangeRequest, rows: &PlanRows) -> Result<(), ChangeRefusal> {
+    let name = || request.name.clone();
+    let found = rows.resource.as_ref().map(|stored| stored.version);
+    match (request.condition, found) {
+        (VersionCondition::Absent, None) | (VersionCondition::Exists, Some(_)) => Ok(()),
+        (VersionCondition::Absent, Some(version)) => Err(ChangeRefusal::Exists(name(), version)),
+        (VersionCondition::Exists, None) => Err(ChangeRefusal::Absent(name())),
+        (VersionCondition::Is(expected), found) if found == Some(expected) => Ok(()),
+        (VersionCondition::Is(expected), found) => Err(ChangeRefusal::VersionMismatch(
+            name(),
+            expected,
+            found.unwrap_or_default(),
+        )),
+    }
+}
+
+fn decide_action(
+    request: &ChangeRequest,
+    rows: &PlanRows,
+    catalog: &Catalog,
+) -> Result<ConfigAction, ChangeRefusal> {
+    let stored = rows.resource.as_ref().map(|stored| &stored.resource);
+    match (&request.edit, stored) {
+        (ResourceEdit::Put(resource), stored) => {
+            check_put(&request.name, resource, stored, rows, catalog)?;
+            Ok(ConfigAction::Put(resource.clone()))
+        }
+        (ResourceEdit::Delete | ResourceEdit::Withdraw, None) => {
+            Err(ChangeRefusal::Absent(request.name.clone()))
+        }
+        (ResourceEdit::Delete, Some(stored)) => {
+            check_delete(&request.name, stored, catalog)?;
+            Ok(ConfigAction::Remove(stored.clone()))
+        }
+        (ResourceEdit::Withdraw, Some(ConfigResource::Key(key))) => {
+            let mut key = key.clone();
+            key.withdrawn = true;
+            Ok(ConfigAction::Put(ConfigResource::Key(key)))
+        }
+        (ResourceEdit::Withdraw, Some(_)) => Err(ChangeRefusal::Edit(
+            request.name.clone(),
+            "only keys can be withdrawn",
+        )),
+    }
+}
+
+fn check_put(
+    name: &ResourceName,
+    resource: &ConfigResource,
+    stored: Option<&ConfigResource>,
+    rows: &PlanRows,
+    catalog: &Catalog,
+) -> Result<(), ChangeRefusal> {
+    resource_rules::check(resource)?;
+    if let Some((field, missing)) = rows.missing.first() {
+        return Err(ChangeRefusal::MissingReference(field, missing.clone()));
+    }
+    match (resource, stored) {
+        (ConfigResource::Key(_), Some(_)) => Err(ChangeRefusal::Edit(
+            name.clone(),
+            "a key is issued once and then only withdrawn",
+        )),
+        (ConfigResource::Route(route), _) => match catalog.route_with_prefix(&route.prefix) {
+            Some(other) if other.id != route.id => Err(ChangeRefusal::PrefixTaken(
+                route.prefix.clone(),
+                other.id.to_string(),
+            )),
+            _ => Ok(()),
+        },
+        _ => Ok(()),
+    }
+}
+
+fn check_delete(
+    name: &ResourceName,
+    stored: &ConfigResource,
+    catalog: &Catalog,
+) -> Result<(), ChangeRefusal> {
+    let users = match stored {
+        ConfigResource::Account(account) => {
+            let uses = catalog.uses_of_account(&account.id);
+            let mut users: Vec<String> =
+                uses.routes.iter().map(|id| format!("route/{id}")).collect();
+            if uses.has_rate {
+                users.push(format!("rate/{}", account.id));
+            }
+            if uses.keys > 0 {
+                users.push(format!("{} keys", uses.keys));
+            }
+            users
+        }
+        ConfigResource::Service(service) => {
+            let routes = catalog.routes_of_service(&service.id);
+            routes.iter().map(|id| format!("route/{id}")).collect()
+        }
+        ConfigResource::Key(key) if !key.withdrawn => {
+            return Err(ChangeRefusal::KeyActive(name.clone()));
+        }
+        ConfigResource::Key(_) | ConfigResource::Rate(_) | ConfigResource::Route(_) => Vec::new(),
+    };
+    if users.is_empty() {
+        return Ok(());
+    }
+    Err(ChangeRefusal::InUse(name.clone(), users.join(", ")))
+}
+
+fn checks(request: &ChangeRequest, rows: &PlanRows) -> Vec<RowCheck> {
+    let check = |key, version| RowCheck { key, version };
+    vec![
+        check(RowLayout::operation(&request.operation), Version(0)),
+        check(RowLayout::resource(&request.name), rows.row_version),
+        check(RowLayout::head(), rows.head.row_version),
+    ]
+}
+
+fn writes(request: &ChangeRequest, change: &ConfigChange) -> Vec<RowWrite> {
+    let record = OperationRecord {
+        revision: change.revision,
+        name: request.name.clone(),
+        fingerprint: request.fingerprint(),
+        content: change.content(),
+    };
+    let stored = match &change.action {
+        ConfigAction::Put(resource) => Some(row_value(&StoredResource {
+            version: Version(change.revision.0),
+            resource: resource.clone(),
+        })),
+        ConfigAction::Remove(_) => None,
+    };
+    let mut writes = vec![
+        write(RowLayout::resource(&request.name), stored),
+        write(RowLayout::log(change.revision), Some(row_value(change))),
+        write(RowLayout::head(), Some(row_value(&change.revision))),
+        write(
+            RowLayout::operation(&request.operation),
+            Some(row_value(&record)),
+        ),
+    ];
+    if let Some(oldest) = change.revision.0.checked_sub(LOG_REVISIONS) {
+        writes.push(write(RowLayout::log(Revision(oldest)), None));
+    }
+    writes
+}
+
+fn write(key: RowKey, value: Option<Vec<u8>>) -> RowWrite {
+    RowWrite { key, value }
+}
--- /dev/null
+++ b/src/config/config_store.rs
@@ -0,0 +1,159 @@
+//! Reads the configuration from the platform.
+
+use std::rc::Rc;
+
+use crate::config::plan_rows::parse_row;
+use crate::config::{Catalog, ConfigChange, HeadRow, OperationRecord, RowLayout, StoredResource};
+use crate::ids::{OperationId, Revision};
+use crate::platform::{PlatformError, PlatformService, RowKey};
+use crate::resource::{ResourceKind, ResourceName};
+
+/// Rows asked for at once.
+pub const PAGE_ROWS: usize = 500;
+
+/// The configuration's tables at the platform; clones share the service.
+#[derive(Clone)]
+pub struct ConfigStore {
+    platform: Rc<dyn PlatformService>,
+}
+
+impl ConfigStore {
+    /// Opens the store over `platform`.
+    #[must_use]
+    pub fn open(platform: Rc<dyn PlatformService>) -> Self {
+        Self { platform }
+    }
+
+    /// The service below.
+    #[must_use]
+    pub fn platform(&self) -> &dyn PlatformService {
+        self.platform.as_ref()
+    }
+
+    /// Reads the newest revision.
+    ///
+    /// # Errors
+    /// `PlatformError` when it cannot be read.
+    pub async fn head(&self) -> Result<Revision, PlatformError> {
+        let rows = self.platform.read(&[RowLayout::head()]).await?;
+        let row = rows.first().and_then(Option::as_ref);
+        Ok(HeadRow::of_row(row).map_err(malformed)?.revision)
+    }
+
+    /// Reads the changes that follow `after`, up to `until` or a page, whichever is less.
+    ///
+    /// # Errors
+    /// `PlatformError` when they cannot be read.
+    pub async fn changes(
+        &self,
+        after: Revision,
+        until: Revision,
+    ) -> Result<Vec<ConfigChange>, PlatformError> {
+        let most = after.0.saturating_add(PAGE_ROWS as u64);
+        let last = until.0.min(most);
+        let keys: Vec<RowKey> = (after.0 + 1..=last)
+            .map(|revision| RowLayout::log(Revision(revision)))
+            .collect();
+        let rows = self.platform.read(&keys).await?;
+        rows.iter()
+            .map_while(Option::as_ref)
+            .map(|row| parse_row(Some(row)).map_err(malformed))
+            .filter_map(Result::transpose)
+            .collect()
+    }
+
+    /// Reads the whole configuration page by page, and then what changed meanwhile.
+    ///
+    /// # Errors
+    /// `PlatformError` when a page cannot be read.
+    pub async fn scan(&self) -> Result<Catalog, PlatformError> {
+        let before = self.head().await?;
+        let mut catalog = Catalog::of_resources(before, None);
+        let mut after = None;
+        loop {
+            let page = self
+                .platform
+                .scan(RowLayout::RESOURCES, after.as_ref(), PAGE_ROWS);
+            let rows = page.await?;
+            for row in &rows {
+                if let Some(stored) = parse_row::<StoredResource>(Some(row)).map_err(malformed)? {
+                    catalog.load(stored.resource);
+                }
+            }
+            match rows.last() {
+                Some(row) if rows.len() == PAGE_ROWS => after = Some(row.key.clone()),
+                _ => break,
+            }
+        }
+        self.replay(&mut catalog).await?;
+        Ok(catalog)
+    }
+
+    /// Brings a scanned catalog to the present head; until then it mixes several revisions.
+    async fn replay(&self, catalog: &mut Catalog) -> Result<(), PlatformError> {
+        let head = self.head().await?;
+        while catalog.revision() < head {
+            let changes = self.changes(catalog.revision(), head).await?;
+            if changes.is_empty() {
+                return Err(malformed("the log has a gap".to_owned()));
+            }
+            for change in &changes {
+                catalog
+                    .apply(change)
+                    .map_err(|cause| malformed(cause.to_string()))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads one resource.
+    ///
+    /// # Errors
+    /// `PlatformError` when it cannot be read.
+    pub async fn resource(
+        &self,
+        name: &ResourceName,
+    ) -> Result<Option<StoredResource>, PlatformError> {
+        let rows = self.platform.read(&[RowLayout::resource(name)]).await?;
+        parse_row(rows.first().and_then(Option::as_ref)).map_err(malformed)
+    }
+
+    /// Reads up to a page of the resources of `kind` that come after `after`, in the order of names.
+    ///
+    /// # Errors
+    /// `PlatformError` when they cannot be read.
+    pub async fn list(
+        &self,
+        kind: ResourceKind,
+        after: Option<&str>,
+    ) -> Result<Vec<StoredResource>, PlatformError> {
+        let prefix = RowLayout::kind(kind);
+        let after = after.map(|id| RowKey(format!("{prefix}{id}")));
+        let rows = self.platform.scan(&prefix, after.as_ref(), PAGE_ROWS);
+        rows.await?
+            .iter()
+            .map(|row| parse_row(Some(row)).map_err(malformed))
+            .filter_map(Result::transpose)
+            .collect()
+    }
+
+    /// Reads the record of an accepted operation.
+    ///
+    /// # Errors
+    /// `PlatformError` when it cannot be read.
+    pub async fn operation(
+        &self,
+        operation: &OperationId,
+    ) -> Result<Option<OperationRecord>, PlatformError> {
+        let rows = self
+            .platform
+            .read(&[RowLayout::operation(operation)])
+            .await?;
+        parse_row(rows.first().and_then(Option::as_ref)).map_err(malformed)
+    }
+}
+
+fn malformed(cause: String) -> PlatformError {
+    log::error!(target: crate::logs::part::CONFIG, cause:%; "Row of the configuration is malformed.");
+    PlatformError::Unavailable(cause)
+}
--- /dev/null
+++ b/src/config/resource_rules.rs
@@ -0,0 +1,60 @@
+//! What must hold of a resource by itself.
+
+use crate::config::ChangeRefusal;
+use crate::config::path_segments::is_ambiguous;
+use crate::resource::{ConfigResource, RouteAccess, ServiceRoute};
+
+const MAX_PREFIX_BYTES: usize = 255;
+const MAX_ACCESS_ACCOUNTS: usize = 1_000;
+
+/// Checks the fields of `resource`.
+///
+/// # Errors
+/// `ChangeRefusal::Field` names the field, the value and the remedy.
+pub fn check(resource: &ConfigResource) -> Result<(), ChangeRefusal> {
+    match resource {
+        ConfigResource::Route(route) => check_route(route),
+        ConfigResource::Account(_)
+        | ConfigResource::Key(_)
+        | ConfigResource::Rate(_)
+        | ConfigResource::Service(_) => Ok(()),
+    }
+}
+
+fn check_route(route: &ServiceRoute) -> Result<(), ChangeRefusal> {
+    let refuse = |remedy| {
+        let shown = route.prefix.chars().take(MAX_PREFIX_BYTES).collect();
+        Err(ChangeRefusal::Field("prefix", shown, remedy))
+    };
+    let prefix = route.prefix.as_str();
+    if !prefix.starts_with('/') {
+        return refuse("begin it with '/'");
+    }
+    if prefix.len() > MAX_PREFIX_BYTES {
+        return refuse("use at most 255 bytes");
+    }
+    if prefix.len() > 1 && prefix.ends_with('/') {
+        return refuse("leave the last '/' out; a prefix covers whole segments");
+    }
+    let is_odd = |found: char| found.is_ascii_control() || matches!(found, ' ' | '?' | '#');
+    if !prefix.is_ascii() || prefix.contains(is_odd) {
+        return refuse("use printable ASCII without spaces, '?' and '#'; encode the rest");
+    }
+    if is_ambiguous(prefix) {
+        return refuse("leave out empty and dot segments and encoded slashes");
+    }
+    check_access(&route.access)
+}
+
+fn check_access(access: &RouteAccess) -> Result<(), ChangeRefusal> {
+    match access {
+        RouteAccess::Accounts(named) if named.len() > MAX_ACCESS_ACCOUNTS => {
+            Err(ChangeRefusal::Field(
+                "access",
+                format!("{} accounts", named.len()),
+                "name at most 1000, or open the route to all",
+            ))
+        }
+        RouteAccess::Accounts(_) | RouteAccess::All => Ok(()),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,9 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub mod admin;
+pub mod client;
+pub mod config;
 pub mod daemon;
 pub mod exit;
 pub mod hash;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,15 +1,20 @@
 //! The platform's transactional table and object store, as the daemon needs them.
 
 mod commit_outcome;
+mod http_platform;
 mod platform_error;
 mod platform_service;
+mod platform_wire;
+mod row_bytes;
 mod row_key;
 mod table_row;
 mod transaction;
 
 pub use commit_outcome::CommitOutcome;
+pub use http_platform::HttpPlatform;
 pub use platform_error::PlatformError;
 pub use platform_service::PlatformService;
+pub use platform_wire::{ReadAnswer, ReadQuestion, ScanQuestion};
 pub use row_key::RowKey;
 pub use table_row::TableRow;
 pub use transaction::{RowCheck, RowWrite, Transaction};
--- a/src/platform/table_row.rs
+++ b/src/platform/table_row.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::Version;
-use crate::platform::RowKey;
+use crate::platform::{RowKey, row_bytes};
 
 /// A row as it was read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,5 +13,6 @@
     /// Counts its writes from 1; a row deleted and written again goes on from 1.
     pub version: Version,
     /// Its value.
+    #[serde(with = "row_bytes")]
     pub value: Vec<u8>,
 }
--- a/src/platform/transaction.rs
+++ b/src/platform/transaction.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::Version;
-use crate::platform::RowKey;
+use crate::platform::{RowKey, row_bytes};
 
 /// Writes that happen together, if every check holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,5 +29,6 @@
     /// The row.
     pub key: RowKey,
     /// Its new value, or none to delete it.
+    #[serde(with = "row_bytes::optional")]
     pub value: Option<Vec<u8>>,
 }
--- a/src/resource/key_hash.rs
+++ b/src/resource/key_hash.rs
@@ -16,7 +16,13 @@
     /// The hash of `secret`.
     #[must_use]
     pub fn of_secret(secret: &str) -> Self {
-        let full = blake3::hash(secret.as_bytes());
+        Self::of_bytes(secret.as_bytes())
+    }
+
+    /// The hash of `bytes`.
+    #[must_use]
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        let full = blake3::hash(bytes);
         let mut hash = [0; Self::BYTES];
         hash.copy_from_slice(&full.as_bytes()[..Self::BYTES]);
         Self(hash)
--- a/src/units/rate.rs
+++ b/src/units/rate.rs
@@ -30,6 +30,17 @@
         Self::over(events, 1, &format!("{events} per second"))
     }
 
+    /// A rate of `milli` thousandths of an event a second; none when out of range.
+    #[must_use]
+    pub const fn from_milli_per_second(milli: u64) -> Option<Self> {
+        if milli == 0 || milli > Self::MOST_PER_SECOND * MILLIS_PER_EVENT {
+            return None;
+        }
+        Some(Self {
+            milli_per_second: milli,
+        })
+    }
+
     /// Thousandths of an event a second.
     #[must_use]
     pub const fn milli_per_second(self) -> u64 {
