--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,10 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub mod admin;
 pub mod balance;
+pub mod client;
+pub mod config;
 pub mod daemon;
 pub mod egress;
 pub mod exit;
