--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hash;
 pub mod http;
 pub mod ids;
+pub mod limits;
 pub mod logs;
 pub mod peers;
 pub mod platform;
--- /dev/null
+++ b/src/limits/account_bucket.rs
@@ -0,0 +1,211 @@
+//! The token bucket of one client account at a home.
+
+use std::time::Duration;
+
+use crate::ids::BootId;
+use crate::limits::AccountSplit;
+use crate::resource::RateLimit;
+use crate::time::{Deadline, MonoTime};
+use crate::wire::GrantUse;
+
+/// Parts of a token that one thousandth of an event a second yields in a microsecond.
+const PARTS_PER_TOKEN: u64 = 1_000_000_000;
+
+/// Tokens of the shares pooled, in exact integer parts.
+///
+/// One token is `PARTS_PER_TOKEN` times the number of the account's shares, so that
+/// a share's part of rate and burst is a whole number.
+#[derive(Debug)]
+pub struct AccountBucket {
+    limit: RateLimit,
+    split: AccountSplit,
+    level: u64,
+    pooled: u32,
+    updated: MonoTime,
+    grants: Vec<OpenGrant>,
+}
+
+/// A grant that an ingress may still spend from.
+#[derive(Debug, Clone, Copy)]
+struct OpenGrant {
+    id: u64,
+    ingress: BootId,
+    tokens: u32,
+    spent: u32,
+    until: Deadline,
+}
+
+impl OpenGrant {
+    const fn outstanding(&self) -> u32 {
+        self.tokens - self.spent
+    }
+}
+
+impl AccountBucket {
+    /// An empty bucket without any share.
+    #[must_use]
+    pub const fn open(limit: RateLimit, split: AccountSplit, now: MonoTime) -> Self {
+        Self {
+            limit,
+            split,
+            level: 0,
+            pooled: 0,
+            updated: now,
+            grants: Vec::new(),
+        }
+    }
+
+    /// The limit that it follows.
+    #[must_use]
+    pub const fn limit(&self) -> &RateLimit {
+        &self.limit
+    }
+
+    /// The split that it follows.
+    #[must_use]
+    pub const fn split(&self) -> &AccountSplit {
+        &self.split
+    }
+
+    /// Follows another limit; what is out still counts, and nothing is given for the change.
+    pub fn change(&mut self, limit: RateLimit, split: AccountSplit, pooled: u32, now: MonoTime) {
+        self.advance(now);
+        if split != self.split {
+            self.level = 0;
+        }
+        self.limit = limit;
+        self.split = split;
+        self.pooled = pooled;
+        self.level = self.level.min(self.room());
+    }
+
+    /// Adds a share that had been unused for `rest`; it brings what accrued meanwhile.
+    pub fn join(&mut self, rest: Duration, now: MonoTime) {
+        self.advance(now);
+        self.pooled += 1;
+        let accrued = self.accrual(1, rest).min(self.share_burst());
+        self.level = (self.level + accrued).min(self.room());
+    }
+
+    /// Takes a share out, as if it had brought nothing since the last change.
+    pub fn lapse(&mut self, now: MonoTime) {
+        self.pooled = self.pooled.saturating_sub(1);
+        self.advance(now);
+    }
+
+    /// Brings the level up to `now`; a grant that ends meanwhile frees its place then.
+    pub fn advance(&mut self, now: MonoTime) {
+        while let Some(end) = self.next_end(now) {
+            self.accrue(end);
+            self.grants.retain(|grant| !grant.until.has_passed(end));
+        }
+        self.accrue(now);
+    }
+
+    /// Notes what an ingress did with a grant; a repeated or late note changes nothing.
+    pub fn note(&mut self, ingress: BootId, told: &GrantUse) {
+        let found = self
+            .grants
+            .iter_mut()
+            .find(|grant| grant.id == told.grant && grant.ingress == ingress);
+        let Some(grant) = found else {
+            return;
+        };
+        grant.spent = grant.spent.max(told.spent.min(grant.tokens));
+        if told.closed {
+            let unused = u64::from(grant.outstanding());
+            self.level += unused * self.token();
+            self.grants
+                .retain(|grant| grant.id != told.grant || grant.ingress != ingress);
+        }
+    }
+
+    /// Takes up to `most` whole tokens out for a grant that lives until `until`.
+    pub fn grant(&mut self, id: u64, ingress: BootId, most: u32, until: Deadline) -> u32 {
+        let tokens = most.min(self.available());
+        if tokens == 0 {
+            return 0;
+        }
+        self.level -= u64::from(tokens) * self.token();
+        self.grants.push(OpenGrant {
+            id,
+            ingress,
+            tokens,
+            spent: 0,
+            until,
+        });
+        tokens
+    }
+
+    /// Whole tokens at hand.
+    #[must_use]
+    pub fn available(&self) -> u32 {
+        u32::try_from(self.level / self.token()).unwrap_or(u32::MAX)
+    }
+
+    /// Time until the level reaches `tokens` tokens, if it rises at all.
+    #[must_use]
+    pub fn time_to(&self, tokens: u32) -> Option<Duration> {
+        let missing = (u64::from(tokens) * self.token()).saturating_sub(self.level);
+        let speed = self.limit.rate.milli_per_second() * u64::from(self.pooled);
+        (speed > 0).then(|| Duration::from_micros(missing.div_ceil(speed)))
+    }
+
+    /// Time in which the rate yields the whole burst.
+    #[must_use]
+    pub fn fill_time(&self) -> Duration {
+        let parts = self.share_burst();
+        Duration::from_micros(parts / self.limit.rate.milli_per_second())
+    }
+
+    /// Whole tokens that the pooled shares hold at most.
+    #[must_use]
+    pub fn capacity(&self) -> u32 {
+        u32::try_from(self.cap() / self.token()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether it holds all it can and no grant is out, so that it may be dropped.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.grants.is_empty() && self.level >= self.cap()
+    }
+
+    fn next_end(&self, now: MonoTime) -> Option<MonoTime> {
+        let ends = self.grants.iter().map(|grant| grant.until.time());
+        ends.filter(|end| *end <= now).min()
+    }
+
+    fn accrue(&mut self, now: MonoTime) {
+        let accrued = self.accrual(self.pooled, now.since(self.updated));
+        self.level = self.level.saturating_add(accrued).min(self.room());
+        self.updated = self.updated.max(now);
+    }
+
+    fn accrual(&self, shares: u32, span: Duration) -> u64 {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        let speed = self.limit.rate.milli_per_second() * u64::from(shares);
+        micros.saturating_mul(speed)
+    }
+
+    /// What the level may reach: grants that are still out count against the cap.
+    fn room(&self) -> u64 {
+        let out: u64 = self
+            .grants
+            .iter()
+            .map(|grant| u64::from(grant.outstanding()))
+            .sum();
+        self.cap().saturating_sub(out * self.token())
+    }
+
+    fn cap(&self) -> u64 {
+        self.share_burst() * u64::from(self.pooled)
+    }
+
+    fn share_burst(&self) -> u64 {
+        u64::from(self.limit.burst.get()) * PARTS_PER_TOKEN
+    }
+
+    fn token(&self) -> u64 {
+        PARTS_PER_TOKEN * u64::from(self.split.shares.len())
+    }
+}
--- /dev/null
+++ b/src/limits/account_purse.rs
@@ -0,0 +1,273 @@
+//! The tokens that an ingress holds for one client account.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::ids::BootId;
+use crate::limits::{AccountSplit, DemandRate, GrantLane};
+use crate::resource::RateLimit;
+use crate::time::{Deadline, MonoTime};
+use crate::wire::{GrantUse, GrantWant, TokenGrant};
+
+/// Ask for more when the tokens left last less than this.
+const LOW_SPAN: Duration = Duration::from_millis(250);
+/// Ask for as many tokens as last this long.
+const FULL_SPAN: Duration = Duration::from_millis(500);
+/// A grant with less than this part of its life left is closed, its tokens go back.
+const LAST_PARTS: u32 = 4;
+
+/// A grant in hand.
+#[derive(Debug)]
+pub struct HeldGrant {
+    lane: u8,
+    home: BootId,
+    id: u64,
+    left: u32,
+    spent: u32,
+    reported: u32,
+    until: Deadline,
+    life: Duration,
+    tight: bool,
+}
+
+/// An ask to one of the two homes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LaneAsk {
+    /// The half.
+    pub lane: u8,
+    /// Whether it asks for tokens, not only reports.
+    pub tokens: bool,
+}
+
+/// A request that waits for a token.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitingRequest {
+    /// Its number.
+    pub number: u64,
+    /// Until when it waits.
+    pub until: Deadline,
+}
+
+/// Grants, demand and waiting requests of one client account.
+#[derive(Debug)]
+pub struct AccountPurse {
+    limit: RateLimit,
+    split: AccountSplit,
+    /// The two halves.
+    pub lanes: [GrantLane; 2],
+    /// Requests that wait, in order.
+    pub waiting: VecDeque<WaitingRequest>,
+    grants: Vec<HeldGrant>,
+    demand: DemandRate,
+    turn: u8,
+}
+
+impl AccountPurse {
+    /// An empty purse.
+    #[must_use]
+    pub fn open(limit: RateLimit, split: AccountSplit, turn: u8, now: MonoTime) -> Self {
+        Self {
+            limit,
+            split,
+            lanes: lanes_of(&split),
+            waiting: VecDeque::new(),
+            grants: Vec::new(),
+            demand: DemandRate::open(now),
+            turn: turn & 1,
+        }
+    }
+
+    /// The limit that it follows.
+    #[must_use]
+    pub const fn limit(&self) -> &RateLimit {
+        &self.limit
+    }
+
+    /// Where the account belongs.
+    #[must_use]
+    pub const fn split(&self) -> &AccountSplit {
+        &self.split
+    }
+
+    /// Counts a request.
+    pub fn demand(&mut self, now: MonoTime) {
+        self.demand.count(now);
+    }
+
+    /// Spends a token of a live grant; returns the home and the number of the grant.
+    pub fn spend(&mut self, now: MonoTime) -> Option<(BootId, u64)> {
+        let live = self
+            .grants
+            .iter_mut()
+            .filter(|grant| grant.left > 0 && !grant.until.has_passed(now));
+        let grant = live.min_by_key(|grant| grant.until)?;
+        grant.left -= 1;
+        grant.spent += 1;
+        Some((grant.home, grant.id))
+    }
+
+    /// Puts a token back whose request provably did not run.
+    ///
+    /// Not once the home was told that it is spent: the home may have given another for it.
+    pub fn put_back(&mut self, home: BootId, id: u64, now: MonoTime) {
+        let found = self
+            .grants
+            .iter_mut()
+            .find(|grant| grant.home == home && grant.id == id && !grant.until.has_passed(now));
+        if let Some(grant) = found
+            && grant.spent > grant.reported
+        {
+            grant.spent -= 1;
+            grant.left += 1;
+        }
+    }
+
+    /// Takes a grant in; `until` counts from when the ask was sent.
+    pub fn add(&mut self, lane: u8, home: BootId, grant: &TokenGrant, until: Deadline) {
+        self.grants.push(HeldGrant {
+            lane,
+            home,
+            id: grant.grant,
+            left: grant.tokens,
+            spent: 0,
+            reported: 0,
+            until,
+            life: Duration::from_micros(u64::from(grant.life_micros)),
+            tight: grant.tight,
+        });
+    }
+
+    /// Forgets grants that have ended.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.grants.retain(|grant| !grant.until.has_passed(now));
+    }
+
+    /// Whether an ask should leave: for waiting requests, for expected ones or to report.
+    #[must_use]
+    pub fn needs_ask(&self, now: MonoTime) -> bool {
+        !self.lanes_to_ask(now).is_empty()
+    }
+
+    /// Whether nothing is left to remember.
+    #[must_use]
+    pub fn is_idle(&self, now: MonoTime) -> bool {
+        self.waiting.is_empty() && self.grants.is_empty() && self.demand.get(now) < 0.01
+    }
+
+    /// The asks that should leave now: one for tokens at a time, and those with news.
+    #[must_use]
+    pub fn lanes_to_ask(&self, now: MonoTime) -> Vec<LaneAsk> {
+        let is_ready = |lane: &u8| self.lane(*lane).is_ready(now);
+        let ready = [self.turn, self.turn ^ 1].into_iter().filter(is_ready);
+        let mut needs_tokens = !self.waiting.is_empty() || self.wants_more(now);
+        if self.lanes.iter().any(|lane| lane.is_pending_fresh(now)) {
+            needs_tokens = false;
+        }
+        let mut asks = Vec::new();
+        for lane in ready {
+            if needs_tokens || self.has_news(lane, now) {
+                let tokens = std::mem::take(&mut needs_tokens);
+                asks.push(LaneAsk { lane, tokens });
+            }
+        }
+        asks
+    }
+
+    /// The want of `ask`, to be sent now to the home whose boot was last `home`.
+    pub fn want(&mut self, ask: LaneAsk, home: BootId, now: MonoTime) -> GrantWant {
+        let lane = ask.lane;
+        let (mut waiting, mut extra) = (0, 0);
+        if ask.tokens {
+            waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+            extra = self.extra(now);
+            self.turn = lane ^ 1;
+        }
+        self.lanes[usize::from(lane)].ask(now);
+        let grants = self.grants.iter_mut();
+        let known = grants.filter(|grant| grant.lane == lane && grant.home == home);
+        let uses = known.filter_map(|grant| report(grant, now)).collect();
+        GrantWant {
+            account: self.limit.account.clone(),
+            half: lane,
+            waiting,
+            extra,
+            uses,
+        }
+    }
+
+    /// Follows another limit; tokens in hand stay good.
+    pub fn change(&mut self, limit: RateLimit, split: AccountSplit) {
+        self.limit = limit;
+        self.split = split;
+        self.lanes = lanes_of(&split);
+    }
+
+    /// Tokens in hand.
+    #[must_use]
+    pub fn tokens(&self, now: MonoTime) -> u32 {
+        let live = self
+            .grants
+            .iter()
+            .filter(|grant| !grant.until.has_passed(now));
+        live.map(|grant| grant.left).sum()
+    }
+
+    /// Until when all homes of the account have said that there are no tokens, if they have.
+    #[must_use]
+    pub fn empty_until(&self, now: MonoTime) -> Option<Deadline> {
+        let used = || self.lanes.iter().filter(|lane| lane.is_used());
+        if !used().all(|lane| lane.is_empty(now)) {
+            return None;
+        }
+        used().map(GrantLane::empty_until).min()
+    }
+
+    fn lane(&self, lane: u8) -> &GrantLane {
+        &self.lanes[usize::from(lane & 1)]
+    }
+
+    fn has_news(&self, lane: u8, now: MonoTime) -> bool {
+        let mut grants = self.grants.iter().filter(|grant| grant.lane == lane);
+        grants.any(|grant| has_news(grant, now))
+    }
+
+    fn wants_more(&self, now: MonoTime) -> bool {
+        let low = self.demand.get(now) * LOW_SPAN.as_secs_f64();
+        low >= 1.0 && f64::from(self.tokens(now)) < low
+    }
+
+    fn extra(&self, now: MonoTime) -> u32 {
+        let full = self.demand.get(now) * FULL_SPAN.as_secs_f64();
+        let missing = full - f64::from(self.tokens(now));
+        if missing >= 1.0 { missing as u32 } else { 0 }
+    }
+}
+
+fn lanes_of(split: &AccountSplit) -> [GrantLane; 2] {
+    [0, 1].map(|half| GrantLane::open(!split.half(half).is_empty()))
+}
+
+fn is_ending(grant: &HeldGrant, now: MonoTime) -> bool {
+    grant.until.remaining(now) < grant.life / LAST_PARTS
+}
+
+fn has_news(grant: &HeldGrant, now: MonoTime) -> bool {
+    let unspent = grant.left > 0 && is_ending(grant, now);
+    let tight = grant.tight && grant.spent > grant.reported;
+    unspent || tight
+}
+
+/// What the home should know of `grant`; closes it near its end.
+fn report(grant: &mut HeldGrant, now: MonoTime) -> Option<GrantUse> {
+    let closed = is_ending(grant, now) || grant.left == 0;
+    let news = grant.spent > grant.reported || (closed && grant.left > 0);
+    if closed {
+        grant.left = 0;
+    }
+    grant.reported = grant.spent;
+    news.then_some(GrantUse {
+        grant: grant.id,
+        spent: grant.spent,
+        closed,
+    })
+}
--- /dev/null
+++ b/src/limits/grant_lane.rs
@@ -0,0 +1,90 @@
+//! An ingress's dealings with the home of one half of an account's shares.
+
+use std::time::Duration;
+
+use crate::time::{Deadline, MonoTime};
+
+/// A home that has not answered for this long is passed over.
+const HEDGE_WAIT: Duration = Duration::from_millis(40);
+/// A home that failed is passed over for this long, if there is another.
+const SILENT_WAIT: Duration = Duration::from_millis(300);
+/// A daemon that is no home is passed over for this long.
+const NOT_HOME_WAIT: Duration = Duration::from_millis(20);
+
+/// What is known of one half.
+#[derive(Debug, Clone, Copy)]
+pub struct GrantLane {
+    used: bool,
+    asked: Option<MonoTime>,
+    empty_until: MonoTime,
+    silent_until: MonoTime,
+}
+
+impl GrantLane {
+    /// A lane; `used` when the account has shares in this half.
+    #[must_use]
+    pub const fn open(used: bool) -> Self {
+        Self {
+            used,
+            asked: None,
+            empty_until: MonoTime::ZERO,
+            silent_until: MonoTime::ZERO,
+        }
+    }
+
+    /// Whether the account has shares in this half.
+    #[must_use]
+    pub const fn is_used(&self) -> bool {
+        self.used
+    }
+
+    /// Whether an ask may leave.
+    #[must_use]
+    pub fn is_ready(&self, now: MonoTime) -> bool {
+        self.used && self.asked.is_none() && now >= self.empty_until && now >= self.silent_until
+    }
+
+    /// Whether an answer is still to be expected soon.
+    #[must_use]
+    pub fn is_pending_fresh(&self, now: MonoTime) -> bool {
+        self.asked.is_some_and(|sent| now.since(sent) < HEDGE_WAIT)
+    }
+
+    /// Whether the home said that there are no tokens.
+    #[must_use]
+    pub fn is_empty(&self, now: MonoTime) -> bool {
+        now < self.empty_until
+    }
+
+    /// Until when there are no tokens.
+    #[must_use]
+    pub const fn empty_until(&self) -> Deadline {
+        Deadline::at(self.empty_until)
+    }
+
+    /// An ask leaves.
+    pub const fn ask(&mut self, now: MonoTime) {
+        self.asked = Some(now);
+    }
+
+    /// An answer came.
+    pub const fn answered(&mut self) {
+        self.asked = None;
+    }
+
+    /// There are no tokens for `wait`.
+    pub fn empty(&mut self, wait: Duration, now: MonoTime) {
+        self.empty_until = now + wait;
+    }
+
+    /// The daemon is no home of this half.
+    pub fn not_home(&mut self, now: MonoTime) {
+        self.silent_until = now + NOT_HOME_WAIT;
+    }
+
+    /// The ask failed.
+    pub fn failed(&mut self, now: MonoTime) {
+        self.asked = None;
+        self.silent_until = now + SILENT_WAIT;
+    }
+}
--- /dev/null
+++ b/src/limits/grant_purse.rs
@@ -0,0 +1,267 @@
+//! All tokens of an ingress and the requests that wait for them.
+
+use std::time::Duration;
+
+use crate::hash::{FastMap, FastSet};
+use crate::ids::{AccountId, BootId, DaemonId};
+use crate::limits::{
+    AccountPurse, AccountSplit, AdmittedToken, HomeCandidate, HomeMap, PoolCell, WaitingRequest,
+    clock_margin,
+};
+use crate::resource::RateLimit;
+use crate::time::{Deadline, MonoTime};
+use crate::wire::{GrantAnswer, GrantAsk, GrantGive};
+
+/// What a caller is told when no home could be reached.
+const UNREACHED_RETRY: Duration = Duration::from_millis(500);
+
+/// Spends, waits for, asks for and gives back tokens.
+#[derive(Debug)]
+pub struct GrantPurse {
+    ingress: BootId,
+    total: u32,
+    next_request: u64,
+    purses: FastMap<AccountId, AccountPurse>,
+    due: FastSet<AccountId>,
+    boots: FastMap<DaemonId, BootId>,
+}
+
+/// The first answer to a request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum AdmitStep {
+    /// It has a token.
+    Admitted(AdmittedToken),
+    /// It is refused, to come back after this time.
+    Refused(Duration),
+    /// It waits under this number.
+    Waiting(u64),
+}
+
+/// The later answer to a request that waits.
+#[derive(Debug, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// It has a token.
+    Admitted(u64, AdmittedToken),
+    /// It is refused, to come back after this time.
+    Refused(u64, Duration),
+}
+
+/// An ask to be sent to a home.
+#[derive(Debug, Clone)]
+pub struct PlannedGrant {
+    /// The home.
+    pub home: HomeCandidate,
+    /// When it is sent; the grants count from here.
+    pub sent: MonoTime,
+    /// The ask.
+    pub ask: GrantAsk,
+}
+
+impl GrantPurse {
+    /// An empty purse of the ingress that runs as `ingress`, for rates cut into `total` shares.
+    #[must_use]
+    pub fn open(ingress: BootId, total: u32) -> Self {
+        Self {
+            ingress,
+            total,
+            next_request: 0,
+            purses: FastMap::default(),
+            due: FastSet::default(),
+            boots: FastMap::default(),
+        }
+    }
+
+    /// Asks for a token for a request of the account of `limit` that waits at most until `until`.
+    pub fn admit(&mut self, limit: &RateLimit, until: Deadline, now: MonoTime) -> AdmitStep {
+        let (number, total) = (self.next_request + 1, self.total);
+        let purse = self
+            .purses
+            .entry(limit.account.clone())
+            .or_insert_with(|| open_purse(limit, total, self.ingress, now));
+        if purse.limit() != limit {
+            let split = AccountSplit::of(&limit.account, limit.burst, total);
+            purse.change(limit.clone(), split);
+        }
+        purse.demand(now);
+        if purse.waiting.is_empty()
+            && let Some((home, grant)) = purse.spend(now)
+        {
+            if purse.needs_ask(now) {
+                self.due.insert(limit.account.clone());
+            }
+            let account = limit.account.clone();
+            return AdmitStep::Admitted(AdmittedToken {
+                account,
+                home,
+                grant,
+            });
+        }
+        if let Some(end) = purse.empty_until(now) {
+            return AdmitStep::Refused(end.remaining(now));
+        }
+        self.next_request = number;
+        purse.waiting.push_back(WaitingRequest { number, until });
+        self.due.insert(limit.account.clone());
+        AdmitStep::Waiting(number)
+    }
+
+    /// Puts a token back whose request provably did not run.
+    pub fn give_back(&mut self, token: &AdmittedToken, now: MonoTime) {
+        if let Some(purse) = self.purses.get_mut(&token.account) {
+            purse.put_back(token.home, token.grant, now);
+        }
+    }
+
+    /// Whether some request waits for an ask to leave.
+    #[must_use]
+    pub fn has_due(&self) -> bool {
+        !self.due.is_empty()
+    }
+
+    /// The asks to send now, one a home.
+    pub fn plan(&mut self, map: &HomeMap, now: MonoTime) -> Vec<PlannedGrant> {
+        let mut planned: FastMap<HomeCandidate, GrantAsk> = FastMap::default();
+        let due = std::mem::take(&mut self.due);
+        for account in due {
+            let Some(purse) = self.purses.get_mut(&account) else {
+                continue;
+            };
+            for lane_ask in purse.lanes_to_ask(now) {
+                let cell = PoolCell {
+                    shard: purse.split().shard,
+                    half: lane_ask.lane,
+                };
+                let Some(home) = map.home(cell) else {
+                    continue;
+                };
+                let boot = self.boots.get(&home.daemon).copied().unwrap_or_default();
+                let ask = planned.entry(home.clone()).or_insert_with(|| GrantAsk {
+                    ingress: self.ingress,
+                    home: boot,
+                    wants: Vec::new(),
+                });
+                ask.wants.push(purse.want(lane_ask, boot, now));
+            }
+        }
+        let planned = planned.into_iter();
+        planned
+            .map(|(home, ask)| PlannedGrant {
+                home,
+                sent: now,
+                ask,
+            })
+            .collect()
+    }
+
+    /// Takes in the answer to `planned`.
+    pub fn answer(
+        &mut self,
+        planned: &PlannedGrant,
+        answer: &GrantAnswer,
+        now: MonoTime,
+    ) -> Vec<WaitEnd> {
+        self.boots.insert(planned.home.daemon.clone(), answer.home);
+        let mut ends = Vec::new();
+        let gives = answer.gives.iter().map(Some).chain(std::iter::repeat(None));
+        for (want, give) in planned.ask.wants.iter().zip(gives) {
+            let Some(purse) = self.purses.get_mut(&want.account) else {
+                continue;
+            };
+            let lane = want.half;
+            enter_give(purse, lane, answer.home, planned.sent, give, now);
+            serve_waiting(purse, now, &mut ends);
+            if purse.needs_ask(now) {
+                self.due.insert(want.account.clone());
+            }
+        }
+        ends
+    }
+
+    /// Notes that `planned` failed.
+    pub fn fail(&mut self, planned: &PlannedGrant, now: MonoTime) {
+        for want in &planned.ask.wants {
+            if let Some(purse) = self.purses.get_mut(&want.account) {
+                purse.lanes[usize::from(want.half & 1)].failed(now);
+                self.due.insert(want.account.clone());
+            }
+        }
+    }
+
+    /// Ends waits that last too long, forgets old grants and finds out who needs an ask.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<WaitEnd> {
+        let mut ends = Vec::new();
+        self.purses.retain(|account, purse| {
+            purse.expire(now);
+            serve_waiting(purse, now, &mut ends);
+            if purse.needs_ask(now) {
+                self.due.insert(account.clone());
+            }
+            !purse.is_idle(now)
+        });
+        ends
+    }
+
+    /// Client accounts with tokens, demand or waiting requests.
+    #[must_use]
+    pub fn accounts(&self) -> usize {
+        self.purses.len()
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.purses.values().map(|purse| purse.waiting.len()).sum()
+    }
+}
+
+fn open_purse(limit: &RateLimit, total: u32, ingress: BootId, now: MonoTime) -> AccountPurse {
+    let split = AccountSplit::of(&limit.account, limit.burst, total);
+    let turn = (ingress.0 as u8) ^ (split.shard.0 as u8);
+    AccountPurse::open(limit.clone(), split, turn, now)
+}
+
+fn enter_give(
+    purse: &mut AccountPurse,
+    lane: u8,
+    home: BootId,
+    sent: MonoTime,
+    give: Option<&GrantGive>,
+    now: MonoTime,
+) {
+    let state = &mut purse.lanes[usize::from(lane & 1)];
+    state.answered();
+    match give {
+        Some(GrantGive::Tokens(grant)) => {
+            let life = Duration::from_micros(u64::from(grant.life_micros));
+            let until = sent.after(clock_margin::shortened(life));
+            purse.add(lane, home, grant, until);
+        }
+        Some(GrantGive::Empty { retry_micros }) => {
+            state.empty(Duration::from_micros(u64::from(*retry_micros)), now);
+        }
+        Some(GrantGive::Noted) => {}
+        Some(GrantGive::NotHome) | None => state.not_home(now),
+    }
+}
+
+fn serve_waiting(purse: &mut AccountPurse, now: MonoTime, ends: &mut Vec<WaitEnd>) {
+    while let Some(first) = purse.waiting.front().copied() {
+        let end = if first.until.has_passed(now) {
+            WaitEnd::Refused(first.number, UNREACHED_RETRY)
+        } else if let Some((home, grant)) = purse.spend(now) {
+            let account = purse.limit().account.clone();
+            let token = AdmittedToken {
+                account,
+                home,
+                grant,
+            };
+            WaitEnd::Admitted(first.number, token)
+        } else if let Some(end) = purse.empty_until(now) {
+            WaitEnd::Refused(first.number, end.remaining(now))
+        } else {
+            return;
+        };
+        purse.waiting.pop_front();
+        ends.push(end);
+    }
+}
--- /dev/null
+++ b/src/limits/limits_core.rs
@@ -0,0 +1,157 @@
+//! The state machines of one daemon and what they are driven with.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+
+use crate::hash::FastMap;
+use crate::ids::DaemonId;
+use crate::limits::{
+    Admission, ClaimEpoch, GrantPurse, HomeMap, LeaseChange, LeaseHolder, LeaseIdentity,
+    LimitsSources, LoanBook, PoolLedger, ShareLender, ShareSet, WaitEnd,
+};
+use crate::logs::part;
+use crate::peers::PeerError;
+use crate::time::MonoTime;
+use crate::wire::{LimitsCall, LimitsReply, PeerCall, PeerReply};
+
+/// State machines behind cells; no borrow outlives a statement.
+pub(crate) struct LimitsCore {
+    pub sources: LimitsSources,
+    pub map: RefCell<HomeMap>,
+    pub holder: RefCell<LeaseHolder>,
+    pub lender: RefCell<ShareLender>,
+    pub book: RefCell<LoanBook>,
+    pub ledger: RefCell<PoolLedger>,
+    pub purse: RefCell<GrantPurse>,
+    pub waiters: RefCell<FastMap<u64, oneshot::Sender<Admission>>>,
+    pub leaving: Cell<bool>,
+    pub lease_wake: Rc<Notify>,
+    pub admitted: Cell<u64>,
+    pub refused: Cell<u64>,
+}
+
+impl LimitsCore {
+    pub fn open(sources: LimitsSources) -> Self {
+        let settings = &sources.settings;
+        let (total, boot) = (settings.shares, sources.boot);
+        let (loan, grant) = (settings.loan.get(), settings.grant.get());
+        let identity = LeaseIdentity {
+            daemon: sources.daemon.clone(),
+            address: sources.own_address,
+            boot,
+        };
+        Self {
+            map: RefCell::default(),
+            holder: RefCell::new(LeaseHolder::open(identity, settings.lease, total)),
+            lender: RefCell::new(ShareLender::open(loan, ClaimEpoch(boot.0 >> 1))),
+            book: RefCell::new(LoanBook::open(boot, total, loan)),
+            ledger: RefCell::new(PoolLedger::open(boot, total, grant)),
+            purse: RefCell::new(GrantPurse::open(boot, total)),
+            waiters: RefCell::default(),
+            leaving: Cell::new(false),
+            lease_wake: Rc::default(),
+            admitted: Cell::new(0),
+            refused: Cell::new(0),
+            sources,
+        }
+    }
+
+    pub fn now(&self) -> MonoTime {
+        self.sources.clock.now()
+    }
+
+    /// Answers a call; the clock is read here, after the call came.
+    pub fn serve(&self, call: LimitsCall) -> LimitsReply {
+        let now = self.now();
+        match call {
+            LimitsCall::Borrow(ask) => LimitsReply::Loans(self.lender.borrow_mut().lend(&ask, now)),
+            LimitsCall::Return(back) => {
+                self.lender.borrow_mut().take_back(&back, now);
+                LimitsReply::Heard
+            }
+            LimitsCall::Grant(ask) => {
+                let rate_of = &*self.sources.rate_of;
+                let answer = self.ledger.borrow_mut().grant(&ask, rate_of, now);
+                LimitsReply::Grants(answer)
+            }
+            LimitsCall::Released(shares) => {
+                log::debug!(target: part::LIMITS, shares:%; "A peer released shares.");
+                self.lease_wake.notify_one();
+                LimitsReply::Heard
+            }
+        }
+    }
+
+    /// Calls the daemon at `address`, itself without a socket.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: LimitsCall,
+        timeout: Duration,
+    ) -> Result<LimitsReply, PeerError> {
+        if address == self.sources.own_address {
+            return Ok(self.serve(call));
+        }
+        let peers = &self.sources.peers;
+        match peers.call(address, PeerCall::Limits(call), timeout).await? {
+            PeerReply::Limits(reply) => Ok(reply),
+            _ => Err(PeerError::Unexpected),
+        }
+    }
+
+    /// The address of a live daemon.
+    pub fn address_of(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        let map = self.map.borrow();
+        let mut members = map.members().iter();
+        let member = members.find(|member| member.daemon == *daemon)?;
+        Some(member.address)
+    }
+
+    /// Tells the lender what became of the leases.
+    pub fn apply(&self, changes: Vec<LeaseChange>) {
+        let now = self.now();
+        let mut lender = self.lender.borrow_mut();
+        let before = lender.shares();
+        for change in changes {
+            match change {
+                LeaseChange::Held(share, until, origin) => lender.claim(share, until, origin, now),
+                LeaseChange::Lost(share) => lender.lose(share),
+            }
+        }
+        let after = lender.shares();
+        if before != after {
+            log_shares(before, after);
+            self.book.borrow_mut().ask_soon(now);
+        }
+    }
+
+    /// Passes answers to the requests that wait; a token that nobody awaits goes back.
+    pub fn deliver(&self, ends: Vec<WaitEnd>) {
+        for end in ends {
+            let (number, admission) = match end {
+                WaitEnd::Admitted(number, token) => (number, Admission::Admitted(token)),
+                WaitEnd::Refused(number, retry_after) => {
+                    (number, Admission::Refused { retry_after })
+                }
+            };
+            let waiter = self.waiters.borrow_mut().remove(&number);
+            let undelivered = match waiter {
+                Some(waiter) => waiter.send(admission).err(),
+                None => Some(admission),
+            };
+            if let Some(Admission::Admitted(token)) = undelivered {
+                let now = self.now();
+                self.purse.borrow_mut().give_back(&token, now);
+            }
+        }
+    }
+}
+
+fn log_shares(before: ShareSet, after: ShareSet) {
+    let (gained, lost) = (after.without(before), before.without(after));
+    log::info!(target: part::LIMITS, held:% = after, gained:%, lost:%; "Leased shares changed.");
+}
--- /dev/null
+++ b/src/limits/limits_tasks.rs
@@ -0,0 +1,237 @@
+//! The tasks that drive loans and grants.
+
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::hash::FastMap;
+use crate::ids::{AccountId, DaemonId};
+use crate::limits::limits_core::LimitsCore;
+use crate::limits::{
+    Admission, AdmitStep, HomeMap, PlannedGrant, PlannedLoan, PoolCell, ShareSet, lease_task,
+};
+use crate::time::Deadline;
+use crate::wire::{LimitsCall, LimitsReply, LoanReturn, ReturnedLoan};
+
+const TICK: Duration = Duration::from_millis(20);
+const TICKS_PER_REFRESH: u32 = 5;
+const TICKS_PER_PRUNE: u32 = 500;
+const ADMIT_WAIT: Duration = Duration::from_millis(250);
+const GRANT_TIMEOUT: Duration = Duration::from_millis(200);
+const LOAN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Peers that are told of released shares.
+const RELEASE_PEERS: usize = 4;
+/// Beyond the life of a grant, how long a hand-over may take.
+const HAND_OVER_MARGIN: Duration = Duration::from_millis(500);
+
+/// Turns the state machines until the handle is dropped.
+pub(crate) async fn run(core: Weak<LimitsCore>) {
+    for tick in 1u32.. {
+        actix_rt::time::sleep(TICK).await;
+        let Some(core) = core.upgrade() else {
+            return;
+        };
+        if tick.is_multiple_of(TICKS_PER_REFRESH) {
+            refresh(&core);
+        }
+        if tick.is_multiple_of(TICKS_PER_PRUNE) {
+            let now = core.now();
+            core.ledger.borrow_mut().prune(now);
+        }
+        borrow(&core);
+        let now = core.now();
+        let ends = core.purse.borrow_mut().tick(now);
+        core.deliver(ends);
+        ask(&core);
+    }
+}
+
+/// Takes over the present view of the fleet, and settles what it changes.
+pub(crate) fn refresh(core: &Rc<LimitsCore>) {
+    let mut members = (core.sources.members)();
+    members.sort();
+    members.dedup();
+    let now = core.now();
+    if *core.map.borrow().members() != members {
+        core.map.replace(HomeMap::of(members));
+        let map = core.map.borrow();
+        let cells = own_cells(core, &map);
+        core.book.borrow_mut().follow(&map, cells, now);
+    }
+    core.ledger.borrow_mut().settle(now);
+    close_cells(core);
+}
+
+/// Asks the lenders that are due.
+fn borrow(core: &Rc<LimitsCore>) {
+    let now = core.now();
+    let planned = core.book.borrow_mut().due(&core.ledger.borrow(), now);
+    for loan in planned {
+        actix_rt::spawn(send_loan(Rc::clone(core), loan));
+    }
+}
+
+async fn send_loan(core: Rc<LimitsCore>, planned: PlannedLoan) {
+    let PlannedLoan {
+        lender,
+        number,
+        ask,
+    } = planned;
+    let reply = match core.address_of(&lender) {
+        Some(address) => {
+            let call = LimitsCall::Borrow(ask);
+            core.call(address, call, LOAN_TIMEOUT).await.ok()
+        }
+        None => None,
+    };
+    let now = core.now();
+    let mut book = core.book.borrow_mut();
+    match reply {
+        Some(LimitsReply::Loans(answer)) => {
+            let mut ledger = core.ledger.borrow_mut();
+            book.answer(&lender, number, &answer, &mut ledger, now);
+        }
+        _ => book.fail(&lender, number, now),
+    }
+}
+
+/// Sends the asks for tokens that are due.
+pub(crate) fn ask(core: &Rc<LimitsCore>) {
+    if !core.purse.borrow().has_due() {
+        return;
+    }
+    let now = core.now();
+    let planned = core.purse.borrow_mut().plan(&core.map.borrow(), now);
+    for grant in planned {
+        actix_rt::spawn(send_grant(Rc::clone(core), grant));
+    }
+}
+
+async fn send_grant(core: Rc<LimitsCore>, planned: PlannedGrant) {
+    let call = LimitsCall::Grant(planned.ask.clone());
+    let reply = core.call(planned.home.address, call, GRANT_TIMEOUT).await;
+    let now = core.now();
+    let ends = match reply {
+        Ok(LimitsReply::Grants(answer)) => core.purse.borrow_mut().answer(&planned, &answer, now),
+        _ => {
+            core.purse.borrow_mut().fail(&planned, now);
+            Vec::new()
+        }
+    };
+    core.deliver(ends);
+    if core.purse.borrow().waiting() > 0 {
+        ask(&core);
+    }
+}
+
+/// Asks for a token for one request.
+pub(crate) async fn admit(
+    core: &Rc<LimitsCore>,
+    account: &AccountId,
+    deadline: Deadline,
+) -> Admission {
+    let Some(limit) = (core.sources.rate_of)(account) else {
+        return Admission::NoLimit;
+    };
+    let now = core.now();
+    let until = deadline.min(now.after(ADMIT_WAIT));
+    let step = core.purse.borrow_mut().admit(&limit, until, now);
+    let admission = match step {
+        AdmitStep::Admitted(token) => Admission::Admitted(token),
+        AdmitStep::Refused(retry_after) => Admission::Refused { retry_after },
+        AdmitStep::Waiting(number) => wait(core, number).await,
+    };
+    let counter = match admission {
+        Admission::Admitted(_) => &core.admitted,
+        _ => &core.refused,
+    };
+    counter.set(counter.get() + 1);
+    admission
+}
+
+async fn wait(core: &Rc<LimitsCore>, number: u64) -> Admission {
+    let (sender, receiver) = oneshot::channel();
+    core.waiters.borrow_mut().insert(number, sender);
+    ask(core);
+    receiver.await.unwrap_or(Admission::Refused {
+        retry_after: ADMIT_WAIT,
+    })
+}
+
+fn own_cells(core: &LimitsCore, map: &HomeMap) -> Vec<PoolCell> {
+    if core.leaving.get() {
+        return Vec::new();
+    }
+    map.cells_of(&core.sources.daemon).collect()
+}
+
+/// Gives up the loans of cells whose home is elsewhere; whether none is left.
+fn close_cells(core: &Rc<LimitsCore>) -> bool {
+    let own = own_cells(core, &core.map.borrow());
+    let now = core.now();
+    let mut returned: FastMap<DaemonId, Vec<ReturnedLoan>> = FastMap::default();
+    let mut ledger = core.ledger.borrow_mut();
+    let mut is_closed = true;
+    for cell in ledger.cells() {
+        if own.contains(&cell) {
+            ledger.reopen(cell);
+            continue;
+        }
+        let loans = ledger.close(cell, now);
+        is_closed &= !loans.is_empty();
+        for (lender, loan) in loans {
+            returned.entry(lender).or_default().push(loan);
+        }
+    }
+    drop(ledger);
+    for (lender, loans) in returned {
+        actix_rt::spawn(send_return(Rc::clone(core), lender, loans));
+    }
+    is_closed
+}
+
+async fn send_return(core: Rc<LimitsCore>, lender: DaemonId, loans: Vec<ReturnedLoan>) {
+    let back = LoanReturn {
+        borrower: core.sources.boot,
+        loans,
+    };
+    if let Some(address) = core.address_of(&lender) {
+        // A return that is lost costs only the time until the loans lapse.
+        let call = LimitsCall::Return(back);
+        let _ = core.call(address, call, LOAN_TIMEOUT).await;
+    }
+}
+
+/// Gives up shares and loans.
+pub(crate) async fn hand_over(core: &Rc<LimitsCore>) {
+    if core.leaving.replace(true) {
+        return;
+    }
+    let now = core.now();
+    let end = now.after(core.sources.settings.grant.get() + HAND_OVER_MARGIN);
+    {
+        let map = core.map.borrow();
+        core.book.borrow_mut().follow(&map, Vec::new(), now);
+    }
+    let released = lease_task::release(core).await;
+    tell_released(core, released).await;
+    while !close_cells(core) && !end.has_passed(core.now()) {
+        actix_rt::time::sleep(TICK).await;
+    }
+}
+
+/// Wakes a few peers, so that they claim what was released.
+async fn tell_released(core: &Rc<LimitsCore>, released: ShareSet) {
+    if released.is_empty() {
+        return;
+    }
+    let members = core.map.borrow().members().to_vec();
+    let others = members
+        .into_iter()
+        .filter(|member| member.daemon != core.sources.daemon);
+    let calls = others
+        .take(RELEASE_PEERS)
+        .map(|member| core.call(member.address, LimitsCall::Released(released), LOAN_TIMEOUT));
+    futures_util::future::join_all(calls).await;
+}
--- /dev/null
+++ b/src/limits/loan_book.rs
@@ -0,0 +1,241 @@
+//! A home's dealings with the lenders.
+
+use std::time::Duration;
+
+use crate::hash::FastMap;
+use crate::ids::{BootId, DaemonId};
+use crate::limits::{
+    ClaimEpoch, HomeMap, PoolCell, PoolLedger, PooledLoan, ShareSet, clock_margin,
+};
+use crate::time::MonoTime;
+use crate::wire::{LoanAnswer, LoanAsk, LoanWant};
+
+/// When a lender withheld something, ask again no later.
+const WITHHELD_WAIT: Duration = Duration::from_millis(200);
+/// When a lender did not answer, ask again after this.
+const FAILURE_WAIT: Duration = Duration::from_millis(300);
+/// While shares of the fleet are unaccounted for, ask first after this, then ever less often.
+const SEARCH_WAIT: Duration = Duration::from_millis(100);
+/// Once all shares are accounted for, ask daemons without any this often.
+const IDLE_WAIT: Duration = Duration::from_secs(10);
+
+/// Beyond this many doublings the wait is longer than any bound.
+const MOST_DOUBLINGS: u32 = 10;
+
+/// Decides when to ask which lender, and enters the answers into the ledger.
+#[derive(Debug)]
+pub struct LoanBook {
+    boot: BootId,
+    total: u32,
+    loan: Duration,
+    cells: Vec<PoolCell>,
+    lenders: FastMap<DaemonId, LenderView>,
+    next_ask: u64,
+}
+
+/// A lender as the home last heard of it.
+#[derive(Debug, Default)]
+struct LenderView {
+    epoch: ClaimEpoch,
+    holds: ShareSet,
+    next: MonoTime,
+    pending: Option<PendingAsk>,
+    /// Answers in a row that brought no news.
+    quiet: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PendingAsk {
+    number: u64,
+    sent: MonoTime,
+}
+
+impl LenderView {
+    fn enter(&mut self, answer: &LoanAnswer) {
+        let has_news = self.epoch != answer.epoch || self.holds != answer.holds;
+        self.quiet = if has_news { 0 } else { self.quiet + 1 };
+        self.epoch = answer.epoch;
+        self.holds = answer.holds;
+        self.pending = None;
+    }
+
+    fn search_wait(&self) -> Duration {
+        SEARCH_WAIT * 2u32.saturating_pow(self.quiet.min(MOST_DOUBLINGS))
+    }
+}
+
+/// An ask to be sent to a lender.
+#[derive(Debug, Clone)]
+pub struct PlannedLoan {
+    /// The lender.
+    pub lender: DaemonId,
+    /// Number to be handed back with the answer.
+    pub number: u64,
+    /// The ask.
+    pub ask: LoanAsk,
+}
+
+impl LoanBook {
+    /// A book for a home that starts as `boot`.
+    #[must_use]
+    pub fn open(boot: BootId, total: u32, loan: Duration) -> Self {
+        Self {
+            boot,
+            total,
+            loan,
+            cells: Vec::new(),
+            lenders: FastMap::default(),
+            next_ask: 0,
+        }
+    }
+
+    /// Takes over another view of the fleet: `cells` are those whose home this daemon is.
+    pub fn follow(&mut self, map: &HomeMap, cells: Vec<PoolCell>, now: MonoTime) {
+        let shares_before = self.known_shares();
+        let mut known = std::mem::take(&mut self.lenders);
+        for member in map.members() {
+            let view = known.remove(&member.daemon).unwrap_or_default();
+            self.lenders.insert(member.daemon.clone(), view);
+        }
+        let is_new = |cell| !self.cells.contains(cell);
+        if self.known_shares() != shares_before || cells.iter().any(is_new) {
+            self.ask_soon(now);
+        }
+        self.cells = cells;
+    }
+
+    /// Brings every ask forward to `now`.
+    pub fn ask_soon(&mut self, now: MonoTime) {
+        for view in self.lenders.values_mut() {
+            view.next = view.next.min(now);
+            view.quiet = 0;
+        }
+    }
+
+    /// The asks that are due; `now` is when they are sent.
+    pub fn due(&mut self, ledger: &PoolLedger, now: MonoTime) -> Vec<PlannedLoan> {
+        if self.cells.is_empty() {
+            return Vec::new();
+        }
+        let mut planned = Vec::new();
+        for (lender, view) in &mut self.lenders {
+            if view.pending.is_some() || now < view.next {
+                continue;
+            }
+            self.next_ask += 1;
+            let number = self.next_ask;
+            view.pending = Some(PendingAsk { number, sent: now });
+            planned.push(PlannedLoan {
+                lender: lender.clone(),
+                number,
+                ask: LoanAsk {
+                    borrower: self.boot,
+                    epoch: view.epoch,
+                    wants: wants_of(&self.cells, self.total, view.holds, ledger, now),
+                },
+            });
+        }
+        planned
+    }
+
+    /// Enters the answer to ask `number`; each is taken once, and none that came too late.
+    pub fn answer(
+        &mut self,
+        lender: &DaemonId,
+        number: u64,
+        answer: &LoanAnswer,
+        ledger: &mut PoolLedger,
+        now: MonoTime,
+    ) {
+        let is_complete = self.known_shares().or(answer.holds).len() >= self.total;
+        let renew = self.loan / 2;
+        let Some(view) = self.lenders.get_mut(lender) else {
+            return;
+        };
+        let Some(pending) = view.pending.filter(|pending| pending.number == number) else {
+            return;
+        };
+        let is_new_epoch = view.epoch != answer.epoch;
+        let has_lost = !view.holds.without(answer.holds).is_empty();
+        view.enter(answer);
+        enter_loans(lender, pending, answer, ledger, now);
+        let longest = if answer.holds.is_empty() {
+            IDLE_WAIT
+        } else {
+            renew
+        };
+        let withheld = Duration::from_micros(answer.wait_micros);
+        let wait = match (withheld.is_zero(), is_complete) {
+            (false, _) if is_new_epoch => Duration::ZERO,
+            (false, _) => WITHHELD_WAIT.min(withheld),
+            (true, false) => view.search_wait().min(longest),
+            (true, true) => longest,
+        };
+        view.next = now + wait;
+        if has_lost {
+            self.ask_soon(now);
+        }
+    }
+
+    /// Notes that ask `number` failed.
+    pub fn fail(&mut self, lender: &DaemonId, number: u64, now: MonoTime) {
+        if let Some(view) = self.lenders.get_mut(lender)
+            && view.pending.is_some_and(|pending| pending.number == number)
+        {
+            view.pending = None;
+            view.next = now + FAILURE_WAIT;
+        }
+    }
+
+    /// The shares that some lender was last heard to hold.
+    #[must_use]
+    pub fn known_shares(&self) -> ShareSet {
+        let holds = self.lenders.values().map(|view| view.holds);
+        holds.fold(ShareSet::EMPTY, ShareSet::or)
+    }
+}
+
+fn wants_of(
+    cells: &[PoolCell],
+    total: u32,
+    holds: ShareSet,
+    ledger: &PoolLedger,
+    now: MonoTime,
+) -> Vec<LoanWant> {
+    let all = ShareSet::first(total);
+    let wanted_of = |half| ShareSet::half(half).and(all);
+    let cells = cells.iter();
+    cells
+        .map(|cell| LoanWant {
+            shard: cell.shard,
+            wanted: wanted_of(cell.half),
+            held: ledger.held(*cell, now).and(holds),
+        })
+        .collect()
+}
+
+fn enter_loans(
+    lender: &DaemonId,
+    pending: PendingAsk,
+    answer: &LoanAnswer,
+    ledger: &mut PoolLedger,
+    now: MonoTime,
+) {
+    let life = clock_margin::shortened(Duration::from_micros(answer.loan_micros));
+    for lent in &answer.loans {
+        for share in lent.shares.iter() {
+            let cell = PoolCell {
+                shard: lent.shard,
+                half: share & 1,
+            };
+            let loan = PooledLoan {
+                share,
+                lender: lender.clone(),
+                serial: answer.serial,
+                until: pending.sent.after(life),
+            };
+            let rest = Duration::from_millis(u64::from(lent.rest_millis));
+            ledger.join(cell, loan, rest, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/limits/mod.rs
@@ -0,0 +1,50 @@
+//! Rate and burst of each client account across the whole fleet, without a coordinator.
+//!
+//! The rates are cut into shares. A daemon leases shares in the table, lends them
+//! shard by shard to homes for a few seconds, and a home grants tokens of the pooled
+//! shares to ingresses. No decision here reads a clock or a socket: tasks at the edge do.
+
+mod account_bucket;
+mod account_purse;
+mod account_split;
+mod admission;
+mod cell_pool;
+mod claim_epoch;
+pub mod clock_margin;
+mod demand_rate;
+mod grant_lane;
+mod grant_purse;
+mod home_map;
+mod lease_holder;
+mod lease_plan;
+mod lease_task;
+mod limits_core;
+mod limits_dump;
+mod limits_handle;
+mod limits_tasks;
+mod loan_book;
+mod pool_ledger;
+mod shard_id;
+mod share_lender;
+mod share_row;
+mod share_set;
+
+pub use account_bucket::AccountBucket;
+pub use account_purse::{AccountPurse, HeldGrant, LaneAsk, WaitingRequest};
+pub use account_split::AccountSplit;
+pub use admission::{Admission, AdmittedToken};
+pub use cell_pool::{CellPool, PooledLoan};
+pub use claim_epoch::ClaimEpoch;
+pub use demand_rate::DemandRate;
+pub use grant_lane::GrantLane;
+pub use grant_purse::{AdmitStep, GrantPurse, PlannedGrant, WaitEnd};
+pub use home_map::{HomeCandidate, HomeMap};
+pub use lease_holder::{LeaseChange, LeaseHolder, LeaseIdentity};
+pub use lease_plan::LeasePlan;
+pub use limits_handle::{LimitsHandle, LimitsSources, MemberSource, RateSource};
+pub use loan_book::{LoanBook, PlannedLoan};
+pub use pool_ledger::PoolLedger;
+pub use shard_id::{PoolCell, SHARDS, ShardId};
+pub use share_lender::{ShareLender, ShareOrigin};
+pub use share_row::{SHARE_PREFIX, ShareRow};
+pub use share_set::{MAX_SHARES, ShareSet};
--- /dev/null
+++ b/src/limits/pool_ledger.rs
@@ -0,0 +1,141 @@
+//! A home's pools: the shares lent to it and a bucket per client account.
+
+use std::time::Duration;
+
+use crate::hash::FastMap;
+use crate::ids::{AccountId, BootId, DaemonId};
+use crate::limits::{AccountSplit, CellPool, PoolCell, PooledLoan, ShareSet};
+use crate::resource::RateLimit;
+use crate::time::MonoTime;
+use crate::wire::{GrantAnswer, GrantAsk, GrantGive, GrantWant, ReturnedLoan};
+
+/// All pools of a home.
+#[derive(Debug)]
+pub struct PoolLedger {
+    boot: BootId,
+    total: u32,
+    grant: Duration,
+    next_grant: u64,
+    cells: FastMap<PoolCell, CellPool>,
+}
+
+impl PoolLedger {
+    /// A ledger without pools, for rates cut into `total` shares and grants of at most `grant`.
+    #[must_use]
+    pub fn open(boot: BootId, total: u32, grant: Duration) -> Self {
+        Self {
+            boot,
+            total,
+            grant,
+            next_grant: 0,
+            cells: FastMap::default(),
+        }
+    }
+
+    /// Adds a loan, or prolongs it when the share is still pooled.
+    ///
+    /// `rest` is how long the share had surely been unused when the lender answered.
+    pub fn join(&mut self, cell: PoolCell, loan: PooledLoan, rest: Duration, now: MonoTime) {
+        if !loan.until.has_passed(now) {
+            self.cells.entry(cell).or_default().join(loan, rest, now);
+        }
+    }
+
+    /// Takes out the loans that have ended and the pools that are empty.
+    pub fn settle(&mut self, now: MonoTime) {
+        self.cells.retain(|_, pool| {
+            pool.settle(now);
+            !pool.is_empty()
+        });
+    }
+
+    /// The shares of `cell` whose loan is live.
+    pub fn held(&self, cell: PoolCell, now: MonoTime) -> ShareSet {
+        self.cells
+            .get(&cell)
+            .map_or(ShareSet::EMPTY, |pool| pool.live(now))
+    }
+
+    /// The cells with loans.
+    #[must_use]
+    pub fn cells(&self) -> Vec<PoolCell> {
+        self.cells.keys().copied().collect()
+    }
+
+    /// Stops granting from `cell`; gives its loans up once no grant is out.
+    pub fn close(&mut self, cell: PoolCell, now: MonoTime) -> Vec<(DaemonId, ReturnedLoan)> {
+        let Some(pool) = self.cells.get_mut(&cell) else {
+            return Vec::new();
+        };
+        if !pool.close(now) {
+            return Vec::new();
+        }
+        let loans = pool.returned(cell.shard);
+        self.cells.remove(&cell);
+        loans
+    }
+
+    /// Grants again from a cell that was being closed.
+    pub fn reopen(&mut self, cell: PoolCell) {
+        if let Some(pool) = self.cells.get_mut(&cell) {
+            pool.reopen();
+        }
+    }
+
+    /// Answers an ingress; `now` must be read after the ask came.
+    pub fn grant(
+        &mut self,
+        ask: &GrantAsk,
+        rate_of: &dyn Fn(&AccountId) -> Option<RateLimit>,
+        now: MonoTime,
+    ) -> GrantAnswer {
+        let wants = ask.wants.iter();
+        let gives = wants
+            .map(|want| self.grant_one(ask, want, rate_of(&want.account), now))
+            .collect();
+        GrantAnswer {
+            home: self.boot,
+            gives,
+        }
+    }
+
+    /// Forgets the accounts that hold no news.
+    pub fn prune(&mut self, now: MonoTime) {
+        self.cells.values_mut().for_each(|pool| pool.prune(now));
+    }
+
+    /// Accounts with a bucket, over all pools.
+    #[must_use]
+    pub fn accounts(&self) -> usize {
+        self.cells.values().map(CellPool::accounts).sum()
+    }
+
+    fn grant_one(
+        &mut self,
+        ask: &GrantAsk,
+        want: &GrantWant,
+        limit: Option<RateLimit>,
+        now: MonoTime,
+    ) -> GrantGive {
+        let Some(limit) = limit else {
+            return GrantGive::NotHome;
+        };
+        let split = AccountSplit::of(&want.account, limit.burst, self.total);
+        let cell = PoolCell {
+            shard: split.shard,
+            half: want.half & 1,
+        };
+        let Some(pool) = self.cells.get_mut(&cell) else {
+            return GrantGive::NotHome;
+        };
+        if ask.home == self.boot {
+            pool.note(want, ask.ingress, now);
+        }
+        let next = self.next_grant + 1;
+        let give = pool.grant(next, ask.ingress, want, (limit, split), self.grant, now);
+        if matches!(give, GrantGive::Tokens(_)) {
+            self.next_grant = next;
+        }
+        give
+    }
+}
--- /dev/null
+++ b/src/limits/shard_id.rs
@@ -0,0 +1,49 @@
+//! Shards of the client accounts.
+
+use std::fmt;
+
+use bincode::{Decode, Encode};
+use serde::Serialize;
+
+/// Shards that the client accounts fall into, the same on every daemon.
+pub const SHARDS: u16 = 64;
+
+/// A shard of the client accounts, 0 to `SHARDS - 1`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode, Serialize)]
+#[serde(transparent)]
+pub struct ShardId(pub u16);
+
+impl ShardId {
+    /// Every shard.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..SHARDS).map(Self)
+    }
+
+    /// Its place in a table, or none when a peer named a shard that does not exist.
+    #[must_use]
+    pub fn index(self) -> Option<usize> {
+        (self.0 < SHARDS).then_some(usize::from(self.0))
+    }
+}
+
+impl fmt::Display for ShardId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// Half of the shares of a shard; each half has a home of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+pub struct PoolCell {
+    /// The shard.
+    pub shard: ShardId,
+    /// The half, 0 or 1.
+    pub half: u8,
+}
+
+impl PoolCell {
+    /// Every cell.
+    pub fn all() -> impl Iterator<Item = Self> {
+        ShardId::all().flat_map(|shard| [0, 1].map(|half| Self { shard, half }))
+    }
+}
--- /dev/null
+++ b/src/limits/share_lender.rs
@@ -0,0 +1,221 @@
+//! A holder's loans of its shares to the homes of the shards.
+
+use std::time::Duration;
+
+use crate::hash::FastMap;
+use crate::ids::BootId;
+use crate::limits::{ClaimEpoch, SHARDS, ShardId, ShareSet, clock_margin};
+use crate::time::{Deadline, MonoTime};
+use crate::wire::{LoanAnswer, LoanAsk, LoanReturn, LoanWant, ShardLoan};
+
+/// How a share came to its holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShareOrigin {
+    /// Nobody ever held it.
+    Fresh,
+    /// Another process held it before; its loans may still run.
+    Taken,
+}
+
+/// Lends each share, shard by shard, to one home at a time.
+#[derive(Debug)]
+pub struct ShareLender {
+    loan: Duration,
+    epoch: ClaimEpoch,
+    serial: u64,
+    shares: FastMap<u8, LentShare>,
+}
+
+#[derive(Debug)]
+struct LentShare {
+    lease: Deadline,
+    loans: Vec<LoanRecord>,
+}
+
+/// The last loan of a share for one shard.
+#[derive(Debug, Clone, Copy)]
+struct LoanRecord {
+    borrower: Option<BootId>,
+    serial: u64,
+    /// When the share became or becomes unused; none when it never was used.
+    idle_from: Option<MonoTime>,
+    /// Whether loans of the holder before may still run.
+    inherited: bool,
+}
+
+impl LoanRecord {
+    const fn of(origin: ShareOrigin, quarantine: MonoTime) -> Self {
+        Self {
+            borrower: None,
+            serial: 0,
+            idle_from: match origin {
+                ShareOrigin::Fresh => None,
+                ShareOrigin::Taken => Some(quarantine),
+            },
+            inherited: matches!(origin, ShareOrigin::Taken),
+        }
+    }
+
+    fn rest_millis(&self, now: MonoTime) -> u32 {
+        self.idle_from.map_or(u32::MAX, |from| {
+            u32::try_from(now.since(from).as_millis()).unwrap_or(u32::MAX - 1)
+        })
+    }
+
+    fn is_idle(&self, now: MonoTime) -> bool {
+        self.idle_from.is_none_or(|from| now >= from)
+    }
+}
+
+impl ShareLender {
+    /// A lender without shares, whose loans last `loan`; `epoch` differs between boots.
+    #[must_use]
+    pub fn open(loan: Duration, epoch: ClaimEpoch) -> Self {
+        Self {
+            loan,
+            epoch,
+            serial: 0,
+            shares: FastMap::default(),
+        }
+    }
+
+    /// The shares held.
+    #[must_use]
+    pub fn shares(&self) -> ShareSet {
+        self.shares.keys().copied().collect()
+    }
+
+    /// Starts to lend `share` until its `lease` ends.
+    ///
+    /// A taken share waits until the last loan of the holder before has ended,
+    /// unless the home that has this loan renews it.
+    pub fn claim(&mut self, share: u8, lease: Deadline, origin: ShareOrigin, now: MonoTime) {
+        if let Some(held) = self.shares.get_mut(&share) {
+            held.lease = lease;
+            return;
+        }
+        self.epoch = self.epoch.next();
+        let quarantine = now + clock_margin::lengthened(self.loan);
+        let loans = vec![LoanRecord::of(origin, quarantine); usize::from(SHARDS)];
+        self.shares.insert(share, LentShare { lease, loans });
+    }
+
+    /// Stops to lend `share`; its lease was lost or passed on.
+    pub fn lose(&mut self, share: u8) {
+        self.shares.remove(&share);
+    }
+
+    /// Answers a home's ask; `now` must be read after the ask came.
+    pub fn lend(&mut self, ask: &LoanAsk, now: MonoTime) -> LoanAnswer {
+        self.serial += 1;
+        let mut answer = LoanAnswer {
+            epoch: self.epoch,
+            holds: self.shares(),
+            serial: self.serial,
+            loan_micros: micros_of(self.loan),
+            wait_micros: 0,
+            loans: Vec::with_capacity(ask.wants.len()),
+        };
+        let knows_epoch = ask.epoch == self.epoch;
+        for want in &ask.wants {
+            self.lend_shard(ask.borrower, knows_epoch, want, now, &mut answer);
+        }
+        answer
+    }
+
+    /// Ends loans that their home will not use again.
+    pub fn take_back(&mut self, back: &LoanReturn, now: MonoTime) {
+        for loan in &back.loans {
+            for share in loan.shares.iter() {
+                let Some(record) = self.record(share, loan.shard) else {
+                    continue;
+                };
+                if record.borrower == Some(back.borrower) && record.serial == loan.serial {
+                    record.borrower = None;
+                    record.idle_from = record.idle_from.map(|from| from.min(now));
+                }
+            }
+        }
+    }
+
+    fn record(&mut self, share: u8, shard: ShardId) -> Option<&mut LoanRecord> {
+        self.shares.get_mut(&share)?.loans.get_mut(shard.index()?)
+    }
+
+    fn lend_shard(
+        &mut self,
+        borrower: BootId,
+        knows_epoch: bool,
+        want: &LoanWant,
+        now: MonoTime,
+        answer: &mut LoanAnswer,
+    ) {
+        for share in want.wanted.and(answer.holds).iter() {
+            let proven = knows_epoch && want.held.contains(share);
+            match self.lend_share(borrower, proven, share, want.shard, now) {
+                LendStep::Lent(rest_millis) => add_loan(answer, want.shard, share, rest_millis),
+                LendStep::Withheld(wait) => {
+                    let wait = micros_of(wait).max(1);
+                    let sooner = answer.wait_micros == 0 || wait < answer.wait_micros;
+                    answer.wait_micros = if sooner { wait } else { answer.wait_micros };
+                }
+                LendStep::Unavailable => {}
+            }
+        }
+    }
+
+    fn lend_share(
+        &mut self,
+        borrower: BootId,
+        proven: bool,
+        share: u8,
+        shard: ShardId,
+        now: MonoTime,
+    ) -> LendStep {
+        let (loan, serial) = (self.loan, self.serial);
+        let Some(held) = self.shares.get_mut(&share) else {
+            return LendStep::Unavailable;
+        };
+        if held.lease.remaining(now) < loan {
+            return LendStep::Unavailable;
+        }
+        let Some(record) = shard.index().and_then(|index| held.loans.get_mut(index)) else {
+            return LendStep::Unavailable;
+        };
+        let renewed = record.borrower == Some(borrower) || (proven && record.inherited);
+        if !renewed && !record.is_idle(now) {
+            let from = record.idle_from.unwrap_or(now);
+            return LendStep::Withheld(from.since(now));
+        }
+        let rest_millis = record.rest_millis(now);
+        *record = LoanRecord {
+            borrower: Some(borrower),
+            serial,
+            idle_from: Some(now + loan),
+            inherited: false,
+        };
+        LendStep::Lent(rest_millis)
+    }
+}
+
+enum LendStep {
+    Lent(u32),
+    Withheld(Duration),
+    Unavailable,
+}
+
+fn add_loan(answer: &mut LoanAnswer, shard: ShardId, share: u8, rest_millis: u32) {
+    let last = answer.loans.last_mut();
+    match last.filter(|loan| loan.shard == shard && loan.rest_millis == rest_millis) {
+        Some(loan) => loan.shares.insert(share),
+        None => answer.loans.push(ShardLoan {
+            shard,
+            shares: ShareSet::one(share),
+            rest_millis,
+        }),
+    }
+}
+
+fn micros_of(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/limits/share_set.rs
@@ -0,0 +1,109 @@
+//! A set of shares, packed into a word.
+
+use std::fmt;
+
+use bincode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+/// Most shares that the rates can be cut into.
+pub const MAX_SHARES: u32 = 64;
+
+/// Shares by number, 0 to 63.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Encode, Decode, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ShareSet(u64);
+
+impl ShareSet {
+    /// No share.
+    pub const EMPTY: Self = Self(0);
+
+    const EVEN: u64 = 0x5555_5555_5555_5555;
+
+    /// The first `count` shares.
+    #[must_use]
+    pub const fn first(count: u32) -> Self {
+        if count >= MAX_SHARES {
+            return Self(u64::MAX);
+        }
+        Self((1 << count) - 1)
+    }
+
+    /// One share.
+    #[must_use]
+    pub const fn one(share: u8) -> Self {
+        Self(1 << (share as u32 % MAX_SHARES))
+    }
+
+    /// The shares of half `half`: even ones for 0, odd ones for 1.
+    #[must_use]
+    pub const fn half(half: u8) -> Self {
+        Self(Self::EVEN << (half & 1))
+    }
+
+    /// Adds `share`.
+    pub const fn insert(&mut self, share: u8) {
+        self.0 |= Self::one(share).0;
+    }
+
+    /// Takes `share` out.
+    pub const fn remove(&mut self, share: u8) {
+        self.0 &= !Self::one(share).0;
+    }
+
+    /// Whether `share` is in the set.
+    #[must_use]
+    pub const fn contains(self, share: u8) -> bool {
+        self.0 & Self::one(share).0 != 0
+    }
+
+    /// The shares in both sets.
+    #[must_use]
+    pub const fn and(self, other: Self) -> Self {
+        Self(self.0 & other.0)
+    }
+
+    /// The shares in either set.
+    #[must_use]
+    pub const fn or(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// The shares that are not in `other`.
+    #[must_use]
+    pub const fn without(self, other: Self) -> Self {
+        Self(self.0 & !other.0)
+    }
+
+    /// How many shares.
+    #[must_use]
+    pub const fn len(self) -> u32 {
+        self.0.count_ones()
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub const fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    /// The shares in order.
+    pub fn iter(self) -> impl Iterator<Item = u8> {
+        (0..MAX_SHARES as u8).filter(move |share| self.contains(*share))
+    }
+}
+
+impl FromIterator<u8> for ShareSet {
+    fn from_iter<I: IntoIterator<Item = u8>>(shares: I) -> Self {
+        let mut set = Self::EMPTY;
+        shares.into_iter().for_each(|share| set.insert(share));
+        set
+    }
+}
+
+impl fmt::Display for ShareSet {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:#x}", self.0)
+    }
+}
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::ids::{DaemonId, RegionId, ZoneId};
+use crate::limits::MAX_SHARES;
 use crate::settings::{
     LimitsSettings, ListenSettings, OperatorSettings, PlatformSettings, ProxySettings,
     SettingsError,
@@ -121,6 +122,13 @@
                 "use at least 1 share, and at least 1 per daemon",
             ));
         }
+        if limits.shares > MAX_SHARES {
+            return Err(SettingsError::Value(
+                "limits.shares",
+                limits.shares.to_string(),
+                "use at most 64 shares, the same number on every daemon",
+            ));
+        }
         if limits.grant > limits.loan {
             return Err(SettingsError::Value(
                 "limits.grant",
--- /dev/null
+++ b/tests/limits_kit/limits_fleet.rs
@@ -0,0 +1,152 @@
+//! Several daemons' rate limits in one process, over real connections.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use wagtailtrack::ids::{AccountId, BootId};
+use wagtailtrack::limits::{HomeCandidate, LimitsHandle, LimitsSources};
+use wagtailtrack::peers::{FleetKey, PeerHandler, PeerListener, PeerPool};
+use wagtailtrack::resource::RateLimit;
+use wagtailtrack::settings::LimitsSettings;
+use wagtailtrack::time::ProcessClock;
+use wagtailtrack::units::{Burst, Rate};
+use wagtailtrack::wire::{PeerCall, PeerOpening, PeerReply};
+
+use super::MemoryTable;
+
+const SECRET: &str = "a secret for the tests";
+
+/// A limit of `rate` a second.
+pub fn rate_limit(account: &str, rate: u64, burst: u32) -> RateLimit {
+    RateLimit {
+        account: account.parse().unwrap(),
+        rate: Rate::per_second(rate).unwrap(),
+        burst: Burst::new(burst).unwrap(),
+    }
+}
+
+/// One daemon of the fleet; dropping it is a crash.
+pub struct FleetDaemon {
+    pub handle: LimitsHandle,
+    pub address: SocketAddr,
+    pub clock: ProcessClock,
+    _listener: PeerListener,
+}
+
+type HandleSlot = Rc<RefCell<Option<LimitsHandle>>>;
+
+struct BoundDaemon {
+    name: String,
+    handle: HandleSlot,
+    listener: PeerListener,
+}
+
+/// The daemons and what they share.
+pub struct LimitsFleet {
+    pub table: Rc<MemoryTable>,
+    pub limits: Rc<RefCell<Vec<RateLimit>>>,
+    pub members: Rc<RefCell<Vec<HomeCandidate>>>,
+    pub settings: LimitsSettings,
+}
+
+impl LimitsFleet {
+    pub fn open(limits: Vec<RateLimit>) -> Self {
+        Self {
+            table: Rc::new(MemoryTable::open()),
+            limits: Rc::new(RefCell::new(limits)),
+            members: Rc::default(),
+            settings: LimitsSettings::default(),
+        }
+    }
+
+    /// Starts three daemons that know of each other from the start.
+    pub async fn spawn_three(&self) -> [FleetDaemon; 3] {
+        let mut bound = Vec::new();
+        for name in ["one", "two", "three"] {
+            bound.push(self.bind(name, "127.0.0.1:0").await);
+        }
+        let daemons: Vec<_> = bound.into_iter().map(|one| self.start(one)).collect();
+        daemons.try_into().ok().unwrap()
+    }
+
+    /// Starts a daemon and enters it into the view of the fleet.
+    pub async fn spawn(&self, name: &str, address: &str) -> FleetDaemon {
+        let bound = self.bind(name, address).await;
+        self.start(bound)
+    }
+
+    async fn bind(&self, name: &str, address: &str) -> BoundDaemon {
+        let handle = HandleSlot::default();
+        let listener = self.listen(address, Rc::clone(&handle)).await;
+        self.enter(name, listener.address());
+        BoundDaemon {
+            name: name.to_owned(),
+            handle,
+            listener,
+        }
+    }
+
+    fn start(&self, bound: BoundDaemon) -> FleetDaemon {
+        let address = bound.listener.address();
+        let clock = ProcessClock::open();
+        let members = Rc::clone(&self.members);
+        let limits = Rc::clone(&self.limits);
+        let handle = LimitsHandle::spawn(LimitsSources {
+            settings: self.settings.clone(),
+            daemon: bound.name.parse().unwrap(),
+            boot: BootId(fastrand::u64(1..)),
+            clock,
+            own_address: address,
+            peers: PeerPool::open(FleetKey::open(SECRET)),
+            platform: Rc::clone(&self.table) as _,
+            members: Rc::new(move || members.borrow().clone()),
+            rate_of: Rc::new(move |account| find(&limits.borrow(), account)),
+        });
+        bound.handle.replace(Some(handle.clone()));
+        FleetDaemon {
+            handle,
+            address,
+            clock,
+            _listener: bound.listener,
+        }
+    }
+
+    /// Takes a daemon out of the view of the fleet.
+    pub fn leave(&self, name: &str) {
+        let mut members = self.members.borrow_mut();
+        members.retain(|member| member.daemon.as_str() != name);
+    }
+
+    fn enter(&self, name: &str, address: SocketAddr) {
+        self.leave(name);
+        let daemon = name.parse().unwrap();
+        let mut members = self.members.borrow_mut();
+        members.push(HomeCandidate { daemon, address });
+    }
+
+    async fn listen(&self, address: &str, handle: HandleSlot) -> PeerListener {
+        let handler: PeerHandler = Rc::new(move |opening, mut stream| {
+            let handle = handle.borrow().clone();
+            Box::pin(async move {
+                if let (PeerOpening::Call(PeerCall::Limits(call)), Some(handle)) = (opening, handle)
+                {
+                    let reply = PeerReply::Limits(handle.serve(call).await);
+                    let _ = stream.send(&reply).await;
+                    let _ = stream.finish();
+                }
+            })
+        });
+        let key = FleetKey::open(SECRET);
+        PeerListener::bind(address.parse().unwrap(), key, handler)
+            .await
+            .unwrap()
+    }
+}
+
+fn find(limits: &[RateLimit], account: &AccountId) -> Option<RateLimit> {
+    limits
+        .iter()
+        .find(|limit| limit.account == *account)
+        .cloned()
+}
--- /dev/null
+++ b/tests/limits_kit/memory_table.rs
@@ -0,0 +1,111 @@
+//! A platform table in memory that can fail.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+use async_trait::async_trait;
+use wagtailtrack::ids::Version;
+use wagtailtrack::platform::{
+    CommitOutcome, PlatformError, PlatformService, RowKey, TableRow, Transaction,
+};
+
+/// How the table fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TableFault {
+    /// Not at all.
+    None,
+    /// Every call is refused.
+    Away,
+    /// Commits take effect, but their answers are lost.
+    LostAnswers,
+}
+
+/// Rows by key, with versions.
+pub struct MemoryTable {
+    rows: RefCell<BTreeMap<String, TableRow>>,
+    pub fault: Cell<TableFault>,
+}
+
+impl MemoryTable {
+    pub fn open() -> Self {
+        Self {
+            rows: RefCell::default(),
+            fault: Cell::new(TableFault::None),
+        }
+    }
+
+    pub fn rows(&self, prefix: &str) -> Vec<TableRow> {
+        let rows = self.rows.borrow();
+        let found = rows.values().filter(|row| row.key.0.starts_with(prefix));
+        found.cloned().collect()
+    }
+
+    pub fn apply(&self, transaction: &Transaction) -> CommitOutcome {
+        let mut rows = self.rows.borrow_mut();
+        for check in &transaction.checks {
+            let version = rows.get(&check.key.0).map_or(Version(0), |row| row.version);
+            if version != check.version {
+                return CommitOutcome::Conflict(check.key.clone());
+            }
+        }
+        for write in &transaction.writes {
+            let key = write.key.clone();
+            match &write.value {
+                Some(value) => {
+                    let version = rows.get(&key.0).map_or(Version(0), |row| row.version);
+                    let row = TableRow {
+                        key: key.clone(),
+                        version: version.next(),
+                        value: value.clone(),
+                    };
+                    rows.insert(key.0, row);
+                }
+                None => drop(rows.remove(&key.0)),
+            }
+        }
+        CommitOutcome::Committed
+    }
+
+    fn check(&self) -> Result<(), PlatformError> {
+        match self.fault.get() {
+            TableFault::Away => Err(PlatformError::Unavailable("away".to_owned())),
+            _ => Ok(()),
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl PlatformService for MemoryTable {
+    async fn read(&self, keys: &[RowKey]) -> Result<Vec<Option<TableRow>>, PlatformError> {
+        self.check()?;
+        let rows = self.rows.borrow();
+        Ok(keys.iter().map(|key| rows.get(&key.0).cloned()).collect())
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        _after: Option<&RowKey>,
+        _limit: usize,
+    ) -> Result<Vec<TableRow>, PlatformError> {
+        self.check()?;
+        Ok(self.rows(prefix))
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError> {
+        self.check()?;
+        let outcome = self.apply(transaction);
+        match self.fault.get() {
+            TableFault::LostAnswers => Err(PlatformError::Unknown("lost".to_owned())),
+            _ => Ok(outcome),
+        }
+    }
+
+    async fn get_object(&self, _name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        Ok(None)
+    }
+
+    async fn put_object(&self, _name: &str, _bytes: &[u8]) -> Result<(), PlatformError> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/limits_path.rs
@@ -0,0 +1,73 @@
+//! The whole way of a token between daemons, over real connections.
+
+mod limits_kit;
+
+use std::time::Duration;
+
+use limits_kit::{LimitsFleet, rate_limit};
+use wagtailtrack::limits::{Admission, LimitsHandle};
+use wagtailtrack::time::{Deadline, MonoTime};
+
+const FAR: Deadline = Deadline::at(MonoTime::from_millis(3_600_000));
+
+async fn shares_held(handle: &LimitsHandle) -> usize {
+    handle.dump()["shares_leased"].as_array().unwrap().len()
+}
+
+async fn until_leased(handles: &[&LimitsHandle]) {
+    for _ in 0..1_000 {
+        let mut held = 0;
+        for handle in handles {
+            held += shares_held(handle).await;
+        }
+        if held == 16 {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("shares were never all leased");
+}
+
+async fn admit_all(handles: &[&LimitsHandle], count: usize) -> usize {
+    let account = "crew".parse().unwrap();
+    let mut admitted = 0;
+    for index in 0..count {
+        let handle = handles[index % handles.len()];
+        if matches!(handle.admit(&account, FAR).await, Admission::Admitted(_)) {
+            admitted += 1;
+        }
+    }
+    admitted
+}
+
+#[actix_rt::test]
+async fn shared_burst() {
+    let fleet = LimitsFleet::open(vec![rate_limit("crew", 1, 64)]);
+    let [one, two, three] = fleet.spawn_three().await;
+    let handles = [&one.handle, &two.handle, &three.handle];
+    until_leased(&handles).await;
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    let start = one.clock.now();
+    let admitted = admit_all(&handles, 120).await;
+    let elapsed = one.clock.now().since(start).as_secs() as usize;
+    assert!(admitted >= 60, "{admitted} admitted of a burst of 64");
+    assert!(admitted <= 64 + elapsed + 1, "{admitted} admitted");
+}
+
+#[actix_rt::test]
+async fn unknown_account() {
+    let fleet = LimitsFleet::open(Vec::new());
+    let one = fleet.spawn("one", "127.0.0.1:0").await;
+    let admission = one.handle.admit(&"nobody".parse().unwrap(), FAR).await;
+    assert_eq!(admission, Admission::NoLimit);
+}
+
+#[actix_rt::test]
+async fn graceful_hand_over() {
+    let fleet = LimitsFleet::open(vec![rate_limit("crew", 1_000, 1_000)]);
+    let [one, two, three] = fleet.spawn_three().await;
+    until_leased(&[&one.handle, &two.handle, &three.handle]).await;
+    one.handle.hand_over().await;
+    assert_eq!(shares_held(&one.handle).await, 0);
+    until_leased(&[&two.handle, &three.handle]).await;
+}
