--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ids;
 pub mod ingress;
 pub mod instances;
+pub mod limits;
 pub mod logs;
 pub mod members;
 pub mod peers;
