The whole path wired: ingress, egress and daemon

Why: the parts stood apart. The daemon now takes a caller's request, checks key, route and rate, offers it to an instance's egress and brings the answer back with its verdict; it stops gracefully on SIGTERM.

--- a/src/bin/wagtailtrackd.rs
+++ b/src/bin/wagtailtrackd.rs
@@ -2,17 +2,9 @@
 
 use std::process::ExitCode;
 
-use wagtailtrack::daemon::CommandLine;
-use wagtailtrack::exit::ExitStatus;
-use wagtailtrack::settings::DaemonSettings;
+use wagtailtrack::daemon::{self, CommandLine};
 
 fn main() -> ExitCode {
     let line: CommandLine = argh::from_env();
-    match DaemonSettings::open(&line.config) {
-        Ok(_) => ExitStatus::Success.into(),
-        Err(error) => {
-            eprintln!("wagtailtrackd: {error}");
-            ExitStatus::Usage.into()
-        }
-    }
+    daemon::run(&line).into()
 }
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -59,7 +59,9 @@
             .await
             .map_err(|cause| in_field("listen.peers", peers_address, &cause))?;
         let listener = Rc::new(listener);
-        let ingress = parts.bind_ingress(&settings, &config, &limits, &members).await?;
+        let ingress = parts
+            .bind_ingress(&settings, &config, &limits, &members)
+            .await?;
         let view = DaemonView {
             config: config.clone(),
             members: members.clone(),
--- a/src/daemon/daemon_parts.rs
+++ b/src/daemon/daemon_parts.rs
@@ -106,7 +106,7 @@
             peers: self.peers.clone(),
             platform: Rc::clone(&self.platform),
             members: Rc::new(move || home_candidates(&members)),
-            rate_of: Rc::new(move |account| config.catalog().rate_of(account).cloned()),
+            rate_of: Rc::new(move |account| config.catalog().rate_of(account)),
         })
     }
 
@@ -149,7 +149,9 @@
             on_change: Rc::new(move |local| egress.announce(&local)),
             is_stopping: Rc::new(move || stopping.get()),
         });
-        let server = server.await.map_err(|cause| in_field("listen.announce", address, &cause))?;
+        let server = server
+            .await
+            .map_err(|cause| in_field("listen.announce", address, &cause))?;
         Ok(Rc::new(server))
     }
 
@@ -232,7 +234,9 @@
             phase,
             health,
             slots: local.slots,
-            median_micros: median.map_or(0, |span| u32::try_from(span.as_micros()).unwrap_or(u32::MAX)),
+            median_micros: median.map_or(0, |span| {
+                u32::try_from(span.as_micros()).unwrap_or(u32::MAX)
+            }),
         }
     }
 }
@@ -242,7 +246,9 @@
     let remedy = "choose an address of this VM that is free";
     io::Error::new(
         cause.kind(),
-        format!("settings field '{field}' has value '{address}', which cannot be bound: {cause}; {remedy}"),
+        format!(
+            "settings field '{field}' has value '{address}', which cannot be bound: {cause}; {remedy}"
+        ),
     )
 }
 
@@ -251,13 +257,19 @@
         return Vec::new();
     };
     let live = members.live();
-    live.iter().map(|member| member.address).filter(|address| *address != own).collect()
+    live.iter()
+        .map(|member| member.address)
+        .filter(|address| *address != own)
+        .collect()
 }
 
 fn home_candidates(members: &MembersHandle) -> Vec<HomeCandidate> {
     members
         .live()
         .into_iter()
-        .map(|member| HomeCandidate { daemon: member.daemon, address: member.address })
+        .map(|member| HomeCandidate {
+            daemon: member.daemon,
+            address: member.address,
+        })
         .collect()
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,12 @@
 //! The daemon: its command line and how its parts are wired together.
 
 mod command_line;
+mod daemon_handle;
+mod daemon_parts;
+mod daemon_view;
+mod peer_calls;
+mod run;
 
 pub use command_line::CommandLine;
+pub use daemon_handle::DaemonHandle;
+pub use run::run;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -23,7 +23,10 @@
 }
 
 async fn serve(settings: DaemonSettings) -> ExitStatus {
-    let (terminate, interrupt) = match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
+    let (terminate, interrupt) = match (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) {
         (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
         (Err(error), _) | (_, Err(error)) => return fail(&error.to_string()),
     };
--- a/src/ingress/answer_body.rs
+++ b/src/ingress/answer_body.rs
@@ -38,9 +38,17 @@
         sender: PeerSender,
         receiver: PeerReceiver,
     ) -> Self {
-        let source = AnswerSource { read, receiver, passed: 0, _sender: sender };
+        let source = AnswerSource {
+            read,
+            receiver,
+            passed: 0,
+            _sender: sender,
+        };
         let chunks = futures_util::stream::try_unfold(source, AnswerSource::next);
-        Self { length, chunks: Box::pin(chunks) }
+        Self {
+            length,
+            chunks: Box::pin(chunks),
+        }
     }
 }
 
@@ -79,7 +87,9 @@
                 self.passed += bytes.len() as u64;
                 Ok(Some((Bytes::from(bytes), self)))
             }
-            Ok(Some(EgressMessage::End { total_bytes, .. })) if total_bytes == self.passed => Ok(None),
+            Ok(Some(EgressMessage::End { total_bytes, .. })) if total_bytes == self.passed => {
+                Ok(None)
+            }
             _ => Err(AnswerCut::Early),
         }
     }
--- a/src/ingress/answer_response.rs
+++ b/src/ingress/answer_response.rs
@@ -44,7 +44,13 @@
 /// An answer whose rest is still to come.
 pub(crate) fn long_response(long: LongAnswer, count: UnderWay) -> Response<BoxBody> {
     let body = AnswerBody::open(long.head.length, long.read, long.sender, long.receiver);
-    answer_response(&long.head, BoxBody::new(CountedBody { body, _count: count }))
+    answer_response(
+        &long.head,
+        BoxBody::new(CountedBody {
+            body,
+            _count: count,
+        }),
+    )
 }
 
 fn answer_response(head: &AnswerHead, body: BoxBody) -> Response<BoxBody> {
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -11,8 +11,8 @@
 use crate::time::{Deadline, ProcessClock};
 use crate::verdict::Verdict;
 use crate::wire::{
-    AnswerHead, EgressMessage, FailureCause, IngressMessage, LoadFigure, PeerOpening, RefusalReason,
-    RequestOffer,
+    AnswerHead, EgressMessage, FailureCause, IngressMessage, LoadFigure, PeerOpening,
+    RefusalReason, RequestOffer,
 };
 
 /// How long past its deadline an egress is heard, whose own word tells more than silence.
@@ -21,7 +21,11 @@
 /// How an attempt ended.
 pub(crate) enum AttemptEnd {
     /// The whole answer is here.
-    Whole { head: AnswerHead, body: Vec<u8>, load: LoadFigure },
+    Whole {
+        head: AnswerHead,
+        body: Vec<u8>,
+        load: LoadFigure,
+    },
     /// The answer is long; its rest is still to come.
     Long(LongAnswer),
     /// There is no answer.
@@ -81,11 +85,19 @@
                 EgressMessage::Head(head) => {
                     return self.read_body(head, sender, receiver, machine).await;
                 }
-                EgressMessage::Refused { reason, retry_after_micros, load } => {
+                EgressMessage::Refused {
+                    reason,
+                    retry_after_micros,
+                    load,
+                } => {
                     machine.take(AttemptEvent::Refused);
                     return Ok(refused(reason, retry_after_micros, load));
                 }
-                EgressMessage::Failed { verdict, cause, load } => {
+                EgressMessage::Failed {
+                    verdict,
+                    cause,
+                    load,
+                } => {
                     return Ok(failed(machine, verdict, cause, load));
                 }
                 EgressMessage::Chunk(_) | EgressMessage::End { .. } => {
@@ -115,14 +127,23 @@
                     let body = read.into_iter().flatten().collect();
                     return Ok(AttemptEnd::Whole { head, body, load });
                 }
-                EgressMessage::Failed { verdict, cause, load } => {
+                EgressMessage::Failed {
+                    verdict,
+                    cause,
+                    load,
+                } => {
                     return Ok(failed(machine, verdict, cause, load));
                 }
                 _ => return Err(PeerError::Unexpected),
             }
         }
         machine.take(AttemptEvent::Answered);
-        Ok(AttemptEnd::Long(LongAnswer { head, read, sender, receiver }))
+        Ok(AttemptEnd::Long(LongAnswer {
+            head,
+            read,
+            sender,
+            receiver,
+        }))
     }
 }
 
@@ -139,7 +160,10 @@
         cause: Some(cause),
         retry_after: Duration::ZERO,
     };
-    AttemptEnd::Failed { failure, load: Some(load) }
+    AttemptEnd::Failed {
+        failure,
+        load: Some(load),
+    }
 }
 
 fn refused(reason: RefusalReason, retry_after_micros: u64, load: LoadFigure) -> AttemptEnd {
@@ -149,7 +173,10 @@
         cause: None,
         retry_after: Duration::from_micros(retry_after_micros),
     };
-    AttemptEnd::Failed { failure, load: Some(load) }
+    AttemptEnd::Failed {
+        failure,
+        load: Some(load),
+    }
 }
 
 /// The stream failed; the machine knows what that proves.
@@ -164,5 +191,8 @@
         cause: None,
         retry_after: Duration::ZERO,
     };
-    AttemptEnd::Failed { failure, load: None }
+    AttemptEnd::Failed {
+        failure,
+        load: None,
+    }
 }
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -36,7 +36,10 @@
 
 impl CallerRequest<'_> {
     /// Tries instances in turn, as far as the verdicts, the budget and the deadline allow.
-    pub(crate) async fn attempt_all(&self, count: UnderWay) -> Result<Response<BoxBody>, RequestRefusal> {
+    pub(crate) async fn attempt_all(
+        &self,
+        count: UnderWay,
+    ) -> Result<Response<BoxBody>, RequestRefusal> {
         let request = self.ingress.next_request();
         let mut history = AttemptHistory::default();
         let mut held = None;
@@ -46,7 +49,9 @@
             match self.attempt(request, &record, &history).await {
                 AttemptEnd::Whole { head, body, load } => {
                     self.note_answer(&record.instance, load);
-                    if !self.is_worth_repeating(&head) || !self.may_retry(&history, Verdict::MayHaveRun) {
+                    if !self.is_worth_repeating(&head)
+                        || !self.may_retry(&history, Verdict::MayHaveRun)
+                    {
                         self.complete(&head);
                         return Ok(whole_response(&head, body));
                     }
@@ -78,18 +83,33 @@
     }
 
     fn pick(&self, tried: &[InstanceId]) -> Option<InstanceRecord> {
-        let records = self.ingress.sources.members.instances_of(&self.plan.service);
+        let records = self
+            .ingress
+            .sources
+            .members
+            .instances_of(&self.plan.service);
         let now = self.ingress.sources.clock.now();
-        let instance = self.ingress.with_picker(&self.plan.service, |picker, rng| {
-            let floor = self.plan.floor;
-            let instance = picker.pick(&records, floor, tried, self.plan.idempotent, now, rng)?;
-            picker.started(&instance, now);
-            Some(instance)
-        })?;
-        records.iter().find(|record| record.instance == instance).cloned()
+        let instance = self
+            .ingress
+            .with_picker(&self.plan.service, |picker, rng| {
+                let floor = self.plan.floor;
+                let instance =
+                    picker.pick(&records, floor, tried, self.plan.idempotent, now, rng)?;
+                picker.started(&instance, now);
+                Some(instance)
+            })?;
+        records
+            .iter()
+            .find(|record| record.instance == instance)
+            .cloned()
     }
 
-    async fn attempt(&self, request: RequestId, record: &InstanceRecord, history: &AttemptHistory) -> AttemptEnd {
+    async fn attempt(
+        &self,
+        request: RequestId,
+        record: &InstanceRecord,
+        history: &AttemptHistory,
+    ) -> AttemptEnd {
         let sources = &self.ingress.sources;
         let deadline = self.attempt_deadline(record, history);
         let task = AttemptTask {
@@ -118,7 +138,12 @@
         now.after(patience.min(remaining))
     }
 
-    fn offer(&self, request: RequestId, record: &InstanceRecord, deadline: Deadline) -> RequestOffer {
+    fn offer(
+        &self,
+        request: RequestId,
+        record: &InstanceRecord,
+        deadline: Deadline,
+    ) -> RequestOffer {
         let sources = &self.ingress.sources;
         let remaining = deadline.remaining(sources.clock.now());
         RequestOffer {
@@ -140,15 +165,18 @@
 
     fn note_answer(&self, instance: &InstanceId, load: LoadFigure) {
         let now = self.ingress.sources.clock.now();
-        self.ingress.with_picker(&self.plan.service, |picker, _| picker.answered(instance, load, now));
+        self.ingress.with_picker(&self.plan.service, |picker, _| {
+            picker.answered(instance, load, now)
+        });
     }
 
     fn note_failure(&self, instance: &InstanceId, load: Option<LoadFigure>) {
         let now = self.ingress.sources.clock.now();
-        self.ingress.with_picker(&self.plan.service, |picker, _| match load {
-            Some(load) => picker.answered(instance, load, now),
-            None => picker.unreachable(instance, now),
-        });
+        self.ingress
+            .with_picker(&self.plan.service, |picker, _| match load {
+                Some(load) => picker.answered(instance, load, now),
+                None => picker.unreachable(instance, now),
+            });
     }
 
     fn is_worth_repeating(&self, head: &AnswerHead) -> bool {
@@ -169,13 +197,16 @@
     fn with_budget<T>(&self, act: impl FnOnce(&mut RetryBudget, MonoTime) -> T) -> T {
         let now = self.ingress.sources.clock.now();
         let share = self.plan.retry_budget;
-        self.ingress.with_budget(&self.plan.service, share, |budget| act(budget, now))
+        self.ingress
+            .with_budget(&self.plan.service, share, |budget| act(budget, now))
     }
 
     fn complete(&self, head: &AnswerHead) {
         if head.status < 500 {
             let mut state = self.ingress.state.borrow_mut();
-            state.credits.complete(&self.plan.account, self.plan.class, self.plan.weight.get());
+            state
+                .credits
+                .complete(&self.plan.account, self.plan.class, self.plan.weight.get());
         }
     }
 }
--- a/src/ingress/request_plan.rs
+++ b/src/ingress/request_plan.rs
@@ -47,7 +47,9 @@
         if !route.access.allows(&account) {
             return Err(RequestRefusal::Forbidden);
         }
-        let service = catalog.service(&route.service).ok_or(RequestRefusal::NoRoute)?;
+        let service = catalog
+            .service(&route.service)
+            .ok_or(RequestRefusal::NoRoute)?;
         Ok(Self {
             account,
             route: route.id.clone(),
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -4,7 +4,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
-use actix_http::{ConnectionType, Request, Response};
+use actix_http::{ConnectionType, HttpMessage, Request, Response};
 use bytes::Bytes;
 
 use crate::http::{BodyError, ConnectionMark, read_body};
@@ -32,7 +32,9 @@
     };
     ingress.state.borrow_mut().totals.answered(verdict);
     if ingress.is_stopping() {
-        response.head_mut().set_connection_type(ConnectionType::Close);
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
         if let Some(mark) = request.conn_data::<ConnectionMark>() {
             mark.set();
         }
@@ -88,7 +90,12 @@
         return Err(RequestRefusal::NotConfigured);
     }
     let hash = KeyHash::of_secret(secret);
-    RequestPlan::open(&config.catalog(), &hash, request.path(), request.method().as_str())
+    RequestPlan::open(
+        &config.catalog(),
+        &hash,
+        request.path(),
+        request.method().as_str(),
+    )
 }
 
 fn deadline_of(ingress: &IngressHandle, headers: &HeaderMap) -> Result<Deadline, RequestRefusal> {
@@ -110,10 +117,12 @@
 async fn body_of(ingress: &IngressHandle, request: &mut Request) -> Result<Bytes, RequestRefusal> {
     let most = ingress.sources.proxy.max_request;
     let mut payload = request.take_payload();
-    read_body(&mut payload, most).await.map_err(|error| match error {
-        BodyError::TooLarge(most) => RequestRefusal::BodyTooLarge(most),
-        BodyError::Malformed(cause) => RequestRefusal::BadBody(cause),
-    })
+    read_body(&mut payload, most)
+        .await
+        .map_err(|error| match error {
+            BodyError::TooLarge(most) => RequestRefusal::BodyTooLarge(most),
+            BodyError::Malformed(cause) => RequestRefusal::BadBody(cause),
+        })
 }
 
 fn check_exposure(request: &Request, body: &Bytes, secret: &str) -> Result<(), RequestRefusal> {
@@ -138,5 +147,6 @@
 
 fn target_of(request: &Request) -> String {
     let uri = request.uri();
-    uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
+    uri.path_and_query()
+        .map_or_else(|| "/".to_owned(), ToString::to_string)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limits;
 pub mod logs;
 pub mod members;
+pub mod metrics;
 pub mod peers;
 pub mod platform;
 pub mod queue;
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -39,7 +39,7 @@
     ///
     /// # Errors
     /// Fails when the registry refuses the exporter.
-    pub fn open() -> Result<Self, Box<dyn std::error::Error>> {
+    pub fn open() -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -47,7 +47,11 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let latest = Arc::new(Mutex::new(MetricsSources::default()));
         observe_all(&provider.meter("wagtailtrack"), &latest);
-        Ok(Self { registry, latest, _provider: provider })
+        Ok(Self {
+            registry,
+            latest,
+            _provider: provider,
+        })
     }
 
     /// The metrics of `sources` as text.
@@ -73,16 +77,32 @@
 type Latest = Arc<Mutex<MetricsSources>>;
 
 fn observe_all(meter: &Meter, latest: &Latest) {
-    count(meter, latest, "requests_taken", |sources| sources.totals.requests);
+    count(meter, latest, "requests_taken", |sources| {
+        sources.totals.requests
+    });
     count(meter, latest, "requests_ran", |sources| sources.totals.ran);
-    count(meter, latest, "requests_not_run", |sources| sources.totals.not_run);
-    count(meter, latest, "requests_may_have_run", |sources| sources.totals.may_have_run);
-    count(meter, latest, "requests_over_rate", |sources| sources.totals.over_rate);
-    count(meter, latest, "request_retries", |sources| sources.totals.retries);
-    count(meter, latest, "peer_messages_refused", |sources| sources.refused_messages);
-    gauge(meter, latest, "egress_under_way", |sources| sources.egress_under_way);
+    count(meter, latest, "requests_not_run", |sources| {
+        sources.totals.not_run
+    });
+    count(meter, latest, "requests_may_have_run", |sources| {
+        sources.totals.may_have_run
+    });
+    count(meter, latest, "requests_over_rate", |sources| {
+        sources.totals.over_rate
+    });
+    count(meter, latest, "request_retries", |sources| {
+        sources.totals.retries
+    });
+    count(meter, latest, "peer_messages_refused", |sources| {
+        sources.refused_messages
+    });
+    gauge(meter, latest, "egress_under_way", |sources| {
+        sources.egress_under_way
+    });
     gauge(meter, latest, "members_live", |sources| sources.members);
-    gauge(meter, latest, "configuration_revision", |sources| sources.revision);
+    gauge(meter, latest, "configuration_revision", |sources| {
+        sources.revision
+    });
     credits(meter, latest, "requests_completed", |line| line.completed);
     credits(meter, latest, "credit_earned", |line| line.credit);
 }
@@ -103,7 +123,11 @@
         .build();
 }
 
-fn observe(instrument: &dyn AsyncInstrument<u64>, latest: &Latest, read: fn(&MetricsSources) -> u64) {
+fn observe(
+    instrument: &dyn AsyncInstrument<u64>,
+    latest: &Latest,
+    read: fn(&MetricsSources) -> u64,
+) {
     if let Ok(sources) = latest.lock() {
         instrument.observe(read(&sources), &[]);
     }
