Operators' client, and a lost answer is no refusal

The client creates, reads, lists, updates and deletes resources, issues and withdraws keys, and asks for operations. It names every change, so that a lost answer is settled by sending the same change again.

Cause of a false 'not accepted': the HTTP client reports a connection that ended before the answer as a failed connect (ConnectError::Disconnected). The adapter took every such error for 'never sent'. Seen by process_client platform_away with the stand-in losing answers; ruled out the stand-in, whose commit had taken effect.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -13,3 +13,4 @@
 pub use api_error::ApiError;
 pub use api_path::ApiPath;
 pub use change_headers::{ChangeHeaders, OPERATION_HEADER};
+pub use key_secret::draw_operation;
--- /dev/null
+++ b/src/client/command_runner.rs
@@ -0,0 +1,204 @@
+//! Carries out a command line.
+
+use awc::http::Method;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::admin::{ApiPath, ChangeBody, ResourceBody, draw_operation};
+use crate::client::api_client::resource_path;
+use crate::client::command_line::{
+    CreateCommand, DeleteCommand, IssueCommand, KeyAction, UpdateCommand,
+};
+use crate::client::{
+    ApiClient, ClientChange, ClientCommand, ClientError, CommandLine, TextTable, merge_fields,
+};
+use crate::ids::{OperationId, Version};
+use crate::resource::{ResourceKind, ResourceName};
+use crate::settings::DaemonSettings;
+
+const TOKEN_VARIABLE: &str = "WAGTAILTRACK_TOKEN";
+
+/// Carries out `line` and returns what to print.
+///
+/// # Errors
+/// `ClientError` says what failed; its exit status is the program's.
+pub async fn run(line: &CommandLine) -> Result<String, ClientError> {
+    if let ClientCommand::CheckConfig(check) = &line.command {
+        DaemonSettings::open(&check.file)?;
+        let file = check.file.display().to_string();
+        return Ok(if line.json {
+            json_text(&json!({ "file": file, "valid": true }))
+        } else {
+            format!("{file} is valid")
+        });
+    }
+    let client = ApiClient::open(line.daemon, read_token(line)?);
+    let runner = CommandRunner { line, client };
+    runner.run().await
+}
+
+struct CommandRunner<'a> {
+    line: &'a CommandLine,
+    client: ApiClient,
+}
+
+impl CommandRunner<'_> {
+    async fn run(&self) -> Result<String, ClientError> {
+        match &self.line.command {
+            ClientCommand::Create(command) => self.create(command).await,
+            ClientCommand::Get(command) => {
+                let name = name(command.kind, &command.id);
+                let body = self.client.resource(&name).await?;
+                Ok(self.show(&body, std::slice::from_ref(&body)))
+            }
+            ClientCommand::List(command) => {
+                let items = self.client.resources(command.kind).await?;
+                Ok(self.show(&items, &items))
+            }
+            ClientCommand::Update(command) => self.update(command).await,
+            ClientCommand::Delete(command) => self.delete(command).await,
+            ClientCommand::Key(command) => match &command.action {
+                KeyAction::Issue(command) => self.issue(command).await,
+                KeyAction::Withdraw(command) => {
+                    let name = name(ResourceKind::Key, command.id.as_str());
+                    let path = format!("{}/withdraw", resource_path(&name));
+                    let change = self.change(Method::POST, path)?;
+                    self.send(change, &format!("{name} withdrawn")).await
+                }
+            },
+            ClientCommand::Dump(_) => {
+                let dump: Value = self.client.get("/dump").await?;
+                Ok(json_text(&dump))
+            }
+            ClientCommand::Operation(command) => {
+                let path = format!("/v1/operations/{}", command.id);
+                let body: ChangeBody = self.client.get(&path).await?;
+                Ok(self.show_change(&body, "accepted"))
+            }
+            ClientCommand::Watch(_) | ClientCommand::CheckConfig(_) => {
+                Err(ClientError::Command("watch is not built yet"))
+            }
+        }
+    }
+
+    async fn create(&self, command: &CreateCommand) -> Result<String, ClientError> {
+        if command.kind == ResourceKind::Key {
+            return Err(ClientError::Command(
+                "keys are issued with 'wagtailtrack key issue ID --account ACCOUNT'",
+            ));
+        }
+        let mut resource = json!({ id_field(command.kind): command.id });
+        merge_fields(&mut resource, &command.fields)?;
+        let mut change = self.change(Method::POST, ApiPath::of_kind(command.kind))?;
+        change.body = Some(resource);
+        let what = format!("{} created", name(command.kind, &command.id));
+        self.send(change, &what).await
+    }
+
+    async fn update(&self, command: &UpdateCommand) -> Result<String, ClientError> {
+        let name = name(command.kind, &command.id);
+        let found = self.client.resource(&name).await?;
+        let mut resource = found.resource;
+        merge_fields(&mut resource, &command.fields)?;
+        let mut change = self.change(Method::PUT, resource_path(&name))?;
+        change.version = Some(command.version.unwrap_or(found.version));
+        change.body = Some(resource);
+        self.send(change, &format!("{name} updated")).await
+    }
+
+    async fn delete(&self, command: &DeleteCommand) -> Result<String, ClientError> {
+        let name = name(command.kind, &command.id);
+        let mut change = self.change(Method::DELETE, resource_path(&name))?;
+        change.version = Some(match command.version {
+            Some(version) => version,
+            None => self.found_version(&name).await?,
+        });
+        self.send(change, &format!("{name} deleted")).await
+    }
+
+    async fn issue(&self, command: &IssueCommand) -> Result<String, ClientError> {
+        let mut change = self.change(Method::POST, ApiPath::of_kind(ResourceKind::Key))?;
+        change.body = Some(json!({ "id": command.id, "account": command.account }));
+        self.send(change, &format!("key/{} issued", command.id))
+            .await
+    }
+
+    async fn found_version(&self, name: &ResourceName) -> Result<Version, ClientError> {
+        Ok(self.client.resource(name).await?.version)
+    }
+
+    fn change(&self, method: Method, path: String) -> Result<ClientChange, ClientError> {
+        Ok(ClientChange {
+            method,
+            path,
+            version: None,
+            body: None,
+            operation: self.operation()?,
+            wait: self.line.wait,
+        })
+    }
+
+    fn operation(&self) -> Result<OperationId, ClientError> {
+        match &self.line.operation {
+            Some(operation) => Ok(operation.clone()),
+            None => Ok(draw_operation()?),
+        }
+    }
+
+    async fn send(&self, change: ClientChange, what: &str) -> Result<String, ClientError> {
+        let body = self.client.change(&change).await?;
+        Ok(self.show_change(&body, what))
+    }
+
+    fn show_change(&self, body: &ChangeBody, what: &str) -> String {
+        if self.line.json {
+            return json_text(body);
+        }
+        let mut lines = vec![format!("{what} at revision {}", body.revision)];
+        if let Some(secret) = &body.secret {
+            lines.push(format!("secret, shown this once: {secret}"));
+        }
+        lines.join("\n")
+    }
+
+    fn show<T: Serialize>(&self, value: &T, items: &[ResourceBody]) -> String {
+        if self.line.json {
+            return json_text(value);
+        }
+        let rows = items.iter().map(|item| (item.version.0, &item.resource));
+        TextTable::of_resources(rows)
+            .to_string()
+            .trim_end()
+            .to_owned()
+    }
+}
+
+fn name(kind: ResourceKind, id: &str) -> ResourceName {
+    ResourceName {
+        kind,
+        id: id.to_owned(),
+    }
+}
+
+const fn id_field(kind: ResourceKind) -> &'static str {
+    match kind {
+        ResourceKind::Rate => "account",
+        _ => "id",
+    }
+}
+
+fn json_text<T: Serialize>(value: &T) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
+}
+
+fn read_token(line: &CommandLine) -> Result<String, ClientError> {
+    let text = match &line.token_file {
+        Some(path) => std::fs::read_to_string(path)
+            .map_err(|cause| ClientError::TokenFile(path.clone(), cause))?,
+        None => std::env::var(TOKEN_VARIABLE).map_err(|_| ClientError::NoToken)?,
+    };
+    match text.trim() {
+        "" => Err(ClientError::NoToken),
+        token => Ok(token.to_owned()),
+    }
+}
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,1 +1,15 @@
-//! client
+//! The operators' command-line client: its command line, its HTTP calls and its output.
+
+mod api_client;
+mod client_error;
+mod command_line;
+mod command_runner;
+mod resource_fields;
+mod text_table;
+
+pub use api_client::{ApiClient, ClientChange};
+pub use client_error::ClientError;
+pub use command_line::{ClientCommand, CommandLine};
+pub use command_runner::run;
+pub use resource_fields::{FieldError, merge_fields};
+pub use text_table::TextTable;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,7 +1,9 @@
 //! A small HTTP server over `actix-http`, used by every listener.
 
 mod http_server;
+mod never_sent;
 mod reply;
 
 pub use http_server::{HttpHandler, HttpServer};
+pub use never_sent::never_sent;
 pub use reply::{BodyError, json, read_body, text};
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::http::never_sent;
 use crate::platform::{
     CommitOutcome, PlatformError, PlatformService, ReadAnswer, ReadQuestion, RowKey, ScanQuestion,
     TableRow, Transaction,
@@ -87,12 +88,10 @@
 }
 
 fn failed(effect: CallEffect, cause: &SendRequestError) -> PlatformError {
-    match cause {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
-            PlatformError::Unavailable(cause.to_string())
-        }
-        _ => lost(effect, &cause.to_string()),
+    if never_sent(cause) {
+        return PlatformError::Unavailable(cause.to_string());
     }
+    lost(effect, &cause.to_string())
 }
 
 fn lost(effect: CallEffect, cause: &str) -> PlatformError {
