--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! The environment that tests share.
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod memory_platform;
 mod scratch_dir;
