--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,7 @@
 mod child_process;
 mod daemon_process;
 mod free_ports;
+mod memory_platform;
 mod patience;
 #[path = "../../standins/relay/mod.rs"]
 mod relay;
@@ -18,6 +19,7 @@
 pub use child_process::{ChildProcess, program};
 pub use daemon_process::{DaemonPlan, DaemonProcess, FLEET_SECRET, OPERATOR_TOKEN};
 pub use free_ports::{free_address, free_host};
+pub use memory_platform::{MemoryMode, MemoryPlatform};
 pub use patience::{PATIENCE, eventually};
 pub use relay::{RelayHandle, RelayMode};
 pub use scratch_dir::ScratchDir;
