--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -13,7 +13,7 @@
 use futures_util::StreamExt;
 
 use crate::ids::BootId;
-use crate::ingress::header_rules;
+use crate::ingress::header_rules::{self, DEADLINE_HEADER, REQUEST_HEADER};
 use crate::verdict::Verdict;
 use crate::wire::{AnswerHead, FailureCause, RequestOffer};
 
@@ -22,10 +22,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_CONNECTIONS: usize = 64;
 
-/// Header that names the request to the backend server; an answer that names another is not ours.
-const REQUEST_HEADER: &str = "x-wagtailtrack-request";
-const REMAINING_HEADER: &str = "x-deadline-ms";
-
 /// Sends requests to instances; connections that saw an error are closed.
 #[derive(Clone)]
 pub struct BackendClient {
@@ -113,7 +109,7 @@
         Some(
             request
                 .insert_header((REQUEST_HEADER, name))
-                .insert_header((REMAINING_HEADER, millis)),
+                .insert_header((DEADLINE_HEADER, millis)),
         )
     }
 }
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -26,6 +26,7 @@
 /// A request that was admitted.
 pub(crate) struct CallerRequest<'a> {
     pub(crate) ingress: &'a IngressHandle,
+    pub(crate) id: RequestId,
     pub(crate) plan: RequestPlan,
     pub(crate) deadline: Deadline,
     pub(crate) method: String,
@@ -40,13 +41,12 @@
         &self,
         count: UnderWay,
     ) -> Result<Response<BoxBody>, RequestRefusal> {
-        let request = self.ingress.next_request();
         let mut history = AttemptHistory::default();
         let mut held = None;
         self.with_budget(|budget, now| budget.first_attempt(now));
         while let Some(record) = self.pick(history.tried()) {
             history.begin(record.instance.clone());
-            match self.attempt(request, &record, &history).await {
+            match self.attempt(&record, &history).await {
                 AttemptEnd::Whole { head, body, load } => {
                     self.note_answer(&record.instance, load);
                     if !self.is_worth_repeating(&head)
@@ -104,12 +104,7 @@
             .cloned()
     }
 
-    async fn attempt(
-        &self,
-        request: RequestId,
-        record: &InstanceRecord,
-        history: &AttemptHistory,
-    ) -> AttemptEnd {
+    async fn attempt(&self, record: &InstanceRecord, history: &AttemptHistory) -> AttemptEnd {
         let sources = &self.ingress.sources;
         let deadline = self.attempt_deadline(record, history);
         let task = AttemptTask {
@@ -119,7 +114,7 @@
             deadline,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
         };
-        task.run(self.offer(request, record, deadline)).await
+        task.run(self.offer(record, deadline)).await
     }
 
     /// An idempotent request leaves time for another attempt.
@@ -138,17 +133,12 @@
         now.after(patience.min(remaining))
     }
 
-    fn offer(
-        &self,
-        request: RequestId,
-        record: &InstanceRecord,
-        deadline: Deadline,
-    ) -> RequestOffer {
+    fn offer(&self, record: &InstanceRecord, deadline: Deadline) -> RequestOffer {
         let sources = &self.ingress.sources;
         let remaining = deadline.remaining(sources.clock.now());
         RequestOffer {
             boot: sources.boot,
-            request,
+            request: self.id,
             instance: record.instance.clone(),
             service: self.plan.service.clone(),
             route: self.plan.route.clone(),
--- a/src/ingress/header_rules.rs
+++ b/src/ingress/header_rules.rs
@@ -8,6 +8,9 @@
 /// Header in which a caller names its deadline, in milliseconds from now.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
 
+/// Header that names a request; an answer that names another request is not passed on.
+pub const REQUEST_HEADER: &str = "x-request-id";
+
 /// Headers that may carry a credential; none crosses.
 const CREDENTIAL_HEADERS: [&str; 6] = [
     KEY_HEADER,
@@ -19,7 +22,7 @@
 ];
 
 /// Headers that belong to one connection, as HTTP names them, and those that each hop sets anew.
-const CONNECTION_HEADERS: [&str; 12] = [
+const CONNECTION_HEADERS: [&str; 14] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -31,6 +34,8 @@
     "content-length",
     "expect",
     "host",
+    REQUEST_HEADER,
+    DEADLINE_HEADER,
     "x-wagtailtrack-verdict",
 ];
 
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::header::HeaderMap;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, HttpMessage, Request, Response};
 use bytes::Bytes;
 
 use crate::http::{BodyError, ConnectionMark, read_body};
+use crate::ids::RequestId;
 use crate::ingress::caller_request::CallerRequest;
-use crate::ingress::header_rules::{self, DEADLINE_HEADER};
+use crate::ingress::header_rules::{self, DEADLINE_HEADER, REQUEST_HEADER};
 use crate::ingress::ingress_handle::UnderWay;
 use crate::ingress::{IngressHandle, RequestPlan, RequestRefusal, caller_key};
 use crate::limits::{Admission, AdmittedToken};
@@ -25,12 +26,18 @@
     count: UnderWay,
 ) -> Response<BoxBody> {
     ingress.state.borrow_mut().totals.requests += 1;
-    let result = serve(ingress, &mut request, count).await;
+    let id = ingress.next_request();
+    let name = name_of(ingress, id, request.headers());
+    let result = serve(ingress, id, &mut request, count).await;
     let (verdict, mut response) = match result {
         Ok(response) => (Verdict::Ran, response),
         Err(refusal) => (refusal.verdict(), refused(ingress, &refusal)),
     };
     ingress.state.borrow_mut().totals.answered(verdict);
+    if let Some(name) = name {
+        let header = HeaderName::from_static(REQUEST_HEADER);
+        response.headers_mut().insert(header, name);
+    }
     if ingress.is_stopping() {
         response
             .head_mut()
@@ -50,8 +57,15 @@
     refusal.response()
 }
 
+/// The caller's own name of the request, else ours; operators find it in the logs.
+fn name_of(ingress: &IngressHandle, id: RequestId, headers: &HeaderMap) -> Option<HeaderValue> {
+    let own = headers.get(REQUEST_HEADER).cloned();
+    own.or_else(|| HeaderValue::from_str(&format!("{}-{id}", ingress.sources.boot)).ok())
+}
+
 async fn serve(
     ingress: &IngressHandle,
+    id: RequestId,
     request: &mut Request,
     count: UnderWay,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
@@ -64,6 +78,7 @@
     let token = admit(ingress, &plan, deadline).await?;
     let call = CallerRequest {
         ingress,
+        id,
         plan,
         deadline,
         method: request.method().as_str().to_owned(),
