--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,11 +6,13 @@
 mod caller_client;
 mod child_process;
 mod daemon_process;
+mod desk_fleet;
 mod free_ports;
 mod memory_platform;
 mod patience;
 #[path = "../../standins/relay/mod.rs"]
 mod relay;
+mod resource_client;
 mod scratch_dir;
 mod test_fleet;
 
@@ -18,9 +20,11 @@
 pub use caller_client::{CallerAnswer, CallerClient, CallerError};
 pub use child_process::{ChildProcess, program};
 pub use daemon_process::{DaemonPlan, DaemonProcess, FLEET_SECRET, OPERATOR_TOKEN};
+pub use desk_fleet::DeskFleet;
 pub use free_ports::{free_address, free_host};
 pub use memory_platform::{MemoryMode, MemoryPlatform};
 pub use patience::{PATIENCE, eventually};
 pub use relay::{RelayHandle, RelayMode};
+pub use resource_client::ResourceClient;
 pub use scratch_dir::ScratchDir;
 pub use test_fleet::{FleetPlan, TestFleet};
--- /dev/null
+++ b/tests/process_path.rs
@@ -0,0 +1,155 @@
+//! The request path through real processes: answers, refusals and their verdicts.
+
+mod common;
+
+use awc::http::{Method, StatusCode};
+use common::{CallerAnswer, CallerClient, DeskFleet, eventually};
+use serde_json::json;
+
+async fn lookup(caller: &CallerClient) -> CallerAnswer {
+    caller
+        .send(Method::GET, "/lookups/1", "refused", b"")
+        .await
+        .unwrap()
+}
+
+#[actix_rt::test]
+async fn whole_answers() {
+    let desk = DeskFleet::open("path-whole", 2).await;
+    for index in 0..2 {
+        let caller = desk.caller(index);
+        let answer = caller
+            .send(Method::GET, "/lookups/7?q=a%20b", "look", b"")
+            .await
+            .unwrap();
+        assert_eq!(answer.verdict(), "ran");
+        assert!(answer.answers("look", b""));
+        let filing = desk.file(index, "file").await.unwrap();
+        assert!(filing.answers("file", b"file"));
+        let big = caller.get("/extracts/all?bytes=3000000").await.unwrap();
+        assert_eq!(big.body.len(), 3_000_000);
+    }
+    assert_eq!(desk.times_ran("file").await, 2);
+}
+
+#[actix_rt::test]
+async fn true_refusals() {
+    let desk = DeskFleet::open("path-refusals", 1).await;
+    let bare = desk.fleet.daemons[0].caller();
+    let keyed = desk.caller(0);
+    let unknown = bare.clone().with_key("wtk_unknown");
+    let twice = keyed.clone().with_key(&desk.secret);
+    let late = keyed.clone().with_header("x-deadline-ms", "soon");
+    let cases = [
+        (lookup(&bare).await, 401),
+        (lookup(&unknown).await, 401),
+        (lookup(&twice).await, 401),
+        (lookup(&late).await, 400),
+        (
+            keyed
+                .send(Method::GET, "/none", "refused", b"")
+                .await
+                .unwrap(),
+            404,
+        ),
+        (
+            keyed
+                .send(Method::POST, "/filings", "refused", &vec![0; 2_000_000])
+                .await
+                .unwrap(),
+            413,
+        ),
+    ];
+    for (answer, status) in cases {
+        assert_eq!(answer.status.as_u16(), status, "{}", answer.text());
+        assert_eq!(answer.verdict(), "not-run", "{}", answer.text());
+    }
+    assert_eq!(desk.times_ran("refused").await, 0);
+}
+
+#[actix_rt::test]
+async fn closed_route() {
+    let desk = DeskFleet::open("path-closed", 2).await;
+    let resources = desk.fleet.resources(0);
+    let other = resources.create_caller("rival", 100, 100).await;
+    let route = json!({
+        "id": "private", "prefix": "/private", "service": "desk", "class": "lookup",
+        "access": {"accounts": ["crew"]},
+    });
+    resources.create("route", route).await;
+    let (own, rival) = (
+        desk.caller(1),
+        desk.fleet.daemons[1].caller().with_key(&other),
+    );
+    eventually("the route in force", async || {
+        own.get("/private").await.unwrap().status == StatusCode::OK
+    })
+    .await;
+    let refused = rival
+        .send(Method::GET, "/private", "rival", b"")
+        .await
+        .unwrap();
+    assert_eq!(
+        (refused.status.as_u16(), refused.verdict()),
+        (403, "not-run")
+    );
+    assert_eq!(desk.times_ran("rival").await, 0);
+}
+
+#[actix_rt::test]
+async fn over_rate() {
+    let desk = DeskFleet::open("path-rate", 1).await;
+    let secret = desk.fleet.resources(0).create_caller("small", 1, 3).await;
+    let caller = desk.fleet.daemons[0].caller().with_key(&secret);
+    let mut refused = Vec::new();
+    for number in 0..30 {
+        let tag = format!("small-{number}");
+        let answer = caller
+            .send(Method::GET, "/lookups/1", &tag, b"")
+            .await
+            .unwrap();
+        if answer.status == StatusCode::TOO_MANY_REQUESTS {
+            assert_eq!(answer.verdict(), "not-run");
+            assert!(answer.header("retry-after").parse::<u64>().unwrap() >= 1);
+            refused.push(tag);
+        }
+    }
+    assert!(refused.len() >= 20, "only {} refused", refused.len());
+    for tag in refused {
+        assert_eq!(desk.times_ran(&tag).await, 0);
+    }
+}
+
+#[actix_rt::test]
+async fn no_capacity() {
+    let desk = DeskFleet::open("path-capacity", 1).await;
+    let resources = desk.fleet.resources(0);
+    resources.create_service("empty", 3).await;
+    resources.create_route("empty", "empty", "filing").await;
+    let answer = desk
+        .caller(0)
+        .send(Method::POST, "/empty", "none", b"")
+        .await
+        .unwrap();
+    assert_eq!((answer.status.as_u16(), answer.verdict()), (503, "not-run"));
+    assert!(!answer.header("retry-after").is_empty());
+}
+
+#[actix_rt::test]
+async fn shown_state() {
+    let desk = DeskFleet::open("path-state", 1).await;
+    desk.file(0, "one").await.unwrap();
+    let dump = desk.fleet.operate(0, &["dump"]);
+    let dump: serde_json::Value = serde_json::from_slice(&dump.stdout).unwrap();
+    assert_eq!(dump["ingress"]["under_way"], 0);
+    assert!(!dump.to_string().contains(&desk.secret));
+    let admin = CallerClient::open(desk.fleet.daemons[0].admin());
+    let metrics = admin.get("/metrics").await.unwrap().text();
+    let filings = metrics
+        .lines()
+        .find(|line| line.starts_with("requests_completed") && line.contains("class=\"filing\""));
+    assert!(
+        filings.is_some_and(|line| line.ends_with(" 1")),
+        "{metrics}"
+    );
+}
