Cut answers are never passed on as whole; a stop resets no waiting connection

Change: the egress speaks to instances over actix-http's codec itself, which knows the end of a body, tells a failed connect from a lost answer, closes a connection with surplus bytes, and refuses an answer whose end is not marked. A stopping daemon listens on for its linger, then serves what waits in the queue before the listener closes.

Ruled out: comparing lengths alone (chunked bodies name none); longer lingers (the reset came from the queue, not from open connections). What stays: a connection that comes within the microseconds between the last accept and the close is still reset.

--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -19,12 +19,14 @@
 use crate::members::MembersHandle;
 use crate::peers::PeerListener;
 use crate::settings::DaemonSettings;
-use crate::time::ProcessClock;
+use crate::time::{Deadline, ProcessClock};
 
 /// How often a stopping daemon looks whether its work is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
-/// How long a stopping daemon serves on, so that the others learn of it.
+/// How long a stopping daemon serves on, so that callers and the other daemons learn of it.
 const STOP_LINGER: Duration = Duration::from_secs(2);
+/// How long it serves open connections once it has stopped listening.
+const CLOSE_LINGER: Duration = Duration::from_millis(300);
 
 /// A running daemon.
 pub struct DaemonHandle {
@@ -108,11 +110,20 @@
         log::info!(target: part::DAEMON, "Stopping.");
         let now = self.clock.now();
         let deadline = now.after(self.settings.proxy.shutdown.get());
-        let linger = now.after(STOP_LINGER);
         self.stopping.set(true);
         self.egress.stop();
         self.ingress.stop();
         self.limits.hand_over().await;
+        actix_rt::time::sleep(STOP_LINGER).await;
+        self.ingress.close();
+        let status = self.finish_work(deadline).await;
+        self.members.leave().await;
+        status
+    }
+
+    /// Waits until all work is done and callers have had time to send what was on its way.
+    async fn finish_work(&self, deadline: Deadline) -> ExitStatus {
+        let linger = self.clock.now().after(CLOSE_LINGER);
         while !(self.is_idle() && linger.has_passed(self.clock.now())) {
             if deadline.has_passed(self.clock.now()) {
                 log::error!(target: part::DAEMON, under_way = self.under_way(); "Stop took too long, work is cut off.");
@@ -120,7 +131,6 @@
             }
             actix_rt::time::sleep(STOP_POLL).await;
         }
-        self.members.leave().await;
         log::info!(target: part::DAEMON, "Stopped.");
         ExitStatus::Success
     }
--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -1,31 +1,32 @@
 //! The HTTP client towards the instances beside the daemon.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::Method;
-use actix_http::error::PayloadError;
-use actix_http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use awc::error::{ConnectError, SendRequestError};
-use awc::{Client, ClientRequest, ClientResponse, Connector};
-use bytes::Bytes;
-use futures_util::StreamExt;
+use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, Uri};
 
-use crate::ids::BootId;
-use crate::ingress::header_rules::{self, DEADLINE_HEADER, REQUEST_HEADER};
+use crate::egress::backend_answer::BackendAnswer;
+use crate::egress::backend_connection::BackendConnection;
+use crate::hash::FastMap;
+use crate::ingress::header_rules::{DEADLINE_HEADER, REQUEST_HEADER};
+use crate::time::{Deadline, ProcessClock};
 use crate::verdict::Verdict;
-use crate::wire::{AnswerHead, FailureCause, RequestOffer};
+use crate::wire::{FailureCause, RequestOffer};
 
 /// Below the keep-alive of usual servers, so that a kept connection is not closed under a request.
-const KEEP_ALIVE: Duration = Duration::from_secs(3);
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const MAX_CONNECTIONS: usize = 64;
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+const MAX_KEPT: usize = 16;
 
-/// Sends requests to instances; connections that saw an error are closed.
+type KeptConnections = FastMap<SocketAddr, Vec<(BackendConnection, Deadline)>>;
+
+/// Sends requests to instances; only connections that brought a whole answer are used again.
 #[derive(Clone)]
 pub struct BackendClient {
-    client: Rc<Client>,
+    clock: ProcessClock,
+    kept: Rc<RefCell<KeptConnections>>,
 }
 
 /// Why a request got no answer head.
@@ -37,31 +38,31 @@
     pub cause: FailureCause,
 }
 
-/// An answer whose body is still to come.
-pub struct BackendAnswer {
-    /// The head.
-    pub head: AnswerHead,
-    response: ClientResponse,
-    has_end: bool,
-    received: u64,
+impl SendFailure {
+    const fn not_run(cause: FailureCause) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            cause,
+        }
+    }
+
+    /// A failure after the first byte may have left.
+    #[must_use]
+    pub const fn may_have_run(cause: FailureCause) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            cause,
+        }
+    }
 }
 
 impl BackendClient {
     /// Opens a client without connections.
     #[must_use]
-    pub fn open() -> Self {
-        let connector = Connector::new()
-            .limit(MAX_CONNECTIONS)
-            .timeout(CONNECT_TIMEOUT)
-            .conn_keep_alive(KEEP_ALIVE);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_redirects()
-            .disable_timeout()
-            .no_default_headers()
-            .finish();
+    pub fn open(clock: ProcessClock) -> Self {
         Self {
-            client: Rc::new(client),
+            clock,
+            kept: Rc::default(),
         }
     }
 
@@ -73,131 +74,109 @@
         &self,
         address: SocketAddr,
         offer: &RequestOffer,
-        remaining: Duration,
+        deadline: Deadline,
     ) -> Result<BackendAnswer, SendFailure> {
-        let request = self.request(address, offer, remaining).ok_or(SendFailure {
-            verdict: Verdict::NotRun,
-            cause: FailureCause::BadAnswer,
-        })?;
-        let sending = request.send_body(offer.body.clone());
-        match actix_rt::time::timeout(remaining, sending).await {
-            Ok(Ok(response)) => BackendAnswer::open(response, offer),
-            Ok(Err(error)) => Err(failure_of(&error)),
-            Err(_) => Err(SendFailure {
-                verdict: Verdict::MayHaveRun,
-                cause: FailureCause::Timeout,
-            }),
-        }
+        let head = self
+            .head(address, offer, deadline)
+            .ok_or(SendFailure::not_run(FailureCause::BadAnswer))?;
+        let connection = match self.take(address) {
+            Some(connection) => connection,
+            None => BackendConnection::open(address)
+                .await
+                .map_err(|_| SendFailure::not_run(FailureCause::ConnectionLost))?,
+        };
+        let remaining = deadline.remaining(self.clock.now());
+        let exchange = exchange(connection, head, offer);
+        actix_rt::time::timeout(remaining, exchange)
+            .await
+            .unwrap_or(Err(FailureCause::Timeout))
+            .map_err(SendFailure::may_have_run)
     }
 
-    fn request(
-        &self,
-        address: SocketAddr,
-        offer: &RequestOffer,
-        remaining: Duration,
-    ) -> Option<ClientRequest> {
-        let method = Method::from_bytes(offer.method.as_bytes()).ok()?;
-        let uri = format!("http://{address}{}", offer.target);
-        let mut request = self.client.request(method, uri);
-        for (name, value) in &offer.headers {
-            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-            let value = HeaderValue::from_bytes(value).ok()?;
-            request.headers_mut().append(name, value);
+    /// Keeps the connection of a whole answer for the next request.
+    pub fn release(&self, address: SocketAddr, answer: BackendAnswer) {
+        let Some(connection) = answer.finish() else {
+            return;
+        };
+        let deadline = self.clock.now().after(KEEP_ALIVE);
+        let mut kept = self.kept.borrow_mut();
+        let connections = kept.entry(address).or_default();
+        if connections.len() < MAX_KEPT {
+            connections.push((connection, deadline));
         }
-        let name = request_name(offer.boot, offer);
-        let millis = remaining.as_millis().to_string();
-        Some(
-            request
-                .insert_header((REQUEST_HEADER, name))
-                .insert_header((DEADLINE_HEADER, millis)),
-        )
     }
-}
 
-impl BackendAnswer {
-    fn open(response: ClientResponse, offer: &RequestOffer) -> Result<Self, SendFailure> {
-        let headers = response.headers();
-        if let Some(echoed) = headers.get(REQUEST_HEADER)
-            && echoed.as_bytes() != request_name(offer.boot, offer).as_bytes()
-        {
-            return Err(SendFailure {
-                verdict: Verdict::MayHaveRun,
-                cause: FailureCause::BadAnswer,
-            });
-        }
-        let length = headers
-            .get(CONTENT_LENGTH)
-            .and_then(|value| value.to_str().ok()?.parse().ok());
-        let status = response.status();
-        let bodiless = offer.method == "HEAD" || matches!(status.as_u16(), 100..=199 | 204 | 304);
-        let has_end = bodiless || length.is_some() || headers.contains_key(TRANSFER_ENCODING);
-        let head = AnswerHead {
-            status: status.as_u16(),
-            headers: header_rules::crossing(headers),
-            length: if bodiless { Some(0) } else { length },
-        };
-        Ok(Self {
-            head,
-            response,
-            has_end,
-            received: 0,
-        })
+    /// Closes connections that were idle for too long.
+    pub fn close_idle(&self) {
+        let now = self.clock.now();
+        self.kept.borrow_mut().retain(|_, connections| {
+            connections.retain(|(_, deadline)| !deadline.has_passed(now));
+            !connections.is_empty()
+        });
     }
 
-    /// The next bytes, or none at the end of the whole answer.
-    ///
-    /// # Errors
-    /// `FailureCause` when the body is cut, malformed, or has no mark of its end.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, FailureCause> {
-        match self.response.next().await {
-            Some(Ok(chunk)) => {
-                self.received += chunk.len() as u64;
-                Ok(Some(chunk))
+    fn take(&self, address: SocketAddr) -> Option<BackendConnection> {
+        let now = self.clock.now();
+        let mut kept = self.kept.borrow_mut();
+        let connections = kept.get_mut(&address)?;
+        while let Some((connection, deadline)) = connections.pop() {
+            if !deadline.has_passed(now) && connection.is_usable() {
+                return Some(connection);
             }
-            Some(Err(error)) => Err(body_cause(&error)),
-            None if self.is_whole() => Ok(None),
-            None => Err(FailureCause::BadAnswer),
         }
+        None
     }
 
-    /// Bytes of the body received so far.
-    #[must_use]
-    pub const fn received(&self) -> u64 {
-        self.received
-    }
-
-    /// An answer that only ends with its connection cannot be told from a cut one.
-    fn is_whole(&self) -> bool {
-        self.has_end
-            && self
-                .head
-                .length
-                .is_none_or(|length| length == self.received)
+    fn head(
+        &self,
+        address: SocketAddr,
+        offer: &RequestOffer,
+        deadline: Deadline,
+    ) -> Option<RequestHead> {
+        let mut head = RequestHead::default();
+        head.method = Method::from_bytes(offer.method.as_bytes()).ok()?;
+        head.uri = offer.target.parse::<Uri>().ok()?;
+        for (name, value) in &offer.headers {
+            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+            head.headers
+                .append(name, HeaderValue::from_bytes(value).ok()?);
+        }
+        let remaining = deadline.remaining(self.clock.now());
+        set(&mut head.headers, HOST, &address.to_string());
+        set(
+            &mut head.headers,
+            HeaderName::from_static(REQUEST_HEADER),
+            &request_name(offer),
+        );
+        let millis = remaining.as_millis().to_string();
+        set(
+            &mut head.headers,
+            HeaderName::from_static(DEADLINE_HEADER),
+            &millis,
+        );
+        Some(head)
     }
 }
 
-fn request_name(boot: BootId, offer: &RequestOffer) -> String {
-    format!("{boot}-{}", offer.request)
+async fn exchange(
+    mut connection: BackendConnection,
+    head: RequestHead,
+    offer: &RequestOffer,
+) -> Result<BackendAnswer, FailureCause> {
+    connection
+        .send(head, &offer.body)
+        .await
+        .map_err(|_| FailureCause::ConnectionLost)?;
+    let (head, rest) = connection.receive().await?;
+    BackendAnswer::open(&head, rest, offer, &request_name(offer))
 }
 
-const fn body_cause(error: &PayloadError) -> FailureCause {
-    match error {
-        PayloadError::Io(_) => FailureCause::ConnectionLost,
-        _ => FailureCause::BadAnswer,
+fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
     }
 }
 
-fn failure_of(error: &SendRequestError) -> SendFailure {
-    let (verdict, cause) = match error {
-        SendRequestError::Url(_) => (Verdict::NotRun, FailureCause::BadAnswer),
-        // The client reports a connection lost after sending as `Disconnected`, too.
-        SendRequestError::Connect(ConnectError::Disconnected) => {
-            (Verdict::MayHaveRun, FailureCause::ConnectionLost)
-        }
-        SendRequestError::Connect(_) => (Verdict::NotRun, FailureCause::ConnectionLost),
-        SendRequestError::Response(_) => (Verdict::MayHaveRun, FailureCause::BadAnswer),
-        SendRequestError::Timeout => (Verdict::MayHaveRun, FailureCause::Timeout),
-        _ => (Verdict::MayHaveRun, FailureCause::ConnectionLost),
-    };
-    SendFailure { verdict, cause }
+fn request_name(offer: &RequestOffer) -> String {
+    format!("{}-{}", offer.boot, offer.request)
 }
--- /dev/null
+++ b/src/egress/backend_connection.rs
@@ -0,0 +1,133 @@
+//! One HTTP/1.1 connection to an instance, over `actix-http`'s codec.
+//!
+//! `awc` ends a cut body like a whole one, and reports a connection that broke after sending
+//! like one that never came about; here both are told apart.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead};
+use actix_rt::net::TcpStream;
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::wire::FailureCause;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A connection between two answers.
+pub(crate) struct BackendConnection {
+    socket: TcpStream,
+    buffer: BytesMut,
+    codec: ClientCodec,
+}
+
+/// A connection whose answer's body is still to come.
+pub(crate) struct BodyConnection {
+    socket: TcpStream,
+    buffer: BytesMut,
+    codec: ClientPayloadCodec,
+}
+
+/// What follows an answer's head.
+pub(crate) enum AnswerRest {
+    /// Nothing; the connection is free, if it may be used again.
+    Nothing(Option<BackendConnection>),
+    /// A body.
+    Body(BodyConnection),
+}
+
+impl BackendConnection {
+    /// Connects to the instance at `address`.
+    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
+        let connecting = TcpStream::connect(address);
+        let socket = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        socket.set_nodelay(true)?;
+        Ok(Self {
+            socket,
+            buffer: BytesMut::new(),
+            codec: ClientCodec::default(),
+        })
+    }
+
+    /// Whether it is open and silent: surplus bytes belong to no request of ours.
+    pub(crate) fn is_usable(&self) -> bool {
+        let mut byte = [0];
+        let read = self.socket.try_read(&mut byte);
+        self.buffer.is_empty() && read.is_err_and(|cause| cause.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request; a failure leaves open whether it arrived.
+    pub(crate) async fn send(&mut self, head: RequestHead, body: &[u8]) -> io::Result<()> {
+        let size = BodySize::Sized(body.len() as u64);
+        let mut bytes = BytesMut::new();
+        let head = RequestHeadType::Owned(head);
+        self.codec.encode(Message::Item((head, size)), &mut bytes)?;
+        bytes.extend_from_slice(body);
+        self.socket.write_all(&bytes).await
+    }
+
+    /// Receives the answer's head.
+    pub(crate) async fn receive(mut self) -> Result<(ResponseHead, AnswerRest), FailureCause> {
+        let head = loop {
+            let decoded = self.codec.decode(&mut self.buffer);
+            match decoded.map_err(|_| FailureCause::BadAnswer)? {
+                Some(head) if head.status.is_informational() => {}
+                Some(head) => break head,
+                None => read_more(&mut self.socket, &mut self.buffer).await?,
+            }
+        };
+        let rest = match self.codec.message_type() {
+            MessageType::None => AnswerRest::Nothing(self.into_kept()),
+            MessageType::Payload | MessageType::Stream => AnswerRest::Body(BodyConnection {
+                socket: self.socket,
+                buffer: self.buffer,
+                codec: self.codec.into_payload_codec(),
+            }),
+        };
+        Ok((head, rest))
+    }
+
+    fn into_kept(self) -> Option<Self> {
+        let may_keep = self.codec.keep_alive() && self.buffer.is_empty();
+        may_keep.then_some(self)
+    }
+}
+
+impl BodyConnection {
+    /// The next bytes of the body, or none at its marked end.
+    ///
+    /// An answer that only ends with its connection cannot be told from a cut one.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, FailureCause> {
+        loop {
+            let decoded = self.codec.decode(&mut self.buffer);
+            match decoded.map_err(|_| FailureCause::BadAnswer)? {
+                Some(item) => return Ok(item),
+                None => read_more(&mut self.socket, &mut self.buffer).await?,
+            }
+        }
+    }
+
+    /// The connection after the whole body, if it may be used again.
+    pub(crate) fn finish(self) -> Option<BackendConnection> {
+        let connection = BackendConnection {
+            socket: self.socket,
+            buffer: self.buffer,
+            codec: self.codec.into_message_codec(),
+        };
+        connection.into_kept()
+    }
+}
+
+async fn read_more(socket: &mut TcpStream, buffer: &mut BytesMut) -> Result<(), FailureCause> {
+    match socket.read_buf(buffer).await {
+        Ok(0) | Err(_) => Err(FailureCause::ConnectionLost),
+        Ok(_) => Ok(()),
+    }
+}
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -62,8 +62,8 @@
     #[must_use]
     pub fn spawn(sources: EgressSources) -> Self {
         let handle = Self {
+            client: BackendClient::open(sources.clock),
             sources,
-            client: BackendClient::open(),
             gates: Rc::default(),
             unknown: Rc::default(),
             stopping: Rc::default(),
@@ -196,6 +196,7 @@
         loop {
             actix_rt::time::sleep(TICK).await;
             self.retry_unknown();
+            self.client.close_idle();
             for gate in self.all_gates() {
                 self.tick(&gate);
             }
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -1,6 +1,8 @@
 //! The egress: the only way to the instances beside the daemon.
 
+mod backend_answer;
 mod backend_client;
+mod backend_connection;
 mod egress_handle;
 mod instance_gate;
 mod offer_task;
@@ -8,7 +10,8 @@
 mod slot_guard;
 mod start_machine;
 
-pub use backend_client::{BackendAnswer, BackendClient, SendFailure};
+pub use backend_answer::BackendAnswer;
+pub use backend_client::{BackendClient, SendFailure};
 pub use egress_handle::{EgressHandle, EgressSources};
 pub use instance_gate::{GateEntry, InstanceGate, QueueWord};
 pub use slot_guard::SlotGuard;
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -193,8 +193,7 @@
     /// The answer's head, or none when the request was cancelled.
     async fn send_to_instance(&mut self) -> Option<Result<BackendAnswer, SendFailure>> {
         let address = self.gate.borrow().local().address;
-        let remaining = self.deadline.remaining(self.clock.now());
-        let sending = pin!(self.egress.client.send(address, &self.offer, remaining));
+        let sending = pin!(self.egress.client.send(address, &self.offer, self.deadline));
         let lost = pin!(wait_lost(&mut self.receiver));
         match select(sending, lost).await {
             Either::Left((result, _)) => Some(result),
@@ -226,20 +225,17 @@
                 Err(cause) => {
                     self.observe(outcome_of_failure(cause), start, blocked);
                     drop(guard);
-                    return self
-                        .fail(SendFailure {
-                            verdict: Verdict::MayHaveRun,
-                            cause,
-                        })
-                        .await;
+                    return self.fail(SendFailure::may_have_run(cause)).await;
                 }
             }
         }
         self.observe(outcome_of_status(answer.head.status), start, blocked);
         self.remember(answer.head.status);
         drop(guard);
-        let load = self.gate.borrow().load();
         let total_bytes = answer.received();
+        let address = self.gate.borrow().local().address;
+        self.egress.client.release(address, answer);
+        let load = self.gate.borrow().load();
         self.sender
             .send(&EgressMessage::End { total_bytes, load })
             .await?;
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -20,7 +20,10 @@
     let address = gate.borrow().local().address;
     let start = egress.sources.clock.now();
     let sending = async {
-        let answer = egress.client.send(address, &offer, PROBE_TIMEOUT).await?;
+        let answer = egress
+            .client
+            .send(address, &offer, start.after(PROBE_TIMEOUT))
+            .await?;
         read_whole(answer).await
     };
     let outcome = match actix_rt::time::timeout(PROBE_TIMEOUT, sending).await {
@@ -62,10 +65,7 @@
             Ok(Some(_)) => {}
             Ok(None) => return Ok(answer.head.status),
             Err(cause) => {
-                return Err(SendFailure {
-                    verdict: crate::verdict::Verdict::MayHaveRun,
-                    cause,
-                });
+                return Err(SendFailure::may_have_run(cause));
             }
         }
     }
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,23 +12,34 @@
 use actix_http::{HttpService, Request, Response};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{LocalBoxFuture, select};
+use tokio::sync::oneshot;
 
 use crate::http::ConnectionMark;
 use crate::logs::part;
 
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Answers one request.
 pub type HttpHandler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
 
-/// A running HTTP listener; dropping it stops accepting, and open connections go on.
+/// A running HTTP listener.
+///
+/// Dropping it stops listening: connections that were waiting to be accepted are served, and
+/// open ones go on.
 pub struct HttpServer {
     address: SocketAddr,
-    connections: Rc<Cell<usize>>,
+    counts: ConnectionCounts,
+    _open: oneshot::Sender<()>,
+}
+
+/// Counts of connections, shared with each of them.
+#[derive(Clone, Default)]
+struct ConnectionCounts {
+    open: Rc<Cell<usize>>,
     closing: Rc<Cell<usize>>,
-    task: actix_rt::task::JoinHandle<()>,
 }
 
 impl HttpServer {
@@ -38,15 +50,13 @@
     pub async fn bind(address: SocketAddr, handler: HttpHandler) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let connections = Rc::new(Cell::new(0));
-        let closing = Rc::new(Cell::new(0));
-        let counts = (Rc::clone(&connections), Rc::clone(&closing));
-        let task = actix_rt::spawn(accept(listener, handler, counts.0, counts.1));
+        let counts = ConnectionCounts::default();
+        let (open, closed) = oneshot::channel();
+        actix_rt::spawn(serve_until(listener, handler, counts.clone(), closed));
         Ok(Self {
             address,
-            connections,
-            closing,
-            task,
+            counts,
+            _open: open,
         })
     }
 
@@ -59,32 +69,27 @@
     /// Connections that are open.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.counts.open.get()
     }
 
     /// Connections that were told to close and have not ended yet; the count outlives the listener.
     #[must_use]
     pub fn closing(&self) -> Rc<Cell<usize>> {
-        Rc::clone(&self.closing)
-    }
-}
-
-impl Drop for HttpServer {
-    fn drop(&mut self) {
-        self.task.abort();
+        Rc::clone(&self.counts.closing)
     }
 }
 
-async fn accept(
+async fn serve_until(
     listener: TcpListener,
     handler: HttpHandler,
-    connections: Rc<Cell<usize>>,
-    closing: Rc<Cell<usize>>,
+    counts: ConnectionCounts,
+    closed: oneshot::Receiver<()>,
 ) {
     let answer = fn_service(move |request: Request| {
         let reply = handler(request);
         async move { Ok::<_, Infallible>(reply.await) }
     });
+    let closing = Rc::clone(&counts.closing);
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
@@ -98,22 +103,45 @@
         return;
     };
     let service = Rc::new(service);
+    let serve = |socket: TcpStream| {
+        // Without this a small answer can wait for a delayed acknowledgement.
+        let _ = socket.set_nodelay(true);
+        let (service, open) = (Rc::clone(&service), Rc::clone(&counts.open));
+        open.set(open.get() + 1);
+        actix_rt::spawn(async move {
+            let _ = service.call(socket).await;
+            open.set(open.get() - 1);
+        });
+    };
+    {
+        let accepting = pin!(accept(&listener, &serve));
+        select(accepting, closed).await;
+    }
+    serve_waiting(listener, &serve);
+}
+
+async fn accept(listener: &TcpListener, serve: &impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
-            Ok((socket, _)) => {
-                // Without this a small answer can wait for a delayed acknowledgement.
-                let _ = socket.set_nodelay(true);
-                connections.set(connections.get() + 1);
-                let (service, connections) = (Rc::clone(&service), Rc::clone(&connections));
-                actix_rt::spawn(async move {
-                    let _ = service.call(socket).await;
-                    connections.set(connections.get() - 1);
-                });
-            }
+            Ok((socket, _)) => serve(socket),
             Err(cause) => {
                 log::warn!(target: part::DAEMON, cause:%; "Cannot accept a connection.");
-                actix_rt::time::sleep(Duration::from_millis(50)).await;
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
+
+/// Closing the listener would reset the connections that wait in its queue.
+fn serve_waiting(listener: TcpListener, serve: &impl Fn(TcpStream)) {
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((socket, _)) = listener.accept() {
+        if socket.set_nonblocking(true).is_ok()
+            && let Ok(socket) = TcpStream::from_std(socket)
+        {
+            serve(socket);
+        }
+    }
+}
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -91,9 +91,13 @@
         Ok(handle)
     }
 
-    /// Stops accepting connections; requests on open ones are served and told to close.
+    /// Tells each caller to close its connection with its next answer.
     pub fn stop(&self) {
         self.stopping.set(true);
+    }
+
+    /// Stops listening; requests on open connections are still served.
+    pub fn close(&self) {
         *self.server.borrow_mut() = None;
     }
 
--- a/tests/common/caller_client.rs
+++ b/tests/common/caller_client.rs
@@ -107,6 +107,11 @@
         let mut answer = answer.timeout(LIMIT);
         let receiving = answer.body().limit(MAX_ANSWER_BYTES);
         let body = receiving.await.map_err(|cause| cause.to_string())?;
+        // The client library ends a cut body like a whole one.
+        let named = answer.headers().get("content-length").cloned();
+        if named.is_some_and(|length| length.as_bytes() != body.len().to_string().as_bytes()) {
+            return Err(format!("answer cut after {} bytes", body.len()));
+        }
         Ok(CallerAnswer {
             status: answer.status(),
             headers: answer.headers().clone(),
--- /dev/null
+++ b/tests/process_filings.rs
@@ -0,0 +1,180 @@
+//! A filing runs at most once and "not run" is true, whatever is killed, frozen or cut.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{CallerAnswer, DeskFleet, FleetPlan};
+
+const WORKERS: usize = 6;
+
+/// What callers were told of each filing.
+#[derive(Default)]
+struct FilingLog {
+    told: RefCell<Vec<(String, String)>>,
+    stop: Cell<bool>,
+}
+
+impl FilingLog {
+    fn note(&self, tag: String, answer: Result<CallerAnswer, String>) {
+        let verdict = match answer {
+            Ok(answer) if answer.verdict() == "ran" => {
+                let whole = answer.answers(&tag, tag.as_bytes()) || answer.status.as_u16() >= 500;
+                assert!(whole, "{tag} got another answer: {}", answer.text());
+                "ran".to_owned()
+            }
+            Ok(answer) => {
+                let refused = answer.verdict() == "not-run" && answer.status.as_u16() != 502;
+                assert!(
+                    refused || answer.verdict() == "may-have-run",
+                    "{}",
+                    answer.text()
+                );
+                answer.verdict().to_owned()
+            }
+            // The daemon itself was killed: the caller knows nothing.
+            Err(_) => "unknown".to_owned(),
+        };
+        self.told.borrow_mut().push((tag, verdict));
+    }
+
+    fn count(&self, wanted: &str) -> usize {
+        let told = self.told.borrow();
+        told.iter().filter(|(_, verdict)| verdict == wanted).count()
+    }
+}
+
+/// Files without pause through the daemon 0 until told to stop.
+async fn keep_filing(desk: &DeskFleet, log: &FilingLog, worker: usize) {
+    let mut number = 0;
+    while !log.stop.get() {
+        let tag = format!("filing-{worker}-{number}");
+        number += 1;
+        let caller = desk.caller(0).with_header("x-deadline-ms", "3000");
+        let post = awc::http::Method::POST;
+        let answer = caller.send(post, "/filings", &tag, tag.as_bytes()).await;
+        log.note(tag, answer);
+        actix_rt::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Files while `faults` happen, then holds every verdict against what the instances ran.
+async fn hold(desk: DeskFleet, faults: impl AsyncFnOnce(&DeskFleet)) {
+    let desk = Rc::new(desk);
+    let log = Rc::new(FilingLog::default());
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|worker| {
+            let (desk, log) = (Rc::clone(&desk), Rc::clone(&log));
+            actix_rt::spawn(async move { keep_filing(&desk, &log, worker).await })
+        })
+        .collect();
+    pause(500).await;
+    faults(&desk).await;
+    pause(500).await;
+    log.stop.set(true);
+    for worker in workers {
+        worker.await.unwrap();
+    }
+    // Whatever is still under way at an instance ends before it is counted.
+    pause(500).await;
+    check(&desk, &log).await;
+}
+
+async fn check(desk: &DeskFleet, log: &FilingLog) {
+    let mut ran = Vec::new();
+    for backend in &desk.fleet.backends {
+        ran.extend(backend.ran().await.into_iter().map(|request| request.tag));
+    }
+    for (tag, verdict) in log.told.borrow().iter() {
+        let times = ran.iter().filter(|other| *other == tag).count();
+        assert!(times <= 1, "{tag} ran {times} times, told {verdict}");
+        assert!(
+            verdict != "not-run" || times == 0,
+            "{tag} ran, told not-run"
+        );
+        assert!(
+            verdict != "ran" || times == 1,
+            "{tag} did not run, told ran"
+        );
+    }
+    assert!(
+        log.count("ran") > 50,
+        "only {} filings ran",
+        log.count("ran")
+    );
+}
+
+async fn pause(millis: u64) {
+    actix_rt::time::sleep(Duration::from_millis(millis)).await;
+}
+
+async fn open(name: &str) -> DeskFleet {
+    DeskFleet::open_with(name, FleetPlan::of(3), |plan| {
+        plan.service_time = "15ms".into()
+    })
+    .await
+}
+
+#[actix_rt::test]
+async fn egress_frozen() {
+    let desk = open("filings-frozen").await;
+    hold(desk, async |desk| {
+        for _ in 0..3 {
+            desk.fleet.daemons[1].process.pause();
+            pause(1200).await;
+            desk.fleet.daemons[1].process.resume();
+            pause(300).await;
+        }
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn egress_killed() {
+    let mut desk = open("filings-killed").await;
+    // Taken out, so that it can be killed while the others serve.
+    let mut doomed = desk.fleet.daemons.remove(2);
+    hold(desk, async |_| {
+        doomed.process.kill();
+        pause(1500).await;
+        doomed.restart();
+        pause(2500).await;
+        doomed.process.kill();
+        pause(1000).await;
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn instance_frozen() {
+    let desk = open("filings-instance").await;
+    hold(desk, async |desk| {
+        for fault in [
+            "\"frozen\"",
+            "\"normal\"",
+            "\"cut\"",
+            "\"silent\"",
+            "\"normal\"",
+        ] {
+            desk.fleet.backends[1].fault(fault).await;
+            pause(900).await;
+        }
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn instance_paused() {
+    let desk = open("filings-paused").await;
+    hold(desk, async |desk| {
+        for _ in 0..3 {
+            desk.fleet.backends[0].process.pause();
+            pause(700).await;
+            desk.fleet.backends[0].process.resume();
+            pause(300).await;
+        }
+    })
+    .await;
+}
