Rate proofs in virtual time; report spent tokens also while a home is empty

Why: the bound burst + rate * t has to hold under loss, doubling, delay, pauses, view changes, replaced processes and an absent table.

Found: an ingress whose home had no tokens did not report what it had spent, so an account with burst 1 got 65% of its rate.

--- a/src/limits/account_purse.rs
+++ b/src/limits/account_purse.rs
@@ -157,18 +157,19 @@
     /// The asks that should leave now: one for tokens at a time, and those with news.
     #[must_use]
     pub fn lanes_to_ask(&self, now: MonoTime) -> Vec<LaneAsk> {
-        let is_ready = |lane: &u8| self.lane(*lane).is_ready(now);
-        let ready = [self.turn, self.turn ^ 1].into_iter().filter(is_ready);
+        let is_open = |lane: &u8| self.lane(*lane).is_open(now);
+        let open = [self.turn, self.turn ^ 1].into_iter().filter(is_open);
         let mut needs_tokens = !self.waiting.is_empty() || self.wants_more(now);
         if self.lanes.iter().any(|lane| lane.is_pending_fresh(now)) {
             needs_tokens = false;
         }
         let mut asks = Vec::new();
-        for lane in ready {
-            if needs_tokens || self.has_news(lane, now) {
-                let tokens = std::mem::take(&mut needs_tokens);
+        for lane in open {
+            let tokens = needs_tokens && self.lane(lane).is_ready(now);
+            if tokens || self.has_news(lane, now) {
                 asks.push(LaneAsk { lane, tokens });
             }
+            needs_tokens &= !tokens;
         }
         asks
     }
--- a/src/limits/grant_lane.rs
+++ b/src/limits/grant_lane.rs
@@ -38,10 +38,16 @@
         self.used
     }
 
-    /// Whether an ask may leave.
+    /// Whether an ask may leave, if only to report.
+    #[must_use]
+    pub fn is_open(&self, now: MonoTime) -> bool {
+        self.used && self.asked.is_none() && now >= self.silent_until
+    }
+
+    /// Whether an ask for tokens may leave.
     #[must_use]
     pub fn is_ready(&self, now: MonoTime) -> bool {
-        self.used && self.asked.is_none() && now >= self.empty_until && now >= self.silent_until
+        self.is_open(now) && now >= self.empty_until
     }
 
     /// Whether an answer is still to be expected soon.
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -120,9 +120,7 @@
         }
     };
     core.deliver(ends);
-    if core.purse.borrow().waiting() > 0 {
-        ask(&core);
-    }
+    ask(&core);
 }
 
 /// Asks for a token for one request.
--- /dev/null
+++ b/tests/limits_kit/rate_audit.rs
@@ -0,0 +1,96 @@
+//! What was asked, refused and admitted, and whether the rate was kept.
+
+use wagtailtrack::resource::RateLimit;
+
+const PARTS_PER_TOKEN: u64 = 1_000_000_000;
+
+#[derive(Debug, Clone, Copy)]
+struct AuditedRequest {
+    account: usize,
+    asked: u64,
+    admitted: Option<u64>,
+    refused: bool,
+    withdrawn: bool,
+}
+
+/// Every request with its fate, in true time.
+#[derive(Debug, Default)]
+pub struct RateAudit {
+    requests: Vec<AuditedRequest>,
+}
+
+impl RateAudit {
+    pub fn request(&mut self, account: usize, now: u64) -> usize {
+        self.requests.push(AuditedRequest {
+            account,
+            asked: now,
+            admitted: None,
+            refused: false,
+            withdrawn: false,
+        });
+        self.requests.len() - 1
+    }
+
+    pub fn admit(&mut self, request: usize, now: u64) -> usize {
+        self.requests[request].admitted = Some(now);
+        request
+    }
+
+    pub fn refuse(&mut self, request: usize) {
+        self.requests[request].refused = true;
+    }
+
+    /// The request provably did not run.
+    pub fn withdraw(&mut self, request: usize) {
+        self.requests[request].admitted = None;
+        self.requests[request].withdrawn = true;
+    }
+
+    /// Requests of `account` asked in `span`: all, admitted, refused;
+    /// those admitted and withdrawn count as admitted.
+    pub fn counts(&self, account: usize, span: std::ops::Range<u64>) -> [usize; 3] {
+        let asked = || {
+            let requests = self.requests.iter();
+            requests.filter(|one| one.account == account && span.contains(&one.asked))
+        };
+        let admitted = asked()
+            .filter(|one| one.admitted.is_some() || one.withdrawn)
+            .count();
+        let refused = asked().filter(|one| one.refused).count();
+        [asked().count(), admitted, refused]
+    }
+
+    /// How many requests of `account` asked in `span` one bucket in one place would admit.
+    pub fn ideal(&self, account: usize, limit: &RateLimit, span: std::ops::Range<u64>) -> usize {
+        let burst = u64::from(limit.burst.get()) * PARTS_PER_TOKEN;
+        let (mut level, mut last, mut admitted) = (burst, 0, 0);
+        for request in self.requests.iter().filter(|one| one.account == account) {
+            let accrued = (request.asked - last) * limit.rate.milli_per_second();
+            level = burst.min(level + accrued);
+            last = request.asked;
+            if level >= PARTS_PER_TOKEN {
+                level -= PARTS_PER_TOKEN;
+                admitted += usize::from(span.contains(&request.asked));
+            }
+        }
+        admitted
+    }
+
+    /// By how many tokens at most the admissions of `account` exceed burst + rate * t over
+    /// all windows, in parts of a token; exact, by replaying a token bucket.
+    pub fn excess(&self, account: usize, limit: &RateLimit) -> u64 {
+        let requests = self.requests.iter().filter(|one| one.account == account);
+        let mut times: Vec<u64> = requests.filter_map(|one| one.admitted).collect();
+        times.sort_unstable();
+        let burst = i128::from(limit.burst.get()) * i128::from(PARTS_PER_TOKEN);
+        let rate = i128::from(limit.rate.milli_per_second());
+        let (mut level, mut last, mut worst) = (burst, 0, 0);
+        for time in times {
+            level = burst.min(level + i128::from(time - last) * rate);
+            level -= i128::from(PARTS_PER_TOKEN);
+            worst = worst.max(-level);
+            last = time;
+        }
+        u64::try_from(worst).unwrap()
+    }
+}
--- /dev/null
+++ b/tests/limits_kit/virtual_node.rs
@@ -0,0 +1,137 @@
+//! One daemon's state machines, driven by hand with a clock of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wagtailtrack::hash::FastMap;
+use wagtailtrack::ids::{BootId, DaemonId};
+use wagtailtrack::limits::{
+    AdmitStep, AdmittedToken, ClaimEpoch, GrantPurse, HomeMap, LeaseChange, LeaseHolder,
+    LeaseIdentity, LoanBook, PlannedGrant, PoolLedger, ShareLender, WaitEnd,
+};
+use wagtailtrack::resource::RateLimit;
+use wagtailtrack::settings::LimitsSettings;
+use wagtailtrack::time::MonoTime;
+
+const ADMIT_WAIT: Duration = Duration::from_millis(250);
+
+/// A clock that runs at its own speed from its own origin.
+#[derive(Debug, Clone, Copy)]
+pub struct VirtualClock {
+    pub origin: u64,
+    /// Its speed in thousandths of true time, at most 1000.
+    pub speed: u64,
+}
+
+impl VirtualClock {
+    pub fn at(self, true_micros: u64) -> MonoTime {
+        MonoTime::from_micros(self.origin + true_micros * self.speed / 1_000)
+    }
+}
+
+/// What a node does with the table just now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TableStep {
+    Idle,
+    Scanning,
+    Committing,
+}
+
+pub struct VirtualNode {
+    pub daemon: DaemonId,
+    pub boot: BootId,
+    pub clock: VirtualClock,
+    pub settings: LimitsSettings,
+    pub holder: LeaseHolder,
+    pub lender: ShareLender,
+    pub book: LoanBook,
+    pub ledger: PoolLedger,
+    pub purse: GrantPurse,
+    pub map: HomeMap,
+    pub asked: FastMap<u64, PlannedGrant>,
+    pub waiting: FastMap<u64, usize>,
+    pub step: TableStep,
+    pub round: u64,
+    pub renewed: Option<MonoTime>,
+    pub paused_until: u64,
+}
+
+impl VirtualNode {
+    pub fn open(index: usize, boot: u64, clock: VirtualClock, settings: &LimitsSettings) -> Self {
+        let daemon: DaemonId = format!("vm-{index}").parse().unwrap();
+        let address: SocketAddr = format!("127.0.0.1:{}", 1_000 + index).parse().unwrap();
+        let (boot, total) = (BootId(boot), settings.shares);
+        let (loan, grant) = (settings.loan.get(), settings.grant.get());
+        let identity = LeaseIdentity {
+            daemon: daemon.clone(),
+            address,
+            boot,
+        };
+        Self {
+            daemon,
+            boot,
+            clock,
+            settings: settings.clone(),
+            holder: LeaseHolder::open(identity, settings.lease, total),
+            lender: ShareLender::open(loan, ClaimEpoch(boot.0)),
+            book: LoanBook::open(boot, total, loan),
+            ledger: PoolLedger::open(boot, total, grant),
+            purse: GrantPurse::open(boot, total),
+            map: HomeMap::default(),
+            asked: FastMap::default(),
+            waiting: FastMap::default(),
+            step: TableStep::Idle,
+            round: 0,
+            renewed: None,
+            paused_until: 0,
+        }
+    }
+
+    pub fn follow(&mut self, map: HomeMap, now: MonoTime) {
+        let cells = map.cells_of(&self.daemon).collect();
+        self.book.follow(&map, cells, now);
+        self.map = map;
+    }
+
+    pub fn apply(&mut self, changes: Vec<LeaseChange>, now: MonoTime) {
+        let before = self.lender.shares();
+        for change in changes {
+            match change {
+                LeaseChange::Held(share, until, origin) => {
+                    self.lender.claim(share, until, origin, now);
+                }
+                LeaseChange::Lost(share) => self.lender.lose(share),
+            }
+        }
+        if self.lender.shares() != before {
+            self.book.ask_soon(now);
+        }
+    }
+
+    /// A request of `limit`; the token if it has one, whether it is over if not.
+    pub fn admit(&mut self, limit: &RateLimit, request: usize, now: MonoTime) -> NodeStep {
+        match self.purse.admit(limit, now.after(ADMIT_WAIT), now) {
+            AdmitStep::Admitted(token) => NodeStep::Admitted(token),
+            AdmitStep::Refused(_) => NodeStep::Refused,
+            AdmitStep::Waiting(number) => {
+                self.waiting.insert(number, request);
+                NodeStep::Waiting
+            }
+        }
+    }
+
+    pub fn end(&mut self, end: WaitEnd) -> (usize, Option<AdmittedToken>) {
+        match end {
+            WaitEnd::Admitted(number, token) => {
+                (self.waiting.remove(&number).unwrap(), Some(token))
+            }
+            WaitEnd::Refused(number, _) => (self.waiting.remove(&number).unwrap(), None),
+        }
+    }
+}
+
+pub enum NodeStep {
+    Admitted(AdmittedToken),
+    Refused,
+    Waiting,
+}
