--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,10 +2,16 @@
 
 mod codec;
 mod config_call;
+mod egress_message;
+mod gossip_message;
+mod ingress_message;
 mod instance_record;
 mod instances_call;
 mod limits_call;
+mod limits_grant;
+mod limits_loan;
 mod load_figure;
+mod member_record;
 mod peer_call;
 mod peer_opening;
 mod peer_reply;
@@ -13,10 +19,16 @@
 
 pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
 pub use config_call::{ConfigCall, ConfigReply};
+pub use egress_message::{AnswerHead, EgressMessage, FailureCause, RefusalReason};
+pub use gossip_message::{BucketDigest, GossipBody, GossipMessage, OwnerDigest};
+pub use ingress_message::IngressMessage;
 pub use instance_record::{HealthState, InstancePhase, InstanceRecord};
-pub use instances_call::{InstancesCall, InstancesReply};
+pub use instances_call::{InstancesCall, InstancesReply, OwnerState};
 pub use limits_call::{LimitsCall, LimitsReply};
+pub use limits_grant::{GrantAnswer, GrantAsk, GrantGive, GrantUse, GrantWant, TokenGrant};
+pub use limits_loan::{LoanAnswer, LoanAsk, LoanReturn, LoanWant, ReturnedLoan, ShardLoan};
 pub use load_figure::LoadFigure;
+pub use member_record::{MemberRecord, MemberState};
 pub use peer_call::PeerCall;
 pub use peer_opening::PeerOpening;
 pub use peer_reply::PeerReply;
