--- a/src/config/account_table.rs
+++ b/src/config/account_table.rs
@@ -113,6 +113,22 @@
         })
     }
 
+    /// The accounts whose numbers begin at `start`, `most` numbers at most; none past the end.
+    #[must_use]
+    pub fn numbered(&self, start: u32, most: u32) -> Option<Vec<(AccountId, Option<RateLimit>)>> {
+        let numbers = position(self.slots.len());
+        if start >= numbers {
+            return None;
+        }
+        let accounts = start..numbers.min(start.saturating_add(most));
+        let found = accounts.filter_map(|number| self.account(number));
+        Some(
+            found
+                .map(|account| (account.clone(), self.rate(&account)))
+                .collect(),
+        )
+    }
+
     /// How many accounts have a number.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -6,6 +6,7 @@
 use crate::hash::FastMap;
 use crate::ids::{AccountId, Revision, RouteId, ServiceId};
 use crate::resource::{ConfigResource, KeyHash, RateLimit, ServiceRoute, ServiceSpec};
+use crate::wire::SnapshotItem;
 
 /// What refers to a client account.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -136,14 +137,49 @@
         self.routes.of_service(service)
     }
 
+    /// The packed client accounts.
+    #[must_use]
+    pub const fn accounts(&self) -> &AccountTable {
+        &self.accounts
+    }
+
+    /// The packed keys.
+    #[must_use]
+    pub const fn keys(&self) -> &KeyTable {
+        &self.keys
+    }
+
+    /// The routes.
+    #[must_use]
+    pub const fn route_table(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Adds one item of a peer's snapshot that is being read.
+    pub fn load_item(&mut self, item: SnapshotItem) {
+        match item {
+            SnapshotItem::Service(service) => self.put(ConfigResource::Service(service)),
+            SnapshotItem::Route(route) => self.put(ConfigResource::Route(route)),
+            SnapshotItem::Account(account, rate) => {
+                self.accounts.intern(&account);
+                if let Some(limit) = rate {
+                    self.accounts.set_rate(&limit);
+                }
+            }
+            SnapshotItem::Key(key) => {
+                let number = self.accounts.intern(&key.account);
+                self.keys.insert(key.hash, number, key.withdrawn);
+            }
+        }
+    }
+
     /// Numbers of accounts, keys, routes and services.
     #[must_use]
     pub fn counts(&self) -> [usize; 4] {
-        let routes = self.routes.iter().count();
         [
             self.accounts.len(),
             self.keys.len(),
-            routes,
+            self.routes.len(),
             self.services.len(),
         ]
     }
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -5,20 +5,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::config::config_driver::ConfigDriver;
 use crate::config::{
-    AttemptAction, Catalog, ChangeAttempt, ChangeOutcome, ChangeRequest, ConfigStore,
+    AttemptAction, Catalog, ChangeAttempt, ChangeOutcome, ChangeRequest, ConfigFollower,
+    ConfigStore, FollowerRules,
 };
 use crate::ids::{DaemonId, Revision};
 use crate::logs::part;
 use crate::peers::PeerPool;
-use crate::platform::{PlatformError, PlatformService};
+use crate::platform::PlatformService;
 use crate::settings::PlatformSettings;
 use crate::time::{MonoTime, ProcessClock};
 use crate::wire::{ConfigCall, ConfigReply};
 
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
 const RETRY_PAUSE_MILLIS: std::ops::Range<u64> = 20..120;
-const POLL_PAUSE_MILLIS: std::ops::Range<u64> = 500..1_000;
 
 /// What the configuration needs of the daemon.
 pub struct ConfigSources {
@@ -36,39 +37,31 @@
     pub peer_addresses: Rc<dyn Fn() -> Vec<SocketAddr>>,
 }
 
-struct ConfigState {
-    sources: ConfigSources,
-    store: ConfigStore,
-    catalog: RefCell<Catalog>,
-    is_loaded: std::cell::Cell<bool>,
-}
-
 /// A running configuration; clones share it.
 #[derive(Clone)]
 pub struct ConfigHandle {
-    state: Rc<ConfigState>,
+    driver: Rc<ConfigDriver>,
 }
 
 impl ConfigHandle {
     /// Starts to follow the configuration.
     #[must_use]
     pub fn spawn(sources: ConfigSources) -> Self {
-        let store = ConfigStore::open(Rc::clone(&sources.platform));
-        let state = Rc::new(ConfigState {
+        let rules = FollowerRules::of_settings(&sources.settings);
+        let follower = ConfigFollower::open(rules, fastrand::u64(..), sources.clock.now());
+        let driver = Rc::new(ConfigDriver {
+            store: ConfigStore::open(Rc::clone(&sources.platform)),
             sources,
-            store,
-            catalog: RefCell::default(),
-            is_loaded: std::cell::Cell::new(false),
+            follower: RefCell::new(follower),
         });
-        let handle = Self { state };
-        actix_rt::spawn(handle.clone().follow());
-        handle
+        actix_rt::spawn(Rc::clone(&driver).run());
+        Self { driver }
     }
 
     /// The catalog in force; never held across an await.
     #[must_use]
     pub fn catalog(&self) -> Ref<'_, Catalog> {
-        self.state.catalog.borrow()
+        Ref::map(self.driver.follower.borrow(), ConfigFollower::catalog)
     }
 
     /// The revision in force.
@@ -80,34 +73,60 @@
     /// Whether the first snapshot is in force.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
-        self.state.is_loaded.get()
+        self.driver.follower.borrow().is_loaded()
     }
 
     /// Whether the catalog is known to be the newest, closely enough to admit requests by it.
     #[must_use]
-    pub fn is_fresh(&self, _now: MonoTime) -> bool {
-        self.is_loaded()
+    pub fn is_fresh(&self, now: MonoTime) -> bool {
+        self.driver.follower.borrow().freshness(now).admits()
     }
 
     /// Takes note that the peer at `from` has `revision`.
     pub fn heard(&self, revision: Revision, from: SocketAddr) {
-        log::trace!(target: part::CONFIG, revision:%, from:%; "Peer has a revision.");
+        let actions = self.driver.follower.borrow_mut().heard(revision, from);
+        self.driver.start(actions);
     }
 
     /// Answers a peer's call.
     pub async fn serve(&self, call: ConfigCall) -> ConfigReply {
+        let now = self.driver.sources.clock.now();
         match call {
             ConfigCall::Ping => ConfigReply::Pong,
+            ConfigCall::Follow(have) => {
+                let follower = self.driver.follower.borrow();
+                if follower.is_loaded() {
+                    ConfigReply::State(follower.state(have, now))
+                } else {
+                    ConfigReply::NotLoaded
+                }
+            }
+            ConfigCall::Push(changes) => {
+                let actions = self.driver.follower.borrow_mut().pushed(&changes);
+                self.driver.start(actions);
+                ConfigReply::Pong
+            }
+            ConfigCall::Snapshot(part) => {
+                let page = self.driver.follower.borrow().page(part);
+                page.map_or(ConfigReply::NotLoaded, ConfigReply::Page)
+            }
         }
     }
 
     /// The state for people.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
-        let [accounts, keys, routes, services] = self.catalog().counts();
+        let now = self.driver.sources.clock.now();
+        let follower = self.driver.follower.borrow();
+        let [accounts, keys, routes, services] = follower.catalog().counts();
+        let lease = follower.lease();
         serde_json::json!({
-            "revision": self.revision(),
-            "is-loaded": self.is_loaded(),
+            "revision": follower.catalog().revision(),
+            "newest_heard": lease.newest(),
+            "is_loaded": follower.is_loaded(),
+            "freshness": follower.freshness(now),
+            "confirmed_millis_ago": lease.age(now).map(|age| age.as_millis()),
+            "fleet_size": lease.members_then(),
             "accounts": accounts,
             "keys": keys,
             "routes": routes,
@@ -118,88 +137,48 @@
     /// The configuration's tables at the platform.
     #[must_use]
     pub fn store(&self) -> &ConfigStore {
-        &self.state.store
+        &self.driver.store
     }
 
     /// Makes an operator's change and answers truly.
     pub async fn change(&self, request: ChangeRequest) -> ChangeOutcome {
-        let clock = self.state.sources.clock;
+        let clock = self.driver.sources.clock;
         let deadline = clock.now().after(CHANGE_TIMEOUT);
         let (mut attempt, mut action) = ChangeAttempt::begin(request, deadline);
+        let mut is_first = true;
         loop {
             action = match action {
                 AttemptAction::Read(keys) => {
+                    pause_unless(std::mem::take(&mut is_first)).await;
                     let rows = self.store().platform().read(&keys).await;
-                    self.pause_after(rows.is_err()).await;
                     attempt.rows_read(rows, &self.catalog(), clock.now())
                 }
                 AttemptAction::CatchUp(revision) => {
-                    let _ = self.catch_up(revision).await;
+                    if let Err(cause) = self.driver.catch_up(revision).await {
+                        log::warn!(target: part::CONFIG, cause:%; "Cannot catch up for a change.");
+                    }
                     attempt.caught_up(&self.catalog(), clock.now())
                 }
                 AttemptAction::Commit(transaction) => {
                     let outcome = self.store().platform().commit(&transaction).await;
-                    let is_smooth =
-                        matches!(outcome, Ok(crate::platform::CommitOutcome::Committed));
-                    self.pause_after(!is_smooth).await;
                     attempt.commit_ended(outcome, clock.now())
                 }
                 AttemptAction::Finish(outcome, change) => {
                     if let Some(change) = change {
-                        // A gap is filled by the next poll.
-                        let _ = self.state.catalog.borrow_mut().apply(&change);
+                        let actions = self.driver.follower.borrow_mut().accepted(&change);
+                        self.driver.start(actions);
                     }
                     return outcome;
                 }
             };
         }
     }
+}
 
-    async fn pause_after(&self, failed: bool) {
-        if failed {
-            let millis = fastrand::u64(RETRY_PAUSE_MILLIS);
-            actix_rt::time::sleep(Duration::from_millis(millis)).await;
-        }
-    }
-
-    async fn follow(self) {
-        loop {
-            if let Err(cause) = self.poll().await {
-                log::warn!(target: part::CONFIG, cause:%; "Cannot read the configuration.");
-            }
-            let millis = fastrand::u64(POLL_PAUSE_MILLIS);
-            actix_rt::time::sleep(Duration::from_millis(millis)).await;
-        }
-    }
-
-    async fn poll(&self) -> Result<(), PlatformError> {
-        let head = self.store().head().await?;
-        self.catch_up(head).await
-    }
-
-    async fn load(&self) -> Result<(), PlatformError> {
-        let catalog = self.store().scan().await?;
-        if catalog.revision() >= self.revision() {
-            self.state.catalog.replace(catalog);
-        }
-        self.state.is_loaded.set(true);
-        Ok(())
-    }
-
-    async fn catch_up(&self, head: Revision) -> Result<(), PlatformError> {
-        if !self.is_loaded() {
-            self.load().await?;
-        }
-        while self.revision() < head {
-            let changes = self.store().changes(self.revision(), head).await?;
-            if changes.is_empty() {
-                return Err(PlatformError::Unavailable("the log has a gap".to_owned()));
-            }
-            for change in &changes {
-                // Another task may have applied it already.
-                let _ = self.state.catalog.borrow_mut().apply(change);
-            }
-        }
-        Ok(())
+/// A pause before each further attempt, so that colliding operators pass one another.
+async fn pause_unless(is_first: bool) {
+    if !is_first {
+        let millis = fastrand::u64(RETRY_PAUSE_MILLIS);
+        actix_rt::time::sleep(Duration::from_millis(millis)).await;
     }
 }
--- /dev/null
+++ b/src/config/follower_rules.rs
@@ -0,0 +1,44 @@
+//! How often a follower asks.
+
+use std::time::Duration;
+
+use crate::settings::PlatformSettings;
+
+const LEAST_POLL: Duration = Duration::from_secs(1);
+
+/// Intervals and bounds of a follower.
+#[derive(Debug, Clone, Copy)]
+pub struct FollowerRules {
+    /// How long a confirmation is good for.
+    pub lease: Duration,
+    /// Pause between two questions to partners.
+    pub ask_pause: Duration,
+    /// Reads of the head that the whole fleet makes in a second.
+    pub polls_per_second: u32,
+}
+
+impl FollowerRules {
+    /// The rules of `settings`.
+    #[must_use]
+    pub fn of_settings(settings: &PlatformSettings) -> Self {
+        Self {
+            lease: settings.freshness.get(),
+            ask_pause: Duration::from_secs(1),
+            polls_per_second: settings.head_polls_per_second.max(1),
+        }
+    }
+
+    /// Pause between two reads of the head in a fleet of `members` daemons.
+    ///
+    /// The fleet's total stays the same at any size. A daemon that hears no peer has
+    /// nothing but the platform to confirm its lease, and reads more often.
+    #[must_use]
+    pub fn poll_pause(&self, members: u32, hears_peers: bool) -> Duration {
+        let shared = Duration::from_secs(u64::from(members)) / self.polls_per_second;
+        let pause = shared.max(LEAST_POLL);
+        if hears_peers {
+            return pause;
+        }
+        pause.min((self.lease / 4).max(LEAST_POLL))
+    }
+}
--- a/src/config/key_table.rs
+++ b/src/config/key_table.rs
@@ -73,6 +73,21 @@
             .count()
     }
 
+    /// The keys in the range `index` of `ranges` equal ones: hash, account number, whether withdrawn.
+    pub fn in_range(
+        &self,
+        index: u32,
+        ranges: u32,
+    ) -> impl Iterator<Item = (KeyHash, u32, bool)> + '_ {
+        self.entries
+            .iter()
+            .filter(move |entry| range_of(&entry.hash, ranges) == index)
+            .map(|entry| {
+                let is_withdrawn = entry.account & WITHDRAWN != 0;
+                (entry.hash, entry.account & !WITHDRAWN, is_withdrawn)
+            })
+    }
+
     /// The number of keys.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -92,3 +107,9 @@
     first.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(first)
 }
+
+fn range_of(hash: &KeyHash, ranges: u32) -> u32 {
+    let bytes = hash.as_bytes();
+    let first = u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
+    first % ranges.max(1)
+}
--- a/src/config/route_table.rs
+++ b/src/config/route_table.rs
@@ -1,15 +1,22 @@
 //! Routes by name and by prefix.
 
+use std::hash::BuildHasher;
+
+use foldhash::fast::RandomState;
+use hashbrown::HashTable;
+
 use crate::config::path_segments;
-use crate::hash::FastMap;
 use crate::ids::{AccountId, RouteId, ServiceId};
 use crate::resource::{RouteAccess, ServiceRoute};
 
 /// Finds the route of a path with one look-up per segment.
 #[derive(Debug, Default)]
 pub struct RouteTable {
-    by_prefix: FastMap<Box<str>, ServiceRoute>,
-    prefixes: FastMap<RouteId, Box<str>>,
+    places: Vec<Option<ServiceRoute>>,
+    free: Vec<u32>,
+    by_prefix: HashTable<u32>,
+    by_id: HashTable<u32>,
+    hasher: RandomState,
     longest_bytes: usize,
 }
 
@@ -17,24 +24,41 @@
     /// Adds `route` or replaces the one of its name.
     pub fn insert(&mut self, route: ServiceRoute) {
         self.remove(&route.id);
-        let prefix: Box<str> = route.prefix.as_str().into();
-        self.longest_bytes = self.longest_bytes.max(prefix.len());
-        self.prefixes.insert(route.id.clone(), prefix.clone());
-        self.by_prefix.insert(prefix, route);
+        self.longest_bytes = self.longest_bytes.max(route.prefix.len());
+        let (by_prefix, by_id) = (self.prefix_hash(&route.prefix), self.id_hash(&route.id));
+        let place = self.place(route);
+        let (places, hasher) = (&self.places, &self.hasher);
+        self.by_prefix.insert_unique(by_prefix, place, |other| {
+            hash_at(places, *other, |route| {
+                hasher.hash_one(route.prefix.as_str())
+            })
+        });
+        self.by_id.insert_unique(by_id, place, |other| {
+            hash_at(places, *other, |route| hasher.hash_one(route.id.as_str()))
+        });
     }
 
     /// Removes the route called `id`.
     pub fn remove(&mut self, id: &RouteId) {
-        let Some(prefix) = self.prefixes.remove(id) else {
+        let Some(place) = self.place_of(id) else {
+            return;
+        };
+        let Some(route) = self.places[place as usize].take() else {
             return;
         };
-        if self
-            .by_prefix
-            .get(&prefix)
-            .is_some_and(|route| route.id == *id)
-        {
-            self.by_prefix.remove(&prefix);
+        let hashes = [
+            (self.id_hash(id), &mut self.by_id),
+            (
+                self.hasher.hash_one(route.prefix.as_str()),
+                &mut self.by_prefix,
+            ),
+        ];
+        for (hash, index) in hashes {
+            if let Ok(entry) = index.find_entry(hash, |other| *other == place) {
+                entry.remove();
+            }
         }
+        self.free.push(place);
     }
 
     /// The route with the longest prefix of whole segments of `path`; a query is ignored.
@@ -47,18 +71,41 @@
             return None;
         }
         path_segments::prefixes(path, self.longest_bytes)
-            .find_map(|prefix| self.by_prefix.get(prefix))
+            .find_map(|prefix| self.with_prefix(prefix))
     }
 
     /// The route that has `prefix`.
     #[must_use]
     pub fn with_prefix(&self, prefix: &str) -> Option<&ServiceRoute> {
-        self.by_prefix.get(prefix)
+        let place = self.by_prefix.find(self.prefix_hash(prefix), |place| {
+            self.at(*place).is_some_and(|route| route.prefix == prefix)
+        })?;
+        self.at(*place)
     }
 
     /// Every route.
     pub fn iter(&self) -> impl Iterator<Item = &ServiceRoute> {
-        self.by_prefix.values()
+        self.places.iter().flatten()
+    }
+
+    /// The places from `start` on, at most `most` of them; empty past the end.
+    #[must_use]
+    pub fn places(&self, start: u32, most: usize) -> &[Option<ServiceRoute>] {
+        let start = (start as usize).min(self.places.len());
+        let end = start.saturating_add(most).min(self.places.len());
+        &self.places[start..end]
+    }
+
+    /// The number of routes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
     }
 
     /// Names of the routes that lead to `service`.
@@ -85,4 +132,41 @@
         names.sort();
         names
     }
+
+    fn place(&mut self, route: ServiceRoute) -> u32 {
+        if let Some(place) = self.free.pop() {
+            self.places[place as usize] = Some(route);
+            return place;
+        }
+        self.places.push(Some(route));
+        u32::try_from(self.places.len() - 1).unwrap_or(u32::MAX)
+    }
+
+    fn place_of(&self, id: &RouteId) -> Option<u32> {
+        let is_same = |place: &u32| self.at(*place).is_some_and(|route| route.id == *id);
+        self.by_id.find(self.id_hash(id), is_same).copied()
+    }
+
+    fn at(&self, place: u32) -> Option<&ServiceRoute> {
+        self.places.get(place as usize)?.as_ref()
+    }
+
+    fn prefix_hash(&self, prefix: &str) -> u64 {
+        self.hasher.hash_one(prefix)
+    }
+
+    fn id_hash(&self, id: &RouteId) -> u64 {
+        self.hasher.hash_one(id.as_str())
+    }
+}
+
+fn hash_at(
+    places: &[Option<ServiceRoute>],
+    place: u32,
+    hash: impl FnOnce(&ServiceRoute) -> u64,
+) -> u64 {
+    places
+        .get(place as usize)
+        .and_then(Option::as_ref)
+        .map_or(0, hash)
 }
--- a/src/settings/platform_settings.rs
+++ b/src/settings/platform_settings.rs
@@ -18,6 +18,9 @@
     /// Fleet-wide reads of the configuration's head per second.
     #[serde(default = "default_polls")]
     pub head_polls_per_second: u32,
+    /// How long a daemon admits requests after its configuration was last confirmed as the newest.
+    #[serde(default = "default_freshness")]
+    pub freshness: TimeSpan,
 }
 
 const fn default_timeout() -> TimeSpan {
@@ -27,3 +30,7 @@
 const fn default_polls() -> u32 {
     100
 }
+
+const fn default_freshness() -> TimeSpan {
+    TimeSpan::from_secs(10)
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -18,7 +18,9 @@
 mod request_offer;
 
 pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
-pub use config_call::{ConfigCall, ConfigReply};
+pub use config_call::{
+    ConfigCall, ConfigReply, ConfigState, SnapshotItem, SnapshotKey, SnapshotPage, SnapshotPart,
+};
 pub use egress_message::{AnswerHead, EgressMessage, FailureCause, RefusalReason};
 pub use gossip_message::{BucketDigest, GossipBody, GossipMessage, OwnerDigest};
 pub use ingress_message::IngressMessage;
--- /dev/null
+++ b/tests/common/follower_net.rs
@@ -0,0 +1,338 @@
+//! Followers driven by hand over a network and a platform that fail on order.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use wagtailtrack::config::{
+    Catalog, ConfigAction, ConfigChange, ConfigFollower, ConfigStore, FollowerAction,
+    FollowerRules, RowLayout, SnapshotSource,
+};
+use wagtailtrack::ids::Revision;
+use wagtailtrack::platform::{PlatformError, RowWrite, Transaction};
+use wagtailtrack::resource::{ClientKey, ConfigResource, KeyHash};
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::wire::{ConfigState, SnapshotPart};
+
+use super::memory_platform::{MemoryMode, MemoryPlatform};
+
+const TICK_MILLIS: u64 = 200;
+const MOST_DELAY_MILLIS: u64 = 30;
+
+/// One daemon's follower; `since` is when it was started.
+pub struct NetMember {
+    pub follower: ConfigFollower,
+    pub address: SocketAddr,
+    starts: u64,
+}
+
+/// What arrives later.
+enum NetEvent {
+    Tick,
+    Question(FollowerAction),
+    Head(MonoTime, Result<Revision, PlatformError>),
+    Answer(MonoTime, SocketAddr, Option<ConfigState>),
+    Changes(Result<Vec<ConfigChange>, PlatformError>),
+    Snapshot(Option<Catalog>),
+}
+
+/// A fleet of followers in virtual time.
+pub struct FollowerNet {
+    pub members: Vec<NetMember>,
+    pub platform: std::rc::Rc<MemoryPlatform>,
+    /// Messages from the first to the second member are lost.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Members that get no answer from the platform.
+    pub platform_cuts: BTreeSet<usize>,
+    /// Share of messages lost, of 100.
+    pub loss_percent: u8,
+    pub rng: fastrand::Rng,
+    pub now_millis: u64,
+    rules: FollowerRules,
+    events: Vec<(u64, usize, u64, NetEvent)>,
+}
+
+impl FollowerNet {
+    pub fn open(members: usize, seed: u64, lease: Duration) -> Self {
+        let rules = FollowerRules {
+            lease,
+            ask_pause: Duration::from_secs(1),
+            polls_per_second: 100,
+        };
+        let mut net = Self {
+            members: Vec::new(),
+            platform: std::rc::Rc::default(),
+            cuts: BTreeSet::new(),
+            platform_cuts: BTreeSet::new(),
+            loss_percent: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            // A daemon's clock starts long before the test does.
+            now_millis: 100_000_000,
+            rules,
+            events: Vec::new(),
+        };
+        for index in 0..members {
+            let follower = net.follower(index as u64);
+            let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+            net.members.push(NetMember {
+                follower,
+                address,
+                starts: 0,
+            });
+            net.schedule(index, NetEvent::Tick);
+        }
+        net
+    }
+
+    pub fn now(&self) -> MonoTime {
+        MonoTime::from_millis(self.now_millis)
+    }
+
+    /// Replaces a member by a new process that knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        let epoch = self.rng.u64(..);
+        self.members[index].follower = self.follower(epoch);
+        self.members[index].starts += 1;
+        self.schedule(index, NetEvent::Tick);
+    }
+
+    /// Cuts or heals every message that `index` would receive.
+    pub fn deafen(&mut self, index: usize, is_cut: bool) {
+        for other in (0..self.members.len()).filter(|other| *other != index) {
+            if is_cut {
+                self.cuts.insert((other, index));
+            } else {
+                self.cuts.remove(&(other, index));
+            }
+        }
+    }
+
+    pub fn run_for(&mut self, millis: u64, mut check: impl FnMut(&Self)) {
+        let end = self.now_millis + millis;
+        while let Some(position) = self.next_event(end) {
+            let (due, index, starts, event) = self.events.swap_remove(position);
+            self.now_millis = due;
+            if self.members[index].starts == starts {
+                self.deliver(index, event);
+                check(self);
+            }
+        }
+        self.now_millis = end;
+    }
+
+    /// Commits a change of a key through the daemon `index`, as its API would.
+    pub fn set_key(&mut self, index: usize, withdrawn: bool) -> Revision {
+        let head = self.head();
+        let change = ConfigChange {
+            revision: head.next(),
+            operation: format!("op-{}", head.next()).parse().unwrap(),
+            action: ConfigAction::Put(ConfigResource::Key(ClientKey {
+                id: "k1".parse().unwrap(),
+                account: "a1".parse().unwrap(),
+                hash: key_hash(),
+                withdrawn,
+            })),
+        };
+        let write = |key, value| RowWrite {
+            key,
+            value: Some(value),
+        };
+        let stored = serde_json::json!({ "version": change.revision, "resource": match &change.action {
+            ConfigAction::Put(resource) | ConfigAction::Remove(resource) => resource,
+        }});
+        let transaction = Transaction {
+            checks: Vec::new(),
+            writes: vec![
+                write(
+                    RowLayout::log(change.revision),
+                    serde_json::to_vec(&change).unwrap(),
+                ),
+                write(
+                    RowLayout::head(),
+                    serde_json::to_vec(&change.revision).unwrap(),
+                ),
+                write(
+                    RowLayout::resource(&change.name()),
+                    serde_json::to_vec(&stored).unwrap(),
+                ),
+            ],
+        };
+        self.platform.commit_now(&transaction).unwrap();
+        let actions = self.members[index].follower.accepted(&change);
+        self.start(index, actions);
+        change.revision
+    }
+
+    pub fn head(&self) -> Revision {
+        let rows = self.platform.table.borrow().read(&[RowLayout::head()]);
+        rows[0].as_ref().map_or(Revision(0), |row| {
+            serde_json::from_slice(&row.value).unwrap()
+        })
+    }
+
+    pub fn revision(&self, index: usize) -> Revision {
+        self.members[index].follower.catalog().revision()
+    }
+
+    pub fn admits(&self, index: usize) -> bool {
+        self.members[index].follower.freshness(self.now()).admits()
+    }
+
+    fn follower(&self, epoch: u64) -> ConfigFollower {
+        ConfigFollower::open(self.rules, epoch, self.now())
+    }
+
+    fn next_event(&self, end: u64) -> Option<usize> {
+        let due = self
+            .events
+            .iter()
+            .enumerate()
+            .filter(|(_, event)| event.0 <= end);
+        due.min_by_key(|(_, event)| event.0)
+            .map(|(position, _)| position)
+    }
+
+    fn schedule(&mut self, index: usize, event: NetEvent) {
+        let delay = match event {
+            NetEvent::Tick => TICK_MILLIS,
+            _ => self.rng.u64(1..=MOST_DELAY_MILLIS),
+        };
+        let starts = self.members[index].starts;
+        self.events
+            .push((self.now_millis + delay, index, starts, event));
+    }
+
+    fn start(&mut self, index: usize, actions: Vec<FollowerAction>) {
+        for action in actions {
+            self.schedule(index, NetEvent::Question(action));
+        }
+    }
+
+    fn deliver(&mut self, index: usize, event: NetEvent) {
+        let now = self.now();
+        let follower = &mut self.members[index].follower;
+        let actions = match event {
+            NetEvent::Tick => {
+                let live = self.live(index);
+                self.schedule(index, NetEvent::Tick);
+                let rng = &mut self.rng;
+                self.members[index].follower.tick(now, &live, rng)
+            }
+            NetEvent::Question(action) => {
+                self.carry_out(index, action);
+                return;
+            }
+            NetEvent::Head(sent, head) => follower.head_read(sent, head),
+            NetEvent::Answer(sent, from, state) => follower.peer_answered(sent, from, state),
+            NetEvent::Changes(changes) => follower.changes_read(changes),
+            NetEvent::Snapshot(snapshot) => follower.snapshot_read(snapshot),
+        };
+        self.start(index, actions);
+    }
+
+    /// The membership's view: those that were heard of lately, so without those that are cut off.
+    fn live(&self, index: usize) -> Vec<SocketAddr> {
+        let heard = |other: &usize| *other != index && !self.cuts.contains(&(*other, index));
+        let others = (0..self.members.len()).filter(heard);
+        others.map(|other| self.members[other].address).collect()
+    }
+
+    fn carry_out(&mut self, index: usize, action: FollowerAction) {
+        let sent = self.now();
+        let event = match action {
+            FollowerAction::ReadHead => NetEvent::Head(sent, self.read_platform(index, Self::head)),
+            FollowerAction::ReadChanges(after, until) => {
+                let changes = self.read_platform(index, |net| {
+                    let store = net.store();
+                    let changing = store.changes(after, until);
+                    changing.now_or_never().unwrap().unwrap()
+                });
+                NetEvent::Changes(changes)
+            }
+            FollowerAction::Ask(peer, have) => {
+                let answer = self.ask(index, peer, have);
+                NetEvent::Answer(sent, peer, answer)
+            }
+            FollowerAction::Push(peer, changes) => {
+                if let Some(other) = self.reach(index, peer) {
+                    let actions = self.members[other].follower.pushed(&changes);
+                    self.start(other, actions);
+                }
+                return;
+            }
+            FollowerAction::ReadSnapshot(SnapshotSource::Platform) => {
+                let scanned = self.read_platform(index, |net| {
+                    net.store().scan().now_or_never().unwrap().unwrap()
+                });
+                NetEvent::Snapshot(scanned.ok())
+            }
+            FollowerAction::ReadSnapshot(SnapshotSource::Peer(peer)) => {
+                NetEvent::Snapshot(self.peer_snapshot(index, peer))
+            }
+        };
+        self.schedule(index, event);
+    }
+
+    fn store(&self) -> ConfigStore {
+        ConfigStore::open(self.platform.clone())
+    }
+
+    fn read_platform<T>(
+        &mut self,
+        index: usize,
+        read: impl FnOnce(&Self) -> T,
+    ) -> Result<T, PlatformError> {
+        let is_down = self.platform.mode.get() == MemoryMode::Down;
+        if is_down || self.platform_cuts.contains(&index) || self.loses() {
+            return Err(PlatformError::Unavailable("away".to_owned()));
+        }
+        Ok(read(self))
+    }
+
+    fn ask(&mut self, index: usize, peer: SocketAddr, have: Revision) -> Option<ConfigState> {
+        let other = self.reach(index, peer)?;
+        let follower = &self.members[other].follower;
+        let state = follower
+            .is_loaded()
+            .then(|| follower.state(have, self.now()))?;
+        self.reach(other, self.members[index].address)?;
+        Some(state)
+    }
+
+    fn peer_snapshot(&mut self, index: usize, peer: SocketAddr) -> Option<Catalog> {
+        let other = self.reach(index, peer)?;
+        self.reach(other, self.members[index].address)?;
+        let follower = &self.members[other].follower;
+        let mut page = follower.page(SnapshotPart::Services)?;
+        let mut catalog = Catalog::of_resources(page.revision, None);
+        loop {
+            page.items
+                .into_iter()
+                .for_each(|item| catalog.load_item(item));
+            match page.next {
+                Some(next) => page = follower.page(next)?,
+                None => return Some(catalog),
+            }
+        }
+    }
+
+    /// The member at `peer`, if a message from `index` arrives there.
+    fn reach(&mut self, index: usize, peer: SocketAddr) -> Option<usize> {
+        let other = self
+            .members
+            .iter()
+            .position(|member| member.address == peer)?;
+        let is_lost = self.cuts.contains(&(index, other)) || self.loses();
+        (!is_lost).then_some(other)
+    }
+
+    fn loses(&mut self) -> bool {
+        self.rng.u8(..100) < self.loss_percent
+    }
+}
+
+/// The hash of the key that `set_key` writes.
+pub fn key_hash() -> KeyHash {
+    KeyHash::of_secret("the secret of k1")
+}
--- /dev/null
+++ b/tests/config_races.rs
@@ -0,0 +1,283 @@
+//! Operators race one another over a platform that loses questions and answers and delays commits.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{MemoryMode, MemoryPlatform};
+use wagtailtrack::config::{
+    AttemptAction, Catalog, ChangeAttempt, ChangeOutcome, ChangeRequest, ConfigAction,
+    ConfigChange, OperationRecord, ResourceEdit, RowLayout, VersionCondition,
+};
+use wagtailtrack::ids::{Revision, Version};
+use wagtailtrack::platform::{PlatformError, Transaction};
+use wagtailtrack::resource::{ClientAccount, ConfigResource, RateLimit, ResourceName};
+use wagtailtrack::time::{Deadline, MonoTime};
+use wagtailtrack::units::{Burst, Rate};
+
+const SEEDS: u64 = 400;
+const OPERATORS: usize = 3;
+const CHANGES_EACH: usize = 6;
+const ATTEMPT_MILLIS: u64 = 60;
+
+/// One operator's daemon: its catalog and the change under way.
+struct Operator {
+    catalog: Catalog,
+    under_way: Option<(ChangeRequest, ChangeAttempt, AttemptAction)>,
+    left: usize,
+}
+
+/// Everything that one seed drives.
+struct Race {
+    rng: fastrand::Rng,
+    platform: MemoryPlatform,
+    delayed: Vec<Transaction>,
+    operators: Vec<Operator>,
+    answers: Vec<(ChangeRequest, ChangeOutcome)>,
+    now: u64,
+}
+
+impl Race {
+    fn open(seed: u64) -> Self {
+        let operator = || Operator {
+            catalog: Catalog::default(),
+            under_way: None,
+            left: CHANGES_EACH,
+        };
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            platform: MemoryPlatform::default(),
+            delayed: Vec::new(),
+            operators: (0..OPERATORS).map(|_| operator()).collect(),
+            answers: Vec::new(),
+            now: 0,
+        }
+    }
+
+    fn run(mut self) -> Self {
+        while self.operators.iter().any(|operator| operator.left > 0) {
+            self.now += self.rng.u64(..4);
+            if !self.delayed.is_empty() && self.rng.u8(..4) == 0 {
+                let late = self
+                    .delayed
+                    .swap_remove(self.rng.usize(..self.delayed.len()));
+                self.platform.table.borrow_mut().commit(&late);
+            }
+            let index = self.rng.usize(..OPERATORS);
+            self.step(index);
+        }
+        for late in std::mem::take(&mut self.delayed) {
+            self.platform.table.borrow_mut().commit(&late);
+        }
+        self
+    }
+
+    fn step(&mut self, index: usize) {
+        if self.operators[index].left == 0 {
+            return;
+        }
+        let (request, mut attempt, action) = match self.operators[index].under_way.take() {
+            Some(under_way) => under_way,
+            None => self.begin(index),
+        };
+        let now = MonoTime::from_millis(self.now);
+        let next = match action {
+            AttemptAction::Read(keys) => {
+                let rows = match self.rng.u8(..10) {
+                    0 => Err(PlatformError::Unavailable("slow".to_owned())),
+                    _ => self.platform.read_now(&keys),
+                };
+                attempt.rows_read(rows, &self.operators[index].catalog, now)
+            }
+            AttemptAction::CatchUp(revision) => {
+                self.catch_up(index, revision);
+                attempt.caught_up(&self.operators[index].catalog, now)
+            }
+            AttemptAction::Commit(transaction) => {
+                let outcome = self.commit(&transaction);
+                attempt.commit_ended(outcome, now)
+            }
+            AttemptAction::Finish(outcome, change) => {
+                if let Some(change) = change {
+                    let _ = self.operators[index].catalog.apply(&change);
+                }
+                self.answers.push((request, outcome));
+                self.operators[index].left -= 1;
+                return;
+            }
+        };
+        self.operators[index].under_way = Some((request, attempt, next));
+    }
+
+    fn commit(
+        &mut self,
+        transaction: &Transaction,
+    ) -> Result<wagtailtrack::platform::CommitOutcome, PlatformError> {
+        let mode = match self.rng.u8(..10) {
+            0 | 1 => MemoryMode::LoseAnswers,
+            2 => MemoryMode::LoseQuestions,
+            3 => MemoryMode::Down,
+            4 | 5 => {
+                self.delayed.push(transaction.clone());
+                MemoryMode::LoseQuestions
+            }
+            _ => MemoryMode::Up,
+        };
+        self.platform.mode.set(mode);
+        let outcome = self.platform.commit_now(transaction);
+        self.platform.mode.set(MemoryMode::Up);
+        outcome
+    }
+
+    /// A new change, or a repeat of one that another daemon has under way or has answered.
+    fn begin(&mut self, index: usize) -> (ChangeRequest, ChangeAttempt, AttemptAction) {
+        let mut known: Vec<ChangeRequest> = self
+            .operators
+            .iter()
+            .filter_map(|operator| operator.under_way.as_ref())
+            .map(|(request, ..)| request.clone())
+            .collect();
+        known.extend(self.answers.last().map(|(request, _)| request.clone()));
+        let request = match self.rng.u8(..4) {
+            0 if !known.is_empty() => known.swap_remove(self.rng.usize(..known.len())),
+            _ => self.request(index),
+        };
+        let deadline = Deadline::at(MonoTime::from_millis(self.now + ATTEMPT_MILLIS));
+        let (attempt, action) = ChangeAttempt::begin(request.clone(), deadline);
+        (request, attempt, action)
+    }
+
+    /// A change of one of two accounts' rates, on top of the version that the operator sees.
+    fn request(&mut self, index: usize) -> ChangeRequest {
+        let id = ["a1", "a2"][self.rng.usize(..2)];
+        let account = ConfigResource::Account(ClientAccount {
+            id: id.parse().unwrap(),
+        });
+        let rate = ConfigResource::Rate(RateLimit {
+            account: id.parse().unwrap(),
+            rate: Rate::per_second(self.rng.u64(1..1_000)).unwrap(),
+            burst: Burst::new(1).unwrap(),
+        });
+        let resource = match self.version(&account.name()) {
+            None => account,
+            Some(_) => rate,
+        };
+        let condition = match self.version(&resource.name()) {
+            None => VersionCondition::Absent,
+            Some(version) => VersionCondition::Is(version),
+        };
+        ChangeRequest {
+            operation: format!("op-{index}-{}", self.operators[index].left)
+                .parse()
+                .unwrap(),
+            name: resource.name(),
+            edit: ResourceEdit::Put(resource),
+            condition,
+        }
+    }
+
+    fn version(&self, name: &ResourceName) -> Option<Version> {
+        let rows = self
+            .platform
+            .read_now(&[RowLayout::resource(name)])
+            .unwrap();
+        let value: serde_json::Value = serde_json::from_slice(&rows[0].as_ref()?.value).unwrap();
+        Some(Version(value["version"].as_u64().unwrap()))
+    }
+
+    fn catch_up(&mut self, index: usize, revision: Revision) {
+        let catalog = &mut self.operators[index].catalog;
+        while catalog.revision() < revision {
+            let key = RowLayout::log(catalog.revision().next());
+            let rows = self.platform.read_now(&[key]).unwrap();
+            let change = serde_json::from_slice(&rows[0].as_ref().unwrap().value).unwrap();
+            catalog.apply(&change).unwrap();
+        }
+    }
+
+    fn log(&self) -> Vec<ConfigChange> {
+        let rows = self
+            .platform
+            .table
+            .borrow()
+            .scan("config/log/", None, usize::MAX);
+        rows.iter()
+            .map(|row| serde_json::from_slice(&row.value).unwrap())
+            .collect()
+    }
+
+    fn record(&self, request: &ChangeRequest) -> Option<OperationRecord> {
+        let key = RowLayout::operation(&request.operation);
+        let rows = self.platform.read_now(&[key]).unwrap();
+        Some(serde_json::from_slice(&rows[0].as_ref()?.value).unwrap())
+    }
+}
+
+/// Revisions without a gap, each operation once, each change on top of the version that it names.
+fn check_history(race: &Race, seed: u64) {
+    let mut versions: BTreeMap<String, Version> = BTreeMap::new();
+    let mut operations = std::collections::BTreeSet::new();
+    let conditions: BTreeMap<_, _> = race
+        .answers
+        .iter()
+        .map(|(request, _)| (request.operation.clone(), request.condition))
+        .collect();
+    for (index, change) in race.log().iter().enumerate() {
+        assert_eq!(change.revision.0, index as u64 + 1, "seed {seed}");
+        assert!(operations.insert(change.operation.clone()), "seed {seed}");
+        let name = change.name().to_string();
+        let found = versions.insert(name, Version(change.revision.0));
+        let expected = match conditions[&change.operation] {
+            VersionCondition::Is(version) => Some(version),
+            _ => None,
+        };
+        assert_eq!(
+            found, expected,
+            "seed {seed}: {} lost an update",
+            change.operation
+        );
+        assert!(matches!(change.action, ConfigAction::Put(_)));
+    }
+}
+
+fn repeated_elsewhere(race: &Race, request: &ChangeRequest) -> bool {
+    race.answers.iter().any(|(other, outcome)| {
+        let may_be_yes = matches!(
+            outcome,
+            ChangeOutcome::Accepted { .. } | ChangeOutcome::Unknown(_)
+        );
+        may_be_yes && other.operation == request.operation
+    })
+}
+
+#[test]
+fn true_answers() {
+    let mut unknown = 0;
+    let mut accepted = 0;
+    for seed in 0..SEEDS {
+        let race = Race::open(seed).run();
+        check_history(&race, seed);
+        for (request, outcome) in &race.answers {
+            let record = race.record(request);
+            match outcome {
+                ChangeOutcome::Accepted { revision, .. } => {
+                    accepted += 1;
+                    let recorded = record.map(|record| record.revision);
+                    assert_eq!(recorded, Some(*revision), "seed {seed}: false yes");
+                }
+                // Another daemon may have carried out a repeat of it, and then says so.
+                ChangeOutcome::Refused(_) | ChangeOutcome::NotAccepted(_) => assert!(
+                    record.is_none() || repeated_elsewhere(&race, request),
+                    "seed {seed}: {} false no: {outcome:?}",
+                    request.operation
+                ),
+                ChangeOutcome::Unknown(_) => unknown += 1,
+            }
+        }
+    }
+    // The faults are many enough to matter, and few enough that work gets done.
+    assert!(
+        accepted > 1_000 && unknown > 0,
+        "{accepted} accepted, {unknown} unknown"
+    );
+}
