--- a/src/admin/admin_server.rs
+++ b/src/admin/admin_server.rs
@@ -10,9 +10,10 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::admin::resource_api::ResourceApi;
-use crate::admin::{ApiError, ApiPath, ChangeHeaders};
+use crate::admin::{ApiError, ApiPath, ChangeHeaders, change_feed};
 use crate::config::ConfigHandle;
 use crate::http::{HttpServer, json, read_body, text};
+use crate::ids::Revision;
 use crate::resource::KeyHash;
 use crate::units::ByteSize;
 
@@ -154,17 +155,31 @@
                 Method::GET => self.api.operation(&operation).await,
                 _ => Err(wrong_method(&request, "GET")),
             },
-            ApiPath::Watch => Err(ApiError::Path(path.to_owned())),
+            ApiPath::Watch => match *request.method() {
+                Method::GET => {
+                    let from = parameter(&request, "from").map(parse_revision);
+                    change_feed::watch(&self.sources.config, from.transpose()?).await
+                }
+                _ => Err(wrong_method(&request, "GET")),
+            },
         }
     }
 }
 
 async fn change_parts(mut request: Request) -> Result<(ChangeHeaders, bytes::Bytes), ApiError> {
-    let headers = ChangeHeaders::parse(request.headers())?;
+    let wait = parameter(&request, "wait");
+    let headers = ChangeHeaders::parse(request.headers(), wait)?;
     let body = read_body(&mut request.take_payload(), MAX_BODY).await?;
     Ok((headers, body))
 }
 
+fn parse_revision(text: String) -> Result<Revision, ApiError> {
+    text.parse().map_err(|_| {
+        let remedy = "use a revision, a number";
+        ApiError::Parameter("from".to_owned(), text, remedy)
+    })
+}
+
 fn wrong_method(request: &Request, allowed: &'static str) -> ApiError {
     ApiError::Method(request.method().to_string(), allowed)
 }
--- a/src/admin/api_body.rs
+++ b/src/admin/api_body.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::InForce;
 use crate::ids::{OperationId, Revision, Version};
 
 /// A resource with its version.
@@ -36,6 +37,9 @@
     /// A new key's secret, shown once.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub secret: Option<String>,
+    /// Where the change is in force, if the request asked to wait for that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub in_force: Option<InForce>,
 }
 
 /// A refusal.
--- a/src/admin/api_error.rs
+++ b/src/admin/api_error.rs
@@ -6,7 +6,7 @@
 use quick_error::quick_error;
 
 use crate::admin::ErrorBody;
-use crate::config::ChangeRefusal;
+use crate::config::{ChangeRefusal, FeedError};
 use crate::http::{BodyError, json};
 use crate::ids::{NameError, OperationId, Revision};
 
@@ -76,8 +76,12 @@
             display("unknown, operation id {operation}: the change may have been accepted; ask for the operation, or repeat the change with the same operation id")
         }
         /// The changes asked for are no longer kept.
-        TooOld(from: Revision, oldest: Revision) {
-            display("parameter 'from' has value '{from}', but changes are kept from revision {oldest}; list the resources and watch from there")
+        TooOld(oldest: Revision) {
+            display("parameter 'from' is too old: changes are kept from revision {oldest}; list the resources and watch without 'from'")
+        }
+        /// The operation is not accepted.
+        OperationAbsent(operation: OperationId) {
+            display("operation {operation} is not accepted so far; to settle it, repeat the change with the same operation id")
         }
         /// The random generator failed.
         Random(cause: String) {
@@ -86,13 +90,22 @@
     }
 }
 
+impl From<FeedError> for ApiError {
+    fn from(error: FeedError) -> Self {
+        match error {
+            FeedError::TooOld(oldest) => Self::TooOld(oldest),
+            FeedError::Unreadable(cause) => Self::Unreadable(cause.to_string()),
+        }
+    }
+}
+
 impl ApiError {
     /// The status of the answer.
     #[must_use]
     pub const fn status(&self) -> StatusCode {
         match self {
             Self::Token => StatusCode::UNAUTHORIZED,
-            Self::Path(_) | Self::NotFound(_) => StatusCode::NOT_FOUND,
+            Self::Path(_) | Self::NotFound(_) | Self::OperationAbsent(_) => StatusCode::NOT_FOUND,
             Self::Method(..) => StatusCode::METHOD_NOT_ALLOWED,
             Self::Name(_) | Self::Header(..) | Self::Parameter(..) | Self::Json(_) => {
                 StatusCode::BAD_REQUEST
@@ -104,7 +117,7 @@
             Self::NotAccepted(_) | Self::Unreadable(_) | Self::Unknown(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::TooOld(..) => StatusCode::GONE,
+            Self::TooOld(_) => StatusCode::GONE,
             Self::Random(_) => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
@@ -121,12 +134,12 @@
             Self::Parameter(..) => "parameter",
             Self::Precondition => "precondition",
             Self::Body(_) | Self::Json(_) => "body",
-            Self::NotFound(_) => "not-found",
+            Self::NotFound(_) | Self::OperationAbsent(_) => "not-found",
             Self::Refused(refusal) => refused_reason(refusal),
             Self::NotAccepted(_) => "not-accepted",
             Self::Unreadable(_) => "unreadable",
             Self::Unknown(_) => "unknown",
-            Self::TooOld(..) => "too-old",
+            Self::TooOld(_) => "too-old",
             Self::Random(_) => "random",
         }
     }
--- a/src/admin/resource_api.rs
+++ b/src/admin/resource_api.rs
@@ -1,5 +1,7 @@
 //! The resource API over the configuration.
 
+use std::time::Duration;
+
 use actix_http::body::BoxBody;
 use actix_http::header::{ETAG, HeaderValue};
 use actix_http::{Method, Response, StatusCode};
@@ -76,9 +78,10 @@
                     revision: record.revision,
                     repeated: true,
                     secret: None,
+                    in_force: None,
                 },
             )),
-            None => Err(ApiError::NotFound(format!("operation/{operation}"))),
+            None => Err(ApiError::OperationAbsent(operation.clone())),
         }
     }
 
@@ -99,7 +102,8 @@
             edit: ResourceEdit::Put(resource),
             condition: VersionCondition::Absent,
         };
-        self.change(request, StatusCode::CREATED, secret).await
+        self.change(request, headers.wait, StatusCode::CREATED, secret)
+            .await
     }
 
     /// Writes a resource whole.
@@ -123,7 +127,8 @@
             edit: ResourceEdit::Put(resource),
             condition,
         };
-        self.change(request, StatusCode::OK, None).await
+        self.change(request, headers.wait, StatusCode::OK, None)
+            .await
     }
 
     /// Deletes a resource.
@@ -135,7 +140,8 @@
             edit: ResourceEdit::Delete,
             condition,
         };
-        self.change(request, StatusCode::OK, None).await
+        self.change(request, headers.wait, StatusCode::OK, None)
+            .await
     }
 
     /// Withdraws a key for good.
@@ -146,31 +152,37 @@
             edit: ResourceEdit::Withdraw,
             condition: headers.condition.unwrap_or(VersionCondition::Exists),
         };
-        self.change(request, StatusCode::OK, None).await
+        self.change(request, headers.wait, StatusCode::OK, None)
+            .await
     }
 
     async fn change(
         &self,
         request: ChangeRequest,
+        wait: Option<Duration>,
         status: StatusCode,
         secret: Option<String>,
     ) -> Answer {
         let operation = request.operation.clone();
-        match self.config.change(request).await {
-            ChangeOutcome::Accepted { revision, repeated } => Ok(json(
-                status,
-                &ChangeBody {
-                    operation,
-                    revision,
-                    repeated,
-                    // An earlier request's secret is not this one's.
-                    secret: secret.filter(|_| !repeated),
-                },
-            )),
-            ChangeOutcome::Refused(refusal) => Err(refusal.into()),
-            ChangeOutcome::NotAccepted(cause) => Err(ApiError::NotAccepted(cause)),
-            ChangeOutcome::Unknown(operation) => Err(ApiError::Unknown(operation)),
-        }
+        let (revision, repeated) = match self.config.change(request).await {
+            ChangeOutcome::Accepted { revision, repeated } => (revision, repeated),
+            ChangeOutcome::Refused(refusal) => return Err(refusal.into()),
+            ChangeOutcome::NotAccepted(cause) => return Err(ApiError::NotAccepted(cause)),
+            ChangeOutcome::Unknown(operation) => return Err(ApiError::Unknown(operation)),
+        };
+        let in_force = match wait {
+            Some(span) => Some(self.config.wait_in_force(revision, span).await),
+            None => None,
+        };
+        let body = ChangeBody {
+            operation,
+            revision,
+            repeated,
+            // An earlier request's secret is not this one's.
+            secret: secret.filter(|_| !repeated),
+            in_force,
+        };
+        Ok(json(status, &body))
     }
 }
 
@@ -179,17 +191,22 @@
 }
 
 fn resource_body(stored: StoredResource) -> ResourceBody {
-    let resource = match &stored.resource {
+    ResourceBody {
+        version: stored.version,
+        resource: resource_value(&stored.resource),
+    }
+}
+
+/// The resource alone, without its kind.
+pub(super) fn resource_value(resource: &ConfigResource) -> Value {
+    let value = match resource {
         ConfigResource::Account(account) => serde_json::to_value(account),
         ConfigResource::Key(key) => serde_json::to_value(key),
         ConfigResource::Rate(rate) => serde_json::to_value(rate),
         ConfigResource::Route(route) => serde_json::to_value(route),
         ConfigResource::Service(service) => serde_json::to_value(service),
     };
-    ResourceBody {
-        version: stored.version,
-        resource: resource.unwrap_or_default(),
-    }
+    value.unwrap_or_default()
 }
 
 fn issue(body: &Bytes) -> Result<(ConfigResource, Option<String>), ApiError> {
--- a/src/bin/wagtailtrack.rs
+++ b/src/bin/wagtailtrack.rs
@@ -6,15 +6,27 @@
 use wagtailtrack::exit::ExitStatus;
 
 fn main() -> ExitCode {
-    let line: CommandLine = argh::from_env();
-    match actix_rt::System::new().block_on(client::run(&line)) {
-        Ok(output) => {
-            println!("{output}");
-            ExitStatus::Success.into()
-        }
+    let line = match CommandLine::open() {
+        Ok(line) => line,
+        Err(early) => return end_early(&early),
+    };
+    let mut print = |text: &str| println!("{text}");
+    let running = client::run(&line, &mut print);
+    match actix_rt::System::new().block_on(running) {
+        Ok(()) => ExitStatus::Success.into(),
         Err(error) => {
             eprintln!("wagtailtrack: {error}");
             error.exit_status().into()
         }
     }
 }
+
+/// Help goes to the standard output, complaints to the standard error output.
+fn end_early(early: &argh::EarlyExit) -> ExitCode {
+    if early.status.is_ok() {
+        println!("{}", early.output);
+        return ExitStatus::Success.into();
+    }
+    eprintln!("{}", early.output.trim_end());
+    ExitStatus::Usage.into()
+}
--- a/src/client/api_client.rs
+++ b/src/client/api_client.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::error::PayloadError;
 use awc::http::{Method, StatusCode};
 use awc::{Client, ClientRequest, Connector};
 use bytes::Bytes;
+use futures_util::Stream;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -18,6 +20,7 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const LONGEST_STREAM: Duration = Duration::from_secs(24 * 3_600);
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Attempts at a change whose answer is lost, all with the same operation.
 const CHANGE_ATTEMPTS: usize = 3;
@@ -124,6 +127,31 @@
         }
     }
 
+    /// Opens a stream of bytes that may go on for long.
+    ///
+    /// # Errors
+    /// `ClientError` when the daemon refuses or cannot be reached.
+    pub async fn stream(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> Result<impl Stream<Item = Result<Bytes, PayloadError>> + use<>, ClientError> {
+        let mut response = self
+            .request(method, path)
+            .timeout(LONGEST_STREAM)
+            .send()
+            .await
+            .map_err(|cause| self.unreachable(&cause.to_string()))?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        let body = response
+            .body()
+            .await
+            .map_err(|cause| self.unreachable(&cause.to_string()))?;
+        Err(refused(response.status(), &body))
+    }
+
     async fn change_once(&self, change: &ClientChange) -> Result<ChangeBody, ClientError> {
         let lost = |cause: String| ClientError::Lost(change.operation.clone(), cause);
         let wait = change.wait.map_or(Duration::ZERO, TimeSpan::get);
@@ -173,10 +201,19 @@
 }
 
 fn parse_answer<T: DeserializeOwned>(status: StatusCode, body: &Bytes) -> Result<T, ClientError> {
-    let malformed = |cause: serde_json::Error| ClientError::Malformed(cause.to_string());
     if status.is_success() {
         return serde_json::from_slice(body).map_err(malformed);
     }
-    let body: ErrorBody = serde_json::from_slice(body).map_err(malformed)?;
-    Err(ClientError::Refused(status.as_u16(), body))
+    Err(refused(status, body))
+}
+
+fn refused(status: StatusCode, body: &Bytes) -> ClientError {
+    match serde_json::from_slice::<ErrorBody>(body) {
+        Ok(body) => ClientError::Refused(status.as_u16(), body),
+        Err(cause) => malformed(cause),
+    }
+}
+
+fn malformed(cause: serde_json::Error) -> ClientError {
+    ClientError::Malformed(cause.to_string())
 }
--- a/src/client/command_line.rs
+++ b/src/client/command_line.rs
@@ -32,6 +32,18 @@
     pub command: ClientCommand,
 }
 
+impl CommandLine {
+    /// Reads the process's arguments.
+    ///
+    /// # Errors
+    /// What to print, and whether it was asked for.
+    pub fn open() -> Result<Self, argh::EarlyExit> {
+        let arguments: Vec<String> = std::env::args().collect();
+        let rest: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
+        Self::from_args(&["wagtailtrack"], &rest)
+    }
+}
+
 const fn default_daemon() -> SocketAddr {
     use std::net::{IpAddr, Ipv4Addr};
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7003)
--- a/src/client/command_runner.rs
+++ b/src/client/command_runner.rs
@@ -4,37 +4,53 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 
-use crate::admin::{ApiPath, ChangeBody, ResourceBody, draw_operation};
+use crate::admin::{ApiPath, ChangeBody, ChangeLine, ChangeVerb, ResourceBody, draw_operation};
 use crate::client::api_client::resource_path;
 use crate::client::command_line::{
-    CreateCommand, DeleteCommand, IssueCommand, KeyAction, UpdateCommand,
+    CheckCommand, CreateCommand, DeleteCommand, IssueCommand, KeyAction, UpdateCommand,
 };
 use crate::client::{
-    ApiClient, ClientChange, ClientCommand, ClientError, CommandLine, TextTable, merge_fields,
+    ApiClient, ChangeWatcher, ClientChange, ClientCommand, ClientError, CommandLine, TextTable,
+    merge_fields,
 };
+use crate::config::InForce;
 use crate::ids::{OperationId, Version};
 use crate::resource::{ResourceKind, ResourceName};
 use crate::settings::DaemonSettings;
 
+const NO_SECRET: &str =
+    "the secret went with an answer that was lost; withdraw the key and issue another";
 const TOKEN_VARIABLE: &str = "WAGTAILTRACK_TOKEN";
 
-/// Carries out `line` and returns what to print.
+/// Carries out `line` and hands what there is to say to `print`.
 ///
 /// # Errors
 /// `ClientError` says what failed; its exit status is the program's.
-pub async fn run(line: &CommandLine) -> Result<String, ClientError> {
+pub async fn run(line: &CommandLine, print: &mut dyn FnMut(&str)) -> Result<(), ClientError> {
     if let ClientCommand::CheckConfig(check) = &line.command {
-        DaemonSettings::open(&check.file)?;
-        let file = check.file.display().to_string();
-        return Ok(if line.json {
-            json_text(&json!({ "file": file, "valid": true }))
-        } else {
-            format!("{file} is valid")
-        });
+        print(&check_config(line, check)?);
+        return Ok(());
     }
     let client = ApiClient::open(line.daemon, read_token(line)?);
     let runner = CommandRunner { line, client };
-    runner.run().await
+    if let ClientCommand::Watch(watch) = &line.command {
+        let watcher = ChangeWatcher::open(&runner.client, watch.from);
+        return watcher
+            .run(&mut |change| print(&runner.change_text(change)))
+            .await;
+    }
+    print(&runner.run().await?);
+    Ok(())
+}
+
+fn check_config(line: &CommandLine, check: &CheckCommand) -> Result<String, ClientError> {
+    DaemonSettings::open(&check.file)?;
+    let file = check.file.display().to_string();
+    Ok(if line.json {
+        json_text(&json!({ "file": file, "valid": true }))
+    } else {
+        format!("{file} is valid")
+    })
 }
 
 struct CommandRunner<'a> {
@@ -75,9 +91,8 @@
                 let body: ChangeBody = self.client.get(&path).await?;
                 Ok(self.show_change(&body, "accepted"))
             }
-            ClientCommand::Watch(_) | ClientCommand::CheckConfig(_) => {
-                Err(ClientError::Command("watch is not built yet"))
-            }
+            // Both have been seen to before.
+            ClientCommand::Watch(_) | ClientCommand::CheckConfig(_) => Ok(String::new()),
         }
     }
 
@@ -154,13 +169,38 @@
         if self.line.json {
             return json_text(body);
         }
-        let mut lines = vec![format!("{what} at revision {}", body.revision)];
+        let repeated = if body.repeated { " (before)" } else { "" };
+        let mut lines = vec![format!("{what}{repeated} at revision {}", body.revision)];
         if let Some(secret) = &body.secret {
             lines.push(format!("secret, shown this once: {secret}"));
+        } else if body.repeated && self.issues_key() {
+            lines.push(NO_SECRET.to_owned());
         }
+        lines.extend(body.in_force.as_ref().map(in_force_text));
         lines.join("\n")
     }
 
+    const fn issues_key(&self) -> bool {
+        let ClientCommand::Key(command) = &self.line.command else {
+            return false;
+        };
+        matches!(command.action, KeyAction::Issue(_))
+    }
+
+    fn change_text(&self, change: &ChangeLine) -> String {
+        if self.line.json {
+            return serde_json::to_string(change).unwrap_or_default();
+        }
+        let verb = match change.action {
+            ChangeVerb::Put => "put",
+            ChangeVerb::Delete => "delete",
+        };
+        format!(
+            "{}  {verb}  {}  {}",
+            change.revision, change.kind, change.resource
+        )
+    }
+
     fn show<T: Serialize>(&self, value: &T, items: &[ResourceBody]) -> String {
         if self.line.json {
             return json_text(value);
@@ -187,6 +227,22 @@
     }
 }
 
+fn in_force_text(in_force: &InForce) -> String {
+    let confirmed = in_force.confirmed;
+    if in_force.unconfirmed.is_empty() {
+        return format!("in force on all {confirmed} live daemons");
+    }
+    let names: Vec<String> = in_force
+        .unconfirmed
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    format!(
+        "in force on {confirmed} daemons; not confirmed by {}",
+        names.join(", ")
+    )
+}
+
 fn json_text<T: Serialize>(value: &T) -> String {
     serde_json::to_string_pretty(value).unwrap_or_default()
 }
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' command-line client: its command line, its HTTP calls and its output.
 
 mod api_client;
+mod change_watcher;
 mod client_error;
 mod command_line;
 mod command_runner;
@@ -8,6 +9,7 @@
 mod text_table;
 
 pub use api_client::{ApiClient, ClientChange};
+pub use change_watcher::ChangeWatcher;
 pub use client_error::ClientError;
 pub use command_line::{ClientCommand, CommandLine};
 pub use command_runner::run;
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -7,8 +7,8 @@
 
 use crate::config::config_driver::ConfigDriver;
 use crate::config::{
-    AttemptAction, Catalog, ChangeAttempt, ChangeOutcome, ChangeRequest, ConfigFollower,
-    ConfigStore, FollowerRules,
+    AttemptAction, Catalog, ChangeAttempt, ChangeOutcome, ChangeRequest, ConfigChange,
+    ConfigFollower, ConfigStore, FeedError, FollowerRules, InForce, MOST_ANSWERED, in_force,
 };
 use crate::ids::{DaemonId, Revision};
 use crate::logs::part;
@@ -140,6 +140,36 @@
         &self.driver.store
     }
 
+    /// The changes that follow `after`, as many as are at hand; empty when there are none.
+    ///
+    /// # Errors
+    /// `FeedError` when the next of them is not kept here and not to be read from the platform.
+    pub async fn changes_after(&self, after: Revision) -> Result<Vec<ConfigChange>, FeedError> {
+        let (recent, in_force, oldest) = {
+            let follower = self.driver.follower.borrow();
+            let in_force = follower.catalog().revision();
+            let recent = follower.recent();
+            (
+                recent.after(after, MOST_ANSWERED),
+                in_force,
+                recent.oldest(in_force),
+            )
+        };
+        if !recent.is_empty() || after >= in_force {
+            return Ok(recent);
+        }
+        let logged = self.store().changes(after, in_force).await?;
+        if logged.is_empty() {
+            return Err(FeedError::TooOld(oldest));
+        }
+        Ok(logged)
+    }
+
+    /// Waits for at most `span` until `revision` is in force on every live daemon.
+    pub async fn wait_in_force(&self, revision: Revision, span: Duration) -> InForce {
+        in_force::wait(&self.driver, revision, span).await
+    }
+
     /// Makes an operator's change and answers truly.
     pub async fn change(&self, request: ChangeRequest) -> ChangeOutcome {
         let clock = self.driver.sources.clock;
