--- a/src/client/command_line.rs
+++ b/src/client/command_line.rs
@@ -71,6 +71,8 @@
     Dump(DumpCommand),
     /// Checks a daemon's settings file.
     CheckConfig(CheckCommand),
+    /// Prints the hash of the operators' token for a daemon's settings.
+    HashToken(HashCommand),
     /// Asks whether a change was accepted.
     Operation(OperationCommand),
 }
@@ -215,3 +217,8 @@
     #[argh(positional)]
     pub id: OperationId,
 }
+
+/// Print the hash of the operators' token, for the daemons' settings; needs no daemon.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hash-token")]
+pub struct HashCommand {}
--- a/src/client/command_runner.rs
+++ b/src/client/command_runner.rs
@@ -15,7 +15,7 @@
 };
 use crate::config::InForce;
 use crate::ids::{OperationId, Version};
-use crate::resource::{ResourceKind, ResourceName};
+use crate::resource::{KeyHash, ResourceKind, ResourceName};
 use crate::settings::DaemonSettings;
 
 const NO_SECRET: &str =
@@ -31,7 +31,12 @@
         print(&check_config(line, check)?);
         return Ok(());
     }
-    let client = ApiClient::open(line.daemon, read_token(line)?);
+    let token = read_token(line)?;
+    if let ClientCommand::HashToken(_) = line.command {
+        print(&KeyHash::of_secret(&token).to_string());
+        return Ok(());
+    }
+    let client = ApiClient::open(line.daemon, token);
     let runner = CommandRunner { line, client };
     if let ClientCommand::Watch(watch) = &line.command {
         let watcher = ChangeWatcher::open(&runner.client, watch.from);
@@ -91,8 +96,10 @@
                 let body: ChangeBody = self.client.get(&path).await?;
                 Ok(self.show_change(&body, "accepted"))
             }
-            // Both have been seen to before.
-            ClientCommand::Watch(_) | ClientCommand::CheckConfig(_) => Ok(String::new()),
+            // These have been seen to before.
+            ClientCommand::Watch(_)
+            | ClientCommand::CheckConfig(_)
+            | ClientCommand::HashToken(_) => Ok(String::new()),
         }
     }
 
--- a/src/config/config_follower.rs
+++ b/src/config/config_follower.rs
@@ -282,7 +282,7 @@
     }
 
     fn ask_partner(&mut self) -> Option<FollowerAction> {
-        let partner = self.partners.next()?;
+        let partner = self.partners.draw()?;
         Some(FollowerAction::Ask(partner, self.catalog.revision()))
     }
 
@@ -308,7 +308,7 @@
 
     /// Peers first: they are many, and there when the platform is not.
     fn load(&mut self) -> Option<FollowerAction> {
-        let partner = self.partners.next();
+        let partner = self.partners.draw();
         match partner {
             Some(partner) if self.failed_loads.is_multiple_of(2) => {
                 self.start_load(SnapshotSource::Peer(partner))
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -127,6 +127,7 @@
             "freshness": follower.freshness(now),
             "confirmed_millis_ago": lease.age(now).map(|age| age.as_millis()),
             "fleet_size": lease.members_then(),
+            "live_daemons": lease.members_now(),
             "accounts": accounts,
             "keys": keys,
             "routes": routes,
--- a/src/config/freshness_lease.rs
+++ b/src/config/freshness_lease.rs
@@ -133,6 +133,12 @@
         self.members_then
     }
 
+    /// Number of live daemons, this one included.
+    #[must_use]
+    pub const fn members_now(&self) -> u32 {
+        self.members_now
+    }
+
     /// Whether a peer answered within the last `span`.
     #[must_use]
     pub fn hears_peers(&self, now: MonoTime, span: Duration) -> bool {
--- a/tests/config_follow.rs
+++ b/tests/config_follow.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{FollowerNet, MemoryMode, key_hash};
-use wagtailtrack::config::{Freshness, KeyLookup};
+use wagtailtrack::config::{Catalog, Freshness, KeyLookup};
 use wagtailtrack::ids::Revision;
 
 const LEASE: Duration = Duration::from_secs(10);
@@ -137,6 +137,23 @@
     net.run_for(HOUR_MILLIS, |net| assert!(net.admits(0)));
 }
 
+#[test]
+fn old_snapshot() {
+    let mut net = open(3, 1);
+    let old = net.revision(0);
+    net.set_key(0, true);
+    net.run_for(SETTLE_MILLIS, |_| ());
+    let follower = &mut net.members[1].follower;
+    let newest = follower.catalog().revision();
+    for offered in [old, newest] {
+        let snapshot = Catalog::of_resources(offered, None);
+        assert!(follower.snapshot_read(Some(snapshot)).is_empty());
+        assert_eq!(follower.catalog().revision(), newest);
+        let found = follower.catalog().account_of_key(&key_hash());
+        assert_eq!(found, KeyLookup::Withdrawn);
+    }
+}
+
 /// Losses, cuts, restarts and outages at random: no process ever goes back, and all arrive.
 #[test]
 fn never_back() {
