--- a/tests/common/follower_net.rs
+++ b/tests/common/follower_net.rs
@@ -34,7 +34,7 @@
     Head(MonoTime, Result<Revision, PlatformError>),
     Answer(MonoTime, SocketAddr, Option<ConfigState>),
     Changes(Result<Vec<ConfigChange>, PlatformError>),
-    Snapshot(Option<Catalog>),
+    Snapshot(Box<Option<Catalog>>),
 }
 
 /// A fleet of followers in virtual time.
@@ -226,7 +226,7 @@
             NetEvent::Head(sent, head) => follower.head_read(sent, head),
             NetEvent::Answer(sent, from, state) => follower.peer_answered(sent, from, state),
             NetEvent::Changes(changes) => follower.changes_read(changes),
-            NetEvent::Snapshot(snapshot) => follower.snapshot_read(snapshot),
+            NetEvent::Snapshot(snapshot) => follower.snapshot_read(*snapshot),
         };
         self.start(index, actions);
     }
@@ -265,10 +265,10 @@
                 let scanned = self.read_platform(index, |net| {
                     net.store().scan().now_or_never().unwrap().unwrap()
                 });
-                NetEvent::Snapshot(scanned.ok())
+                NetEvent::Snapshot(Box::new(scanned.ok()))
             }
             FollowerAction::ReadSnapshot(SnapshotSource::Peer(peer)) => {
-                NetEvent::Snapshot(self.peer_snapshot(index, peer))
+                NetEvent::Snapshot(Box::new(self.peer_snapshot(index, peer)))
             }
         };
         self.schedule(index, event);
--- a/tests/config_follow.rs
+++ b/tests/config_follow.rs
@@ -160,7 +160,7 @@
     for seed in 0..100 {
         let mut net = open(5, seed);
         net.loss_percent = 20;
-        let mut highest = vec![Revision(0); 5];
+        let mut highest = [Revision(0); 5];
         for _ in 0..30 {
             let index = net.rng.usize(..5);
             match net.rng.u8(..8) {
