--- /dev/null
+++ b/bench/load_records.rs
@@ -0,0 +1,86 @@
+//! The records of a load and figures drawn from them.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::request_kind::RequestKind;
+use crate::request_record::{RequestOutcome, RequestRecord};
+
+const LARGEST_MICROS: u64 = 120_000_000;
+const DIGITS: u8 = 3;
+
+/// Records in the order of their ends.
+#[derive(Debug, Default)]
+pub struct LoadRecords(pub Vec<RequestRecord>);
+
+impl LoadRecords {
+    /// The records that `keep` accepts.
+    pub fn filtered(&self, keep: impl Fn(&RequestRecord) -> bool) -> Self {
+        Self(
+            self.0
+                .iter()
+                .filter(|record| keep(record))
+                .cloned()
+                .collect(),
+        )
+    }
+
+    /// Records of requests meant to be sent from `from` to `until`.
+    pub fn between(&self, from: Duration, until: Duration) -> Self {
+        self.filtered(|record| record.intended >= from && record.intended < until)
+    }
+
+    /// Records of one kind.
+    pub fn of_kind(&self, kind: RequestKind) -> Self {
+        self.filtered(|record| record.kind == kind)
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Number of records with `outcome`.
+    pub fn count(&self, outcome: RequestOutcome) -> usize {
+        let same = |record: &&RequestRecord| record.outcome == outcome;
+        self.0.iter().filter(same).count()
+    }
+
+    /// The quantile of a time of the answered requests, in milliseconds.
+    pub fn quantile_millis(&self, quantile: f64, of: impl Fn(&RequestRecord) -> Duration) -> f64 {
+        let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, LARGEST_MICROS, DIGITS) else {
+            return f64::NAN;
+        };
+        for record in &self.0 {
+            if record.outcome == RequestOutcome::Answered {
+                histogram.saturating_record(of(record).as_micros() as u64);
+            }
+        }
+        histogram.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    /// Part of the requests of `account` that were answered within `limit`.
+    pub fn served_part(&self, account: usize, limit: Duration) -> Option<f64> {
+        let asked = self.filtered(|record| record.account == account);
+        let served = asked.0.iter().filter(|record| record.is_in_time(limit));
+        (asked.len() > 0).then(|| served.count() as f64 / asked.len() as f64)
+    }
+
+    /// How the requests ended, in words.
+    pub fn summary(&self) -> String {
+        let mut counts: Vec<(String, usize)> = Vec::new();
+        for record in &self.0 {
+            let name = format!("{:?}", record.outcome);
+            match counts.iter_mut().find(|(known, _)| *known == name) {
+                Some((_, count)) => *count += 1,
+                None => counts.push((name, 1)),
+            }
+        }
+        let parts: Vec<String> = counts
+            .iter()
+            .map(|(name, count)| format!("{name} {count}"))
+            .collect();
+        format!("{} asked: {}", self.len(), parts.join(", "))
+    }
+}
--- /dev/null
+++ b/bench/request_sender.rs
@@ -0,0 +1,105 @@
+//! Sends one request and checks its answer.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::ClientResponse;
+use awc::http::StatusCode;
+
+use crate::load_stream::LoadStream;
+use crate::request_record::{RequestOutcome, RequestRecord};
+
+/// The deadline that every request carries.
+pub const DEADLINE: Duration = Duration::from_secs(1);
+const GIVE_UP: Duration = Duration::from_secs(2);
+const DEADLINE_MILLIS: &str = "1000";
+
+/// Sends requests over kept connections.
+pub struct RequestSender {
+    client: awc::Client,
+    origin: Instant,
+}
+
+impl RequestSender {
+    /// Opens a sender whose times count from `origin`.
+    pub fn open(origin: Instant) -> Self {
+        let connector = awc::Connector::new().limit(0).timeout(GIVE_UP);
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .timeout(GIVE_UP)
+            .finish();
+        Self { client, origin }
+    }
+
+    /// Sends request number `serial` of `stream`, which was due at `intended`.
+    pub async fn send(
+        &self,
+        stream: &LoadStream,
+        target: SocketAddr,
+        serial: u64,
+        intended: Duration,
+    ) -> RequestRecord {
+        let tag = format!("{}-{serial}", stream.account);
+        let mut record = RequestRecord {
+            account: stream.account,
+            kind: stream.kind,
+            intended,
+            ended: intended,
+            service: Duration::ZERO,
+            outcome: RequestOutcome::Lost,
+            instance: None,
+        };
+        self.exchange(stream, target, &tag, &mut record).await;
+        record.ended = self.origin.elapsed();
+        record
+    }
+
+    async fn exchange(
+        &self,
+        stream: &LoadStream,
+        target: SocketAddr,
+        tag: &str,
+        record: &mut RequestRecord,
+    ) {
+        let url = format!("http://{target}/{}", stream.kind.route());
+        let mut request = self.client.request(stream.kind.method(), url);
+        if !stream.secret.is_empty() {
+            request = request.bearer_auth(&stream.secret);
+        }
+        let request = request
+            .insert_header(("x-tag", tag))
+            .insert_header(("x-deadline-ms", DEADLINE_MILLIS));
+        let Ok(mut answer) = request.send_body(tag.to_owned()).await else {
+            return;
+        };
+        record.instance = header(&answer, "x-instance");
+        record.service = service_time(&answer);
+        let Ok(body) = answer.body().await else {
+            return;
+        };
+        let verdict = header(&answer, "x-wagtailtrack-verdict").unwrap_or_default();
+        record.outcome = match answer.status() {
+            StatusCode::OK if is_right(&answer, tag, &body) => RequestOutcome::Answered,
+            StatusCode::OK => RequestOutcome::Wrong,
+            StatusCode::TOO_MANY_REQUESTS => RequestOutcome::OverRate,
+            StatusCode::SERVICE_UNAVAILABLE if verdict != "ran" => RequestOutcome::NoCapacity,
+            status => RequestOutcome::Failed(status.as_u16()),
+        };
+    }
+}
+
+fn is_right<S>(answer: &ClientResponse<S>, tag: &str, body: &[u8]) -> bool {
+    let expected = format!("{tag}\n{tag}");
+    header(answer, "x-tag").as_deref() == Some(tag) && body == expected.as_bytes()
+}
+
+fn service_time<S>(answer: &ClientResponse<S>) -> Duration {
+    let micros = header(answer, "x-service-micros").and_then(|text| text.parse().ok());
+    Duration::from_micros(micros.unwrap_or(0))
+}
+
+fn header<S>(answer: &ClientResponse<S>, name: &str) -> Option<String> {
+    let value = answer.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
--- a/standins/backend/answer_form.rs
+++ b/standins/backend/answer_form.rs
@@ -1,6 +1,7 @@
 //! The forms of an answer: whole, wrong or cut.
 
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::{BoxBody, SizedStream};
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -15,6 +16,7 @@
 const REQUEST_ID: &str = "x-request-id";
 const CHECKSUM: &str = "x-checksum";
 const INSTANCE: &str = "x-instance";
+const SERVICE_MICROS: &str = "x-service-micros";
 const WRONG_TAG: &str = "not-yours";
 const WRONG_BODY: &[u8] = b"\x00garbage\xff";
 const FILL: u8 = b'.';
@@ -27,6 +29,8 @@
     pub body: &'a Bytes,
     /// The name of the instance.
     pub instance: &'a str,
+    /// Time that it was served for.
+    pub time: Duration,
     /// Least length of the answer's body.
     pub least_bytes: usize,
 }
@@ -73,6 +77,8 @@
         insert(headers, TAG, tag);
         insert(headers, CHECKSUM, checksum.as_str());
         insert(headers, INSTANCE, self.instance);
+        let micros = self.time.as_micros().to_string();
+        insert(headers, SERVICE_MICROS, &micros);
         insert(headers, "content-type", "application/octet-stream");
         if let Some(id) = self.headers.get(REQUEST_ID) {
             headers.insert(name(REQUEST_ID), id.clone());
--- a/standins/backend/instance_handler.rs
+++ b/standins/backend/instance_handler.rs
@@ -86,12 +86,14 @@
         sleep(left).await;
         return late("the deadline passed");
     }
+    let started = Instant::now();
     sleep(time).await;
     entry.complete();
     let form = AnswerForm {
         headers: request.headers(),
         body,
         instance: state.spec.instance.as_str(),
+        time: started.elapsed(),
         least_bytes: asked_bytes(request),
     };
     form.respond(effect)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,6 +10,7 @@
 mod patience;
 #[path = "../../standins/relay/mod.rs"]
 mod relay;
+mod resource_client;
 mod scratch_dir;
 mod test_fleet;
 
@@ -20,5 +21,6 @@
 pub use free_ports::{free_address, free_host};
 pub use patience::{PATIENCE, eventually};
 pub use relay::{RelayHandle, RelayMode};
+pub use resource_client::ResourceClient;
 pub use scratch_dir::ScratchDir;
 pub use test_fleet::{FleetPlan, TestFleet};
--- a/tests/common/test_fleet.rs
+++ b/tests/common/test_fleet.rs
@@ -3,11 +3,15 @@
 use std::net::SocketAddr;
 use std::process::{Command, Output};
 
+use awc::http::Method;
+
 use super::backend_process::{BackendPlan, BackendProcess};
+use super::caller_client::CallerClient;
 use super::child_process::{ChildProcess, program};
 use super::daemon_process::{DaemonPlan, DaemonProcess, OPERATOR_TOKEN};
 use super::free_ports::free_address;
 use super::relay::RelayHandle;
+use super::resource_client::ResourceClient;
 use super::scratch_dir::ScratchDir;
 
 const SEEDS: usize = 3;
@@ -96,6 +100,19 @@
             .unwrap()
     }
 
+    /// An operator's client of the daemon `index`.
+    pub fn resources(&self, index: usize) -> ResourceClient {
+        ResourceClient::open(self.daemons[index].admin())
+    }
+
+    /// Sets how the platform behaves, given as JSON, for example `"down"`.
+    pub async fn platform_mode(&self, mode: &str) {
+        let client = CallerClient::open(self.platform_address);
+        let sending = client.send(Method::POST, "/control", "", mode.as_bytes());
+        let answer = sending.await.unwrap();
+        assert!(answer.status.is_success(), "{}", answer.text());
+    }
+
     /// The folder of the settings and logs.
     pub fn folder(&self) -> &ScratchDir {
         &self.folder
