--- a/bench/command_line.rs
+++ b/bench/command_line.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 
 use crate::measure_name::MeasureName;
+use crate::slopes::{SlopeCommand, SlopePointCommand};
 use crate::user_shape::UserShape;
 
 /// Measures real daemons against stand-ins, or the slopes of single parts.
@@ -23,4 +24,17 @@
     /// measure the plain baseline: round robin, no ejection, static split of the rates
     #[argh(switch)]
     pub baseline: bool,
+    /// measure single parts instead
+    #[argh(subcommand)]
+    pub command: Option<MeasureCommand>,
+}
+
+/// What else the tool does.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum MeasureCommand {
+    /// Measures every part at several sizes.
+    Slopes(SlopeCommand),
+    /// Measures one part at one size.
+    SlopePoint(SlopePointCommand),
 }
--- a/bench/main.rs
+++ b/bench/main.rs
@@ -31,6 +31,7 @@
 mod request_record;
 mod request_sender;
 mod sick_watch;
+mod slopes;
 mod user_shape;
 mod worst_served;
 mod wrongful_refusals;
@@ -38,7 +39,7 @@
 use std::process::Command;
 use std::time::Instant;
 
-use crate::command_line::CommandLine;
+use crate::command_line::{CommandLine, MeasureCommand};
 use crate::measure_bench::MeasureBench;
 use crate::measure_name::MeasureName;
 use crate::measure_report::MeasureReport;
@@ -51,7 +52,15 @@
 
 fn main() {
     let line: CommandLine = argh::from_env();
-    let report = actix_rt::System::new().block_on(run(&line));
+    match &line.command {
+        Some(MeasureCommand::Slopes(command)) => slopes::run_all(command),
+        Some(MeasureCommand::SlopePoint(command)) => slopes::run_point(command),
+        None => measure_fleet(&line),
+    }
+}
+
+fn measure_fleet(line: &CommandLine) {
+    let report = actix_rt::System::new().block_on(run(line));
     if line.json {
         let text = serde_json::to_string_pretty(&report);
         println!("{}", text.unwrap_or_default());
--- /dev/null
+++ b/bench/slopes/codec_slope.rs
@@ -0,0 +1,56 @@
+//! The offer of a request between daemons.
+
+use std::hint::black_box;
+
+use wagtailtrack::ids::{BootId, RequestId};
+use wagtailtrack::peers::FleetKey;
+use wagtailtrack::resource::RequestClass;
+use wagtailtrack::wire::{RequestOffer, decode, encode};
+
+use crate::slopes::slope_figure::{SlopeFigure, micros_each};
+
+const RUNS: usize = 5_000;
+
+/// An offer with a body of `size` bytes: length, time to encode, decode and authenticate.
+pub fn measure(size: usize) -> Vec<SlopeFigure> {
+    let offer = offer(size);
+    let key = FleetKey::open("a secret of the slopes");
+    let bytes = encode(&offer).unwrap_or_default();
+    let encoding = micros_each(RUNS, |_| {
+        black_box(encode(&offer).is_ok());
+    });
+    let decoding = micros_each(RUNS, |_| {
+        black_box(decode::<RequestOffer>(&bytes).is_ok());
+    });
+    let mac = micros_each(RUNS, |_| {
+        black_box(key.mac(&[&bytes]));
+    });
+    vec![
+        SlopeFigure::new("bytes", bytes.len() as f64),
+        SlopeFigure::new("us to encode", encoding),
+        SlopeFigure::new("us to decode", decoding),
+        SlopeFigure::new("us for the code", mac),
+    ]
+}
+
+#[expect(clippy::unwrap_used, reason = "the names are well formed")]
+fn offer(body: usize) -> RequestOffer {
+    let headers = [("x-tag", "1-2345"), ("accept", "application/json")];
+    RequestOffer {
+        boot: BootId(u64::MAX / 3),
+        request: RequestId(1_000_000),
+        instance: "desk-0001-01".parse().unwrap(),
+        service: "permit-desk".parse().unwrap(),
+        route: "lookups".parse().unwrap(),
+        account: "account-1".parse().unwrap(),
+        class: RequestClass::Lookup,
+        idempotent: true,
+        remaining_micros: 1_000_000,
+        method: "GET".to_owned(),
+        target: "/lookups?road=a1&from=12".to_owned(),
+        headers: headers
+            .map(|(name, value)| (name.to_owned(), value.as_bytes().to_vec()))
+            .to_vec(),
+        body: vec![7; body],
+    }
+}
--- /dev/null
+++ b/bench/slopes/picker_slope.rs
@@ -0,0 +1,39 @@
+//! The picker of a service.
+
+use std::hint::black_box;
+
+use wagtailtrack::balance::InstancePicker;
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::units::Percent;
+use wagtailtrack::wire::{InstancePhase, InstanceRecord, LoadFigure};
+
+use crate::slopes::gossip_net::instance;
+use crate::slopes::slope_figure::{SlopeFigure, micros_each, resident_bytes};
+
+const PICKS: usize = 20_000;
+const FLOOR_PERCENT: u8 = 60;
+
+/// A service of `size` instances: time to choose one, memory of the picker.
+pub fn measure(size: usize) -> Vec<SlopeFigure> {
+    let records: Vec<InstanceRecord> = (0..size)
+        .map(|index| instance(index, 0, InstancePhase::Ready))
+        .collect();
+    let Ok(floor) = Percent::new(FLOOR_PERCENT) else {
+        return Vec::new();
+    };
+    let mut rng = fastrand::Rng::with_seed(1);
+    let before = resident_bytes();
+    let mut picker = InstancePicker::open(records[0].zone.clone());
+    let now = MonoTime::from_millis(1);
+    let pick = micros_each(PICKS, |_| {
+        let picked = picker.pick(&records, floor, &[], true, now, &mut rng);
+        if let Some(instance) = black_box(picked) {
+            picker.started(&instance, now);
+            picker.answered(&instance, LoadFigure::default(), now);
+        }
+    });
+    vec![
+        SlopeFigure::new("us a pick", pick),
+        SlopeFigure::new("KiB", (resident_bytes() - before) / 1024.0),
+    ]
+}
--- /dev/null
+++ b/bench/slopes/slope_subject.rs
@@ -0,0 +1,74 @@
+//! What a slope is measured of.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// A part of the daemon that grows with a size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlopeSubject {
+    /// The instance records, by their number.
+    Records,
+    /// One member's view of a fleet, by the number of daemons with 15 instances each.
+    View,
+    /// A fleet of members that gossip, by their number.
+    Members,
+    /// The queue before an instance, by the requests that wait.
+    Queue,
+    /// The picker of a service, by its instances.
+    Picker,
+    /// The offer of a request between daemons, by the bytes of its body.
+    Offers,
+}
+
+impl SlopeSubject {
+    /// Every subject.
+    pub const ALL: [Self; 6] = [
+        Self::Records,
+        Self::View,
+        Self::Members,
+        Self::Queue,
+        Self::Picker,
+        Self::Offers,
+    ];
+
+    /// The sizes to measure at.
+    pub const fn sizes(self) -> &'static [usize] {
+        match self {
+            Self::Records => &[100, 1_000, 10_000, 62_000],
+            Self::View => &[100, 400, 1_600, 4_100],
+            Self::Members => &[10, 50, 100, 200, 400],
+            Self::Queue => &[4, 16, 64, 256],
+            Self::Picker => &[4, 44, 200, 1_000],
+            Self::Offers => &[0, 1_000, 10_000, 100_000],
+        }
+    }
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Records => "records",
+            Self::View => "view",
+            Self::Members => "members",
+            Self::Queue => "queue",
+            Self::Picker => "picker",
+            Self::Offers => "offers",
+        }
+    }
+}
+
+impl fmt::Display for SlopeSubject {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+impl FromStr for SlopeSubject {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|one| one.as_str() == text);
+        found.ok_or_else(|| {
+            let names = Self::ALL.map(Self::as_str).join(", ");
+            format!("subject '{text}' is unknown; use one of {names}")
+        })
+    }
+}
