--- /dev/null
+++ b/bench/slopes/catalog_slope.rs
@@ -0,0 +1,115 @@
+//! The configuration in force.
+
+use std::hint::black_box;
+
+use wagtailtrack::config::{Catalog, ConfigAction, ConfigChange};
+use wagtailtrack::ids::Revision;
+use wagtailtrack::resource::{
+    ClientAccount, ClientKey, ConfigResource, IdempotencyRule, KeyHash, RateLimit, RequestClass,
+    RouteAccess, ServiceRoute,
+};
+use wagtailtrack::units::{Burst, Rate};
+use wagtailtrack::wire::encode;
+
+use crate::slopes::slope_figure::{SlopeFigure, micros_each, resident_bytes};
+
+/// Client accounts for each route at the design size.
+const ACCOUNTS_PER_ROUTE: usize = 13;
+const LOOKUPS: usize = 100_000;
+const CHANGES: usize = 1_000;
+
+/// A catalog of `size` accounts, each with a key and a rate: memory and time of lookups.
+pub fn measure(size: usize) -> Vec<SlopeFigure> {
+    let before = resident_bytes();
+    let mut catalog = Catalog::of_resources(Revision(1), (0..size).flat_map(resources));
+    let bytes = resident_bytes() - before;
+    let mut rng = fastrand::Rng::with_seed(1);
+    let key = micros_each(LOOKUPS, |_| {
+        let hash = KeyHash::of_secret(&secret(rng.usize(..size)));
+        black_box(catalog.account_of_key(&hash));
+    });
+    let route = micros_each(LOOKUPS, |_| {
+        let route = rng.usize(..size.div_ceil(ACCOUNTS_PER_ROUTE));
+        black_box(
+            catalog
+                .route_for(&format!("/svc-{route}/lookups/a1"))
+                .is_some(),
+        );
+    });
+    let rate = micros_each(LOOKUPS, |_| {
+        black_box(catalog.rate_of(&name(rng.usize(..size))).is_some());
+    });
+    let change = micros_each(CHANGES, |index| {
+        let change = change(index, catalog.revision().next());
+        black_box(catalog.apply(&change).is_ok());
+    });
+    let wire = encode(&change_of_key(0)).map_or(0, |bytes| bytes.len());
+    vec![
+        SlopeFigure::new("MiB", bytes / (1024.0 * 1024.0)),
+        SlopeFigure::new("bytes an account", bytes / size as f64),
+        SlopeFigure::new("us to hash and find a key", key),
+        SlopeFigure::new("us to find a route", route),
+        SlopeFigure::new("us to find a rate", rate),
+        SlopeFigure::new("us to apply a change", change),
+        SlopeFigure::new("bytes of a key on the wire", wire as f64),
+    ]
+}
+
+fn resources(index: usize) -> Vec<ConfigResource> {
+    let mut resources = vec![
+        ConfigResource::Account(ClientAccount { id: name(index) }),
+        change_of_key(index),
+        limit(index),
+    ];
+    if index.is_multiple_of(ACCOUNTS_PER_ROUTE) {
+        resources.push(route(index / ACCOUNTS_PER_ROUTE));
+    }
+    resources
+}
+
+fn change(index: usize, revision: Revision) -> ConfigChange {
+    ConfigChange {
+        revision,
+        action: ConfigAction::Put(limit(index)),
+    }
+}
+
+#[expect(clippy::unwrap_used, reason = "the name is well formed")]
+fn name(index: usize) -> wagtailtrack::ids::AccountId {
+    format!("contractor-{index:06}").parse().unwrap()
+}
+
+fn secret(index: usize) -> String {
+    format!("wtk_0123456789abcdef0123456789-{index:06}")
+}
+
+#[expect(clippy::unwrap_used, reason = "the name is well formed")]
+fn change_of_key(index: usize) -> ConfigResource {
+    ConfigResource::Key(ClientKey {
+        id: format!("key-{index:06}").parse().unwrap(),
+        account: name(index),
+        hash: KeyHash::of_secret(&secret(index)),
+        withdrawn: false,
+    })
+}
+
+#[expect(clippy::unwrap_used, reason = "the figures are in range")]
+fn limit(index: usize) -> ConfigResource {
+    ConfigResource::Rate(RateLimit {
+        account: name(index),
+        rate: Rate::per_second(5).unwrap(),
+        burst: Burst::new(20).unwrap(),
+    })
+}
+
+#[expect(clippy::unwrap_used, reason = "the names are well formed")]
+fn route(index: usize) -> ConfigResource {
+    ConfigResource::Route(ServiceRoute {
+        id: format!("route-{index:05}").parse().unwrap(),
+        prefix: format!("/svc-{index}/lookups"),
+        service: format!("service-{:04}", index / 12).parse().unwrap(),
+        class: RequestClass::Lookup,
+        access: RouteAccess::All,
+        idempotency: IdempotencyRule::ByMethod,
+    })
+}
--- a/bench/slopes/member_slope.rs
+++ b/bench/slopes/member_slope.rs
@@ -2,17 +2,19 @@
 
 use std::time::Duration;
 
-use wagtailtrack::wire::{HealthState, InstancePhase};
+use wagtailtrack::wire::{HealthState, InstancePhase, InstanceRecord};
 
-use crate::process_usage::ProcessUsage;
 use crate::slopes::gossip_net::{GossipNet, instance};
 use crate::slopes::slope_figure::{SlopeFigure, resident_bytes};
 
 const REGIONS: usize = 5;
-const WARM_UP: Duration = Duration::from_secs(30);
+const WARM_UP: Duration = Duration::from_secs(120);
+/// Medians far enough apart to be worth telling.
+const MEDIANS: [u32; 2] = [60_000, 25_000];
 const SPAN: Duration = Duration::from_secs(30);
 const CHANGES: usize = 100;
 const CHANGE_GAP: Duration = Duration::from_millis(200);
+const REST: Duration = Duration::from_secs(10);
 const LONGEST: Duration = Duration::from_secs(60);
 
 /// `size` members, idle and then with five changes a second.
@@ -30,7 +32,7 @@
         for change in 0..CHANGES {
             let index = change % net.nodes.len();
             let mut record = instance(index, 0, InstancePhase::Ready);
-            record.median_micros = 30_000 + change as u32;
+            record.median_micros = MEDIANS[change / net.nodes.len() % MEDIANS.len()];
             net.publish(index, &record);
             net.run(CHANGE_GAP);
         }
@@ -39,6 +41,8 @@
     let per_node = 1.0 / size as f64;
     let idle_rate = idle.0 * per_node / SPAN.as_secs_f64();
     let change_bytes = busy.0 * per_node - idle_rate * seconds;
+    let ejection = spread(&mut net, |record| record.health = HealthState::Ejected);
+    let drain = spread(&mut net, |record| record.phase = InstancePhase::Draining);
     vec![
         SlopeFigure::new("bytes a second idle", idle_rate),
         SlopeFigure::new("bytes a change", change_bytes / CHANGES as f64),
@@ -50,7 +54,8 @@
             "% of a core at 5 changes a second",
             busy.1 * per_node / seconds * 100.0,
         ),
-        SlopeFigure::new("s until all see a change", spread(&mut net).as_secs_f64()),
+        SlopeFigure::new("s until all see an ejection", ejection),
+        SlopeFigure::new("s until all see a drain", drain),
         SlopeFigure::new("KiB a member", bytes * per_node / 1024.0),
     ]
 }
@@ -69,20 +74,27 @@
         .sum()
 }
 
+/// Seconds of processor time of this process, to the nanosecond.
 fn processor_secs() -> f64 {
-    let usage = ProcessUsage::read(std::process::id());
-    usage.map_or(f64::NAN, |usage| usage.cpu.as_secs_f64())
+    let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    let nanos: Option<f64> = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
+    nanos.map_or(f64::NAN, |nanos| nanos / 1e9)
 }
 
-fn spread(net: &mut GossipNet) -> Duration {
+/// Time until every member knows a change of the instance beside member 1.
+fn spread(net: &mut GossipNet, change: impl FnOnce(&mut InstanceRecord)) -> f64 {
+    net.run(REST);
     let mut record = instance(1, 0, InstancePhase::Ready);
-    record.health = HealthState::Ejected;
+    change(&mut record);
     net.publish(1, &record);
     let service = record.service.clone();
-    net.run_until(LONGEST, |net| {
+    let time = net.run_until(LONGEST, |net| {
         net.nodes.iter_mut().all(|node| {
             let records = node.core.instances_of(&service);
-            records.iter().any(|seen| seen.health == record.health)
+            let same = |seen: &&InstanceRecord| seen.instance == record.instance;
+            let seen = records.iter().find(same);
+            seen.is_some_and(|seen| seen.health == record.health && seen.phase == record.phase)
         })
-    })
+    });
+    time.as_secs_f64()
 }
--- a/bench/slopes/mod.rs
+++ b/bench/slopes/mod.rs
@@ -1,5 +1,6 @@
 //! Slopes of single parts: what state, processor time and messages cost as sizes grow.
 
+mod catalog_slope;
 mod codec_slope;
 #[path = "../../tests/gossip_net/mod.rs"]
 mod gossip_net;
--- a/bench/slopes/slope_run.rs
+++ b/bench/slopes/slope_run.rs
@@ -6,7 +6,7 @@
 use crate::slopes::slope_figure::SlopeFigure;
 use crate::slopes::slope_subject::SlopeSubject;
 use crate::slopes::{
-    codec_slope, member_slope, picker_slope, queue_slope, record_slope, view_slope,
+    catalog_slope, codec_slope, member_slope, picker_slope, queue_slope, record_slope, view_slope,
 };
 
 /// Measures one point and prints its figures as JSON.
@@ -18,6 +18,7 @@
         SlopeSubject::Members => member_slope::measure(size),
         SlopeSubject::Queue => queue_slope::measure(size),
         SlopeSubject::Picker => picker_slope::measure(size),
+        SlopeSubject::Catalog => catalog_slope::measure(size),
         SlopeSubject::Offers => codec_slope::measure(size),
     };
     println!("{}", serde_json::to_string(&figures).unwrap_or_default());
--- a/bench/slopes/slope_subject.rs
+++ b/bench/slopes/slope_subject.rs
@@ -18,17 +18,20 @@
     Picker,
     /// The offer of a request between daemons, by the bytes of its body.
     Offers,
+    /// The configuration, by the number of client accounts.
+    Catalog,
 }
 
 impl SlopeSubject {
     /// Every subject.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Records,
         Self::View,
         Self::Members,
         Self::Queue,
         Self::Picker,
         Self::Offers,
+        Self::Catalog,
     ];
 
     /// The sizes to measure at.
@@ -40,6 +43,7 @@
             Self::Queue => &[4, 16, 64, 256],
             Self::Picker => &[4, 44, 200, 1_000],
             Self::Offers => &[0, 1_000, 10_000, 100_000],
+            Self::Catalog => &[1_000, 10_000, 100_000, 220_000],
         }
     }
 
@@ -51,6 +55,7 @@
             Self::Queue => "queue",
             Self::Picker => "picker",
             Self::Offers => "offers",
+            Self::Catalog => "catalog",
         }
     }
 }
