--- a/bench/slopes/catalog_slope.rs
+++ b/bench/slopes/catalog_slope.rs
@@ -16,6 +16,7 @@
 /// Client accounts for each route at the design size.
 const ACCOUNTS_PER_ROUTE: usize = 13;
 const LOOKUPS: usize = 100_000;
+const OPERATION: &str = "op-0123456789abcdef01234567";
 const CHANGES: usize = 1_000;
 
 /// A catalog of `size` accounts, each with a key and a rate: memory and time of lookups.
@@ -67,9 +68,11 @@
     resources
 }
 
+#[expect(clippy::unwrap_used, reason = "the name is well formed")]
 fn change(index: usize, revision: Revision) -> ConfigChange {
     ConfigChange {
         revision,
+        operation: OPERATION.parse().unwrap(),
         action: ConfigAction::Put(limit(index)),
     }
 }
