--- a/bench/added_latency.rs
+++ b/bench/added_latency.rs
@@ -27,6 +27,7 @@
     ] {
         let through = run_for(bench.streams(part), bench.seed, LENGTH).await;
         let straight = run_for(straight(bench, part), bench.seed, LENGTH).await;
+        through.tell_reasons(case);
         rows.push(row(case, &through, &straight));
     }
     rows
--- a/bench/detection_time.rs
+++ b/bench/detection_time.rs
@@ -66,8 +66,9 @@
         .collect();
     for (spell, seconds) in spells.iter().zip(&times) {
         let row = MeasureRow::at_most(MEASURE, spell.name, *seconds, "s", AIM_WORST_SECONDS);
-        let seen = records.between(spell.from, spell.until).summary();
-        rows.push(row.with_note(seen));
+        let seen = records.between(spell.from, spell.until);
+        seen.tell_reasons(spell.name);
+        rows.push(row.with_note(seen.summary()));
     }
     let median = median(times);
     rows.push(MeasureRow::at_most(
--- a/bench/false_ejections.rs
+++ b/bench/false_ejections.rs
@@ -69,7 +69,9 @@
         provoke(bench, situation).await;
         sleep(LENGTH).await;
         let (seen, dumps) = watch.stop();
-        let summary = run.stop().await.summary();
+        let records = run.stop().await;
+        records.tell_reasons(situation.name());
+        let summary = records.summary();
         let mut names: Vec<String> = seen.into_iter().collect();
         names.sort();
         let row = MeasureRow::at_most(
--- a/bench/load_records.rs
+++ b/bench/load_records.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use wagtailtrack::hash::FastMap;
 
 use crate::request_kind::RequestKind;
 use crate::request_record::{RequestOutcome, RequestRecord};
 
 const LARGEST_MICROS: u64 = 120_000_000;
+const MOST_REASONS: usize = 6;
 const DIGITS: u8 = 3;
 
 /// Records in the order of their ends.
@@ -69,18 +71,31 @@
 
     /// How the requests ended, in words.
     pub fn summary(&self) -> String {
-        let mut counts: Vec<(String, usize)> = Vec::new();
-        for record in &self.0 {
-            let name = format!("{:?}", record.outcome);
-            match counts.iter_mut().find(|(known, _)| *known == name) {
-                Some((_, count)) => *count += 1,
-                None => counts.push((name, 1)),
-            }
-        }
+        let counts = counted(self.0.iter().map(|record| format!("{:?}", record.outcome)));
         let parts: Vec<String> = counts
             .iter()
             .map(|(name, count)| format!("{name} {count}"))
             .collect();
         format!("{} asked: {}", self.len(), parts.join(", "))
     }
+
+    /// Tells on the standard error output why requests of `case` failed, most frequent first.
+    pub fn tell_reasons(&self, case: &str) {
+        let failed = self.0.iter().filter(|record| !record.reason.is_empty());
+        let reasons = failed.map(|record| format!("{:?}: {}", record.outcome, record.reason));
+        for (reason, count) in counted(reasons).iter().take(MOST_REASONS) {
+            eprintln!("  {case}: {count} x {reason}");
+        }
+    }
+}
+
+/// How often each text occurs, most frequent first.
+fn counted(texts: impl Iterator<Item = String>) -> Vec<(String, usize)> {
+    let mut counts: FastMap<String, usize> = FastMap::default();
+    for text in texts {
+        *counts.entry(text).or_default() += 1;
+    }
+    let mut counts: Vec<(String, usize)> = counts.into_iter().collect();
+    counts.sort_by(|one, other| other.1.cmp(&one.1).then_with(|| one.0.cmp(&other.0)));
+    counts
 }
--- a/bench/request_record.rs
+++ b/bench/request_record.rs
@@ -38,6 +38,8 @@
     pub outcome: RequestOutcome,
     /// The instance that answered.
     pub instance: Option<String>,
+    /// The start of an answer that is no success, or why there was none.
+    pub reason: String,
 }
 
 impl RequestRecord {
--- a/bench/request_sender.rs
+++ b/bench/request_sender.rs
@@ -12,6 +12,7 @@
 /// The deadline that every request carries.
 pub const DEADLINE: Duration = Duration::from_secs(1);
 const GIVE_UP: Duration = Duration::from_secs(2);
+const REASON_BYTES: usize = 100;
 const DEADLINE_MILLIS: &str = "1000";
 
 /// Sends requests over kept connections.
@@ -49,6 +50,7 @@
             service: Duration::ZERO,
             outcome: RequestOutcome::Lost,
             instance: None,
+            reason: String::new(),
         };
         self.exchange(stream, target, &tag, &mut record).await;
         record.ended = self.origin.elapsed();
@@ -70,13 +72,21 @@
         let request = request
             .insert_header(("x-tag", tag))
             .insert_header(("x-deadline-ms", DEADLINE_MILLIS));
-        let Ok(mut answer) = request.send_body(tag.to_owned()).await else {
-            return;
+        let mut answer = match request.send_body(tag.to_owned()).await {
+            Ok(answer) => answer,
+            Err(cause) => {
+                record.reason = cause.to_string();
+                return;
+            }
         };
         record.instance = header(&answer, "x-instance");
         record.service = service_time(&answer);
-        let Ok(body) = answer.body().await else {
-            return;
+        let body = match answer.body().await {
+            Ok(body) => body,
+            Err(cause) => {
+                record.reason = cause.to_string();
+                return;
+            }
         };
         let verdict = header(&answer, "x-wagtailtrack-verdict").unwrap_or_default();
         record.outcome = match answer.status() {
@@ -86,6 +96,10 @@
             StatusCode::SERVICE_UNAVAILABLE if verdict != "ran" => RequestOutcome::NoCapacity,
             status => RequestOutcome::Failed(status.as_u16()),
         };
+        if record.outcome != RequestOutcome::Answered {
+            let start = &body[..body.len().min(REASON_BYTES)];
+            record.reason = format!("{verdict}: {}", String::from_utf8_lossy(start).trim());
+        }
     }
 }
 
--- a/bench/worst_served.rs
+++ b/bench/worst_served.rs
@@ -40,6 +40,7 @@
             make_sick(bench).await;
         }
         let records = run_for(streams(bench, is_greedy), bench.seed, LENGTH).await;
+        records.tell_reasons(case);
         rows.push(row(bench, case, aim, is_greedy, &records));
     }
     bench.settle().await;
--- a/bench/wrongful_refusals.rs
+++ b/bench/wrongful_refusals.rs
@@ -64,6 +64,7 @@
         sleep(AFTER).await;
         let until = from + AFTER;
         let records = run.stop().await.between(from, until);
+        records.tell_reasons(disturbance.name());
         rows.push(row(disturbance, &records));
         restore(bench, disturbance).await;
     }
--- a/standins/relay/relay_handle.rs
+++ b/standins/relay/relay_handle.rs
@@ -37,10 +37,9 @@
     /// # Errors
     /// Any I/O error of binding.
     pub fn bind_at(listen: SocketAddr, to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
+        let (listener, socket) = bind_both(listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let socket = UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -84,3 +83,16 @@
         }
     }
 }
+
+/// Binds the same port for TCP and UDP.
+fn bind_both(listen: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    loop {
+        let listener = TcpListener::bind(listen)?;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Ok(socket) => return Ok((listener, socket)),
+            // Another process holds the datagram port; the system will choose another.
+            Err(cause) if cause.kind() == io::ErrorKind::AddrInUse && listen.port() == 0 => {}
+            Err(cause) => return Err(cause),
+        }
+    }
+}
