--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -72,6 +72,13 @@
         self.state.table.borrow().local()
     }
 
+    /// Whether `instance` may begin new work now; an egress asks right before it does.
+    #[must_use]
+    pub fn accepts_work(&self, instance: &InstanceId) -> bool {
+        let now = self.state.sources.clock.now();
+        self.state.table.borrow().accepts_work(instance, now)
+    }
+
     /// The state for operators.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
--- a/src/instances/announce_table.rs
+++ b/src/instances/announce_table.rs
@@ -80,6 +80,17 @@
         is_present(&leased.local).then_some(&leased.local)
     }
 
+    /// Whether `instance` may begin new work at `now`: it is ready, and its lease holds.
+    ///
+    /// The lease is checked here and not only in `tick`, as this process may have been paused.
+    #[must_use]
+    pub fn accepts_work(&self, instance: &InstanceId, now: MonoTime) -> bool {
+        let leased = self.instances.get(instance);
+        leased.is_some_and(|leased| {
+            leased.local.phase == InstancePhase::Ready && !leased.due.has_passed(now)
+        })
+    }
+
     /// Every instance that is not gone, by name.
     #[must_use]
     pub fn local(&self) -> Vec<LocalInstance> {
--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::ids::DaemonId;
-use crate::members::{ChangeKey, GossipAction, GossipCore, MessageSpace, ProbeStep};
+use crate::members::gossip_turn::GossipTurn;
+use crate::members::{ChangeKey, GossipAction, GossipCore, MemberChange, MessageSpace, ProbeStep};
 use crate::time::MonoTime;
 use crate::wire::{GossipBody, GossipMessage, MemberRecord, MemberState};
 
@@ -14,21 +15,15 @@
 
 impl GossipCore {
     /// Carries out a step of the probe cycle.
-    pub(super) fn carry_out(
-        &mut self,
-        step: ProbeStep,
-        now: MonoTime,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
-    ) {
+    pub(super) fn carry_out(&mut self, step: ProbeStep, turn: &mut GossipTurn<'_>) {
         match step {
             ProbeStep::Ping { probe, target, to } => {
-                self.send(to, Some(&target), GossipBody::Ping(probe), rng, actions);
+                self.send(to, Some(&target), GossipBody::Ping(probe), turn);
             }
             ProbeStep::Relay { probe, target, to } => {
-                self.ask_relays(probe, &target, to, rng, actions);
+                self.ask_relays(probe, &target, to, turn);
             }
-            ProbeStep::Failed { target, since } => self.suspect(&target, since, now),
+            ProbeStep::Failed { target, since } => self.suspect(&target, since, turn.now),
         }
     }
 
@@ -37,11 +32,10 @@
         &mut self,
         to: SocketAddr,
         target: Option<&DaemonId>,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
+        turn: &mut GossipTurn<'_>,
     ) {
         let probe = GossipBody::Ping(self.cycle.take_number());
-        self.send(to, target, probe, rng, actions);
+        self.send(to, target, probe, turn);
     }
 
     /// Sends `body` with as many changes as fit.
@@ -50,23 +44,17 @@
         to: SocketAddr,
         target: Option<&DaemonId>,
         body: GossipBody,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
+        turn: &mut GossipTurn<'_>,
     ) {
-        let message = self.compose(target, body, rng);
-        actions.push(GossipAction::Send { to, message });
+        let message = self.compose(target, body, turn.rng);
+        turn.actions.push(GossipAction::Send { to, message });
     }
 
     /// Pushes the newest changes to at most `count` members, those of the own region first.
-    pub(super) fn push_to_some(
-        &mut self,
-        count: usize,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
-    ) {
-        for record in self.sample(count, None, rng) {
+    pub(super) fn push_to_some(&mut self, count: usize, turn: &mut GossipTurn<'_>) {
+        for record in self.sample(count, None, turn.rng) {
             let target = Some(&record.daemon);
-            self.send(record.address, target, GossipBody::Push, rng, actions);
+            self.send(record.address, target, GossipBody::Push, turn);
         }
     }
 
@@ -145,12 +133,11 @@
         probe: u32,
         target: &DaemonId,
         to: SocketAddr,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
+        turn: &mut GossipTurn<'_>,
     ) {
-        for relay in self.sample(RELAYS, Some(target), rng) {
+        for relay in self.sample(RELAYS, Some(target), turn.rng) {
             let body = GossipBody::PingRequest { probe, target: to };
-            self.send(relay.address, Some(&relay.daemon), body, rng, actions);
+            self.send(relay.address, Some(&relay.daemon), body, turn);
         }
     }
 
@@ -166,13 +153,14 @@
         }
         let own = self.view.own().daemon.clone();
         let accusation = entry.record.in_state(MemberState::Suspect(own));
-        self.counters.suspicions += 1;
         let awareness = self.cycle.awareness().saturating_sub(1);
-        self.view.merge_member(&accusation, awareness, now);
-        self.queue.push(ChangeKey::Member(target.clone()));
+        if self.view.merge_member(&accusation, awareness, now) == MemberChange::Newer {
+            self.counters.suspicions += 1;
+            self.queue.push(ChangeKey::Member(target.clone()));
+        }
     }
 
-    /// Random live members other than `except`; half of them from other regions at most.
+    /// Random live members other than `except`; a quarter from other regions.
     fn sample(
         &self,
         count: usize,
--- /dev/null
+++ b/src/members/gossip_timers.rs
@@ -0,0 +1,91 @@
+//! What `GossipCore` does as time passes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::hash::FastSet;
+use crate::ids::DaemonId;
+use crate::members::gossip_turn::GossipTurn;
+use crate::members::{ChangeKey, GossipCore, MemberChange};
+use crate::time::MonoTime;
+use crate::wire::{InstancePhase, InstanceRecord, MemberState};
+
+const OWN_FANOUT: usize = 4;
+const CONTACT_INTERVAL: Duration = Duration::from_secs(5);
+const LONELY_INTERVAL: Duration = Duration::from_secs(1);
+const SILENCE: Duration = Duration::from_millis(2500);
+const CUT_OFF_WAIT: Duration = Duration::from_secs(30);
+
+impl GossipCore {
+    /// Merges the stamped record of an own instance and pushes it.
+    pub(super) fn announce(&mut self, record: &InstanceRecord, turn: &mut GossipTurn<'_>) {
+        self.view.merge_record(record, turn.now);
+        self.queue
+            .push(ChangeKey::Instance(record.instance.clone()));
+        self.push_to_some(OWN_FANOUT, turn);
+    }
+
+    /// Publishes that the instance of `record` is gone.
+    pub(super) fn publish_gone(&mut self, mut record: InstanceRecord, turn: &mut GossipTurn<'_>) {
+        record.phase = InstancePhase::Gone;
+        record.incarnation = self.own.next_stamp();
+        self.announce(&record, turn);
+    }
+
+    /// Declares members dead whose suspicion was not refuted in time.
+    pub(super) fn bury_expired(&mut self, now: MonoTime) {
+        // A daemon that is cut off itself keeps its view: the others are likely alive.
+        let cut_off = self.cycle.is_cut_off() || now.since(self.heard) > SILENCE;
+        let grace = match cut_off {
+            true => CUT_OFF_WAIT,
+            false => Duration::ZERO,
+        };
+        for record in self.view.members().expired(grace, now) {
+            let dead = record.in_state(MemberState::Dead);
+            let change = self.view.merge_member(&dead, 0, now);
+            debug_assert_eq!(change, MemberChange::Liveness);
+            self.counters.deaths += 1;
+            self.queue.push(ChangeKey::Member(dead.daemon));
+        }
+    }
+
+    /// Publishes instances of an earlier boot that did not come back as gone.
+    pub(super) fn bury_orphans(&mut self, turn: &mut GossipTurn<'_>) {
+        for orphan in self.own.take_orphans(turn.now) {
+            self.publish_gone(orphan, turn);
+        }
+    }
+
+    /// Pings an address that is no live member's: a seed, or a member thought dead.
+    pub(super) fn reach_out(&mut self, turn: &mut GossipTurn<'_>) {
+        if !self.contact_at.has_passed(turn.now) {
+            return;
+        }
+        let lonely = self.view.members().live_count() == 0;
+        let (interval, most) = match lonely {
+            true => (LONELY_INTERVAL, 3),
+            false => (CONTACT_INTERVAL, 1),
+        };
+        self.contact_at = turn.now.after(interval);
+        let mut strangers = self.strangers();
+        turn.rng.shuffle(&mut strangers);
+        for (address, daemon) in strangers.into_iter().take(most) {
+            self.ping(address, daemon.as_ref(), turn);
+        }
+    }
+
+    fn strangers(&self) -> Vec<(SocketAddr, Option<DaemonId>)> {
+        let members = self.view.members();
+        let live: FastSet<_> = members.live().map(|record| record.address).collect();
+        let dead = members.entries().map(|entry| &entry.record);
+        let dead = dead.filter(|record| record.state == MemberState::Dead);
+        let dead = dead.map(|record| (record.address, Some(record.daemon.clone())));
+        let contacts = self.contacts.iter().map(|address| (*address, None));
+        let mut strangers: Vec<_> = dead
+            .chain(contacts)
+            .filter(|(address, _)| !live.contains(address))
+            .collect();
+        strangers.sort_unstable();
+        strangers
+    }
+}
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -99,7 +99,7 @@
 
     /// Tells other daemons at once that this one leaves, and deletes its row.
     pub async fn leave(&self) {
-        let actions = self.decide(|core, rng, _| core.leave(rng));
+        let actions = self.decide(|core, rng, now| core.leave(now, rng));
         self.carry_out(actions);
         let rows = MemberRows::open(Rc::clone(&self.state.sources.platform));
         let deletion = rows.delete(&self.state.sources.daemon);
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -207,7 +207,7 @@
 
     pub fn leave(&mut self, index: usize) {
         let node = &mut self.nodes[index];
-        let actions = node.core.leave(&mut node.rng);
+        let actions = node.core.leave(self.now, &mut node.rng);
         self.carry_out(index, actions);
     }
 
