--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -42,6 +42,8 @@
     pub delay: Duration,
     pub cuts: BTreeSet<(usize, usize)>,
     pub revisions: Vec<(usize, Revision)>,
+    pub is_taped: bool,
+    pub tape: Vec<(usize, usize, Vec<u8>)>,
     codec: DatagramCodec,
     parcels: BinaryHeap<Parcel>,
     counter: u64,
@@ -104,6 +106,8 @@
             delay: Duration::from_millis(3),
             cuts: BTreeSet::new(),
             revisions: Vec::new(),
+            is_taped: false,
+            tape: Vec::new(),
             codec: DatagramCodec::open(FleetKey::open("a secret of the fleet")),
             parcels: BinaryHeap::new(),
             counter: 0,
@@ -236,11 +240,23 @@
             }
             let at = self.now + self.delay.mul_f64(0.5 + self.rng.f64());
             self.counter += 1;
+            if self.is_taped {
+                self.tape.push((from, to, datagram.clone()));
+            }
             let parcel = Reverse((at, self.counter, from, to, datagram.clone()));
             self.parcels.push(parcel);
         }
     }
 
+    /// Delivers every datagram on the tape once more, in random order.
+    pub fn replay(&mut self) {
+        let mut tape = std::mem::take(&mut self.tape);
+        self.rng.shuffle(&mut tape);
+        for (from, to, datagram) in tape {
+            self.deliver(from, to, &datagram);
+        }
+    }
+
     fn pull(&mut self, from: usize, peer: usize) {
         let is_cut = self.cuts.contains(&(from, peer)) || self.cuts.contains(&(peer, from));
         if is_cut || self.nodes[peer].is_down || self.nodes[peer].is_paused {
--- /dev/null
+++ b/tests/members_order.rs
@@ -0,0 +1,159 @@
+//! Stale records never override newer ones.
+
+mod gossip_net;
+
+use std::time::Duration;
+
+use arbtest::arbtest;
+use gossip_net::{GossipNet, SEEDS, address, instance};
+use wagtailtrack::ids::Incarnation;
+use wagtailtrack::members::{RecordChange, RecordTable};
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::units::Slots;
+use wagtailtrack::wire::{InstancePhase, InstanceRecord};
+
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR_MILLIS: i64 = 3_600_000;
+const PHASES: [InstancePhase; 4] = [
+    InstancePhase::Starting,
+    InstancePhase::Ready,
+    InstancePhase::Draining,
+    InstancePhase::Gone,
+];
+
+fn with_slots(index: usize, slots: u32) -> InstanceRecord {
+    let mut record = instance(index, 0, InstancePhase::Ready);
+    record.slots = Slots::new(slots).unwrap();
+    record
+}
+
+fn all_hold(net: &mut GossipNet, record: &InstanceRecord) -> bool {
+    let mut nodes = net.nodes.iter_mut().filter(|node| !node.is_down);
+    nodes.all(|node| {
+        let records = node.core.instances_of(&record.service);
+        records.len() == 1 && records[0].slots == record.slots
+    })
+}
+
+#[test]
+fn stale_never_wins() {
+    for seed in 0..100_u64 {
+        arbtest(|source| {
+            let mut table = RecordTable::default();
+            let mut highest = 0;
+            for step in 0..60 {
+                let mut record = instance(0, 0, *source.choose(&PHASES)?);
+                record.incarnation = Incarnation(source.int_in_range(1..=20)?);
+                let change = table.merge(&record, MonoTime::from_millis(step));
+                let expected = match record.incarnation.0.cmp(&highest) {
+                    std::cmp::Ordering::Less => RecordChange::Stale,
+                    std::cmp::Ordering::Equal => RecordChange::Same,
+                    std::cmp::Ordering::Greater => RecordChange::Newer,
+                };
+                assert_eq!(change, expected);
+                highest = highest.max(record.incarnation.0);
+                let known = table.get(&record.instance).unwrap();
+                assert_eq!(known.incarnation.0, highest);
+                assert!(table.of_service(&record.service).len() <= 1);
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 1_024);
+    }
+}
+
+/// A restarted daemon outranks its earlier boot, even with its wall clock set back.
+#[test]
+fn restart_outranks() {
+    for seed in SEEDS {
+        for hint in [-HOUR_MILLIS, 0, HOUR_MILLIS] {
+            let mut net = GossipNet::open(8, 1, seed);
+            net.run_until(MINUTE, |net| net.all_count(8));
+            net.publish(4, &with_slots(4, 3));
+            net.run_until(MINUTE, |net| all_hold(net, &with_slots(4, 3)));
+            net.loss = 0.1;
+            net.restart(4, 2, hint);
+            net.publish(4, &with_slots(4, 5));
+            net.run_until(MINUTE, |net| all_hold(net, &with_slots(4, 5)));
+            net.run_until(MINUTE, |net| net.all_count(8));
+        }
+    }
+}
+
+/// Old datagrams that arrive again, late and in another order, change no view.
+#[test]
+fn replay_changes_nothing() {
+    for seed in SEEDS {
+        let mut net = GossipNet::open(8, 1, seed);
+        net.run_until(MINUTE, |net| net.all_count(8));
+        net.is_taped = true;
+        net.publish(4, &with_slots(4, 3));
+        net.run_until(MINUTE, |net| all_hold(net, &with_slots(4, 3)));
+        net.is_taped = false;
+        net.publish(4, &with_slots(4, 5));
+        net.run_until(MINUTE, |net| all_hold(net, &with_slots(4, 5)));
+        net.replay();
+        assert!(all_hold(&mut net, &with_slots(4, 5)));
+        net.run(Duration::from_secs(20));
+        assert!(all_hold(&mut net, &with_slots(4, 5)));
+    }
+}
+
+/// Instances of an earlier boot that do not announce themselves again are taken out.
+#[test]
+fn orphan_goes() {
+    for seed in SEEDS {
+        let mut net = GossipNet::open(8, 1, seed);
+        net.run_until(MINUTE, |net| net.all_count(8));
+        let record = with_slots(4, 3);
+        net.publish(4, &record);
+        net.run_until(MINUTE, |net| all_hold(net, &record));
+        net.restart(4, 2, -HOUR_MILLIS);
+        net.run_until(MINUTE, |net| net.all_see(&record, None));
+        net.run(MINUTE);
+        assert!(net.all_see(&record, None));
+    }
+}
+
+/// An instance that starts beside another daemon is found there, though its clock is behind.
+#[test]
+fn instance_moves() {
+    for seed in SEEDS {
+        let mut net = GossipNet::open(8, 1, seed);
+        net.restart(5, 2, -HOUR_MILLIS);
+        net.run_until(MINUTE, |net| net.all_count(8));
+        let record = with_slots(4, 3);
+        net.publish(4, &record);
+        net.run_until(MINUTE, |net| all_hold(net, &record));
+        net.nodes[4].is_down = true;
+        let mut moved = record.clone();
+        (moved.daemon, moved.egress) = ("daemon-0005".parse().unwrap(), address(5));
+        net.publish(5, &moved);
+        net.run_until(MINUTE, |net| {
+            let mut nodes = net.nodes.iter_mut().filter(|node| !node.is_down);
+            nodes.all(|node| {
+                let records = node.core.instances_of(&moved.service);
+                records.len() == 1 && records[0].daemon == moved.daemon
+            })
+        });
+    }
+}
+
+/// Records of a dead daemon come back with its refutation, and none is lost.
+#[test]
+fn records_return() {
+    for seed in SEEDS {
+        let mut net = GossipNet::open(8, 1, seed);
+        net.run_until(MINUTE, |net| net.all_count(8));
+        let record = with_slots(4, 3);
+        net.publish(4, &record);
+        net.run_until(MINUTE, |net| all_hold(net, &record));
+        for other in [0, 1, 2, 3, 5, 6, 7] {
+            net.cut(4, other);
+        }
+        net.run_until(2 * MINUTE, |net| net.nodes[0].core.live().len() == 7);
+        assert!(net.nodes[0].core.instances_of(&record.service).is_empty());
+        net.cuts.clear();
+        net.run_until(MINUTE, |net| net.all_count(8) && all_hold(net, &record));
+    }
+}
