--- /dev/null
+++ b/tests/instances_http.rs
@@ -0,0 +1,179 @@
+//! Announcements over HTTP, good and bad.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use wagtailtrack::instances::{AnnounceServer, AnnounceSources, LocalInstance};
+use wagtailtrack::time::ProcessClock;
+use wagtailtrack::wire::InstancePhase;
+
+const GOOD: &str =
+    r#"{"service":"desk","address":"127.0.0.1:8080","phase":"ready","slots":3,"lease":"3s"}"#;
+
+struct Bench {
+    server: AnnounceServer,
+    changes: Rc<RefCell<Vec<LocalInstance>>>,
+    stopping: Rc<RefCell<bool>>,
+}
+
+impl Bench {
+    async fn open() -> Self {
+        let changes: Rc<RefCell<Vec<LocalInstance>>> = Rc::default();
+        let stopping: Rc<RefCell<bool>> = Rc::default();
+        let (told, asked) = (Rc::clone(&changes), Rc::clone(&stopping));
+        let server = AnnounceServer::bind(AnnounceSources {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            clock: ProcessClock::open(),
+            on_change: Rc::new(move |local| told.borrow_mut().push(local)),
+            is_stopping: Rc::new(move || *asked.borrow()),
+        })
+        .await
+        .unwrap();
+        Self {
+            server,
+            changes,
+            stopping,
+        }
+    }
+
+    async fn put(&self, path: &str, body: impl Into<String>) -> (u16, String) {
+        let url = format!("http://{}{path}", self.server.address());
+        let mut response = awc::Client::default()
+            .put(url)
+            .send_body(body.into())
+            .await
+            .unwrap();
+        let text = response.body().await.unwrap();
+        (
+            response.status().as_u16(),
+            String::from_utf8_lossy(&text).into_owned(),
+        )
+    }
+}
+
+#[test]
+fn announce_and_drain() {
+    actix_rt::System::new().block_on(async {
+        let bench = Bench::open().await;
+        let name = "desk-1".parse().unwrap();
+        for _ in 0..3 {
+            let (status, text) = bench.put("/v1/instances/desk-1", GOOD).await;
+            assert_eq!(status, 200, "{text}");
+        }
+        assert!(bench.server.accepts_work(&name));
+        assert_eq!(bench.changes.borrow().len(), 1, "renewals are no changes");
+        let drain = GOOD.replace("ready", "draining");
+        assert_eq!(bench.put("/v1/instances/desk-1", drain).await.0, 200);
+        assert!(!bench.server.accepts_work(&name));
+        assert_eq!(bench.put("/v1/instances/desk-1", GOOD).await.0, 409);
+        let gone = GOOD.replace("ready", "gone");
+        for _ in 0..2 {
+            assert_eq!(bench.put("/v1/instances/desk-1", gone.clone()).await.0, 200);
+        }
+        assert!(bench.server.local().is_empty());
+        let phases: Vec<_> = bench
+            .changes
+            .borrow()
+            .iter()
+            .map(|local| local.phase)
+            .collect();
+        let expected = [
+            InstancePhase::Ready,
+            InstancePhase::Draining,
+            InstancePhase::Gone,
+        ];
+        assert_eq!(phases, expected);
+    });
+}
+
+#[test]
+fn lease_lapses() {
+    actix_rt::System::new().block_on(async {
+        let bench = Bench::open().await;
+        let short = GOOD.replace("3s", "500ms");
+        bench.put("/v1/instances/desk-1", short).await;
+        for _ in 0..600 {
+            if !bench.changes.borrow().is_empty() && bench.changes.borrow().len() > 1 {
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(bench.changes.borrow()[1].phase, InstancePhase::Draining);
+    });
+}
+
+#[test]
+fn bad_input_refused() {
+    actix_rt::System::new().block_on(async {
+        let bench = Bench::open().await;
+        let with = |from: &str, to: &str| GOOD.replace(from, to);
+        let cases = [
+            (400, "not valid", "not json".to_owned()),
+            (400, "not valid", String::new()),
+            (
+                400,
+                "unknown field `colour`",
+                with("{", r#"{"colour":"red","#),
+            ),
+            (400, "unknown variant `asleep`", with("ready", "asleep")),
+            (400, "slots '0' is out of range", with(":3,", ":0,")),
+            (400, "slots '20000' is out of range", with(":3,", ":20000,")),
+            (400, "not valid", with(":3,", ":-1,")),
+            (400, "lease '1ms' is out of range", with("3s", "1ms")),
+            (400, "lease '1h' is out of range", with("3s", "1h")),
+            (400, "time span 'soon'", with("3s", "soon")),
+            (
+                400,
+                "not on this VM",
+                with("127.0.0.1:8080", "192.0.2.1:8080"),
+            ),
+            (
+                400,
+                "not on this VM",
+                with("127.0.0.1:8080", "0.0.0.0:8080"),
+            ),
+            (400, "not on this VM", with("127.0.0.1:8080", "127.0.0.1:0")),
+            (400, "not valid", with("127.0.0.1:8080", "localhost:8080")),
+            (400, "service 'Desk' holds 'D'", with("desk", "Desk")),
+            (413, "larger than 4KiB", "x".repeat(5000)),
+        ];
+        for (expected, message, body) in cases {
+            let (status, text) = bench.put("/v1/instances/desk-1", body.clone()).await;
+            assert_eq!(status, expected, "{body}: {text}");
+            assert!(text.contains(message), "{body}: {text}");
+        }
+        for path in [
+            "/v1/instances/Desk",
+            "/v1/instances/a%20b",
+            "/v1/instances/a/b",
+        ] {
+            assert_eq!(bench.put(path, GOOD).await.0, 400, "{path}");
+        }
+        assert_eq!(bench.put("/v1/instances/", GOOD).await.0, 405);
+        assert_eq!(bench.put("/v2/instances/desk-1", GOOD).await.0, 404);
+        assert_eq!(bench.put("/v1/instancesx", GOOD).await.0, 404);
+        assert!(bench.changes.borrow().is_empty());
+        assert!(bench.server.local().is_empty());
+    });
+}
+
+#[test]
+fn full_or_stopping() {
+    actix_rt::System::new().block_on(async {
+        let bench = Bench::open().await;
+        for number in 0..64 {
+            let (status, _) = bench
+                .put(&format!("/v1/instances/desk-{number}"), GOOD)
+                .await;
+            assert_eq!(status, 200);
+        }
+        assert_eq!(bench.put("/v1/instances/desk-64", GOOD).await.0, 503);
+        *bench.stopping.borrow_mut() = true;
+        assert_eq!(bench.put("/v1/instances/desk-3", GOOD).await.0, 200);
+        let (status, text) = bench.put("/v1/instances/desk-99", GOOD).await;
+        assert_eq!(status, 503);
+        assert!(text.contains("stopping"));
+    });
+}
--- a/tests/members_cuts.rs
+++ b/tests/members_cuts.rs
@@ -147,3 +147,22 @@
         net.run_until(MINUTE, |net| net.all_count(30));
     }
 }
+
+/// Halves whose seeds are gone for good find each other by the members they hold for dead.
+#[test]
+fn heals_without_seeds() {
+    for seed in SEEDS {
+        let mut net = joined(10, seed);
+        net.nodes[0].is_down = true;
+        net.nodes[1].is_down = true;
+        for left in 2..6 {
+            for right in 6..10 {
+                net.cut(left, right);
+                net.cut(right, left);
+            }
+        }
+        net.run_until(3 * MINUTE, |net| net.all_count(4));
+        net.cuts.clear();
+        net.run_until(MINUTE, |net| net.all_count(8));
+    }
+}
--- /dev/null
+++ b/tests/members_datagrams.rs
@@ -0,0 +1,170 @@
+//! Malformed, forged, oversize and truncated datagrams.
+
+mod gossip_net;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use gossip_net::{GossipNet, address, instance, member};
+use wagtailtrack::ids::Revision;
+use wagtailtrack::members::{DatagramCodec, DatagramError, MAX_DATAGRAM_BYTES};
+use wagtailtrack::peers::{FleetKey, MAC_BYTES};
+use wagtailtrack::wire::{
+    BucketDigest, GossipBody, GossipMessage, InstancePhase, InstanceRecord, MemberRecord,
+    MemberState, OwnerDigest,
+};
+
+const SECRET: &str = "a secret of the fleet";
+
+fn codec() -> DatagramCodec {
+    DatagramCodec::open(FleetKey::open(SECRET))
+}
+
+fn message() -> GossipMessage {
+    GossipMessage {
+        sender: "daemon-0001".parse().unwrap(),
+        revision: Revision(7),
+        body: GossipBody::Ping(4),
+        digest: None,
+        members: vec![member(1, 1, 1)],
+        instances: vec![instance(1, 0, InstancePhase::Ready)],
+    }
+}
+
+#[test]
+fn any_change_detected() {
+    let sealed = codec().seal(&message()).unwrap();
+    assert_eq!(codec().unseal(&sealed), Ok(message()));
+    for bit in 0..sealed.len() * 8 {
+        let mut changed = sealed.clone();
+        changed[bit / 8] ^= 1 << (bit % 8);
+        assert_eq!(codec().unseal(&changed), Err(DatagramError::Forged));
+    }
+    for length in 0..sealed.len() {
+        let error = codec().unseal(&sealed[..length]).unwrap_err();
+        let expected = match length {
+            0..MAC_BYTES => DatagramError::Length(length),
+            _ => DatagramError::Forged,
+        };
+        assert_eq!(error, expected);
+    }
+    let other = DatagramCodec::open(FleetKey::open("another secret, of others"));
+    assert_eq!(other.unseal(&sealed), Err(DatagramError::Forged));
+}
+
+#[test]
+fn oversize_refused() {
+    let mut large = message();
+    large.instances = vec![instance(1, 0, InstancePhase::Ready); 20];
+    assert!(matches!(
+        codec().seal(&large),
+        Err(DatagramError::Length(_))
+    ));
+    let bytes = vec![0; MAX_DATAGRAM_BYTES + 1];
+    assert_eq!(
+        codec().unseal(&bytes),
+        Err(DatagramError::Length(MAX_DATAGRAM_BYTES + 1))
+    );
+}
+
+/// Random payloads under a valid code: a peer of another version, or a faulty one.
+#[test]
+fn payload_never_panics() {
+    let key = FleetKey::open(SECRET);
+    for seed in 0..300_u64 {
+        arbtest(|source| {
+            let payload = source.bytes(source.len().min(900))?;
+            let mut datagram = key.mac(&[b"gossip 1", payload]).to_vec();
+            datagram.extend_from_slice(payload);
+            assert!(!matches!(
+                codec().unseal(&datagram),
+                Err(DatagramError::Forged)
+            ));
+            Ok(())
+        })
+        .seed(seed << 32 | (seed * 3));
+    }
+}
+
+fn draw_member(source: &mut Unstructured<'_>) -> Result<MemberRecord> {
+    let mut record = member(source.int_in_range(0..=5)?, 1, 1);
+    record.boot.0 = source.arbitrary()?;
+    // The top is left free so that a refutation can still outrank it.
+    record.incarnation.0 = source.arbitrary::<u64>()? >> 1;
+    record.state = match source.int_in_range(0..=3)? {
+        0 => MemberState::Alive,
+        1 => MemberState::Suspect(member(source.int_in_range(0..=9)?, 1, 1).daemon),
+        2 => MemberState::Dead,
+        _ => MemberState::Left,
+    };
+    Ok(record)
+}
+
+fn draw_instance(source: &mut Unstructured<'_>) -> Result<InstanceRecord> {
+    let phase = *source.choose(&[InstancePhase::Ready, InstancePhase::Gone])?;
+    let mut record = instance(source.int_in_range(0..=5)?, 0, phase);
+    record.daemon = member(source.int_in_range(0..=5)?, 1, 1).daemon;
+    record.incarnation.0 = source.arbitrary::<u64>()? >> 1;
+    Ok(record)
+}
+
+fn draw_body(source: &mut Unstructured<'_>) -> Result<GossipBody> {
+    Ok(match source.int_in_range(0..=4)? {
+        0 => GossipBody::Ping(source.arbitrary()?),
+        1 => GossipBody::Ack(source.arbitrary()?),
+        2 => GossipBody::PingRequest {
+            probe: source.arbitrary()?,
+            target: address(source.int_in_range(0..=5)?),
+        },
+        3 => GossipBody::Push,
+        _ => GossipBody::Summary {
+            bucket: draw_bucket(source)?,
+            owners: (0..source.int_in_range(0..=40)?)
+                .map(|_| {
+                    let (owner, digest) = (source.arbitrary()?, source.arbitrary()?);
+                    Ok(OwnerDigest { owner, digest })
+                })
+                .collect::<Result<_>>()?,
+            wants_answer: source.arbitrary()?,
+        },
+    })
+}
+
+fn draw_bucket(source: &mut Unstructured<'_>) -> Result<BucketDigest> {
+    Ok(BucketDigest {
+        bits: source.arbitrary()?,
+        bucket: source.arbitrary()?,
+        digest: source.arbitrary()?,
+    })
+}
+
+/// Well-formed nonsense: no state machine panics, and each keeps its own place.
+#[test]
+fn nonsense_survived() {
+    for seed in 0..60_u64 {
+        arbtest(|source| {
+            let mut net = GossipNet::open(3, 1, seed);
+            for _ in 0..40 {
+                let members = vec![draw_member(source)?, draw_member(source)?];
+                let instances = vec![draw_instance(source)?, draw_instance(source)?];
+                let message = GossipMessage {
+                    sender: member(source.int_in_range(0..=5)?, 1, 1).daemon,
+                    revision: Revision(source.arbitrary()?),
+                    body: draw_body(source)?,
+                    digest: Some(draw_bucket(source)?),
+                    members,
+                    instances,
+                };
+                let now = net.now;
+                let node = &mut net.nodes[0];
+                let from = address(source.int_in_range(1..=2)?);
+                let actions = node.core.receive(&message, from, now, &mut node.rng);
+                net.carry_out(0, actions);
+                net.run(std::time::Duration::from_millis(300));
+                let own = net.nodes[0].core.view().own();
+                assert_eq!(own.state, MemberState::Alive);
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 16_384);
+    }
+}
