Ignore records with an incarnation that nothing could outrank

A record with the highest incarnation made the refutation overflow; found by the test nonsense_survived once it drew such numbers, which failed before.

--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::DaemonId;
+use crate::ids::{DaemonId, Incarnation};
 use crate::members::gossip_turn::GossipTurn;
 use crate::members::{ChangeKey, GossipAction, GossipCore, MemberChange, RecordChange};
 use crate::time::MonoTime;
@@ -10,6 +10,8 @@
     GossipBody, GossipMessage, InstancePhase, InstanceRecord, MemberRecord, MemberState,
 };
 
+// Above this no daemon could outrank a record for long; none comes there by itself.
+const MOST_INCARNATION: Incarnation = Incarnation(1 << 62);
 const FORWARD_FANOUT: usize = 2;
 
 impl GossipCore {
@@ -66,6 +68,10 @@
         now: MonoTime,
         spread: bool,
     ) -> bool {
+        if record.incarnation > MOST_INCARNATION {
+            self.counters.malformed += 1;
+            return false;
+        }
         if record.daemon == self.view.own().daemon {
             self.defend_self(record);
             return false;
@@ -93,6 +99,10 @@
         spread: bool,
         turn: &mut GossipTurn<'_>,
     ) -> bool {
+        if record.incarnation > MOST_INCARNATION {
+            self.counters.malformed += 1;
+            return false;
+        }
         let is_own = record.daemon == self.view.own().daemon;
         if is_own || self.own.get(&record.instance).is_some() {
             let defended = self.defend_instance(record, turn);
--- a/tests/members_datagrams.rs
+++ b/tests/members_datagrams.rs
@@ -85,11 +85,17 @@
     }
 }
 
+fn draw_incarnation(source: &mut Unstructured<'_>) -> Result<u64> {
+    match source.int_in_range(0..=9)? {
+        0 => Ok(u64::MAX),
+        _ => source.arbitrary(),
+    }
+}
+
 fn draw_member(source: &mut Unstructured<'_>) -> Result<MemberRecord> {
     let mut record = member(source.int_in_range(0..=5)?, 1, 1);
     record.boot.0 = source.arbitrary()?;
-    // The top is left free so that a refutation can still outrank it.
-    record.incarnation.0 = source.arbitrary::<u64>()? >> 1;
+    record.incarnation.0 = draw_incarnation(source)?;
     record.state = match source.int_in_range(0..=3)? {
         0 => MemberState::Alive,
         1 => MemberState::Suspect(member(source.int_in_range(0..=9)?, 1, 1).daemon),
@@ -103,7 +109,7 @@
     let phase = *source.choose(&[InstancePhase::Ready, InstancePhase::Gone])?;
     let mut record = instance(source.int_in_range(0..=5)?, 0, phase);
     record.daemon = member(source.int_in_range(0..=5)?, 1, 1).daemon;
-    record.incarnation.0 = source.arbitrary::<u64>()? >> 1;
+    record.incarnation.0 = draw_incarnation(source)?;
     Ok(record)
 }
 
