--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -13,7 +13,7 @@
 
 // Above this no daemon could outrank a record for long; none comes there by itself.
 const MOST_INCARNATION: Incarnation = Incarnation(1 << 62);
-const FORWARD_FANOUT: usize = 3;
+const FORWARD_FANOUT: usize = 4;
 
 impl GossipCore {
     /// Takes in a message that came from `from`.
