--- /dev/null
+++ b/src/members/gossip_repair.rs
@@ -0,0 +1,213 @@
+//! How `GossipCore` finds and mends differences between two views.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::{DaemonId, RegionId, ServiceId};
+use crate::members::gossip_turn::GossipTurn;
+use crate::members::{FleetView, GossipAction, GossipCore, MessageSpace};
+use crate::time::MonoTime;
+use crate::wire::{
+    BucketDigest, GossipBody, GossipMessage, InstanceRecord, InstancesCall, InstancesReply,
+    OwnerDigest, OwnerState,
+};
+
+const MOST_SUMMARY_OWNERS: usize = 96;
+const MOST_REPAIR_DATAGRAMS: usize = 4;
+const MOST_PAGE_OWNERS: usize = 256;
+const DIFFERENCES_TO_PULL: u32 = 6;
+const PULL_INTERVAL: Duration = Duration::from_secs(10);
+
+impl GossipCore {
+    /// Answers a peer's call.
+    #[must_use]
+    pub fn serve(&self, call: &InstancesCall) -> InstancesReply {
+        match call {
+            InstancesCall::Pull {
+                from,
+                region,
+                known,
+            } => self.serve_pull(*from, region, known),
+            InstancesCall::Service(service) => {
+                let records = self.view.records().of_service(service).into_iter();
+                let live = records.filter(|record| self.view.is_live(&record.daemon));
+                InstancesReply::Service(live.cloned().collect())
+            }
+        }
+    }
+
+    fn serve_pull(&self, from: u32, region: &RegionId, known: &[OwnerDigest]) -> InstancesReply {
+        let whole = whole(*region == self.view.own().region);
+        let mut states = self.view.differing(&whole, known);
+        let owner_of = |state: &OwnerState| FleetView::owner_of(&state.member.daemon);
+        states.retain(|state| owner_of(state) >= from);
+        states.sort_unstable_by_key(owner_of);
+        let next = states.get(MOST_PAGE_OWNERS).map(owner_of);
+        states.truncate(MOST_PAGE_OWNERS);
+        InstancesReply::Owners {
+            owners: states,
+            next,
+        }
+    }
+
+    /// The call that asks `peer` for the owners that this daemon lacks, from a hash on.
+    #[must_use]
+    pub fn pull_call(&self, peer: SocketAddr, from: u32) -> InstancesCall {
+        let region = self.view.own().region.clone();
+        let mut members = self.view.members().live();
+        let member = members.find(|record| record.address == peer);
+        let is_near = member.is_none_or(|record| record.region == region);
+        let mut known = self.view.owner_digests(&whole(is_near));
+        known.retain(|digest| digest.owner >= from);
+        InstancesCall::Pull {
+            from,
+            region,
+            known,
+        }
+    }
+
+    /// Takes in a page that was pulled; it is not gossiped on.
+    pub fn absorb(
+        &mut self,
+        owners: &[OwnerState],
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<GossipAction> {
+        let mut turn = GossipTurn::open(now, rng);
+        for state in owners {
+            self.learn_member(&state.member, now, false);
+            for record in &state.instances {
+                self.learn_record(record, false, &mut turn);
+            }
+        }
+        turn.actions
+    }
+
+    /// Takes in the records of a service in another region.
+    pub fn absorb_service(
+        &mut self,
+        service: &ServiceId,
+        region: RegionId,
+        records: Vec<InstanceRecord>,
+    ) {
+        self.remote.store(service, region, records);
+    }
+
+    /// Compares a peer's digest with the own one of the same bucket.
+    pub(super) fn compare(
+        &mut self,
+        digest: &BucketDigest,
+        message: &GossipMessage,
+        from: SocketAddr,
+        turn: &mut GossipTurn<'_>,
+    ) {
+        // A digest over records says nothing to a daemon of another region.
+        if digest.covers_records && !self.is_near(&message.sender) {
+            return;
+        }
+        let own = self.view.digest_bucket(digest);
+        if own.digest == digest.digest {
+            self.differing_in_row = 0;
+            return;
+        }
+        self.counters.differing_buckets += 1;
+        self.differing_in_row += 1;
+        if self.differing_in_row >= DIFFERENCES_TO_PULL && self.pull_after.has_passed(turn.now) {
+            self.pull_after = turn.now.after(PULL_INTERVAL);
+            turn.actions.push(GossipAction::Pull(from));
+        }
+        let summary = self.summary(digest, true);
+        self.send(from, Some(&message.sender), summary, turn);
+    }
+
+    fn summary(&self, bucket: &BucketDigest, wants_answer: bool) -> GossipBody {
+        let mut owners = self.view.owner_digests(bucket);
+        owners.truncate(MOST_SUMMARY_OWNERS);
+        GossipBody::Summary {
+            bucket: *bucket,
+            owners,
+            wants_answer,
+        }
+    }
+
+    /// Sends a peer the owners of which it has another state.
+    pub(super) fn repair(
+        &self,
+        bucket: &BucketDigest,
+        theirs: &[OwnerDigest],
+        wants_answer: bool,
+        from: SocketAddr,
+        turn: &mut GossipTurn<'_>,
+    ) {
+        let mut states = self.view.differing(bucket, theirs);
+        turn.rng.shuffle(&mut states);
+        for message in self.pack(&states).into_iter().take(MOST_REPAIR_DATAGRAMS) {
+            turn.actions.push(GossipAction::Send { to: from, message });
+        }
+        if wants_answer {
+            let message = self.bare(self.summary(bucket, false));
+            turn.actions.push(GossipAction::Send { to: from, message });
+        }
+    }
+
+    /// The owners' states as messages.
+    fn pack(&self, states: &[OwnerState]) -> Vec<GossipMessage> {
+        let mut messages = Vec::new();
+        let mut space = MessageSpace::open(self.bare(GossipBody::Push));
+        for state in states {
+            if !space.add_member(&state.member) {
+                messages.push(self.turn_over(&mut space));
+                space.add_member(&state.member);
+            }
+            for record in &state.instances {
+                if !space.add_instance(record) {
+                    messages.push(self.turn_over(&mut space));
+                    space.add_instance(record);
+                }
+            }
+        }
+        if !space.is_empty() {
+            messages.push(space.finish());
+        }
+        messages
+    }
+
+    fn turn_over(&self, space: &mut MessageSpace) -> GossipMessage {
+        let fresh = MessageSpace::open(self.bare(GossipBody::Push));
+        std::mem::replace(space, fresh).finish()
+    }
+
+    /// Pulls the whole view from the first daemon that is heard of, and once more from the
+    /// first of the own region, as others do not hold its instances.
+    pub(super) fn join_through(
+        &mut self,
+        sender: &DaemonId,
+        from: SocketAddr,
+        turn: &mut GossipTurn<'_>,
+    ) {
+        let is_near = self.is_near(sender);
+        if self.joined_region || (self.joined && !is_near) {
+            return;
+        }
+        self.joined = true;
+        self.joined_region = is_near;
+        self.pull_after = turn.now.after(PULL_INTERVAL);
+        turn.actions.push(GossipAction::Pull(from));
+    }
+
+    /// Whether `daemon` is known to be in the own region.
+    pub(super) fn is_near(&self, daemon: &DaemonId) -> bool {
+        let member = self.view.member(daemon);
+        member.is_some_and(|member| member.region == self.view.own().region)
+    }
+}
+
+/// The bucket of all owners.
+const fn whole(covers_records: bool) -> BucketDigest {
+    BucketDigest {
+        bits: 0,
+        bucket: 0,
+        covers_records,
+        digest: 0,
+    }
+}
--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::ids::DaemonId;
-use crate::members::{ChangeKey, GossipAction, GossipCore, MessageSpace, ProbeStep};
+use crate::members::gossip_turn::GossipTurn;
+use crate::members::{ChangeKey, GossipAction, GossipCore, MemberChange, MessageSpace, ProbeStep};
 use crate::time::MonoTime;
 use crate::wire::{GossipBody, GossipMessage, MemberRecord, MemberState};
 
@@ -12,23 +13,26 @@
 const EXTRA_SENDINGS: u32 = 3;
 const MOST_INSTANCE_SENDINGS: u32 = 6;
 
+/// How far a push goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PushReach {
+    /// To members of the own region, who alone keep its instances.
+    Region,
+    /// To any member.
+    Fleet,
+}
+
 impl GossipCore {
     /// Carries out a step of the probe cycle.
-    pub(super) fn carry_out(
-        &mut self,
-        step: ProbeStep,
-        now: MonoTime,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
-    ) {
+    pub(super) fn carry_out(&mut self, step: ProbeStep, turn: &mut GossipTurn<'_>) {
         match step {
             ProbeStep::Ping { probe, target, to } => {
-                self.send(to, Some(&target), GossipBody::Ping(probe), rng, actions);
+                self.send(to, Some(&target), GossipBody::Ping(probe), turn);
             }
             ProbeStep::Relay { probe, target, to } => {
-                self.ask_relays(probe, &target, to, rng, actions);
+                self.ask_relays(probe, &target, to, turn);
             }
-            ProbeStep::Failed { target, since } => self.suspect(&target, since, now),
+            ProbeStep::Failed { target, since } => self.suspect(&target, since, turn.now),
         }
     }
 
@@ -37,11 +41,10 @@
         &mut self,
         to: SocketAddr,
         target: Option<&DaemonId>,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
+        turn: &mut GossipTurn<'_>,
     ) {
         let probe = GossipBody::Ping(self.cycle.take_number());
-        self.send(to, target, probe, rng, actions);
+        self.send(to, target, probe, turn);
     }
 
     /// Sends `body` with as many changes as fit.
@@ -50,23 +53,27 @@
         to: SocketAddr,
         target: Option<&DaemonId>,
         body: GossipBody,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
+        turn: &mut GossipTurn<'_>,
     ) {
-        let message = self.compose(target, body, rng);
-        actions.push(GossipAction::Send { to, message });
+        let message = self.compose(target, body, turn.rng);
+        turn.actions.push(GossipAction::Send { to, message });
     }
 
-    /// Pushes the newest changes to at most `count` members, those of the own region first.
+    /// Pushes changes to at most `count` members, the urgent ones first.
     pub(super) fn push_to_some(
         &mut self,
         count: usize,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
+        reach: PushReach,
+        turn: &mut GossipTurn<'_>,
     ) {
-        for record in self.sample(count, None, rng) {
+        let region = self.view.own().region.clone();
+        let is_in_reach = |record: &MemberRecord| match reach {
+            PushReach::Region => record.region == region,
+            PushReach::Fleet => true,
+        };
+        for record in self.sample(count, is_in_reach, turn.rng) {
             let target = Some(&record.daemon);
-            self.send(record.address, target, GossipBody::Push, rng, actions);
+            self.send(record.address, target, GossipBody::Push, turn);
         }
     }
 
@@ -101,7 +108,8 @@
         let mut message = self.bare(body);
         if matches!(message.body, GossipBody::Ping(_) | GossipBody::Ack(_)) {
             let is_left = self.view.own().state == MemberState::Left;
-            message.digest = (!is_left).then(|| self.view.draw_bucket(rng));
+            let is_near = target.is_some_and(|target| self.is_near(target));
+            message.digest = (!is_left).then(|| self.view.draw_bucket(is_near, rng));
         }
         let mut space = MessageSpace::open(message);
         self.tell_accused(target, &mut space);
@@ -120,9 +128,11 @@
     }
 
     fn fill(&mut self, target: Option<&DaemonId>, space: &mut MessageSpace) {
+        let is_near = target.is_none_or(|target| self.is_near(target));
         for key in self.queue.first(MOST_CHANGES) {
             let added = match &key {
                 ChangeKey::Member(daemon) if Some(daemon) == target => continue,
+                ChangeKey::Instance(_) if !is_near => continue,
                 ChangeKey::Member(daemon) => {
                     let record = self.view.member(daemon);
                     record.map(|record| space.add_member(record))
@@ -145,12 +155,11 @@
         probe: u32,
         target: &DaemonId,
         to: SocketAddr,
-        rng: &mut fastrand::Rng,
-        actions: &mut Vec<GossipAction>,
+        turn: &mut GossipTurn<'_>,
     ) {
-        for relay in self.sample(RELAYS, Some(target), rng) {
+        for relay in self.sample(RELAYS, |record| record.daemon != *target, turn.rng) {
             let body = GossipBody::PingRequest { probe, target: to };
-            self.send(relay.address, Some(&relay.daemon), body, rng, actions);
+            self.send(relay.address, Some(&relay.daemon), body, turn);
         }
     }
 
@@ -166,31 +175,25 @@
         }
         let own = self.view.own().daemon.clone();
         let accusation = entry.record.in_state(MemberState::Suspect(own));
-        self.counters.suspicions += 1;
         let awareness = self.cycle.awareness().saturating_sub(1);
-        self.view.merge_member(&accusation, awareness, now);
-        self.queue.push(ChangeKey::Member(target.clone()));
+        if self.view.merge_member(&accusation, awareness, now) == MemberChange::Newer {
+            self.counters.suspicions += 1;
+            self.queue.push_urgent(ChangeKey::Member(target.clone()));
+        }
     }
 
-    /// Random live members other than `except`; half of them from other regions at most.
+    /// Random live members that `is_fit` accepts.
     fn sample(
         &self,
         count: usize,
-        except: Option<&DaemonId>,
+        is_fit: impl Fn(&MemberRecord) -> bool,
         rng: &mut fastrand::Rng,
     ) -> Vec<MemberRecord> {
-        let region = &self.view.own().region;
         let live = self.view.members().live();
-        let mut pool: Vec<_> = live
-            .filter(|record| Some(&record.daemon) != except)
-            .collect();
+        let mut pool: Vec<_> = live.filter(|record| is_fit(record)).collect();
+        // The map's order differs between runs; a sorted start makes a seed repeatable.
         pool.sort_unstable_by(|left, right| left.daemon.cmp(&right.daemon));
         rng.shuffle(&mut pool);
-        let (near, far): (Vec<_>, Vec<_>) = pool
-            .into_iter()
-            .partition(|record| record.region == *region);
-        let far_count = (count / 4).max(count.saturating_sub(near.len()));
-        let far = far.into_iter().take(far_count);
-        far.chain(near).take(count).cloned().collect()
+        pool.into_iter().take(count).cloned().collect()
     }
 }
