Filings held under cut, one-way and silent links, killed and frozen ingresses

Cause: only egresses and instances had been disturbed. listen.advertised lets a forwarder, in tests our relay, stand between an ingress and an egress.

--- a/bench/measure_bench.rs
+++ b/bench/measure_bench.rs
@@ -47,6 +47,7 @@
             tables: format!(
                 "[limits]\nshares = {shares}\nshares_per_daemon = {SHARES_PER_DAEMON}\n{tables}"
             ),
+            ..FleetPlan::default()
         };
         let fleet = TestFleet::open("measure", plan).await;
         let mut bench = Self {
--- a/src/daemon/daemon_parts.rs
+++ b/src/daemon/daemon_parts.rs
@@ -227,7 +227,7 @@
             instance: local.instance.clone(),
             service: local.service.clone(),
             daemon: settings.daemon.clone(),
-            egress: settings.listen.peers,
+            egress: settings.listen.advertised.unwrap_or(settings.listen.peers),
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             incarnation: Incarnation::default(),
--- a/tests/common/child_process.rs
+++ b/tests/common/child_process.rs
@@ -84,6 +84,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Kills it without waiting for its end.
+    pub fn crash(&self) {
+        self.signal(Signal::KILL);
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/tests/common/daemon_process.rs
+++ b/tests/common/daemon_process.rs
@@ -28,6 +28,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Its own addresses: callers, peers, admin, announce.
     pub listen: [SocketAddr; 4],
+    /// Where the other daemons send it requests, if not to its own address.
+    pub advertised: Option<SocketAddr>,
     /// Fields before the first table.
     pub fields: String,
     /// Tables that follow the generated ones.
@@ -43,6 +45,7 @@
             platform,
             seeds: Vec::new(),
             listen: [(); 4].map(|()| free_address()),
+            advertised: None,
             fields: String::new(),
             tables: String::new(),
         }
@@ -65,6 +68,7 @@
 peers = "{peers}"
 admin = "{admin}"
 announce = "{announce}"
+{advertised}
 
 [platform]
 address = "{platform}"
@@ -74,6 +78,9 @@
 
 {tables}
 "#,
+            advertised = self
+                .advertised
+                .map_or_else(String::new, |address| format!("advertised = \"{address}\"")),
             daemon = self.daemon,
             zone = self.zone,
             fields = self.fields,
--- a/tests/common/test_fleet.rs
+++ b/tests/common/test_fleet.rs
@@ -23,6 +23,8 @@
     pub daemons: usize,
     /// Number of availability zones that they are spread over; at least one.
     pub zones: usize,
+    /// Whether requests to each daemon's instances pass a relay.
+    pub has_relays: bool,
     /// Settings of every daemon before the first table.
     pub fields: String,
     /// Further tables in the settings of every daemon.
@@ -51,6 +53,8 @@
     pub platform_address: SocketAddr,
     /// The relay between every daemon and the platform.
     pub platform_relay: RelayHandle,
+    /// The relays before the daemons' egresses, if the plan has them.
+    pub request_relays: Vec<RelayHandle>,
     folder: ScratchDir,
 }
 
@@ -64,7 +68,12 @@
         let mut platform = ChildProcess::spawn("standin-platform", &arguments, &log);
         platform.line("ready").await;
         let platform_relay = RelayHandle::bind(platform_address).unwrap();
-        let plans = daemon_plans(&plan, platform_relay.address());
+        let mut plans = daemon_plans(&plan, platform_relay.address());
+        let request_relays = if plan.has_relays {
+            add_relays(&mut plans)
+        } else {
+            Vec::new()
+        };
         let mut daemons: Vec<DaemonProcess> = plans
             .into_iter()
             .map(|plan| DaemonProcess::spawn(plan, folder.path()))
@@ -78,6 +87,7 @@
             platform,
             platform_address,
             platform_relay,
+            request_relays,
             folder,
         }
     }
@@ -119,6 +129,15 @@
     }
 }
 
+fn add_relays(plans: &mut [DaemonPlan]) -> Vec<RelayHandle> {
+    let add = |plan: &mut DaemonPlan| {
+        let relay = RelayHandle::bind(plan.listen[1]).unwrap();
+        plan.advertised = Some(relay.address());
+        relay
+    };
+    plans.iter_mut().map(add).collect()
+}
+
 fn daemon_plans(plan: &FleetPlan, platform: SocketAddr) -> Vec<DaemonPlan> {
     let mut plans: Vec<DaemonPlan> = (0..plan.daemons)
         .map(|index| {
--- a/tests/process_filings.rs
+++ b/tests/process_filings.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{CallerAnswer, DeskFleet, FleetPlan};
+use common::{CallerAnswer, DeskFleet, FleetPlan, RelayMode};
 
 const WORKERS: usize = 6;
 
@@ -111,10 +111,19 @@
 }
 
 async fn open(name: &str) -> DeskFleet {
-    DeskFleet::open_with(name, FleetPlan::of(3), |plan| {
-        plan.service_time = "15ms".into()
-    })
-    .await
+    let mut plan = FleetPlan::of(3);
+    plan.has_relays = true;
+    DeskFleet::open_with(name, plan, |plan| plan.service_time = "15ms".into()).await
+}
+
+/// Puts each mode in force on the way to the daemon 1 for a while.
+async fn disturb(desk: &DeskFleet, modes: &[RelayMode]) {
+    for mode in modes {
+        desk.fleet.request_relays[1].set(*mode);
+        pause(1000).await;
+        desk.fleet.request_relays[1].set(RelayMode::Pass);
+        pause(300).await;
+    }
 }
 
 #[actix_rt::test]
@@ -178,3 +187,54 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn link_cut() {
+    let desk = open("filings-cut").await;
+    hold(desk, async |desk| disturb(desk, &[RelayMode::Cut; 4]).await).await;
+}
+
+#[actix_rt::test]
+async fn one_way_links() {
+    let desk = open("filings-oneway").await;
+    let modes = [
+        RelayMode::DropForward,
+        RelayMode::DropBack,
+        RelayMode::DropBoth,
+    ];
+    hold(desk, async |desk| disturb(desk, &modes).await).await;
+}
+
+#[actix_rt::test]
+async fn silent_link() {
+    let desk = open("filings-silent").await;
+    hold(desk, async |desk| {
+        disturb(desk, &[RelayMode::Silent; 3]).await
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn ingress_killed() {
+    let desk = open("filings-ingress").await;
+    hold(desk, async |desk| {
+        pause(700).await;
+        // Callers learn nothing; what the instances ran must still be at most once.
+        desk.fleet.daemons[0].process.crash();
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn ingress_frozen() {
+    let desk = open("filings-ingress-frozen").await;
+    hold(desk, async |desk| {
+        for _ in 0..3 {
+            desk.fleet.daemons[0].process.pause();
+            pause(900).await;
+            desk.fleet.daemons[0].process.resume();
+            pause(300).await;
+        }
+    })
+    .await;
+}
