--- /dev/null
+++ b/tests/process_announce.rs
@@ -0,0 +1,205 @@
+//! Instances that drain, vanish and return, through real processes.
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use common::{DeskFleet, FleetPlan, eventually};
+use serde_json::Value;
+
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// The phase of the instance beside the daemon `index`, as its egress holds it.
+fn phase_at(desk: &DeskFleet, index: usize) -> String {
+    let output = desk.fleet.operate(index, &["dump"]).stdout;
+    let dump: Value = serde_json::from_slice(&output).unwrap();
+    let phase = dump["egress"]["instances"][0]["phase"].as_str();
+    phase.unwrap_or("none").to_owned()
+}
+
+async fn until_phase(desk: &DeskFleet, index: usize, phase: &str) {
+    eventually("the phase at the egress", async || {
+        phase_at(desk, index) == phase
+    })
+    .await;
+}
+
+/// Requests that the instance `index` ran, once those on their way have arrived.
+async fn settled_runs(desk: &DeskFleet, index: usize) -> usize {
+    let mut before = desk.fleet.backends[index].ran().await.len();
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        let after = desk.fleet.backends[index].ran().await.len();
+        if after == before {
+            return after;
+        }
+        before = after;
+    }
+}
+
+/// Looks up through the daemon `index` until told to stop; every answer must be whole.
+fn load(desk: &DeskFleet, index: usize, answered: &Rc<Cell<usize>>, stop: &Rc<Cell<bool>>) {
+    let caller = desk.caller(index);
+    let (answered, stop) = (Rc::clone(answered), Rc::clone(stop));
+    actix_rt::spawn(async move {
+        while !stop.get() {
+            let answer = caller.get("/lookups/1").await.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+            answered.set(answered.get() + 1);
+            actix_rt::time::sleep(PAUSE).await;
+        }
+    });
+}
+
+async fn more_answers(answered: &Rc<Cell<usize>>, more: usize) {
+    let goal = answered.get() + more;
+    eventually("more answers", async || answered.get() >= goal).await;
+}
+
+/// Nothing starts on a draining instance once its egress has heard it, and no caller notices.
+#[actix_rt::test]
+async fn drain_under_load() {
+    let desk = DeskFleet::open("announce-drain", 3).await;
+    let (answered, stop) = (Rc::default(), Rc::default());
+    for index in 0..3 {
+        load(&desk, index, &answered, &stop);
+    }
+    more_answers(&answered, 30).await;
+    desk.fleet.backends[1]
+        .control(r#"{"phase":"draining"}"#)
+        .await;
+    until_phase(&desk, 1, "draining").await;
+    let runs = settled_runs(&desk, 1).await;
+    more_answers(&answered, 60).await;
+    assert_eq!(settled_runs(&desk, 1).await, runs);
+    stop.set(true);
+}
+
+/// An ingress that slept through the drain asks with a stale view, and nothing runs.
+#[actix_rt::test]
+async fn stale_ingress() {
+    let desk = DeskFleet::open("announce-stale", 3).await;
+    desk.fleet.daemons[0].process.pause();
+    desk.fleet.backends[1]
+        .control(r#"{"phase":"draining"}"#)
+        .await;
+    until_phase(&desk, 1, "draining").await;
+    let runs = settled_runs(&desk, 1).await;
+    let calls = (0..20).map(|_| {
+        let caller = desk.caller(0);
+        async move { caller.get("/lookups/1").await.unwrap() }
+    });
+    let calls = futures_util::future::join_all(calls);
+    let resume = async {
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        desk.fleet.daemons[0].process.resume();
+    };
+    let (answers, ()) = futures_util::future::join(calls, resume).await;
+    for answer in answers {
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    }
+    assert_eq!(settled_runs(&desk, 1).await, runs);
+}
+
+/// What waits in the queue of an instance that drains is not started on it.
+#[actix_rt::test]
+async fn queued_work_moves() {
+    let desk = DeskFleet::open_with("announce-queue", FleetPlan::of(2), |plan| {
+        plan.slots = 1;
+        plan.service_time = "2s".to_owned();
+    })
+    .await;
+    let caller = desk.caller(0).with_header("x-deadline-ms", "30000");
+    let calls: Vec<_> = (0..8)
+        .map(|number| {
+            let caller = caller.clone();
+            actix_rt::spawn(async move {
+                let tag = format!("queued-{number}");
+                let sending = caller.send(Method::POST, "/filings", &tag, b"filing");
+                let answer = sending.await.unwrap();
+                (tag, answer)
+            })
+        })
+        .collect();
+    let queued = |desk: &DeskFleet| {
+        let output = desk.fleet.operate(1, &["dump"]).stdout;
+        let dump: Value = serde_json::from_slice(&output).unwrap();
+        dump["egress"]["under_way"].as_u64().unwrap() >= 2
+    };
+    eventually("a queue", async || queued(&desk)).await;
+    desk.fleet.backends[1]
+        .control(r#"{"phase":"draining"}"#)
+        .await;
+    until_phase(&desk, 1, "draining").await;
+    let runs = settled_runs(&desk, 1).await;
+    for call in calls {
+        let (tag, answer) = call.await.unwrap();
+        let times = desk.times_ran(&tag).await;
+        match answer.verdict() {
+            "not-run" => assert_eq!(times, 0, "{tag}: {}", answer.text()),
+            _ => assert_eq!(times, 1, "{tag}: {}", answer.text()),
+        }
+    }
+    assert_eq!(
+        settled_runs(&desk, 1).await,
+        runs,
+        "started after the drain"
+    );
+}
+
+/// A frozen instance misses its lease and gets no work; it comes back with its renewal.
+#[actix_rt::test]
+async fn missed_lease() {
+    let desk = DeskFleet::open("announce-lease", 2).await;
+    desk.fleet.backends[1].process.pause();
+    until_phase(&desk, 1, "draining").await;
+    for _ in 0..20 {
+        let answer = desk.caller(0).get("/lookups/1").await.unwrap();
+        assert_eq!(answer.header("x-instance"), "desk-1");
+    }
+    desk.fleet.backends[1].process.resume();
+    until_phase(&desk, 1, "ready").await;
+}
+
+/// A daemon that is killed and started again finds its instance, and the fleet finds both.
+#[actix_rt::test]
+async fn daemon_restarts() {
+    let mut desk = DeskFleet::open("announce-restart", 2).await;
+    desk.fleet.daemons[1].restart();
+    desk.fleet.daemons[1].ready().await;
+    until_phase(&desk, 1, "ready").await;
+    for index in 0..2 {
+        let caller = desk.caller(index);
+        eventually("an answer of the instance", async || {
+            let answer = caller.get("/lookups/1").await;
+            answer.is_ok_and(|answer| answer.header("x-instance") == "desk-2")
+        })
+        .await;
+    }
+}
+
+/// Garbage on the peers' UDP port is dropped and counted, and the daemon lives on.
+#[actix_rt::test]
+async fn garbage_dropped() {
+    let desk = DeskFleet::open("announce-garbage", 1).await;
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    for length in [0, 1, 15, 16, 17, 300, 1200, 1201, 9000] {
+        let bytes = vec![0x5a; length];
+        socket
+            .send_to(&bytes, desk.fleet.daemons[0].peers())
+            .unwrap();
+    }
+    eventually("the count of dropped datagrams", async || {
+        let output = desk.fleet.operate(0, &["dump"]).stdout;
+        let dump: Value = serde_json::from_slice(&output).unwrap();
+        let counters = &dump["members"]["counters"];
+        let counts = [counters["forged"].as_u64(), counters["malformed"].as_u64()];
+        counts == [Some(4), Some(5)]
+    })
+    .await;
+    let answer = desk.caller(0).get("/lookups/1").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+}
