Stale offers are refused by the egress, proved by speaking to it directly

Replaces stale_ingress: with the gate taken out that test still passed, as the woken ingress learns of the drain before it asks. The new one offers to the egress itself, and fails with the gate taken out.

--- a/tests/process_announce.rs
+++ b/tests/process_announce.rs
@@ -3,12 +3,17 @@
 mod common;
 
 use std::cell::Cell;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
 use awc::http::{Method, StatusCode};
-use common::{DeskFleet, FleetPlan, eventually};
+use common::{DeskFleet, FLEET_SECRET, FleetPlan, eventually};
 use serde_json::Value;
+use wagtailtrack::ids::{BootId, RequestId};
+use wagtailtrack::peers::{FleetKey, PeerPool};
+use wagtailtrack::resource::RequestClass;
+use wagtailtrack::wire::{EgressMessage, PeerOpening, RefusalReason, RequestOffer};
 
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -78,30 +83,63 @@
     stop.set(true);
 }
 
-/// An ingress that slept through the drain asks with a stale view, and nothing runs.
+/// What the egress of the instance `desk-2` says first to an offer, whatever the views are.
+async fn offered(desk: &DeskFleet, peers: &PeerPool, number: u64) -> EgressMessage {
+    let offer = RequestOffer {
+        boot: BootId(77),
+        request: RequestId(number),
+        instance: "desk-2".parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        route: "lookups".parse().unwrap(),
+        account: "crew".parse().unwrap(),
+        class: RequestClass::Lookup,
+        idempotent: number.is_multiple_of(2),
+        remaining_micros: 5_000_000,
+        method: "GET".to_owned(),
+        target: "/lookups/1".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    let egress = desk.fleet.daemons[1].peers();
+    let mut stream = peers.open_stream(egress).await.unwrap();
+    stream.send(&PeerOpening::Request(offer)).await.unwrap();
+    stream.expect().await.unwrap()
+}
+
+/// Offers by a stale view are refused by the egress, after a drain and after a missed lease.
 #[actix_rt::test]
-async fn stale_ingress() {
-    let desk = DeskFleet::open("announce-stale", 3).await;
-    desk.fleet.daemons[0].process.pause();
-    desk.fleet.backends[1]
-        .control(r#"{"phase":"draining"}"#)
-        .await;
+async fn stale_offers_refused() {
+    let desk = DeskFleet::open("announce-stale", 2).await;
+    let peers = PeerPool::open(FleetKey::open(FLEET_SECRET));
+    for number in 0..4 {
+        let word = offered(&desk, &peers, number).await;
+        assert!(!matches!(word, EgressMessage::Refused { .. }), "{word:?}");
+    }
+    let runs_before = settled_runs(&desk, 1).await;
+    desk.fleet.backends[1].process.pause();
     until_phase(&desk, 1, "draining").await;
-    let runs = settled_runs(&desk, 1).await;
-    let calls = (0..20).map(|_| {
-        let caller = desk.caller(0);
-        async move { caller.get("/lookups/1").await.unwrap() }
-    });
-    let calls = futures_util::future::join_all(calls);
-    let resume = async {
-        actix_rt::time::sleep(Duration::from_millis(200)).await;
-        desk.fleet.daemons[0].process.resume();
-    };
-    let (answers, ()) = futures_util::future::join(calls, resume).await;
-    for answer in answers {
-        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    assert_all_refused(&desk, &peers, 10..20).await;
+    desk.fleet.backends[1].process.resume();
+    until_phase(&desk, 1, "ready").await;
+    let drain = r#"{"phase":"draining"}"#;
+    desk.fleet.backends[1].control(drain).await;
+    until_phase(&desk, 1, "draining").await;
+    assert_all_refused(&desk, &peers, 20..30).await;
+    assert_eq!(settled_runs(&desk, 1).await, runs_before);
+}
+
+async fn assert_all_refused(desk: &DeskFleet, peers: &PeerPool, numbers: Range<u64>) {
+    for number in numbers {
+        let word = offered(desk, peers, number).await;
+        let is_refused = matches!(
+            word,
+            EgressMessage::Refused {
+                reason: RefusalReason::NotReady,
+                ..
+            }
+        );
+        assert!(is_refused, "{word:?}");
     }
-    assert_eq!(settled_runs(&desk, 1).await, runs);
 }
 
 /// What waits in the queue of an instance that drains is not started on it.
