--- a/examples/gossip_slopes.rs
+++ b/examples/gossip_slopes.rs
@@ -18,6 +18,7 @@
 const INSTANCES: usize = 15;
 const SETTLE: Duration = Duration::from_secs(240);
 const SPAN: Duration = Duration::from_secs(60);
+const DRAINS: usize = 15;
 const CHANGES_PER_SECOND: usize = 5;
 const RECORD_COUNTS: [usize; 4] = [100, 1_000, 10_000, 62_000];
 
@@ -92,7 +93,9 @@
 }
 
 fn print_spread() {
-    println!("members  idle B/s  idle us/s  change B  change us  pulled B/s  drain ms  death s");
+    println!(
+        "members  idle B/s  idle us/s  change B  change us  pulled B/s  drain ms p50/max  death s"
+    );
     for size in SIZES {
         let mut net = GossipNet::open(size, REGIONS, 1);
         net.run(Duration::from_secs(20));
@@ -106,11 +109,13 @@
         let idle = measure(&mut net, 0);
         let busy = measure(&mut net, CHANGES_PER_SECOND);
         let changes = CHANGES_PER_SECOND as f64;
-        let drain = drain_millis(&mut net);
+        let mut drains: Vec<_> = (0..DRAINS).map(|at| drain_millis(&mut net, at)).collect();
+        drains.sort_unstable();
+        let (median, worst) = (drains[DRAINS / 2], drains[DRAINS - 1]);
         net.nodes[size - 1].is_down = true;
         let death = net.run_until(Duration::from_secs(120), |net| net.all_count(size - 1));
         println!(
-            "{size:>7} {:>9.0} {:>10.0} {:>9.0} {:>10.1} {:>11.1} {drain:>9} {:>8.1}",
+            "{size:>7} {:>9.0} {:>10.0} {:>9.0} {:>10.1} {:>11.1} {median:>6}/{worst:<6} {:>8.1}",
             idle.bytes,
             idle.micros,
             (busy.bytes - idle.bytes) / changes,
@@ -152,8 +157,8 @@
 }
 
 /// Until every daemon of the region sees a drain.
-fn drain_millis(net: &mut GossipNet) -> u128 {
-    let record = instance(3, 0, InstancePhase::Draining);
+fn drain_millis(net: &mut GossipNet, number: usize) -> u128 {
+    let record = instance(3, number, InstancePhase::Draining);
     net.publish(3, &record);
     let seen = |net: &mut GossipNet| {
         let now = net.now;
--- a/src/members/gossip_core.rs
+++ b/src/members/gossip_core.rs
@@ -14,6 +14,7 @@
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{InstancePhase, InstanceRecord, MemberRecord, MemberState};
 
+const MOST_CONTACTS: usize = 64;
 const LEAVE_FANOUT: usize = 8;
 const FORGET_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -34,6 +35,7 @@
     pub(super) pull_after: Deadline,
     pub(super) heard: MonoTime,
     pub(super) contacts: Vec<SocketAddr>,
+    seeds: usize,
     pub(super) contact_at: Deadline,
     forget_at: Deadline,
 }
@@ -66,10 +68,13 @@
             pull_after: Deadline::at(now),
             heard: now,
             contacts: Vec::new(),
+            seeds: 0,
             contact_at: Deadline::at(now),
             forget_at: now.after(FORGET_INTERVAL),
         };
         core.add_contacts(contacts);
+        // The seeds of the settings are never given up for addresses found later.
+        core.seeds = core.contacts.len().min(MOST_CONTACTS - 1);
         core
     }
 
@@ -77,9 +82,13 @@
     pub fn add_contacts(&mut self, contacts: Vec<SocketAddr>) {
         let own = self.view.own().address;
         for contact in contacts {
-            if contact != own && !self.contacts.contains(&contact) {
-                self.contacts.push(contact);
+            if contact == own || self.contacts.contains(&contact) {
+                continue;
             }
+            if self.contacts.len() >= MOST_CONTACTS {
+                self.contacts.remove(self.seeds);
+            }
+            self.contacts.push(contact);
         }
     }
 
--- a/src/members/member_rows.rs
+++ b/src/members/member_rows.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{BootId, DaemonId, RegionId, ZoneId};
-use crate::platform::{PlatformError, PlatformService, RowKey, RowWrite, Transaction};
+use crate::platform::{PlatformError, PlatformService, RowCheck, RowKey, RowWrite, Transaction};
 
 const PREFIX: &str = "members/";
 
@@ -44,15 +44,28 @@
     pub async fn write(&self, daemon: &DaemonId, row: &MemberRow) -> Result<(), PlatformError> {
         let value = serde_json::to_vec(row)
             .map_err(|cause| PlatformError::Unavailable(cause.to_string()))?;
-        self.commit(daemon, Some(value)).await
+        self.commit(daemon, Vec::new(), Some(value)).await
     }
 
-    /// Deletes the row of `daemon`.
+    /// Deletes the row of `daemon`, unless a later boot has written it.
     ///
     /// # Errors
     /// `PlatformError` when the platform did not confirm it.
-    pub async fn delete(&self, daemon: &DaemonId) -> Result<(), PlatformError> {
-        self.commit(daemon, None).await
+    pub async fn delete(&self, daemon: &DaemonId, boot: BootId) -> Result<(), PlatformError> {
+        let key = key_of(daemon);
+        let rows = self.platform.read(std::slice::from_ref(&key)).await?;
+        let own = rows.into_iter().flatten().find(|row| {
+            let value = decode(&row.value);
+            value.is_some_and(|value| value.boot == boot)
+        });
+        let Some(own) = own else {
+            return Ok(());
+        };
+        let check = RowCheck {
+            key,
+            version: own.version,
+        };
+        self.commit(daemon, vec![check], None).await
     }
 
     /// Reads the addresses of up to `limit` daemons whose names follow `after` in order.
@@ -70,13 +83,18 @@
         Ok(decoded.map(|row| row.address).collect())
     }
 
-    async fn commit(&self, daemon: &DaemonId, value: Option<Vec<u8>>) -> Result<(), PlatformError> {
+    async fn commit(
+        &self,
+        daemon: &DaemonId,
+        checks: Vec<RowCheck>,
+        value: Option<Vec<u8>>,
+    ) -> Result<(), PlatformError> {
         let write = RowWrite {
             key: key_of(daemon),
             value,
         };
         let transaction = Transaction {
-            checks: Vec::new(),
+            checks,
             writes: vec![write],
         };
         self.platform.commit(&transaction).await.map(|_| ())
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -2,45 +2,32 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix_rt::net::UdpSocket;
 use serde_json::json;
 
-use crate::ids::{Incarnation, InstanceId, RegionId, ServiceId};
-use crate::logs::part;
+use crate::ids::{Incarnation, InstanceId, ServiceId};
 use crate::members::{
-    DatagramCodec, DatagramError, GossipAction, GossipCore, LiveMember, MAX_DATAGRAM_BYTES,
-    MemberRow, MemberRows, MemberSources,
-};
-use crate::wire::{
-    GossipMessage, InstanceRecord, InstancesCall, InstancesReply, MemberRecord, MemberState,
-    PeerCall, PeerReply,
+    DatagramCodec, GossipAction, GossipCore, LiveMember, MemberRows, MemberSources,
 };
+use crate::wire::{InstanceRecord, InstancesCall, InstancesReply, MemberRecord, MemberState};
 
-const TICK: Duration = Duration::from_millis(100);
-const PULL_TIMEOUT: Duration = Duration::from_secs(3);
-const MOST_PAGES: usize = 64;
-const ROW_RETRY: Duration = Duration::from_secs(10);
-const ROW_POLL: Duration = Duration::from_secs(120);
-const MOST_CONTACTS: usize = 8;
 const LEAVE_WAIT: Duration = Duration::from_millis(50);
-const BUFFER_BYTES: usize = MAX_DATAGRAM_BYTES + 1;
 
-struct MembersState {
-    sources: MemberSources,
-    codec: DatagramCodec,
-    socket: UdpSocket,
-    core: RefCell<GossipCore>,
-    rng: RefCell<fastrand::Rng>,
+pub(super) struct MembersState {
+    pub(super) sources: MemberSources,
+    pub(super) codec: DatagramCodec,
+    pub(super) socket: UdpSocket,
+    pub(super) core: RefCell<GossipCore>,
+    pub(super) rng: RefCell<fastrand::Rng>,
 }
 
 /// Membership of this daemon; clones share it.
 #[derive(Clone)]
 pub struct MembersHandle {
-    state: Rc<MembersState>,
+    pub(super) state: Rc<MembersState>,
 }
 
 impl MembersHandle {
@@ -103,7 +90,8 @@
         let actions = self.decide(|core, rng, now| core.leave(now, rng));
         self.carry_out(actions);
         let rows = MemberRows::open(Rc::clone(&self.state.sources.platform));
-        let deletion = rows.delete(&self.state.sources.daemon);
+        let sources = &self.state.sources;
+        let deletion = rows.delete(&sources.daemon, sources.boot);
         // The platform may be away; a stale row only costs the next newcomer a ping.
         let _ = actix_rt::time::timeout(LEAVE_WAIT, deletion).await;
     }
@@ -124,56 +112,8 @@
         })
     }
 
-    async fn run_ticks(self) {
-        loop {
-            let actions = self.decide(|core, rng, now| core.tick(now, rng));
-            self.carry_out(actions);
-            actix_rt::time::sleep(TICK).await;
-        }
-    }
-
-    async fn run_receiver(self) {
-        let mut buffer = [0; BUFFER_BYTES];
-        loop {
-            match self.state.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => self.accept(&buffer[..length], from),
-                // A refused port of a peer that is down shows up here.
-                Err(cause) => {
-                    log::debug!(target: part::MEMBERS, cause:%; "Cannot receive a datagram.");
-                    actix_rt::time::sleep(Duration::from_millis(1)).await;
-                }
-            }
-        }
-    }
-
-    fn accept(&self, datagram: &[u8], from: SocketAddr) {
-        match self.state.codec.unseal(datagram) {
-            Ok(message) => {
-                self.count_received(datagram.len());
-                let actions = self.decide(|core, rng, now| core.receive(&message, from, now, rng));
-                self.carry_out(actions);
-            }
-            Err(cause) => self.drop_datagram(&cause, from),
-        }
-    }
-
-    fn count_received(&self, bytes: usize) {
-        let mut core = self.state.core.borrow_mut();
-        let counters = core.counters_mut();
-        counters.received += 1;
-        counters.received_bytes += bytes as u64;
-    }
-
-    fn drop_datagram(&self, cause: &DatagramError, from: SocketAddr) {
-        log::debug!(target: part::MEMBERS, from:%, cause:%; "Datagram dropped.");
-        let mut core = self.state.core.borrow_mut();
-        match cause {
-            DatagramError::Forged => core.counters_mut().forged += 1,
-            _ => core.counters_mut().malformed += 1,
-        }
-    }
-
-    fn decide(
+    /// Takes a decision at the present time.
+    pub(super) fn decide(
         &self,
         decision: impl FnOnce(
             &mut GossipCore,
@@ -188,7 +128,8 @@
         decision(&mut core, &mut self.state.rng.borrow_mut(), now)
     }
 
-    fn carry_out(&self, actions: Vec<GossipAction>) {
+    /// Carries out what was decided.
+    pub(super) fn carry_out(&self, actions: Vec<GossipAction>) {
         for action in actions {
             match action {
                 GossipAction::Send { to, message } => self.send(to, &message),
@@ -208,115 +149,6 @@
             }
         }
     }
-
-    fn send(&self, to: SocketAddr, message: &GossipMessage) {
-        let datagram = match self.state.codec.seal(message) {
-            Ok(datagram) => datagram,
-            Err(cause) => {
-                log::warn!(target: part::MEMBERS, cause:%; "Cannot encode a datagram.");
-                return;
-            }
-        };
-        // A full send buffer loses the datagram, as the network may.
-        if self.state.socket.try_send_to(&datagram, to).is_ok() {
-            let mut core = self.state.core.borrow_mut();
-            let counters = core.counters_mut();
-            counters.sent += 1;
-            counters.sent_bytes += datagram.len() as u64;
-        }
-    }
-
-    /// Pulls what this daemon lacks, page by page.
-    async fn pull(self, from: SocketAddr) {
-        let mut next = Some(0);
-        for _ in 0..MOST_PAGES {
-            let Some(page) = next else {
-                return;
-            };
-            next = self.pull_page(from, page).await;
-        }
-    }
-
-    async fn pull_page(&self, peer: SocketAddr, from: u32) -> Option<u32> {
-        let call = self.state.core.borrow().pull_call(peer, from);
-        let call = PeerCall::Instances(call);
-        let reply = self
-            .state
-            .sources
-            .peers
-            .call(peer, call, PULL_TIMEOUT)
-            .await;
-        match reply {
-            Ok(PeerReply::Instances(InstancesReply::Owners { owners, next })) => {
-                let actions = self.decide(|core, rng, now| core.absorb(&owners, now, rng));
-                self.carry_out(actions);
-                next
-            }
-            Ok(_) => None,
-            Err(cause) => {
-                log::info!(target: part::MEMBERS, peer:%, cause:%; "Cannot pull the view.");
-                None
-            }
-        }
-    }
-
-    async fn pull_service(self, service: ServiceId, region: RegionId, peer: SocketAddr) {
-        let call = PeerCall::Instances(InstancesCall::Service(service.clone()));
-        let reply = self
-            .state
-            .sources
-            .peers
-            .call(peer, call, PULL_TIMEOUT)
-            .await;
-        if let Ok(PeerReply::Instances(InstancesReply::Service(records))) = reply {
-            let mut core = self.state.core.borrow_mut();
-            core.absorb_service(&service, region, records);
-        }
-    }
-
-    /// Writes the own row once, then looks for daemons in the table, rarely.
-    async fn run_rows(self) {
-        let rows = MemberRows::open(Rc::clone(&self.state.sources.platform));
-        let sources = &self.state.sources;
-        let row = MemberRow {
-            address: sources.address,
-            boot: sources.boot,
-            zone: sources.zone.clone(),
-            region: sources.region.clone(),
-        };
-        let mut written = false;
-        loop {
-            if !written {
-                written = rows.write(&sources.daemon, &row).await.is_ok();
-            }
-            let read = self.read_rows(&rows).await;
-            let wait = match written && read {
-                true => ROW_POLL,
-                false => ROW_RETRY,
-            };
-            let factor = 0.5 + self.state.rng.borrow_mut().f64();
-            actix_rt::time::sleep(wait.mul_f64(factor)).await;
-        }
-    }
-
-    /// Reads a few rows from a random place on; whether the platform answered.
-    async fn read_rows(&self, rows: &MemberRows) -> bool {
-        let own = &self.state.sources.daemon;
-        let place = match self.state.rng.borrow_mut().bool() {
-            true => Some(own),
-            false => None,
-        };
-        match rows.addresses(place, MOST_CONTACTS).await {
-            Ok(addresses) => {
-                self.state.core.borrow_mut().add_contacts(addresses);
-                true
-            }
-            Err(cause) => {
-                log::debug!(target: part::MEMBERS, cause:%; "Cannot read the rows of members.");
-                false
-            }
-        }
-    }
 }
 
 /// The own record; the wall clock only hints at an incarnation above earlier boots.
--- /dev/null
+++ b/src/members/members_pulls.rs
@@ -0,0 +1,63 @@
+//! How `MembersHandle` pulls from other daemons.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::{RegionId, ServiceId};
+use crate::logs::part;
+use crate::members::MembersHandle;
+use crate::wire::{InstancesCall, InstancesReply, PeerCall, PeerReply};
+
+const PULL_TIMEOUT: Duration = Duration::from_secs(3);
+const MOST_PAGES: usize = 64;
+
+impl MembersHandle {
+    /// Pulls what this daemon lacks, page by page.
+    pub(super) async fn pull(self, from: SocketAddr) {
+        let mut next = Some(0);
+        for _ in 0..MOST_PAGES {
+            let Some(page) = next else {
+                return;
+            };
+            next = self.pull_page(from, page).await;
+        }
+    }
+
+    async fn pull_page(&self, peer: SocketAddr, from: u32) -> Option<u32> {
+        let call = self.state.core.borrow().pull_call(peer, from);
+        let call = PeerCall::Instances(call);
+        let reply = self
+            .state
+            .sources
+            .peers
+            .call(peer, call, PULL_TIMEOUT)
+            .await;
+        match reply {
+            Ok(PeerReply::Instances(InstancesReply::Owners { owners, next })) => {
+                let actions = self.decide(|core, rng, now| core.absorb(&owners, now, rng));
+                self.carry_out(actions);
+                next
+            }
+            Ok(_) => None,
+            Err(cause) => {
+                log::info!(target: part::MEMBERS, peer:%, cause:%; "Cannot pull the view.");
+                None
+            }
+        }
+    }
+
+    /// Pulls a service's records from another region.
+    pub(super) async fn pull_service(self, service: ServiceId, region: RegionId, peer: SocketAddr) {
+        let call = PeerCall::Instances(InstancesCall::Service(service.clone()));
+        let reply = self
+            .state
+            .sources
+            .peers
+            .call(peer, call, PULL_TIMEOUT)
+            .await;
+        if let Ok(PeerReply::Instances(InstancesReply::Service(records))) = reply {
+            let mut core = self.state.core.borrow_mut();
+            core.absorb_service(&service, region, records);
+        }
+    }
+}
