--- a/bench/added_latency.rs
+++ b/bench/added_latency.rs
@@ -12,7 +12,9 @@
 use crate::request_record::RequestRecord;
 
 const MEASURE: &str = "added latency";
-const LENGTH: Duration = Duration::from_secs(6);
+/// The two ways take turns, so that both meet the same disturbances of the machine.
+const TURNS: u64 = 3;
+const TURN: Duration = Duration::from_secs(2);
 const UNLOADED_PART: f64 = 0.1;
 const LOADED_PART: f64 = 0.7;
 const AIM_MILLIS: f64 = 3.0;
@@ -25,8 +27,12 @@
         ("unloaded", UNLOADED_PART),
         ("at 70% of slots", LOADED_PART),
     ] {
-        let through = run_for(bench.streams(part), bench.seed, LENGTH).await;
-        let straight = run_for(straight(bench, part), bench.seed, LENGTH).await;
+        let (mut through, mut straight) = (LoadRecords::default(), LoadRecords::default());
+        for turn in 0..TURNS {
+            let seed = bench.seed + turn;
+            through.extend(run_for(bench.streams(part), seed, TURN).await);
+            straight.extend(run_for(straight_streams(bench, part), seed, TURN).await);
+        }
         through.tell_reasons(case);
         rows.push(row(case, &through, &straight));
     }
@@ -46,7 +52,7 @@
 }
 
 /// The same streams, sent to the instances themselves.
-fn straight(bench: &MeasureBench, part: f64) -> Vec<LoadStream> {
+fn straight_streams(bench: &MeasureBench, part: f64) -> Vec<LoadStream> {
     let mut streams = bench.streams(part);
     for stream in &mut streams {
         stream.secret.clear();
--- a/bench/command_line.rs
+++ b/bench/command_line.rs
@@ -12,9 +12,9 @@
     /// the user's shape: skupna or indexwerk
     #[argh(option, default = "UserShape::Skupna")]
     pub shape: UserShape,
-    /// measure this alone
+    /// measure this alone; may be given several times
     #[argh(option)]
-    pub only: Option<MeasureName>,
+    pub only: Vec<MeasureName>,
     /// seed of the load and of the stand-ins
     #[argh(option, default = "1")]
     pub seed: u64,
--- a/bench/control_cost.rs
+++ b/bench/control_cost.rs
@@ -23,42 +23,63 @@
     sleep(Duration::from_secs(1)).await;
     let loaded = spent(bench).await;
     let summary = run.stop().await.summary();
+    let aim = AIM_CORE_PERCENT;
     vec![
-        MeasureRow::at_most(
-            MEASURE,
-            "idle, busiest",
-            idle.0,
-            "% of a core",
-            AIM_CORE_PERCENT,
+        MeasureRow::at_most(MEASURE, "idle, busiest", idle.busiest, "% of a core", aim)
+            .with_note(idle.words()),
+        MeasureRow::at_most(MEASURE, "idle, largest", idle.largest, "MiB", AIM_MEBIBYTES),
+        MeasureRow::told(MEASURE, "half load, busiest", loaded.busiest, "% of a core").with_note(
+            format!(
+                "with the requests themselves; {}; {summary}",
+                loaded.words()
+            ),
         ),
-        MeasureRow::at_most(MEASURE, "idle, largest", idle.1, "MiB", AIM_MEBIBYTES),
-        MeasureRow::told(MEASURE, "half load, busiest", loaded.0, "% of a core")
-            .with_note(format!("with the requests themselves; {summary}")),
         MeasureRow::at_most(
             MEASURE,
             "half load, largest",
-            loaded.1,
+            loaded.largest,
             "MiB",
             AIM_MEBIBYTES,
         ),
     ]
 }
 
-/// The most processor time, in percent of a core, and the most memory, in MiB.
-async fn spent(bench: &MeasureBench) -> (f64, f64) {
+/// What the daemons spent.
+struct FleetSpending {
+    busiest: f64,
+    mean: f64,
+    wakeups: f64,
+    largest: f64,
+}
+
+impl FleetSpending {
+    fn words(&self) -> String {
+        format!(
+            "mean {:.2} % of a core, {:.0} wakeups a second",
+            self.mean, self.wakeups
+        )
+    }
+}
+
+async fn spent(bench: &MeasureBench) -> FleetSpending {
     let before = readings(bench);
     sleep(LENGTH).await;
     let after = readings(bench);
-    let busiest = before
-        .iter()
-        .zip(&after)
+    let pairs = || before.iter().zip(&after);
+    let count = after.len() as f64;
+    let parts: Vec<f64> = pairs()
         .map(|(before, after)| 100.0 * after.core_part(before))
-        .fold(0.0, f64::max);
-    let largest = after
-        .iter()
-        .map(|usage| usage.resident_bytes as f64 / BYTES_PER_MEBIBYTE)
-        .fold(0.0, f64::max);
-    (busiest, largest)
+        .collect();
+    let waits: u64 = pairs()
+        .map(|(before, after)| after.waits - before.waits)
+        .sum();
+    let sizes = after.iter().map(|usage| usage.resident_bytes as f64);
+    FleetSpending {
+        busiest: parts.iter().copied().fold(0.0, f64::max),
+        mean: parts.iter().sum::<f64>() / count,
+        wakeups: waits as f64 / count / LENGTH.as_secs_f64(),
+        largest: sizes.fold(0.0, f64::max) / BYTES_PER_MEBIBYTE,
+    }
 }
 
 fn readings(bench: &MeasureBench) -> Vec<ProcessUsage> {
--- a/bench/load_records.rs
+++ b/bench/load_records.rs
@@ -38,6 +38,11 @@
         self.filtered(|record| record.kind == kind)
     }
 
+    /// Adds the records of another load.
+    pub fn extend(&mut self, other: Self) {
+        self.0.extend(other.0);
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -76,7 +81,15 @@
             .iter()
             .map(|(name, count)| format!("{name} {count}"))
             .collect();
-        format!("{} asked: {}", self.len(), parts.join(", "))
+        let lag = self.worst_lag().as_millis();
+        let parts = parts.join(", ");
+        format!("{} asked: {parts}; sent up to {lag} ms late", self.len())
+    }
+
+    /// How late the load's own timers were at worst; large on a starved machine.
+    pub fn worst_lag(&self) -> Duration {
+        let lags = self.0.iter().map(|record| record.lag);
+        lags.max().unwrap_or_default()
     }
 
     /// Tells on the standard error output why requests of `case` failed, most frequent first.
--- a/bench/main.rs
+++ b/bench/main.rs
@@ -76,7 +76,7 @@
     let mut bench = MeasureBench::open(line.shape, line.seed, tables).await;
     let mut rows = Vec::new();
     for name in MeasureName::ALL {
-        if line.only.is_none_or(|only| only == name) {
+        if line.only.is_empty() || line.only.contains(&name) {
             eprintln!("{name:?} at {} s", begun.elapsed().as_secs());
             rows.extend(measure(&mut bench, name).await);
         }
--- a/bench/process_usage.rs
+++ b/bench/process_usage.rs
@@ -8,6 +8,7 @@
 /// Place of the user time among the fields that follow the program's name.
 const USER_FIELD: usize = 11;
 const SYSTEM_FIELD: usize = 12;
+const WAITS: &str = "voluntary_ctxt_switches:";
 const RESIDENT_FIELD: usize = 1;
 
 /// A reading of one process.
@@ -19,6 +20,8 @@
     pub cpu: Duration,
     /// Resident memory, in bytes.
     pub resident_bytes: u64,
+    /// How often it gave up the processor to wait.
+    pub waits: u64,
 }
 
 impl ProcessUsage {
@@ -35,6 +38,7 @@
             at: Instant::now(),
             cpu: Duration::from_secs_f64((user + system) / TICKS_PER_SECOND),
             resident_bytes: resident * PAGE_BYTES,
+            waits: waits(pid)?,
         })
     }
 
@@ -45,6 +49,12 @@
     }
 }
 
+fn waits(pid: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix(WAITS))?;
+    line.trim().parse().ok()
+}
+
 /// The machine's load average over one minute.
 pub fn load_average() -> String {
     let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
--- a/bench/request_record.rs
+++ b/bench/request_record.rs
@@ -30,6 +30,8 @@
     pub kind: RequestKind,
     /// When it was meant to be sent.
     pub intended: Duration,
+    /// How late the load's own timer sent it.
+    pub lag: Duration,
     /// When it ended.
     pub ended: Duration,
     /// Time that the instance served it for.
--- a/bench/request_sender.rs
+++ b/bench/request_sender.rs
@@ -46,6 +46,7 @@
             account: stream.account,
             kind: stream.kind,
             intended,
+            lag: self.origin.elapsed().saturating_sub(intended),
             ended: intended,
             service: Duration::ZERO,
             outcome: RequestOutcome::Lost,
