Requests that wait before a leaving instance go elsewhere; plain baselines

Cause: queued_work_moves saw 8 filings start over 16 s on an instance that had announced its drain: the queue was worked off. drain_under_load failed once on a taken address: process ids ending in 0, 1 and 2 shared one loopback address.

Change: a gate whose instance leaves refuses what waits, as not run; probes stop too. Each test process has an address of its own.

Measured: queued_work_moves fails before, passes after; process_announce, process_shutdown and process_path pass.

--- a/src/daemon/daemon_parts.rs
+++ b/src/daemon/daemon_parts.rs
@@ -19,7 +19,7 @@
 use crate::platform::{HttpPlatform, PlatformService};
 use crate::settings::DaemonSettings;
 use crate::time::ProcessClock;
-use crate::wire::{InstancePhase, InstanceRecord};
+use crate::wire::{HealthState, InstancePhase, InstanceRecord};
 
 /// What all parts share.
 pub(crate) struct DaemonParts {
@@ -168,6 +168,7 @@
             boot: self.boot,
             zone: settings.zone.clone(),
             proxy: settings.proxy.clone(),
+            baseline: settings.baseline,
             peers: self.peers.clone(),
             config: config.clone(),
             limits: limits.clone(),
@@ -213,10 +214,15 @@
     fn record(
         &self,
         local: &LocalInstance,
-        health: crate::wire::HealthState,
+        health: HealthState,
         median: Option<std::time::Duration>,
     ) -> InstanceRecord {
         let settings = &self.settings;
+        let health = if settings.baseline.no_ejection {
+            HealthState::Healthy
+        } else {
+            health
+        };
         let phase = match local.phase {
             InstancePhase::Ready | InstancePhase::Starting if self.stopping.get() => {
                 InstancePhase::Draining
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -210,7 +210,8 @@
         if change.is_some() {
             self.publish_gate(gate);
         }
-        if gate.borrow_mut().health().probe_due(now) {
+        let takes_work = gate.borrow().takes_work() && !self.is_stopping();
+        if takes_work && gate.borrow_mut().health().probe_due(now) {
             actix_rt::spawn(probe_task::run(self.clone(), Rc::clone(gate)));
         }
     }
--- a/src/egress/instance_gate.rs
+++ b/src/egress/instance_gate.rs
@@ -14,6 +14,9 @@
 use crate::time::MonoTime;
 use crate::wire::{InstancePhase, LoadFigure};
 
+/// When to come back to a service of which an instance leaves.
+const LEAVING_RETRY: Duration = Duration::from_millis(100);
+
 /// What the queue tells a request that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QueueWord {
@@ -61,10 +64,14 @@
         &self.local
     }
 
-    /// Takes a new announcement.
+    /// Takes a new announcement; requests that wait before an instance that leaves are refused
+    /// and may go elsewhere.
     pub fn announce(&mut self, local: LocalInstance, spec: &ServiceSpec) {
         self.queue.resize(local.slots, spec.weights);
         self.local = local;
+        if !self.takes_work() {
+            self.refuse_waiting();
+        }
     }
 
     /// Whether new requests may enter.
@@ -168,6 +175,13 @@
         })
     }
 
+    /// Each leaves the queue through its own guard.
+    fn refuse_waiting(&mut self) {
+        for (_, sender) in self.waiting.drain() {
+            let _ = sender.send(QueueWord::Refused(LEAVING_RETRY));
+        }
+    }
+
     fn carry_out(&mut self, actions: Vec<QueueAction>) {
         for action in actions {
             let (key, word) = match action {
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -88,6 +88,9 @@
             .sources
             .members
             .instances_of(&self.plan.service);
+        if self.ingress.sources.baseline.round_robin {
+            return self.pick_in_turn(&records, tried);
+        }
         let now = self.ingress.sources.clock.now();
         let instance = self
             .ingress
@@ -104,6 +107,20 @@
             .cloned()
     }
 
+    fn pick_in_turn(
+        &self,
+        records: &[InstanceRecord],
+        tried: &[InstanceId],
+    ) -> Option<InstanceRecord> {
+        let mut state = self.ingress.state.borrow_mut();
+        let turns = state.turns.entry(self.plan.service.clone()).or_default();
+        let instance = turns.pick(records, tried)?;
+        records
+            .iter()
+            .find(|record| record.instance == instance)
+            .cloned()
+    }
+
     async fn attempt(&self, record: &InstanceRecord, history: &AttemptHistory) -> AttemptEnd {
         let sources = &self.ingress.sources;
         let deadline = self.attempt_deadline(record, history);
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::balance::InstancePicker;
+use crate::baseline::{RoundRobin, StaticSplit};
 use crate::config::ConfigHandle;
 use crate::hash::FastMap;
 use crate::http::{HttpHandler, HttpServer};
@@ -17,7 +18,7 @@
 use crate::members::MembersHandle;
 use crate::peers::PeerPool;
 use crate::retry::RetryBudget;
-use crate::settings::ProxySettings;
+use crate::settings::{BaselineSettings, ProxySettings};
 use crate::time::ProcessClock;
 use crate::units::Percent;
 
@@ -32,6 +33,8 @@
     pub zone: ZoneId,
     /// Bounds of the request path.
     pub proxy: ProxySettings,
+    /// Plain decisions, if any.
+    pub baseline: BaselineSettings,
     /// Connections to the egresses.
     pub peers: PeerPool,
     /// The configuration.
@@ -46,6 +49,8 @@
 pub(crate) struct IngressState {
     pub(crate) pickers: FastMap<ServiceId, InstancePicker>,
     pub(crate) budgets: FastMap<ServiceId, RetryBudget>,
+    pub(crate) turns: FastMap<ServiceId, RoundRobin>,
+    pub(crate) split: StaticSplit,
     pub(crate) credits: CreditLedger,
     pub(crate) totals: RequestTotals,
     pub(crate) rng: fastrand::Rng,
@@ -72,6 +77,8 @@
         let state = IngressState {
             pickers: FastMap::default(),
             budgets: FastMap::default(),
+            turns: FastMap::default(),
+            split: StaticSplit::default(),
             credits: CreditLedger::default(),
             totals: RequestTotals::default(),
             rng: fastrand::Rng::new(),
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -89,6 +89,7 @@
     let result = call.attempt_all(count).await;
     if let Err(refusal) = &result
         && refusal.verdict() == Verdict::NotRun
+        && let Some(token) = token
     {
         ingress.sources.limits.give_back(token);
     }
@@ -148,18 +149,38 @@
     Ok(())
 }
 
+/// Takes a token of the client account's rate; the plain split has none to give back.
 async fn admit(
     ingress: &IngressHandle,
     plan: &RequestPlan,
     deadline: Deadline,
-) -> Result<AdmittedToken, RequestRefusal> {
-    match ingress.sources.limits.admit(&plan.account, deadline).await {
-        Admission::Admitted(token) => Ok(token),
+) -> Result<Option<AdmittedToken>, RequestRefusal> {
+    let sources = &ingress.sources;
+    if sources.baseline.static_split {
+        return admit_split(ingress, plan).map(|()| None);
+    }
+    match sources.limits.admit(&plan.account, deadline).await {
+        Admission::Admitted(token) => Ok(Some(token)),
         Admission::Refused { retry_after } => Err(RequestRefusal::OverRate(retry_after)),
         Admission::NoLimit => Err(RequestRefusal::NoRate),
     }
 }
 
+fn admit_split(ingress: &IngressHandle, plan: &RequestPlan) -> Result<(), RequestRefusal> {
+    let sources = &ingress.sources;
+    let limit = sources.config.catalog().rate_of(&plan.account);
+    let limit = limit.ok_or(RequestRefusal::NoRate)?;
+    let parts = u32::try_from(sources.members.live().len())
+        .unwrap_or(1)
+        .max(1);
+    let now = sources.clock.now();
+    let mut state = ingress.state.borrow_mut();
+    state
+        .split
+        .admit(&limit, parts, now)
+        .map_err(RequestRefusal::OverRate)
+}
+
 fn target_of(request: &Request) -> String {
     let uri = request.uri();
     uri.path_and_query()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admin;
 pub mod balance;
+pub mod baseline;
 pub mod client;
 pub mod config;
 pub mod daemon;
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -8,8 +8,8 @@
 use crate::ids::{DaemonId, RegionId, ZoneId};
 use crate::limits::MAX_SHARES;
 use crate::settings::{
-    LimitsSettings, ListenSettings, OperatorSettings, PlatformSettings, ProxySettings,
-    SettingsError,
+    BaselineSettings, LimitsSettings, ListenSettings, OperatorSettings, PlatformSettings,
+    ProxySettings, SettingsError,
 };
 
 const LEAST_SECRET_BYTES: usize = 16;
@@ -44,6 +44,9 @@
     /// The rate limits.
     #[serde(default)]
     pub limits: LimitsSettings,
+    /// Plain decisions, for the measuring tool.
+    #[serde(default)]
+    pub baseline: BaselineSettings,
 }
 
 const fn default_level() -> log::LevelFilter {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! The daemon's settings: read from TOML, checked whole before anything starts.
 
+mod baseline_settings;
 mod daemon_settings;
 mod limits_settings;
 mod listen_settings;
@@ -8,6 +9,7 @@
 mod proxy_settings;
 mod settings_error;
 
+pub use baseline_settings::BaselineSettings;
 pub use daemon_settings::DaemonSettings;
 pub use limits_settings::LimitsSettings;
 pub use listen_settings::ListenSettings;
--- a/tests/common/free_ports.rs
+++ b/tests/common/free_ports.rs
@@ -9,7 +9,7 @@
 /// A loopback address of this process alone, so that parallel tests cannot take its ports.
 pub fn free_host() -> IpAddr {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, high.wrapping_add(1), middle, low.max(2)))
+    IpAddr::V4(Ipv4Addr::new(127, high.wrapping_add(1), middle, low))
 }
 
 /// An address whose port is free for TCP and UDP; never the same one twice.
