--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -1,7 +1,6 @@
 //! The picker of one service at one ingress.
 
-use crate::balance::load_estimate::LoadEstimate;
-use crate::balance::path_state::PathState;
+use crate::balance::known_instance::KnownInstance;
 use crate::hash::FastMap;
 use crate::health::{AdmittedInstance, floor};
 use crate::ids::{InstanceId, ZoneId};
@@ -9,16 +8,20 @@
 use crate::units::Percent;
 use crate::wire::{InstanceRecord, LoadFigure};
 
-const FULL_PERCENT: u8 = 100;
-
-/// What this ingress knows of an instance beyond its record.
-#[derive(Debug, Clone, Copy, serde::Serialize)]
-struct KnownInstance {
-    load: LoadEstimate,
-    path: PathState,
-}
-
-/// Chooses the less busy of two random instances among those that may take work.
+/// Weight of recent choices against load a slot.
+const CHOICES_WEIGHT: f64 = 0.4;
+/// Least recent choices that count, as a part of the mean, so that an instance that was
+/// away is not flooded when it returns.
+const LEAST_CHOICES: f64 = 0.7;
+/// Load a slot from which instances count as equally busy: long queues of one account or
+/// class say nothing of the wait of another.
+const SATURATED_LOAD: f64 = 2.0;
+/// Disadvantage of an instance in another zone.
+const OTHER_ZONE: f64 = 0.02;
+
+/// Chooses the least busy instance among those that may take work.
+///
+/// Instances of like load take turns, those of the own zone somewhat more often.
 #[derive(Debug)]
 pub struct InstancePicker {
     zone: ZoneId,
@@ -47,27 +50,23 @@
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Option<InstanceId> {
-        let admitted = floor::admitted(records, floor, |record| self.is_reachable(record, now));
-        let mut candidates: Vec<AdmittedInstance> = admitted
-            .into_iter()
-            .filter(|entry| !tried.contains(&records[entry.index].instance))
-            .collect();
-        if candidates.is_empty() {
-            candidates = floor::admitted(records, floor, |_| true);
-            candidates.retain(|entry| !tried.contains(&records[entry.index].instance));
-        }
+        let mut candidates = self.candidates(records, floor, tried, now);
         if !idempotent && candidates.iter().any(is_proved) {
             candidates.retain(is_proved);
         }
-        let first = draw(&candidates, records, rng)?;
-        let second = draw(&candidates, records, rng)?;
-        let index = self.better(records, first, second, now);
+        let drawn = draw(&candidates, records, rng)?;
+        let index = if drawn.share < Percent::FULL {
+            drawn.index
+        } else {
+            candidates.retain(|entry| entry.share == Percent::FULL);
+            self.least_busy(&candidates, records, now, rng)?
+        };
         Some(records[index].instance.clone())
     }
 
     /// A request goes to the instance.
-    pub fn started(&mut self, instance: &InstanceId, _now: MonoTime) {
-        self.known_mut(instance).load.started();
+    pub fn started(&mut self, instance: &InstanceId, now: MonoTime) {
+        self.known_mut(instance).chosen(now);
     }
 
     /// The instance's egress has answered with its load.
@@ -101,68 +100,100 @@
         serde_json::json!({ "zone": self.zone, "instances": known })
     }
 
-    fn known_mut(&mut self, instance: &InstanceId) -> &mut KnownInstance {
-        self.known.entry(instance.clone()).or_insert(KnownInstance {
-            load: LoadEstimate::default(),
-            path: PathState::open(),
-        })
-    }
-
-    fn is_reachable(&self, record: &InstanceRecord, now: MonoTime) -> bool {
-        let known = self.known.get(&record.instance);
-        !known.is_some_and(|known| known.path.is_blocked(now))
+    /// Instances that may take the request; blocked paths only when there is nothing else.
+    fn candidates(
+        &self,
+        records: &[InstanceRecord],
+        floor: Percent,
+        tried: &[InstanceId],
+        now: MonoTime,
+    ) -> Vec<AdmittedInstance> {
+        let is_untried = |entry: &AdmittedInstance| !tried.contains(&records[entry.index].instance);
+        let mut list = floor::admitted(records, floor, |record| self.is_reachable(record, now));
+        list.retain(is_untried);
+        if list.is_empty() {
+            list = floor::admitted(records, floor, |_| true);
+            list.retain(is_untried);
+        }
+        list
     }
 
-    /// The one with the lower load a slot; when equal, the one in the own zone.
-    fn better(
+    /// The candidate with the lowest score; equal ones by chance.
+    fn least_busy(
         &self,
+        candidates: &[AdmittedInstance],
         records: &[InstanceRecord],
-        first: usize,
-        second: usize,
         now: MonoTime,
-    ) -> usize {
-        let load = |index: usize| self.load_per_slot(&records[index], now);
-        let (first_load, second_load) = (load(first), load(second));
-        if first_load < second_load {
-            return first;
-        }
-        let is_equal = first_load <= second_load;
-        if is_equal && records[second].zone != self.zone {
-            return first;
-        }
-        second
+        rng: &mut fastrand::Rng,
+    ) -> Option<usize> {
+        let choices: f64 = candidates
+            .iter()
+            .map(|entry| self.choices_per_slot(&records[entry.index], now))
+            .sum();
+        let count = f64::from(u32::try_from(candidates.len()).unwrap_or(u32::MAX));
+        let mean_choices = choices / count;
+        let scores = candidates.iter().map(|entry| {
+            let score = self.score(&records[entry.index], mean_choices, now);
+            (score, rng.u32(..), entry.index)
+        });
+        let best = scores.min_by(|(score, lot, _), (other, other_lot, _)| {
+            score.total_cmp(other).then(lot.cmp(other_lot))
+        });
+        best.map(|(_, _, index)| index)
     }
 
-    fn load_per_slot(&self, record: &InstanceRecord, now: MonoTime) -> f64 {
+    fn score(&self, record: &InstanceRecord, mean_choices: f64, now: MonoTime) -> f64 {
         let known = self.known.get(&record.instance);
         let load = known.map_or(0.0, |known| known.load.value(now));
-        load / f64::from(record.slots.get())
+        let load_per_slot = (load / f64::from(record.slots.get())).min(SATURATED_LOAD);
+        let choices = self.choices_per_slot(record, now) / mean_choices.max(f64::MIN_POSITIVE);
+        let distance = if record.zone == self.zone {
+            0.0
+        } else {
+            OTHER_ZONE
+        };
+        load_per_slot + CHOICES_WEIGHT * choices.max(LEAST_CHOICES) + distance
+    }
+
+    fn choices_per_slot(&self, record: &InstanceRecord, now: MonoTime) -> f64 {
+        let known = self.known.get(&record.instance);
+        known.map_or(0.0, |known| known.choices_at(now)) / f64::from(record.slots.get())
+    }
+
+    fn is_reachable(&self, record: &InstanceRecord, now: MonoTime) -> bool {
+        let known = self.known.get(&record.instance);
+        !known.is_some_and(|known| known.path.is_blocked(now))
+    }
+
+    fn known_mut(&mut self, instance: &InstanceId) -> &mut KnownInstance {
+        let known = self.known.entry(instance.clone());
+        known.or_insert_with(KnownInstance::open)
     }
 }
 
 /// Whether the instance is in full health.
 fn is_proved(entry: &AdmittedInstance) -> bool {
-    entry.share.get() == FULL_PERCENT && !entry.is_forced
+    entry.share == Percent::FULL && !entry.is_forced
 }
 
-/// Draws a candidate by slots and share.
+/// Draws a candidate by slots and share, which gives each ramping one its part.
 fn draw(
     candidates: &[AdmittedInstance],
     records: &[InstanceRecord],
     rng: &mut fastrand::Rng,
-) -> Option<usize> {
+) -> Option<AdmittedInstance> {
     let weight = |entry: &AdmittedInstance| {
         u64::from(records[entry.index].slots.get()) * u64::from(entry.share.get())
     };
     let total: u64 = candidates.iter().map(weight).sum();
     if total == 0 {
-        return candidates.first().map(|entry| entry.index);
+        return candidates.first().copied();
     }
     let mut point = rng.u64(0..total);
     for entry in candidates {
         let part = weight(entry);
         if point < part {
-            return Some(entry.index);
+            return Some(*entry);
         }
         point -= part;
     }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,6 +1,7 @@
 //! The choice of an instance for a request.
 
 mod instance_picker;
+mod known_instance;
 mod load_estimate;
 mod path_state;
 
--- a/src/health/evidence_track.rs
+++ b/src/health/evidence_track.rs
@@ -22,10 +22,12 @@
 /// A cumulative sum of log-likelihood ratios, from suspicion over confirmation to due.
 ///
 /// Between suspicion and due lies a hold, in which the peers' figures arrive. A suspicion
-/// that passes by itself is remembered for a while and shortens the next hold.
+/// that was strong and passes by itself is remembered for a while: the next one is
+/// confirmed sooner. The hold stays whole, for the peers' figures take their time.
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct EvidenceTrack {
     sum: f64,
+    peak: f64,
     suspected_at: Option<MonoTime>,
     due: Deadline,
     is_confirmed: bool,
@@ -38,6 +40,7 @@
     pub(super) const fn open() -> Self {
         Self {
             sum: 0.0,
+            peak: 0.0,
             suspected_at: None,
             due: Deadline::at(MonoTime::ZERO),
             is_confirmed: false,
@@ -88,17 +91,21 @@
 
     fn suspect(&mut self, hold: Duration, now: MonoTime) {
         self.suspected_at = Some(now);
-        self.due = now.after(hold.div_f64(1.0 + self.relapses_at(now)));
+        self.due = now.after(hold);
+        self.peak = self.sum;
     }
 
     fn follow(&mut self, since: MonoTime, now: MonoTime) {
         let confirm_after = CONFIRM_AFTER.div_f64(1.0 + self.relapses_at(now));
+        self.peak = self.peak.max(self.sum);
         if self.sum >= CONFIRM_SUM && now.since(since) >= confirm_after {
             self.is_confirmed = true;
         }
         if self.sum < CLEAR_SUM && !self.is_confirmed {
-            self.relapses = self.relapses_at(now) + 1.0;
-            self.relapsed_at = now;
+            if self.peak >= CONFIRM_SUM {
+                self.relapses = self.relapses_at(now) + 1.0;
+                self.relapsed_at = now;
+            }
             self.reset();
         }
     }
--- a/src/health/floor.rs
+++ b/src/health/floor.rs
@@ -11,7 +11,6 @@
 use crate::units::Percent;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord};
 
-const FULL_PERCENT: u8 = 100;
 /// Ratio of medians between one band of sickness and the next.
 const BAND_RATIO: u32 = 4;
 
@@ -35,9 +34,12 @@
 ) -> Vec<AdmittedInstance> {
     let mut list = FloorList::open(records, floor, is_reachable);
     list.admit_healthy();
-    list.widen_ramps();
-    list.force_ejected();
-    list.admitted.sort_unstable_by_key(|entry| entry.index);
+    if list.present < list.needed {
+        list.rank_usable();
+        list.widen_ramps();
+        list.force_ejected();
+        list.admitted.sort_unstable_by_key(|entry| entry.index);
+    }
     list.admitted
 }
 
@@ -60,11 +62,10 @@
             .iter()
             .filter(|record| record.phase != InstancePhase::Gone);
         let total: u64 = announced.map(hundredths).sum();
-        let mut usable: Vec<usize> = (0..records.len())
+        let usable = (0..records.len())
             .filter(|index| records[*index].phase == InstancePhase::Ready)
             .filter(|index| is_reachable(&records[*index]))
             .collect();
-        usable.sort_by_cached_key(|index| rank(&records[*index], records));
         Self {
             records,
             usable,
@@ -75,24 +76,36 @@
     }
 
     fn admit_healthy(&mut self) {
-        for index in self.usable.clone() {
+        for place in 0..self.usable.len() {
+            let index = self.usable[place];
             match self.records[index].health {
-                HealthState::Healthy => self.admit(index, FULL_PERCENT, false),
-                HealthState::Ramping(share) => self.admit(index, share.get(), false),
+                HealthState::Healthy => self.admit(index, Percent::FULL, false),
+                HealthState::Ramping(share) => self.admit(index, share, false),
                 HealthState::Ejected => {}
             }
         }
     }
 
+    /// Puts the least sick first, equally on every daemon.
+    fn rank_usable(&mut self) {
+        let records = self.records;
+        let medians = records.iter().map(|record| record.median_micros);
+        let usual = medians.filter(|micros| *micros > 0).min().unwrap_or(1);
+        self.usable
+            .sort_by_cached_key(|index| rank(&records[*index], usual));
+    }
+
     fn widen_ramps(&mut self) {
-        for place in 0..self.admitted.len() {
-            let entry = self.admitted[place];
-            if self.present >= self.needed || entry.share.get() == FULL_PERCENT {
+        for index in self.usable.clone() {
+            let mut entries = self.admitted.iter_mut();
+            let Some(entry) = entries.find(|entry| entry.index == index) else {
                 continue;
+            };
+            if self.present < self.needed {
+                let full = hundredths(&self.records[index]);
+                self.present += full - part_of(full, entry.share);
+                entry.share = Percent::FULL;
             }
-            let full = hundredths(&self.records[entry.index]);
-            self.present += full - part_of(full, entry.share);
-            self.admitted[place].share = percent(FULL_PERCENT);
         }
     }
 
@@ -100,13 +113,12 @@
         for index in self.usable.clone() {
             let is_ejected = self.records[index].health == HealthState::Ejected;
             if is_ejected && self.present < self.needed {
-                self.admit(index, FULL_PERCENT, true);
+                self.admit(index, Percent::FULL, true);
             }
         }
     }
 
-    fn admit(&mut self, index: usize, share: u8, is_forced: bool) {
-        let share = percent(share);
+    fn admit(&mut self, index: usize, share: Percent, is_forced: bool) {
         self.present += part_of(hundredths(&self.records[index]), share);
         self.admitted.push(AdmittedInstance {
             index,
@@ -117,27 +129,17 @@
 }
 
 /// Orders instances by how sick they are, then by a hash of their name.
-fn rank(record: &InstanceRecord, records: &[InstanceRecord]) -> (u32, [u8; 32]) {
-    let usual = records
-        .iter()
-        .map(|other| other.median_micros)
-        .filter(|micros| *micros > 0)
-        .min()
-        .unwrap_or(1);
-    let ratio = record.median_micros / usual;
+fn rank(record: &InstanceRecord, usual_micros: u32) -> (u32, [u8; 32]) {
+    let ratio = record.median_micros / usual_micros;
     let band = ratio.max(1).ilog(BAND_RATIO);
     let hash = blake3::hash(record.instance.as_str().as_bytes());
     (band, *hash.as_bytes())
 }
 
 fn hundredths(record: &InstanceRecord) -> u64 {
-    u64::from(record.slots.get()) * u64::from(FULL_PERCENT)
+    u64::from(record.slots.get()) * u64::from(Percent::FULL.get())
 }
 
 fn part_of(full: u64, share: Percent) -> u64 {
-    full * u64::from(share.get()) / u64::from(FULL_PERCENT)
-}
-
-fn percent(value: u8) -> Percent {
-    Percent::new(value).unwrap_or(Percent::FULL)
+    full * u64::from(share.get()) / u64::from(Percent::FULL.get())
 }
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -16,6 +16,7 @@
 mod sample_outcome;
 mod service_baseline;
 mod service_sample;
+mod slowness_test;
 mod stall_watch;
 
 pub use admitted_instance::AdmittedInstance;
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -14,6 +14,8 @@
 
 /// Requests of one account and class that may wait.
 const MAX_WAITING_PER_ACCOUNT: usize = 64;
+/// Share that a class may catch up on after it was idle, in seconds of service per weight.
+const CLASS_CREDIT_SECS: f64 = 0.1;
 /// Shortest advice on when to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -187,7 +189,7 @@
     ) {
         let queue = &mut self.classes[class as usize];
         if queue.waiting() == 0 {
-            queue.start_tag = queue.start_tag.max(self.virtual_time);
+            queue.start_tag = queue.start_tag.max(self.virtual_time - CLASS_CREDIT_SECS);
         }
         queue.push(account, key, deadline);
         self.waiting.insert(key, (class, account.clone()));
--- /dev/null
+++ b/tests/health_false.rs
@@ -0,0 +1,102 @@
+//! Healthy instances stay in, whatever happens to all of them, in a model with virtual time.
+
+mod models;
+
+use models::{InstanceFault, ModelPolicy, ServiceModel};
+
+const SEEDS: [u64; 2] = [11, 12];
+const FAULT_MILLIS: u64 = 13_000;
+const END_MILLIS: u64 = 20_000;
+/// Ticks of 50 ms until records have reached every daemon.
+const GOSSIP_TICKS: [usize; 2] = [6, 12];
+
+fn desk(seed: u64, share: f64) -> ServiceModel {
+    let mut model = ServiceModel::open(seed, 17, 3, ModelPolicy::OURS);
+    model.load_evenly(share);
+    model
+}
+
+fn struck(seed: u64, share: f64, fault: InstanceFault) -> ServiceModel {
+    let mut model = desk(seed, share);
+    for instance in 0..17 {
+        model.strike(instance, fault, FAULT_MILLIS);
+    }
+    model
+}
+
+fn none_ejected(set_up: impl Fn(u64) -> ServiceModel) {
+    for seed in SEEDS {
+        let mut model = set_up(seed);
+        model.run(END_MILLIS);
+        assert_eq!(model.ejections, vec![], "seed {seed}");
+    }
+}
+
+fn slows(factor: f64) {
+    for ticks in GOSSIP_TICKS {
+        for share in [0.1, 0.5] {
+            none_ejected(|seed| {
+                let mut model = struck(seed, share, InstanceFault::Slow(factor));
+                model.gossip_ticks = ticks;
+                model
+            });
+        }
+    }
+}
+
+#[test]
+fn overload() {
+    none_ejected(|seed| desk(seed, 1.5));
+}
+
+#[test]
+fn service_slows_threefold() {
+    slows(3.0);
+}
+
+#[test]
+fn service_slows_tenfold() {
+    slows(10.0);
+}
+
+#[test]
+fn service_sheds() {
+    none_ejected(|seed| struck(seed, 0.5, InstanceFault::Shedding(0.5)));
+}
+
+#[test]
+fn service_freezes() {
+    none_ejected(|seed| struck(seed, 0.5, InstanceFault::Pause(1_500)));
+}
+
+#[test]
+fn cold_starts() {
+    none_ejected(|seed| {
+        let mut model = desk(seed, 0.5);
+        for instance in 0..5 {
+            model.strike(instance, InstanceFault::Cold(4.0, 8_000), 0);
+        }
+        model
+    });
+}
+
+#[test]
+fn short_pauses() {
+    none_ejected(|seed| {
+        let mut model = desk(seed, 0.5);
+        for instance in 0..17 {
+            let begins = FAULT_MILLIS + 350 * instance as u64;
+            model.strike(instance, InstanceFault::Pause(400), begins);
+        }
+        model
+    });
+}
+
+#[test]
+fn mixed_classes() {
+    none_ejected(|seed| {
+        let mut model = desk(seed, 0.3);
+        model.load_bulk(0.3);
+        model
+    });
+}
--- /dev/null
+++ b/tests/models/service_model.rs
@@ -0,0 +1,308 @@
+//! A service in virtual time: ingresses, queues, health and instances, with records that
+//! reach every daemon late.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use wagtailtrack::balance::InstancePicker;
+use wagtailtrack::health::{
+    HealthCause, InstanceHealth, SampleOutcome, ServiceBaseline, ServiceSample,
+};
+use wagtailtrack::queue::{InstanceQueue, RequestKey};
+use wagtailtrack::resource::{ClassWeights, RequestClass};
+use wagtailtrack::retry::RetryBudget;
+use wagtailtrack::time::{Deadline, MonoTime};
+use wagtailtrack::units::{Percent, Slots, Weight};
+use wagtailtrack::wire::{HealthState, InstanceRecord};
+
+use super::instance_fault::{FaultPlan, usual_time};
+use super::model_request::OpenRequest;
+use super::{InstanceFault, LoadStream, ModelPolicy, service_of};
+
+const TICK: Duration = Duration::from_millis(50);
+/// Ticks until a record has reached every daemon.
+const GOSSIP_TICKS: usize = 6;
+/// Mean service time of a lookup on a healthy instance.
+const USUAL_SECS: f64 = 0.0232;
+const PLAIN_ERRORS: u32 = 5;
+const PLAIN_WAIT: Duration = Duration::from_secs(10);
+pub(super) const WARM_UP: MonoTime = MonoTime::from_millis(12_000);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Event {
+    Arrive(usize),
+    Done(usize, RequestKey),
+    TimeOut(RequestKey),
+    Probed(usize),
+    Tick,
+}
+
+pub(super) struct ModelInstance {
+    pub(super) queue: InstanceQueue,
+    pub(super) health: InstanceHealth,
+    pub(super) fault: Option<FaultPlan>,
+    errors_in_row: u32,
+    plain_out: Deadline,
+}
+
+/// An ejection that the model saw.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ejection {
+    /// Which instance.
+    pub instance: usize,
+    /// When its egress decided.
+    pub at: MonoTime,
+    /// Why.
+    pub cause: HealthCause,
+}
+
+/// The model; everything in it follows from the seed.
+pub struct ServiceModel {
+    pub(super) policy: ModelPolicy,
+    pub(super) floor: Percent,
+    /// Ticks until a record has reached every daemon.
+    pub gossip_ticks: usize,
+    pub(super) now: MonoTime,
+    pub(super) until: MonoTime,
+    pub(super) rng: fastrand::Rng,
+    events: BinaryHeap<Reverse<(MonoTime, u64, Event)>>,
+    pub(super) serial: u64,
+    pub(super) records: Vec<InstanceRecord>,
+    pub(super) views: VecDeque<Vec<InstanceRecord>>,
+    pub(super) instances: Vec<ModelInstance>,
+    pub(super) pickers: Vec<InstancePicker>,
+    pub(super) budget: RetryBudget,
+    pub(super) open: BTreeMap<RequestKey, OpenRequest>,
+    pub(super) turns: Vec<usize>,
+    /// The load, with what became of it.
+    pub streams: Vec<LoadStream>,
+    /// Ejections in order.
+    pub ejections: Vec<Ejection>,
+    /// Starts on each instance since the warm-up.
+    pub starts: Vec<u32>,
+}
+
+impl ServiceModel {
+    /// A service of `count` instances with `slots` and one ingress beside each.
+    pub fn open(seed: u64, count: usize, slots: u32, policy: ModelPolicy) -> Self {
+        let mut records = service_of(count, slots);
+        for record in &mut records {
+            record.median_micros = 0;
+        }
+        let instances = (0..count).map(|number| ModelInstance {
+            queue: InstanceQueue::open(Slots::new(slots).unwrap(), weights()),
+            health: InstanceHealth::open(seed * 1_000 + number as u64),
+            fault: None,
+            errors_in_row: 0,
+            plain_out: Deadline::at(MonoTime::ZERO),
+        });
+        let pickers = records
+            .iter()
+            .map(|record| InstancePicker::open(record.zone.clone()));
+        let mut model = Self {
+            policy,
+            floor: Percent::new(60).unwrap(),
+            gossip_ticks: GOSSIP_TICKS,
+            now: MonoTime::from_micros(1),
+            until: MonoTime::ZERO,
+            rng: fastrand::Rng::with_seed(seed),
+            events: BinaryHeap::new(),
+            serial: 0,
+            instances: instances.collect(),
+            pickers: pickers.collect(),
+            views: VecDeque::from([records.clone()]),
+            records,
+            budget: RetryBudget::open(Percent::new(20).unwrap()),
+            open: BTreeMap::new(),
+            turns: (0..count).collect(),
+            streams: Vec::new(),
+            ejections: Vec::new(),
+            starts: vec![0; count],
+        };
+        model.plan(Duration::ZERO, Event::Tick);
+        model
+    }
+
+    /// Adds load.
+    pub fn load(&mut self, stream: LoadStream) {
+        self.streams.push(stream);
+        self.plan(Duration::ZERO, Event::Arrive(self.streams.len() - 1));
+    }
+
+    /// Lookups a second that the slots can carry.
+    pub fn capacity(&self) -> f64 {
+        let slots = self.records.iter().map(|record| record.slots.get());
+        f64::from(slots.sum::<u32>()) / USUAL_SECS
+    }
+
+    /// Adds the lookups of eight like accounts, for `share` of the slots together.
+    pub fn load_evenly(&mut self, share: f64) {
+        let rate = share * self.capacity() / 8.0;
+        for account in 0..8 {
+            let name = format!("a{account}");
+            self.load(LoadStream::open(&name, RequestClass::Lookup, rate, 1_000));
+        }
+    }
+
+    /// Adds extracts and internal checks, for `share` of the slots together.
+    pub fn load_bulk(&mut self, share: f64) {
+        let rate = share * self.capacity() / 5.0;
+        self.load(LoadStream::open("bulk", RequestClass::Extract, rate, 2_000));
+        self.load(LoadStream::open(
+            "desk",
+            RequestClass::InternalCheck,
+            rate,
+            1_000,
+        ));
+    }
+
+    /// Sends all requests through so many ingresses.
+    pub fn keep_ingresses(&mut self, count: usize) {
+        self.pickers.truncate(count);
+    }
+
+    /// Lets a fault strike `instance` at `millis`.
+    pub fn strike(&mut self, instance: usize, fault: InstanceFault, millis: u64) {
+        let begins = MonoTime::from_millis(millis);
+        self.instances[instance].fault = Some(FaultPlan { fault, begins });
+    }
+
+    /// Runs until `millis`.
+    pub fn run(&mut self, millis: u64) {
+        let until = MonoTime::from_millis(millis);
+        self.until = until;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at >= until {
+                self.plan_at(at, event);
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+    }
+
+    /// Time from `millis` until every daemon knew that `instance` was out.
+    pub fn detection(&self, instance: usize, millis: u64) -> Option<Duration> {
+        let begins = MonoTime::from_millis(millis);
+        let mut ejections = self.ejections.iter();
+        let found = ejections.find(|entry| entry.instance == instance && entry.at >= begins)?;
+        let gossip = TICK * u32::try_from(self.gossip_ticks).unwrap();
+        Some(found.at.since(begins) + gossip)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(stream) => self.arrive(stream),
+            Event::Done(instance, key) => self.done(instance, key),
+            Event::TimeOut(key) => self.time_out(key),
+            Event::Probed(instance) => self.probed(instance),
+            Event::Tick => self.tick(),
+        }
+    }
+
+    pub(super) fn plan(&mut self, after: Duration, event: Event) {
+        self.plan_at(self.now + after, event);
+    }
+
+    fn plan_at(&mut self, at: MonoTime, event: Event) {
+        self.serial += 1;
+        self.events.push(Reverse((at, self.serial, event)));
+    }
+
+    pub(super) fn observe(
+        &mut self,
+        instance: usize,
+        key: RequestKey,
+        outcome: SampleOutcome,
+        service_time: Duration,
+    ) {
+        let class = self.streams[self.open[&key].stream].class;
+        let sample = ServiceSample {
+            outcome,
+            service_time,
+            class,
+        };
+        let model = &mut self.instances[instance];
+        if !self.policy.tests_sequentially {
+            let is_bad = !matches!(outcome, SampleOutcome::Good | SampleOutcome::Shed);
+            model.errors_in_row = if is_bad { model.errors_in_row + 1 } else { 0 };
+            if model.errors_in_row >= PLAIN_ERRORS && model.plain_out.has_passed(self.now) {
+                model.plain_out = self.now.after(PLAIN_WAIT);
+                self.note_ejection(instance, HealthCause::Failing);
+            }
+            return;
+        }
+        let peers = ServiceBaseline::of(self.views.front().unwrap());
+        let change = model.health.observe(&sample, &peers, self.now);
+        if let Some(change) = change.filter(|change| change.to == HealthState::Ejected) {
+            self.note_ejection(instance, change.cause);
+        }
+    }
+
+    fn note_ejection(&mut self, instance: usize, cause: HealthCause) {
+        let at = self.now;
+        self.ejections.push(Ejection {
+            instance,
+            at,
+            cause,
+        });
+    }
+
+    fn probed(&mut self, instance: usize) {
+        let now = self.now;
+        let usual = usual_time(RequestClass::Lookup, &mut self.rng);
+        let model = &mut self.instances[instance];
+        // The health endpoint lies: it is always well, unless the instance is frozen.
+        if model.fault.map(|plan| plan.fault) != Some(InstanceFault::Frozen) {
+            model.health.probe_done(SampleOutcome::Good, usual, now);
+        }
+    }
+
+    fn tick(&mut self) {
+        let peers = ServiceBaseline::of(self.views.front().unwrap());
+        for instance in 0..self.instances.len() {
+            let model = &mut self.instances[instance];
+            let actions = model.queue.tick(self.now);
+            let oldest = model.queue.running_oldest(self.now);
+            if self.policy.tests_sequentially {
+                let change = model.health.tick(&peers, self.now, oldest);
+                if model.health.probe_due(self.now) {
+                    self.plan(Duration::from_millis(25), Event::Probed(instance));
+                }
+                if let Some(change) = change.filter(|change| change.to == HealthState::Ejected) {
+                    self.note_ejection(instance, change.cause);
+                }
+            }
+            self.carry_out(instance, actions);
+            self.publish(instance);
+        }
+        self.views.push_back(self.records.clone());
+        if self.views.len() > self.gossip_ticks {
+            self.views.pop_front();
+        }
+        self.plan(TICK, Event::Tick);
+    }
+
+    fn publish(&mut self, instance: usize) {
+        let model = &self.instances[instance];
+        let record = &mut self.records[instance];
+        let median = model.health.median().unwrap_or_default();
+        record.median_micros = u32::try_from(median.as_micros()).unwrap();
+        record.health = match self.policy.tests_sequentially {
+            true => model.health.state(),
+            false if model.plain_out.has_passed(self.now) => HealthState::Healthy,
+            false => HealthState::Ejected,
+        };
+    }
+}
+
+fn weights() -> ClassWeights {
+    let weight = |value| Weight::new(value).unwrap();
+    ClassWeights {
+        lookup: weight(2),
+        filing: weight(4),
+        extract: weight(1),
+        internal_check: weight(4),
+    }
+}
--- a/tests/picking.rs
+++ b/tests/picking.rs
@@ -2,9 +2,11 @@
 
 mod models;
 
-use models::service_of;
+use models::{InstanceFault, LoadStream, ModelPolicy, ServiceModel, service_of};
+use std::time::Duration;
 use wagtailtrack::balance::InstancePicker;
 use wagtailtrack::ids::InstanceId;
+use wagtailtrack::resource::RequestClass;
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::Percent;
 use wagtailtrack::wire::{HealthState, InstanceRecord, LoadFigure};
@@ -82,3 +84,86 @@
         None
     );
 }
+
+#[test]
+fn returning_not_flooded() {
+    let records = service_of(10, 3);
+    let mut picker = picker();
+    let mut rng = fastrand::Rng::with_seed(3);
+    let floor = Percent::new(50).unwrap();
+    let mut now = MonoTime::ZERO;
+    let mut on_last = 0;
+    for turn in 0..600 {
+        // The last instance joins after 500 requests.
+        let known = if turn < 500 {
+            &records[..9]
+        } else {
+            &records[..]
+        };
+        let picked = picker.pick(known, floor, &[], true, now, &mut rng).unwrap();
+        picker.started(&picked, now);
+        picker.answered(&picked, LoadFigure::default(), now);
+        on_last += u32::from(picked == records[9].instance);
+        now = now + Duration::from_millis(10);
+    }
+    assert!((5..=30).contains(&on_last), "{on_last} of 100");
+}
+
+#[test]
+fn other_zones_take_part() {
+    let records = service_of(8, 3);
+    let mut picker = picker();
+    let mut rng = fastrand::Rng::with_seed(3);
+    let floor = Percent::new(50).unwrap();
+    let mut now = MonoTime::ZERO;
+    let mut at_home = 0;
+    for _ in 0..1_000 {
+        let picked = picker.pick(&records, floor, &[], true, now, &mut rng);
+        let picked = picked.unwrap();
+        picker.started(&picked, now);
+        picker.answered(&picked, LoadFigure::default(), now);
+        let record = records.iter().find(|record| record.instance == picked);
+        at_home += u32::from(record.unwrap().zone.as_str() == "z1");
+        now = now + Duration::from_millis(5);
+    }
+    assert!((260..=500).contains(&at_home), "{at_home} of 1000");
+}
+
+/// The median and the 99th percentile of the answer times.
+fn times(policy: ModelPolicy, ingresses: usize, share: f64, slow: usize) -> (Duration, Duration) {
+    let mut model = ServiceModel::open(7, 17, 3, policy);
+    model.keep_ingresses(ingresses);
+    let rate = share * model.capacity();
+    model.load(LoadStream::open("a", RequestClass::Lookup, rate, 1_000));
+    for instance in 0..slow {
+        model.strike(instance, InstanceFault::Slow(2.5), 0);
+    }
+    model.run(17_000);
+    let stream = &model.streams[0];
+    (stream.quantile(0.5), stream.quantile(0.99))
+}
+
+fn compare(ingresses: usize, share: f64, slow: usize) -> (Duration, Duration) {
+    let ours = times(ModelPolicy::OURS, ingresses, share, slow);
+    let plain = times(ModelPolicy::PLAIN, ingresses, share, slow);
+    println!("{ingresses} ingresses at {share}, {slow} slower: {ours:?}, round robin {plain:?}");
+    (ours.1, plain.1)
+}
+
+#[test]
+fn one_ingress() {
+    let (ours, plain) = compare(1, 0.85, 0);
+    assert!(ours < plain);
+}
+
+#[test]
+fn many_ingresses() {
+    let (ours, plain) = compare(17, 0.7, 0);
+    assert!(ours < plain + Duration::from_millis(5));
+}
+
+#[test]
+fn slower_instances() {
+    let (ours, plain) = compare(17, 0.7, 3);
+    assert!(ours < plain);
+}
