--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,14 +5,23 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub mod admin;
 pub mod balance;
+pub mod client;
+pub mod config;
 pub mod daemon;
+pub mod egress;
 pub mod exit;
 pub mod hash;
 pub mod health;
 pub mod http;
 pub mod ids;
+pub mod ingress;
+pub mod instances;
+pub mod limits;
 pub mod logs;
+pub mod members;
+pub mod metrics;
 pub mod peers;
 pub mod platform;
 pub mod queue;
--- /dev/null
+++ b/src/members/gossip_core.rs
@@ -0,0 +1,201 @@
+//! The membership protocol as a state machine.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::ids::{Incarnation, InstanceId, Revision, ServiceId};
+use crate::members::gossip_send::PushReach;
+use crate::members::gossip_turn::GossipTurn;
+use crate::members::{
+    ChangeKey, ChangeQueue, FleetView, GossipAction, GossipCounters, LiveMember, OwnInstances,
+    ProbeCycle, RelayTable, RemoteServices,
+};
+use crate::time::{Deadline, MonoTime};
+use crate::wire::{InstancePhase, InstanceRecord, MemberRecord, MemberState};
+
+const LEAVE_FANOUT: usize = 8;
+const FORGET_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Decides what to send, and what to believe.
+#[derive(Debug)]
+pub struct GossipCore {
+    pub(super) view: FleetView,
+    pub(super) cycle: ProbeCycle,
+    pub(super) queue: ChangeQueue,
+    pub(super) relays: RelayTable,
+    pub(super) own: OwnInstances,
+    pub(super) counters: GossipCounters,
+    pub(super) revision: Revision,
+    pub(super) joined: bool,
+    pub(super) joined_region: bool,
+    pub(super) remote: RemoteServices,
+    pub(super) differing_in_row: u32,
+    pub(super) pull_after: Deadline,
+    pub(super) heard: MonoTime,
+    pub(super) contacts: Vec<SocketAddr>,
+    pub(super) contact_at: Deadline,
+    forget_at: Deadline,
+}
+
+impl GossipCore {
+    /// A daemon that knows only itself and the addresses in `contacts`.
+    ///
+    /// The incarnation of `own` should lie above that of its earlier boots.
+    #[must_use]
+    pub fn open(
+        own: MemberRecord,
+        contacts: Vec<SocketAddr>,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Self {
+        let mut queue = ChangeQueue::default();
+        queue.push(ChangeKey::Member(own.daemon.clone()));
+        let mut core = Self {
+            cycle: ProbeCycle::open(own.region.clone(), now, rng),
+            own: OwnInstances::open(own.incarnation),
+            view: FleetView::open(own),
+            queue,
+            relays: RelayTable::default(),
+            counters: GossipCounters::default(),
+            revision: Revision::default(),
+            joined: false,
+            joined_region: false,
+            remote: RemoteServices::default(),
+            differing_in_row: 0,
+            pull_after: Deadline::at(now),
+            heard: now,
+            contacts: Vec::new(),
+            contact_at: Deadline::at(now),
+            forget_at: now.after(FORGET_INTERVAL),
+        };
+        core.add_contacts(contacts);
+        core
+    }
+
+    /// Adds addresses at which daemons may be found.
+    pub fn add_contacts(&mut self, contacts: Vec<SocketAddr>) {
+        let own = self.view.own().address;
+        for contact in contacts {
+            if contact != own && !self.contacts.contains(&contact) {
+                self.contacts.push(contact);
+            }
+        }
+    }
+
+    /// Sets the configuration revision that messages carry.
+    pub const fn set_revision(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
+    /// Moves on to `now`.
+    pub fn tick(&mut self, now: MonoTime, rng: &mut fastrand::Rng) -> Vec<GossipAction> {
+        let turn = &mut GossipTurn::open(now, rng);
+        self.relays.expire(now);
+        for step in self.cycle.tick(self.view.members(), now, turn.rng) {
+            self.carry_out(step, turn);
+        }
+        self.bury_expired(now);
+        self.bury_orphans(turn);
+        self.reach_out(turn);
+        self.refresh_remote(turn);
+        if self.forget_at.has_passed(now) {
+            self.forget_at = now.after(FORGET_INTERVAL);
+            self.view.forget(now);
+        }
+        std::mem::take(&mut turn.actions)
+    }
+
+    /// Publishes the record of an instance beside this daemon.
+    pub fn publish(
+        &mut self,
+        record: &InstanceRecord,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<GossipAction> {
+        if let Some(known) = self.view.records().get(&record.instance) {
+            self.own.outrank(known.incarnation);
+        }
+        let mut turn = GossipTurn::open(now, rng);
+        if let Some(stamped) = self.own.publish(record) {
+            self.announce(&stamped, &mut turn);
+        }
+        turn.actions
+    }
+
+    /// Publishes that an instance beside this daemon is gone.
+    pub fn remove(
+        &mut self,
+        instance: &InstanceId,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<GossipAction> {
+        let mut turn = GossipTurn::open(now, rng);
+        if let Some(record) = self.own.remove(instance) {
+            self.publish_gone(record, &mut turn);
+        }
+        turn.actions
+    }
+
+    /// Tells several members at once that this daemon leaves.
+    pub fn leave(&mut self, now: MonoTime, rng: &mut fastrand::Rng) -> Vec<GossipAction> {
+        let left = self.view.own().in_state(MemberState::Left);
+        self.queue
+            .push_urgent(ChangeKey::Member(left.daemon.clone()));
+        self.view.set_own(left);
+        let mut turn = GossipTurn::open(now, rng);
+        self.push_to_some(LEAVE_FANOUT, PushReach::Fleet, &mut turn);
+        turn.actions
+    }
+
+    /// Every live member, this daemon first.
+    #[must_use]
+    pub fn live(&self) -> Vec<LiveMember> {
+        self.view.live()
+    }
+
+    /// The records of `service` whose daemons are live.
+    ///
+    /// Those of other regions are looked for when the own region has none that is ready.
+    pub fn instances_of(&mut self, service: &ServiceId, now: MonoTime) -> Rc<[InstanceRecord]> {
+        let near = self.view.instances_of(service);
+        let is_ready = |record: &InstanceRecord| record.phase == InstancePhase::Ready;
+        if near.iter().any(is_ready) {
+            return near;
+        }
+        let far = self.remote.ask(service, now);
+        let far = far
+            .iter()
+            .filter(|record| self.view.is_live(&record.daemon));
+        near.iter().chain(far).cloned().collect()
+    }
+
+    /// What this daemon believes.
+    #[must_use]
+    pub const fn view(&self) -> &FleetView {
+        &self.view
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub const fn counters(&self) -> &GossipCounters {
+        &self.counters
+    }
+
+    /// The counts, for the caller that sends and receives.
+    pub const fn counters_mut(&mut self) -> &mut GossipCounters {
+        &mut self.counters
+    }
+
+    /// Number of changes that still ride on messages.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// The stamp of this daemon's own record.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.view.own().incarnation
+    }
+}
--- /dev/null
+++ b/src/members/gossip_receive.rs
@@ -0,0 +1,225 @@
+//! How `GossipCore` takes in messages.
+
+use std::net::SocketAddr;
+
+use crate::ids::{DaemonId, Incarnation};
+use crate::members::gossip_send::PushReach;
+use crate::members::gossip_turn::GossipTurn;
+use crate::members::{ChangeKey, GossipAction, GossipCore, MemberChange, RecordChange};
+use crate::time::MonoTime;
+use crate::wire::{
+    GossipBody, GossipMessage, InstancePhase, InstanceRecord, MemberRecord, MemberState,
+};
+
+// Above this no daemon could outrank a record for long; none comes there by itself.
+const MOST_INCARNATION: Incarnation = Incarnation(1 << 62);
+const FORWARD_FANOUT: usize = 4;
+
+impl GossipCore {
+    /// Takes in a message that came from `from`.
+    pub fn receive(
+        &mut self,
+        message: &GossipMessage,
+        from: SocketAddr,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<GossipAction> {
+        let own = self.view.own();
+        if message.sender == own.daemon && from == own.address {
+            return Vec::new();
+        }
+        let turn = &mut GossipTurn::open(now, rng);
+        self.heard = now;
+        turn.actions
+            .push(GossipAction::Revision(message.revision, from));
+        self.learn(&message.members, &message.instances, turn);
+        self.view.hear(&message.sender, now);
+        self.answer(message, from, turn);
+        if let Some(digest) = &message.digest {
+            self.compare(digest, message, from, turn);
+        }
+        self.join_through(&message.sender, from, turn);
+        std::mem::take(&mut turn.actions)
+    }
+
+    fn learn(
+        &mut self,
+        members: &[MemberRecord],
+        instances: &[InstanceRecord],
+        turn: &mut GossipTurn<'_>,
+    ) {
+        let (mut has_left, mut is_drained) = (false, false);
+        for record in members {
+            let newer = self.learn_member(record, turn.now, true);
+            has_left |= newer && record.state == MemberState::Left;
+        }
+        for record in instances {
+            let newer = self.learn_record(record, true, turn);
+            is_drained |= newer && is_leaving(record);
+        }
+        if has_left {
+            self.push_to_some(FORWARD_FANOUT, PushReach::Fleet, turn);
+        } else if is_drained {
+            self.push_to_some(FORWARD_FANOUT, PushReach::Region, turn);
+        }
+    }
+
+    /// Takes in a member's record; whether it is newer than what was known.
+    pub(super) fn learn_member(
+        &mut self,
+        record: &MemberRecord,
+        now: MonoTime,
+        spread: bool,
+    ) -> bool {
+        if record.incarnation > MOST_INCARNATION {
+            self.counters.malformed += 1;
+            return false;
+        }
+        if record.daemon == self.view.own().daemon {
+            self.defend_self(record);
+            return false;
+        }
+        let key = ChangeKey::Member(record.daemon.clone());
+        let awareness = self.cycle.awareness();
+        let was_live = self.view.is_live(&record.daemon);
+        let change = self.view.merge_member(record, awareness, now);
+        if change == MemberChange::Liveness && was_live {
+            self.counters.deaths += 1;
+        }
+        match change {
+            MemberChange::Newer | MemberChange::Liveness if spread => self.queue.push_urgent(key),
+            MemberChange::Newer | MemberChange::Liveness => self.queue.forget(&key),
+            MemberChange::Same => self.count_known(&key),
+            MemberChange::Stale => {}
+        }
+        matches!(change, MemberChange::Newer | MemberChange::Liveness)
+    }
+
+    /// Takes in an instance's record; whether it is newer than what was known.
+    pub(super) fn learn_record(
+        &mut self,
+        record: &InstanceRecord,
+        spread: bool,
+        turn: &mut GossipTurn<'_>,
+    ) -> bool {
+        if record.incarnation > MOST_INCARNATION {
+            self.counters.malformed += 1;
+            return false;
+        }
+        let is_own = record.daemon == self.view.own().daemon;
+        if is_own || self.own.get(&record.instance).is_some() {
+            let defended = self.defend_instance(record, turn);
+            if defended || is_own {
+                return false;
+            }
+        }
+        if record.region != self.view.own().region {
+            return false;
+        }
+        let key = ChangeKey::Instance(record.instance.clone());
+        let change = self.view.merge_record(record, turn.now);
+        match change {
+            RecordChange::Newer if spread && is_leaving(record) => self.queue.push_urgent(key),
+            RecordChange::Newer if spread => self.queue.push(key),
+            RecordChange::Newer => self.queue.forget(&key),
+            RecordChange::Same => self.count_known(&key),
+            RecordChange::Stale => {}
+        }
+        change == RecordChange::Newer
+    }
+
+    /// Refutes a record that says anything else of this daemon than itself.
+    fn defend_self(&mut self, record: &MemberRecord) {
+        let own = self.view.own();
+        if record.incarnation < own.incarnation || own.state == MemberState::Left {
+            return;
+        }
+        let agrees = record.boot == own.boot && record.state == MemberState::Alive;
+        if agrees && record.incarnation == own.incarnation {
+            let key = ChangeKey::Member(record.daemon.clone());
+            self.count_known(&key);
+            return;
+        }
+        let mut refutation = own.clone();
+        refutation.incarnation = record.incarnation.next();
+        self.queue.push(ChangeKey::Member(record.daemon.clone()));
+        self.view.set_own(refutation);
+        self.counters.refutations += 1;
+    }
+
+    /// Refutes a record of an instance beside this daemon that outranks the own one.
+    fn defend_instance(&mut self, record: &InstanceRecord, turn: &mut GossipTurn<'_>) -> bool {
+        let Some(own) = self.own.get(&record.instance).cloned() else {
+            self.note_earlier_boot(record, turn.now);
+            return true;
+        };
+        let claimed = record.daemon != own.daemon && self.view.is_live(&record.daemon);
+        if claimed || record.incarnation < own.incarnation || *record == own {
+            return false;
+        }
+        self.own.outrank(record.incarnation);
+        let stamped = self.own.restamp(&own);
+        self.counters.refutations += 1;
+        self.announce(&stamped, turn);
+        true
+    }
+
+    /// Notes a record that an earlier boot of this daemon published.
+    fn note_earlier_boot(&mut self, record: &InstanceRecord, now: MonoTime) {
+        let known = self.view.records().get(&record.instance);
+        let is_newer = known.is_none_or(|known| record.incarnation > known.incarnation);
+        if is_newer && record.phase != InstancePhase::Gone {
+            self.own.outrank(record.incarnation);
+            self.own.note_orphan(record, now);
+        }
+    }
+
+    fn answer(&mut self, message: &GossipMessage, from: SocketAddr, turn: &mut GossipTurn<'_>) {
+        match &message.body {
+            GossipBody::Ping(probe) => {
+                let ack = GossipBody::Ack(*probe);
+                self.send(from, Some(&message.sender), ack, turn);
+            }
+            GossipBody::Ack(probe) => self.settle(*probe, turn),
+            GossipBody::PingRequest { probe, target } => {
+                let number = self.cycle.take_number();
+                if self.relays.insert(number, from, *probe, turn.now) {
+                    self.send(*target, None, GossipBody::Ping(number), turn);
+                }
+            }
+            GossipBody::Push => {}
+            GossipBody::Summary {
+                bucket,
+                owners,
+                wants_answer,
+            } => self.repair(bucket, owners, *wants_answer, from, turn),
+        }
+    }
+
+    fn settle(&mut self, probe: u32, turn: &mut GossipTurn<'_>) {
+        if self.cycle.acknowledge(probe) {
+            return;
+        }
+        if let Some(relay) = self.relays.take(probe) {
+            let ack = GossipBody::Ack(relay.probe);
+            self.send(relay.asker, None, ack, turn);
+        }
+    }
+
+    fn count_known(&mut self, key: &ChangeKey) {
+        let sendings = self.sendings_of(key);
+        self.queue.count(key, sendings);
+    }
+
+    /// Whether `daemon` was heard of since `since`.
+    pub(super) fn heard_since(&self, daemon: &DaemonId, since: MonoTime) -> bool {
+        let entry = self.view.members().get(daemon);
+        entry
+            .and_then(|entry| entry.heard)
+            .is_some_and(|heard| heard >= since)
+    }
+}
+
+const fn is_leaving(record: &InstanceRecord) -> bool {
+    matches!(record.phase, InstancePhase::Draining | InstancePhase::Gone)
+}
