--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -22,6 +22,8 @@
 const SLOW_HOLD: Duration = Duration::from_millis(900);
 const FAILING_HOLD: Duration = Duration::from_millis(500);
 const HOLD_JITTER: Duration = Duration::from_millis(200);
+/// Change of the median that is news to the peers.
+const PUBLISH_RATIO: f64 = 1.5;
 /// Longest time in which a good probe answers.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
@@ -33,6 +35,7 @@
     stall: StallWatch,
     slowness: SlownessTest,
     failing: EvidenceTrack,
+    published_micros: f64,
     backoff: EjectBackoff,
     ramp: RampProgress,
 }
@@ -47,6 +50,7 @@
             stall: StallWatch::open(),
             slowness: SlownessTest::open(),
             failing: EvidenceTrack::open(),
+            published_micros: 0.0,
             backoff: EjectBackoff::open(),
             ramp: RampProgress::open(),
         }
@@ -141,6 +145,22 @@
         self.slowness.median()
     }
 
+    /// Whether the median has moved enough since the last time that this was true, so that
+    /// the record is worth publishing again.
+    ///
+    /// Peers rely on it to see that the whole service slows down; ask at each tick.
+    pub fn median_moved(&mut self) -> bool {
+        let median_micros = self
+            .median()
+            .map_or(0.0, |median| median.as_secs_f64() * 1e6);
+        let ratio = (median_micros + 1.0) / (self.published_micros + 1.0);
+        let has_moved = !(1.0 / PUBLISH_RATIO..PUBLISH_RATIO).contains(&ratio);
+        if has_moved {
+            self.published_micros = median_micros;
+        }
+        has_moved
+    }
+
     /// The state for the dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
--- a/tests/models/service_model.rs
+++ b/tests/models/service_model.rs
@@ -79,6 +79,8 @@
     pub streams: Vec<LoadStream>,
     /// Ejections in order.
     pub ejections: Vec<Ejection>,
+    /// How often a median was published.
+    pub publications: u32,
     /// Starts on each instance since the warm-up.
     pub starts: Vec<u32>,
 }
@@ -118,6 +120,7 @@
             turns: (0..count).collect(),
             streams: Vec::new(),
             ejections: Vec::new(),
+            publications: 0,
             starts: vec![0; count],
         };
         model.plan(Duration::ZERO, Event::Tick);
@@ -285,10 +288,13 @@
     }
 
     fn publish(&mut self, instance: usize) {
-        let model = &self.instances[instance];
+        let model = &mut self.instances[instance];
         let record = &mut self.records[instance];
-        let median = model.health.median().unwrap_or_default();
-        record.median_micros = u32::try_from(median.as_micros()).unwrap();
+        if model.health.median_moved() {
+            let median = model.health.median().unwrap_or_default();
+            record.median_micros = u32::try_from(median.as_micros()).unwrap();
+            self.publications += 1;
+        }
         record.health = match self.policy.tests_sequentially {
             true => model.health.state(),
             false if model.plain_out.has_passed(self.now) => HealthState::Healthy,
