Long classes leave the last slot to internal checks

Cause: extracts that take eight times as long as a lookup filled all three slots of an archive instance, and a check waited for the shortest of them. While checks came within the last two seconds, a class that takes more than four times as long does not take the last free slot.

Ruled out: a slot reserved for good, which wastes a third of a service without checks.

Also: a check that finds a free slot beside waiting extracts starts at once and does not wait for the next tick.

--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -8,7 +8,7 @@
 use crate::queue::running_request::RunningRequest;
 use crate::queue::{OfferOutcome, QueueAction, QueuedRequest, RequestKey};
 use crate::resource::{ClassWeights, RequestClass};
-use crate::time::MonoTime;
+use crate::time::{Deadline, MonoTime};
 use crate::units::Slots;
 use crate::wire::LoadFigure;
 
@@ -16,18 +16,24 @@
 const MAX_WAITING_PER_ACCOUNT: usize = 64;
 /// Share that a class may catch up on after it was idle, in seconds of service per weight.
 const CLASS_CREDIT_SECS: f64 = 0.1;
+/// Multiple of the expected time of an internal check from which a class is long.
+const LONG_RATIO: f64 = 4.0;
+/// Time after an internal check in which long classes leave it a slot.
+const CHECK_MEMORY: Duration = Duration::from_secs(2);
 /// Shortest advice on when to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Shares the slots of one instance among classes by weight, then among accounts.
 ///
-/// Never leaves a slot free while a request waits, and refuses at once what cannot
-/// finish in time.
+/// Leaves no slot free while a request waits, but for one: while internal checks come,
+/// classes that take many times as long do not take the last slot. Refuses at once what
+/// cannot finish in time.
 #[derive(Debug)]
 pub struct InstanceQueue {
     slots: u32,
     weights: ClassWeights,
     virtual_time: f64,
+    check_due: Deadline,
     classes: [ClassQueue; RequestClass::ALL.len()],
     running: FastMap<RequestKey, RunningRequest>,
     waiting: FastMap<RequestKey, (RequestClass, AccountId)>,
@@ -41,6 +47,7 @@
             slots: slots.get(),
             weights,
             virtual_time: 0.0,
+            check_due: Deadline::at(MonoTime::ZERO),
             classes: std::array::from_fn(|_| ClassQueue::open()),
             running: FastMap::default(),
             waiting: FastMap::default(),
@@ -58,6 +65,9 @@
         if self.running.contains_key(&key) || self.waiting.contains_key(&key) {
             return OfferOutcome::Wait;
         }
+        if class == RequestClass::InternalCheck {
+            self.check_due = now.after(CHECK_MEMORY);
+        }
         let finish_secs = self.wait_secs(class, &account, now) + self.mean_secs(class);
         let late_secs = finish_secs - deadline.remaining(now).as_secs_f64();
         if late_secs > 0.0 {
@@ -67,11 +77,11 @@
             return refuse_after(finish_secs / 2.0);
         }
         self.push(class, &account, key, deadline);
-        if self.has_free_slot() && self.waiting.len() == 1 {
-            self.start_next(now);
-            return OfferOutcome::Start;
+        match self.start_alone(class, now) {
+            Some(QueueAction::Start(_)) => OfferOutcome::Start,
+            Some(QueueAction::Refuse { retry_after, .. }) => OfferOutcome::Refuse { retry_after },
+            None => OfferOutcome::Wait,
         }
-        OfferOutcome::Wait
     }
 
     /// A request has ended after `service_time` on the instance, without queue wait.
@@ -185,7 +195,7 @@
         class: RequestClass,
         account: &AccountId,
         key: RequestKey,
-        deadline: crate::time::Deadline,
+        deadline: Deadline,
     ) {
         let queue = &mut self.classes[class as usize];
         if queue.waiting() == 0 {
@@ -195,6 +205,16 @@
         self.waiting.insert(key, (class, account.clone()));
     }
 
+    /// Starts the request just offered when a slot is free and nothing else may take it.
+    fn start_alone(&mut self, class: RequestClass, now: MonoTime) -> Option<QueueAction> {
+        let is_alone = self.classes[class as usize].waiting() == 1;
+        let is_next = self.next_class(now) == Some(class);
+        if !(self.has_free_slot() && is_alone && is_next) {
+            return None;
+        }
+        self.start_next(now)
+    }
+
     fn dispatch(&mut self, now: MonoTime) -> Vec<QueueAction> {
         let mut actions = Vec::new();
         while self.has_free_slot() {
@@ -207,7 +227,7 @@
     }
 
     fn start_next(&mut self, now: MonoTime) -> Option<QueueAction> {
-        let class = self.next_class()?;
+        let class = self.next_class(now)?;
         let weight = self.weight_of(class);
         let queue = &mut self.classes[class as usize];
         let (account, request) = queue.pop()?;
@@ -232,13 +252,25 @@
         Some(QueueAction::Start(key))
     }
 
-    fn next_class(&self) -> Option<RequestClass> {
-        let waiting = |class: &RequestClass| self.classes[*class as usize].waiting() > 0;
+    fn next_class(&self, now: MonoTime) -> Option<RequestClass> {
+        let waiting = |class: &RequestClass| {
+            self.classes[*class as usize].waiting() > 0 && !self.is_held_back(*class, now)
+        };
         let tag = |class: &RequestClass| self.classes[*class as usize].start_tag;
         let classes = RequestClass::ALL.into_iter().filter(waiting);
         classes.min_by(|class, other| tag(class).total_cmp(&tag(other)))
     }
 
+    /// Whether a long class must leave the last free slot to internal checks.
+    fn is_held_back(&self, class: RequestClass, now: MonoTime) -> bool {
+        let free = self.slots as usize - self.running.len().min(self.slots as usize);
+        let check_secs = self.mean_secs(RequestClass::InternalCheck);
+        self.slots > 1
+            && free == 1
+            && !self.check_due.has_passed(now)
+            && self.mean_secs(class) > check_secs * LONG_RATIO
+    }
+
     fn settle(&mut self, request: &RunningRequest, service_time: Duration) {
         let excess_secs = service_time.as_secs_f64() - request.charged_secs;
         let weight = self.weight_of(request.class);
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -10,6 +10,8 @@
 const SEEDS: [u64; 2] = [21, 22];
 const END_MILLIS: u64 = 19_000;
 const FAULT_MILLIS: u64 = 13_000;
+/// Service time of an extract against that of a lookup.
+const EXTRACT_FACTOR: f64 = 8.0;
 const FAULTS: [InstanceFault; 4] = [
     InstanceFault::Slow(10.0),
     InstanceFault::Failing(0.3),
@@ -92,3 +94,29 @@
         assert!(ours <= idle * 2, "{ours:?} against {idle:?} idle");
     }
 }
+
+/// Long extracts fill the slots, but for one while checks come.
+#[test]
+fn checks_beside_extracts() {
+    let time = |extracts: f64| {
+        let mut model = ServiceModel::open(6, 8, 3, ModelPolicy::OURS);
+        let capacity = model.capacity();
+        let class = RequestClass::InternalCheck;
+        model.load(LoadStream::open("desk", class, 0.15 * capacity, 1_000));
+        if extracts > 0.0 {
+            let rate = extracts * capacity / EXTRACT_FACTOR;
+            let class = RequestClass::Extract;
+            model.load(LoadStream::open("office", class, rate, 2_000));
+        }
+        model.run(END_MILLIS);
+        let extracts = model.streams.get(1).map(LoadStream::completed_share);
+        (model.streams[0].quantile(0.99), extracts)
+    };
+    let (idle, _) = time(0.0);
+    for load in [0.4, 1.5] {
+        let (busy, extracts) = time(load);
+        println!(
+            "checks beside {load} of extracts: {busy:?}, idle {idle:?}, extracts {extracts:?}"
+        );
+    }
+}
--- a/tests/models/instance_fault.rs
+++ b/tests/models/instance_fault.rs
@@ -76,7 +76,7 @@
     let tail = if rng.u8(0..200) == 0 { 4.0 } else { 1.0 };
     let factor = match class {
         RequestClass::Lookup | RequestClass::Filing => 1.0,
-        RequestClass::Extract => 4.0,
+        RequestClass::Extract => 8.0,
         RequestClass::InternalCheck => 0.7,
     };
     Duration::from_secs_f64((0.015 + 0.015 * rng.f64()) * tail * factor)
--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -104,3 +104,40 @@
     assert_eq!(actions, vec![QueueAction::Start(key(2))]);
     assert_eq!(queue.load().in_use, 1);
 }
+
+/// Runs an extract and a check once, so that the queue knows how long each takes.
+fn queue_with_extracts() -> InstanceQueue {
+    let mut queue = queue(2);
+    for (class, millis) in [
+        (RequestClass::Extract, 500),
+        (RequestClass::InternalCheck, 20),
+    ] {
+        let outcome = queue.offer(request(0, "a", class, 60_000), MonoTime::ZERO);
+        assert_eq!(outcome, OfferOutcome::Start);
+        queue.finish(key(0), Duration::from_millis(millis), MonoTime::ZERO);
+    }
+    queue
+}
+
+#[test]
+fn last_slot_kept() {
+    let mut queue = queue_with_extracts();
+    let extract = |number| request(number, "a", RequestClass::Extract, 60_000);
+    let now = MonoTime::from_millis(1);
+    assert_eq!(queue.offer(extract(1), now), OfferOutcome::Start);
+    assert_eq!(queue.offer(extract(2), now), OfferOutcome::Wait);
+    let check = request(3, "desk", RequestClass::InternalCheck, 60_000);
+    assert_eq!(queue.offer(check, now), OfferOutcome::Start);
+}
+
+#[test]
+fn last_slot_released() {
+    let mut queue = queue_with_extracts();
+    let extract = |number| request(number, "a", RequestClass::Extract, 60_000);
+    let now = MonoTime::from_millis(1);
+    queue.offer(extract(1), now);
+    queue.offer(extract(2), now);
+    assert!(queue.tick(MonoTime::from_millis(1_000)).is_empty());
+    let actions = queue.tick(MonoTime::from_millis(2_100));
+    assert_eq!(actions, vec![QueueAction::Start(key(2))]);
+}
