Head polls spread evenly after a common start; sizes measured

Cause: the pause between two reads of the head was drawn from a half to one and a half of its length. A fleet of 4,100 that starts at once then polls at once, and not again for 20 s: confirmations grew to 26 s (example follower_ages 4100), past the lease of 10 s. Ruled out: the spread among partners, whose p50 was 4 s. Now the pause is drawn from nothing to twice its length.

Before: most 26.0 s, p99 23.0 s.

--- a/src/config/config_follower.rs
+++ b/src/config/config_follower.rs
@@ -100,8 +100,10 @@
         rng: &mut fastrand::Rng,
     ) -> Vec<FollowerAction> {
         self.lease.set_members(count(live.len()) + 1);
-        self.partners.refresh(live, now, rng);
         let mut actions = Vec::new();
+        if self.next_ask.has_passed(now) || !self.is_loaded {
+            self.partners.refresh(live, now, rng);
+        }
         if !self.is_loaded && self.next_load.has_passed(now) {
             self.next_load = now.after(jitter(LOAD_PAUSE, rng));
             actions.extend(self.load());
@@ -113,7 +115,8 @@
         if self.is_loaded && self.next_poll.has_passed(now) {
             let hears_peers = self.lease.hears_peers(now, self.rules.lease / 2);
             let pause = self.rules.poll_pause(count(live.len()) + 1, hears_peers);
-            self.next_poll = now.after(jitter(pause, rng));
+            // Up to twice the pause, so that a fleet started at once soon polls evenly.
+            self.next_poll = now.after(pause.mul_f64(2.0 * rng.f64()));
             actions.push(FollowerAction::ReadHead);
         }
         actions
