--- a/examples/follower_ages.rs
+++ b/examples/follower_ages.rs
@@ -12,6 +12,7 @@
 use wagtailtrack::ids::Revision;
 use wagtailtrack::resource::{ClientAccount, ConfigResource};
 use wagtailtrack::time::MonoTime;
+use wagtailtrack::wire::{self, ConfigCall, ConfigReply, PeerCall, PeerOpening, PeerReply};
 
 const STEP_MILLIS: u64 = 3;
 const TICK_STEPS: u64 = 66;
@@ -64,6 +65,16 @@
         "{:?} of one core a second and daemon",
         spent / seconds as u32 / members as u32
     );
+    let question = wire::encode(&PeerOpening::Call(PeerCall::Config(ConfigCall::Follow(
+        Revision(1_000_000),
+    ))))?;
+    let state = fleet.followers[0].state(Revision(1), fleet.now());
+    let answer = wire::encode(&PeerReply::Config(ConfigReply::State(state)))?;
+    println!(
+        "an ask takes {} bytes and its answer {}, before framing",
+        question.len(),
+        answer.len()
+    );
     let took = fleet.spread()?;
     println!(
         "a change in force everywhere after {took:?}, {:.1} pushes a daemon",
