--- a/src/ids/version.rs
+++ b/src/ids/version.rs
@@ -3,6 +3,6 @@
 use crate::number_id;
 
 number_id!(
-    /// Counts the changes of one resource; 0 means absent.
+    /// Tells one state of a row or resource from an earlier one; 0 means absent.
     Version
 );
--- a/tests/common/resource_client.rs
+++ b/tests/common/resource_client.rs
@@ -28,6 +28,16 @@
         sending.unwrap()
     }
 
+    /// Replaces the resource at `target` if it still has `version`.
+    pub async fn replace(&self, target: &str, version: u64, body: &Value) -> CallerAnswer {
+        let client = self
+            .client
+            .clone()
+            .with_header("if-match", &version.to_string());
+        let bytes = body.to_string().into_bytes();
+        client.send(Method::PUT, target, "", &bytes).await.unwrap()
+    }
+
     /// Creates a resource of `kind`, such as `account`, and returns the answer.
     pub async fn create(&self, kind: &str, resource: Value) -> Value {
         let answer = self
