--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -4,6 +4,7 @@
 mod backend_client;
 mod backend_connection;
 mod egress_handle;
+mod execution_task;
 mod instance_gate;
 mod offer_task;
 mod probe_task;
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -1,4 +1,4 @@
-//! Serves one offer: drives its start machine, runs it, and passes the answer on.
+//! Serves one offer: drives its start machine until the request may run, or never will.
 
 use std::time::Duration;
 
@@ -7,22 +7,17 @@
 use tokio::sync::oneshot;
 
 use crate::egress::egress_handle::SharedGate;
-use crate::egress::probe_task::{outcome_of_failure, outcome_of_status};
+use crate::egress::execution_task::ExecutionTask;
 use crate::egress::{
-    BackendAnswer, EgressHandle, GateEntry, QueueWord, SendFailure, SlotGuard, StartAction,
-    StartEvent, StartMachine,
+    EgressHandle, GateEntry, QueueWord, SlotGuard, StartAction, StartEvent, StartMachine,
 };
-use crate::health::{SampleOutcome, ServiceSample};
 use crate::peers::{PeerError, PeerReceiver, PeerSender, PeerStream};
 use crate::queue::{QueuedRequest, RequestKey};
-use crate::time::{Deadline, MonoTime, ProcessClock};
-use crate::verdict::Verdict;
-use crate::wire::{
-    EgressMessage, FailureCause, IngressMessage, LoadFigure, RefusalReason, RequestOffer,
-};
+use crate::time::{Deadline, ProcessClock};
+use crate::wire::{EgressMessage, IngressMessage, LoadFigure, RefusalReason, RequestOffer};
 
 /// When to come back to an instance that takes no work.
-const NOT_READY_RETRY: Duration = Duration::from_millis(100);
+pub(crate) const NOT_READY_RETRY: Duration = Duration::from_millis(100);
 
 /// Serves `offer` until its stream ends.
 pub(crate) async fn run(egress: &EgressHandle, offer: RequestOffer, stream: PeerStream) {
@@ -52,7 +47,8 @@
     }
 }
 
-async fn refuse(
+/// Tells the ingress that the request was not run and never will be.
+pub(crate) async fn refuse(
     sender: &mut PeerSender,
     reason: RefusalReason,
     retry_after: Duration,
@@ -118,7 +114,19 @@
             StartEnd::Abandoned => return Ok(()),
         }
         guard.mark_sent();
-        self.execute(guard).await
+        self.into_execution().run(guard).await
+    }
+
+    fn into_execution(self) -> ExecutionTask<'a> {
+        ExecutionTask {
+            egress: self.egress,
+            offer: self.offer,
+            gate: self.gate,
+            sender: self.sender,
+            receiver: self.receiver,
+            clock: self.clock,
+            deadline: self.deadline,
+        }
     }
 
     /// Drives the start machine until the request may run, or never will.
@@ -175,118 +183,6 @@
             Either::Right(_) => StartEvent::Tick,
         }
     }
-
-    /// Runs the request; an idempotent one is cancelled when its ingress goes away.
-    async fn execute(mut self, guard: SlotGuard) -> Result<(), PeerError> {
-        let start = guard.sent().unwrap_or_else(|| self.clock.now());
-        match self.send_to_instance().await {
-            None => Ok(()),
-            Some(Ok(answer)) => self.pass_on(answer, start, guard).await,
-            Some(Err(failure)) => {
-                self.observe(outcome_of_failure(failure.cause), start, Duration::ZERO);
-                drop(guard);
-                self.fail(failure).await
-            }
-        }
-    }
-
-    /// The answer's head, or none when the request was cancelled.
-    async fn send_to_instance(&mut self) -> Option<Result<BackendAnswer, SendFailure>> {
-        let address = self.gate.borrow().local().address;
-        let sending = pin!(self.egress.client.send(address, &self.offer, self.deadline));
-        let lost = pin!(wait_lost(&mut self.receiver));
-        match select(sending, lost).await {
-            Either::Left((result, _)) => Some(result),
-            Either::Right(((), _)) if self.offer.idempotent => None,
-            Either::Right(((), sending)) => Some(sending.await),
-        }
-    }
-
-    async fn pass_on(
-        &mut self,
-        mut answer: BackendAnswer,
-        start: MonoTime,
-        guard: SlotGuard,
-    ) -> Result<(), PeerError> {
-        let mut blocked = Duration::ZERO;
-        self.sender
-            .send(&EgressMessage::Head(answer.head.clone()))
-            .await?;
-        loop {
-            match self.next_chunk(&mut answer).await {
-                Ok(Some(chunk)) => {
-                    let before = self.clock.now();
-                    self.sender
-                        .send(&EgressMessage::Chunk(chunk.to_vec()))
-                        .await?;
-                    blocked += self.clock.now().since(before);
-                }
-                Ok(None) => break,
-                Err(cause) => {
-                    self.observe(outcome_of_failure(cause), start, blocked);
-                    drop(guard);
-                    return self.fail(SendFailure::may_have_run(cause)).await;
-                }
-            }
-        }
-        self.observe(outcome_of_status(answer.head.status), start, blocked);
-        self.remember(answer.head.status);
-        drop(guard);
-        let total_bytes = answer.received();
-        let address = self.gate.borrow().local().address;
-        self.egress.client.release(address, answer);
-        let load = self.gate.borrow().load();
-        self.sender
-            .send(&EgressMessage::End { total_bytes, load })
-            .await?;
-        self.sender.finish()
-    }
-
-    async fn next_chunk(
-        &self,
-        answer: &mut BackendAnswer,
-    ) -> Result<Option<bytes::Bytes>, FailureCause> {
-        let remaining = self.deadline.remaining(self.clock.now());
-        actix_rt::time::timeout(remaining, answer.next())
-            .await
-            .unwrap_or(Err(FailureCause::Timeout))
-    }
-
-    async fn fail(&mut self, failure: SendFailure) -> Result<(), PeerError> {
-        let load = self.gate.borrow().load();
-        if failure.verdict == Verdict::NotRun {
-            return refuse(
-                &mut self.sender,
-                RefusalReason::ConnectFailed,
-                NOT_READY_RETRY,
-                load,
-            )
-            .await;
-        }
-        let message = EgressMessage::Failed {
-            verdict: failure.verdict,
-            cause: failure.cause,
-            load,
-        };
-        self.sender.send(&message).await?;
-        self.sender.finish()
-    }
-
-    fn observe(&self, outcome: SampleOutcome, start: MonoTime, blocked: Duration) {
-        let total = self.clock.now().since(start);
-        let sample = ServiceSample {
-            outcome,
-            service_time: total.saturating_sub(blocked),
-            class: self.offer.class,
-        };
-        self.egress.observe(&self.gate, &sample);
-    }
-
-    fn remember(&self, status: u16) {
-        if self.offer.method == "GET" && self.offer.idempotent && (200..300).contains(&status) {
-            self.gate.borrow_mut().remember_target(&self.offer.target);
-        }
-    }
 }
 
 enum StartEnd {
@@ -314,8 +210,3 @@
     *waiting = None;
     word.unwrap_or(QueueWord::Refused(NOT_READY_RETRY))
 }
-
-/// Ends when the ingress has gone away.
-async fn wait_lost(receiver: &mut PeerReceiver) {
-    while let Ok(Some(_)) = receiver.receive::<IngressMessage>().await {}
-}
--- a/tests/process_answers.rs
+++ b/tests/process_answers.rs
@@ -143,3 +143,30 @@
     assert_eq!(answer.verdict(), "may-have-run", "{}", answer.text());
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
 }
+
+/// A caller that stops reading a long answer must not keep the slot past its deadline.
+#[actix_rt::test]
+async fn stalled_reader() {
+    let plan = FleetPlan::of(1);
+    let desk = DeskFleet::open_with("answers-stalled", plan, |plan| plan.slots = 1).await;
+    let address = desk.fleet.daemons[0].callers();
+    let mut socket = std::net::TcpStream::connect(address).unwrap();
+    let request = format!(
+        "GET /extracts/all?bytes=30000000 HTTP/1.1\r\nhost: x\r\nx-deadline-ms: 2000\r\n\
+         authorization: Bearer {}\r\n\r\n",
+        desk.secret
+    );
+    std::io::Write::write_all(&mut socket, request.as_bytes()).unwrap();
+    eventually("a running extract", async || {
+        let ran = desk.fleet.backends[0].ran().await;
+        ran.iter()
+            .any(|request| request.target.starts_with("/extracts"))
+    })
+    .await;
+    eventually("the slot free again", async || {
+        let answer = desk.caller(0).get("/lookups/1").await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+    drop(socket);
+}
