--- a/src/config/config_follower.rs
+++ b/src/config/config_follower.rs
@@ -4,38 +4,35 @@
 use std::time::Duration;
 
 use crate::config::{
-    Catalog, ConfigChange, FollowerAction, FollowerRules, Freshness, FreshnessLease, PartnerSet,
-    RecentChanges, SnapshotSource, catalog_pages,
+    Catalog, FollowerAction, FollowerRules, Freshness, FreshnessLease, PartnerSet, RecentChanges,
+    SnapshotSource, catalog_pages,
 };
 use crate::ids::Revision;
-use crate::platform::PlatformError;
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{ConfigState, SnapshotPage, SnapshotPart};
 
 /// Changes that one answer carries.
 pub const MOST_ANSWERED: usize = 200;
-/// Changes that one push carries.
-const MOST_PUSHED: usize = 8;
 /// Pause between two attempts at a first snapshot.
 const LOAD_PAUSE: Duration = Duration::from_millis(500);
 
 /// A pure state machine; the catalog only ever moves forward, one revision after the other or by a newer snapshot.
 #[derive(Debug)]
 pub struct ConfigFollower {
-    rules: FollowerRules,
-    catalog: Catalog,
-    is_loaded: bool,
-    recent: RecentChanges,
-    lease: FreshnessLease,
-    partners: PartnerSet,
-    next_ask: Deadline,
-    next_poll: Deadline,
+    pub(super) rules: FollowerRules,
+    pub(super) catalog: Catalog,
+    pub(super) is_loaded: bool,
+    pub(super) recent: RecentChanges,
+    pub(super) lease: FreshnessLease,
+    pub(super) partners: PartnerSet,
+    pub(super) next_ask: Deadline,
+    pub(super) next_poll: Deadline,
     /// A pull or load is under way.
-    is_pulling: bool,
-    platform_answers: bool,
-    next_load: Deadline,
-    failed_loads: u32,
-    epoch: u64,
+    pub(super) is_pulling: bool,
+    pub(super) platform_answers: bool,
+    pub(super) next_load: Deadline,
+    pub(super) failed_loads: u32,
+    pub(super) epoch: u64,
 }
 
 impl ConfigFollower {
@@ -122,116 +119,6 @@
         actions
     }
 
-    /// Takes the hint that the peer at `from` has `revision`.
-    pub fn heard(&mut self, revision: Revision, from: SocketAddr) -> Vec<FollowerAction> {
-        let is_news = revision > self.lease.newest();
-        self.lease.hear_of(revision);
-        if !is_news || !self.is_loaded {
-            return Vec::new();
-        }
-        vec![FollowerAction::Ask(from, self.catalog.revision())]
-    }
-
-    /// Takes changes that a peer sent of its own accord.
-    pub fn pushed(&mut self, changes: &[ConfigChange]) -> Vec<FollowerAction> {
-        let newest = changes.iter().map(|change| change.revision).max();
-        self.lease.hear_of(newest.unwrap_or_default());
-        let mut actions = self.apply(changes);
-        if self.is_loaded && self.lease.newest() > self.catalog.revision() {
-            actions.extend(self.ask_partner());
-        }
-        actions
-    }
-
-    /// Takes the head that was asked for at `sent`.
-    pub fn head_read(
-        &mut self,
-        sent: MonoTime,
-        head: Result<Revision, PlatformError>,
-    ) -> Vec<FollowerAction> {
-        self.platform_answers = head.is_ok();
-        let Ok(head) = head else { return Vec::new() };
-        // A head below what was heard of is an answer from an old state, and confirms nothing.
-        if head >= self.lease.newest() {
-            self.lease.confirm(head, sent, self.catalog.revision());
-        }
-        self.pull_from_platform().into_iter().collect()
-    }
-
-    /// Takes the answer of the peer at `from` to a question sent at `sent`.
-    pub fn peer_answered(
-        &mut self,
-        sent: MonoTime,
-        from: SocketAddr,
-        answer: Option<ConfigState>,
-    ) -> Vec<FollowerAction> {
-        let Some(state) = answer else {
-            self.partners.drop_partner(from);
-            return Vec::new();
-        };
-        self.lease.hear_peer(sent, state.members);
-        self.lease.hear_of(state.revision);
-        let before = self.catalog.revision();
-        let mut actions = self.apply(&state.changes);
-        if let Some(time) = state.age_micros.and_then(|age| earlier(sent, age)) {
-            self.lease
-                .confirm(state.revision, time, self.catalog.revision());
-        }
-        if state.revision > self.catalog.revision() {
-            let moved = self.catalog.revision() > before;
-            actions.extend(self.pull_from_peer(from, moved));
-        }
-        actions
-    }
-
-    /// Takes changes read from the platform's log.
-    pub fn changes_read(
-        &mut self,
-        changes: Result<Vec<ConfigChange>, PlatformError>,
-    ) -> Vec<FollowerAction> {
-        self.is_pulling = false;
-        self.platform_answers = changes.is_ok();
-        let Ok(changes) = changes else {
-            return Vec::new();
-        };
-        let before = self.catalog.revision();
-        let mut actions = self.apply(&changes);
-        if self.catalog.revision() > before {
-            actions.extend(self.pull_from_platform());
-        } else if self.lease.newest() > before {
-            // The log no longer reaches back to what is in force here.
-            actions.extend(self.load());
-        }
-        actions
-    }
-
-    /// Takes a snapshot; one that is not newer than what is in force is dropped.
-    pub fn snapshot_read(&mut self, snapshot: Option<Catalog>) -> Vec<FollowerAction> {
-        self.is_pulling = false;
-        let Some(snapshot) = snapshot else {
-            self.failed_loads += 1;
-            return Vec::new();
-        };
-        self.failed_loads = 0;
-        if self.is_loaded && snapshot.revision() <= self.catalog.revision() {
-            return Vec::new();
-        }
-        self.catalog = snapshot;
-        self.epoch = self.epoch.wrapping_add(1);
-        self.is_loaded = true;
-        self.recent.clear();
-        self.lease.advance(self.catalog.revision());
-        Vec::new()
-    }
-
-    /// Takes a change that this daemon itself committed.
-    pub fn accepted(&mut self, change: &ConfigChange) -> Vec<FollowerAction> {
-        self.lease.hear_of(change.revision);
-        let mut actions = self.apply(std::slice::from_ref(change));
-        actions.extend(self.pull_from_platform());
-        actions
-    }
-
     /// The answer to a peer that has `have`.
     #[must_use]
     pub fn state(&self, have: Revision, now: MonoTime) -> ConfigState {
@@ -259,38 +146,17 @@
         })
     }
 
-    /// Applies those of `changes` that follow in order, and hands them on.
-    fn apply(&mut self, changes: &[ConfigChange]) -> Vec<FollowerAction> {
-        let before = self.catalog.revision();
-        if !self.is_loaded {
-            return Vec::new();
-        }
-        for change in changes {
-            if self.catalog.apply(change).is_ok() {
-                self.recent.push(change.clone());
-            }
-        }
-        let have = self.catalog.revision();
-        self.lease.advance(have);
-        if have == before {
-            return Vec::new();
-        }
-        let first = Revision(have.0.saturating_sub(MOST_PUSHED as u64)).max(before);
-        let news = self.recent.after(first, MOST_PUSHED);
-        let partners = self.partners.all();
-        partners
-            .into_iter()
-            .map(|partner| FollowerAction::Push(partner, news.clone()))
-            .collect()
-    }
-
-    fn ask_partner(&mut self) -> Option<FollowerAction> {
+    pub(super) fn ask_partner(&mut self) -> Option<FollowerAction> {
         let partner = self.partners.draw()?;
         Some(FollowerAction::Ask(partner, self.catalog.revision()))
     }
 
     /// A peer has more: asks it again while it helps, else goes to the log, else takes its snapshot.
-    fn pull_from_peer(&mut self, from: SocketAddr, helps: bool) -> Option<FollowerAction> {
+    pub(super) fn pull_from_peer(
+        &mut self,
+        from: SocketAddr,
+        helps: bool,
+    ) -> Option<FollowerAction> {
         if helps {
             return Some(FollowerAction::Ask(from, self.catalog.revision()));
         }
@@ -300,7 +166,7 @@
         self.start_load(SnapshotSource::Peer(from))
     }
 
-    fn pull_from_platform(&mut self) -> Option<FollowerAction> {
+    pub(super) fn pull_from_platform(&mut self) -> Option<FollowerAction> {
         let (have, newest) = (self.catalog.revision(), self.lease.newest());
         if self.is_pulling || !self.is_loaded || newest <= have {
             return None;
@@ -310,7 +176,7 @@
     }
 
     /// Peers first: they are many, and there when the platform is not.
-    fn load(&mut self) -> Option<FollowerAction> {
+    pub(super) fn load(&mut self) -> Option<FollowerAction> {
         let partner = self.partners.draw();
         match partner {
             Some(partner) if self.failed_loads.is_multiple_of(2) => {
@@ -334,13 +200,6 @@
     pause.mul_f64(0.5 + rng.f64())
 }
 
-/// The time `age` microseconds before `sent`; none before the clock's origin.
-fn earlier(sent: MonoTime, age_micros: u64) -> Option<MonoTime> {
-    sent.micros()
-        .checked_sub(age_micros)
-        .map(MonoTime::from_micros)
-}
-
 fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX - 1)
 }
