--- a/src/client/command_runner.rs
+++ b/src/client/command_runner.rs
@@ -212,6 +212,9 @@
         if self.line.json {
             return json_text(value);
         }
+        if items.is_empty() {
+            return "none".to_owned();
+        }
         let rows = items.iter().map(|item| (item.version.0, &item.resource));
         TextTable::of_resources(rows)
             .to_string()
