--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -11,7 +11,9 @@
     BaselineSettings, LimitsSettings, ListenSettings, OperatorSettings, PlatformSettings,
     ProxySettings, SettingsError,
 };
+use crate::units::TimeSpan;
 
+const LEAST_FRESHNESS: TimeSpan = TimeSpan::from_secs(3);
 const LEAST_SECRET_BYTES: usize = 16;
 
 /// The checked settings of a daemon.
@@ -70,6 +72,7 @@
     fn check(&self) -> Result<(), SettingsError> {
         self.check_secret()?;
         self.check_addresses()?;
+        self.check_platform()?;
         self.check_proxy()?;
         self.check_limits()
     }
@@ -105,6 +108,25 @@
         Ok(())
     }
 
+    fn check_platform(&self) -> Result<(), SettingsError> {
+        let platform = &self.platform;
+        if platform.freshness < LEAST_FRESHNESS {
+            return Err(SettingsError::Value(
+                "platform.freshness",
+                platform.freshness.to_string(),
+                "use at least 3s, since daemons ask each other once a second",
+            ));
+        }
+        if platform.head_polls_per_second == 0 {
+            return Err(SettingsError::Value(
+                "platform.head_polls_per_second",
+                platform.head_polls_per_second.to_string(),
+                "use at least 1 for the whole fleet",
+            ));
+        }
+        Ok(())
+    }
+
     fn check_proxy(&self) -> Result<(), SettingsError> {
         if self.proxy.default_deadline > self.proxy.max_deadline {
             return Err(SettingsError::Value(
--- a/tests/process_client.rs
+++ b/tests/process_client.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::rc::Rc;
 
-use common::ScratchDir;
+use common::{DaemonPlan, ScratchDir};
 use wagtailtrack::admin::{AdminServer, AdminSources, ChangeLine, ChangeVerb};
 use wagtailtrack::config::{ConfigHandle, ConfigSources};
 use wagtailtrack::peers::{FleetKey, PeerPool};
@@ -311,6 +311,27 @@
     );
 }
 
+#[actix_rt::test]
+async fn checked_settings() {
+    let fleet = Fleet::open("checked").await;
+    let platform = "127.0.0.1:1".parse().unwrap();
+    let good = DaemonPlan::new("d1", "z1", platform).settings();
+    let good_file = fleet.folder.write("good.toml", &good);
+    fleet
+        .good(&["check-config", good_file.to_str().unwrap()])
+        .await;
+    for (field, remedy) in [
+        ("freshness = \"1s\"", "at least 3s"),
+        ("head_polls_per_second = 0", "at least 1"),
+    ] {
+        let bad = good.replace("[platform]", &format!("[platform]\n{field}"));
+        let bad_file = fleet.folder.write("bad.toml", &bad);
+        fleet
+            .bad(&["check-config", bad_file.to_str().unwrap()], 2, remedy)
+            .await;
+    }
+}
+
 #[actix_rt::test]
 async fn bad_usage() {
     let fleet = Fleet::open("usage").await;
