--- a/bench/slopes/member_slope.rs
+++ b/bench/slopes/member_slope.rs
@@ -89,8 +89,9 @@
     net.publish(1, &record);
     let service = record.service.clone();
     let time = net.run_until(LONGEST, |net| {
+        let now = net.now;
         net.nodes.iter_mut().all(|node| {
-            let records = node.core.instances_of(&service);
+            let records = node.core.instances_of(&service, now);
             let same = |seen: &&InstanceRecord| seen.instance == record.instance;
             let seen = records.iter().find(same);
             seen.is_some_and(|seen| seen.health == record.health && seen.phase == record.phase)
