An extract that runs alone is no stall; class shares in a file of their own

Cause: the age of the oldest request was scaled by the shortest class that runs, so that an extract alone, or the first one of a fresh queue, looked like a stall after 250 ms and could eject a healthy instance (test extract_no_stall, seen failing first: 1.5 s reported). Now it is scaled by the shortest class known, and an unknown class counts with a tenth.

--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -23,7 +23,9 @@
 const FAILING_HOLD: Duration = Duration::from_millis(500);
 const HOLD_JITTER: Duration = Duration::from_millis(200);
 /// Change of the median that is news to the peers.
-const PUBLISH_RATIO: f64 = 1.5;
+const PUBLISH_RATIO: f64 = 2.0;
+/// The same under suspicion, when the peers' judgement depends on it.
+const SUSPECT_PUBLISH_RATIO: f64 = 1.5;
 /// Longest time in which a good probe answers.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
@@ -154,7 +156,12 @@
             .median()
             .map_or(0.0, |median| median.as_secs_f64() * 1e6);
         let ratio = (median_micros + 1.0) / (self.published_micros + 1.0);
-        let has_moved = !(1.0 / PUBLISH_RATIO..PUBLISH_RATIO).contains(&ratio);
+        let least = if self.slowness.track().is_suspect() {
+            SUSPECT_PUBLISH_RATIO
+        } else {
+            PUBLISH_RATIO
+        };
+        let has_moved = !(1.0 / least..least).contains(&ratio);
         if has_moved {
             self.published_micros = median_micros;
         }
--- a/src/health/recent_times.rs
+++ b/src/health/recent_times.rs
@@ -20,8 +20,11 @@
         self.micros.push_back(micros);
     }
 
-    /// The median of the window.
+    /// The median of the window, once it is full.
     pub(super) fn median_micros(&self) -> Option<f64> {
+        if self.micros.len() < MEDIAN_SAMPLES {
+            return None;
+        }
         self.median_of_last(MEDIAN_SAMPLES)
     }
 
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -4,8 +4,9 @@
 
 use crate::hash::FastMap;
 use crate::ids::AccountId;
-use crate::queue::class_queue::ClassQueue;
+use crate::queue::class_shares::ClassShares;
 use crate::queue::running_request::RunningRequest;
+use crate::queue::running_set::RunningSet;
 use crate::queue::{OfferOutcome, QueueAction, QueuedRequest, RequestKey};
 use crate::resource::{ClassWeights, RequestClass};
 use crate::time::{Deadline, MonoTime};
@@ -14,8 +15,6 @@
 
 /// Requests of one account and class that may wait.
 const MAX_WAITING_PER_ACCOUNT: usize = 64;
-/// Share that a class may catch up on after it was idle, in seconds of service per weight.
-const CLASS_CREDIT_SECS: f64 = 0.1;
 /// Multiple of the expected time of an internal check from which a class is long.
 const LONG_RATIO: f64 = 4.0;
 /// Time after an internal check in which long classes leave it a slot.
@@ -31,11 +30,9 @@
 #[derive(Debug)]
 pub struct InstanceQueue {
     slots: u32,
-    weights: ClassWeights,
-    virtual_time: f64,
+    shares: ClassShares,
     check_due: Deadline,
-    classes: [ClassQueue; RequestClass::ALL.len()],
-    running: FastMap<RequestKey, RunningRequest>,
+    running: RunningSet,
     waiting: FastMap<RequestKey, (RequestClass, AccountId)>,
 }
 
@@ -45,11 +42,9 @@
     pub fn open(slots: Slots, weights: ClassWeights) -> Self {
         Self {
             slots: slots.get(),
-            weights,
-            virtual_time: 0.0,
+            shares: ClassShares::open(weights),
             check_due: Deadline::at(MonoTime::ZERO),
-            classes: std::array::from_fn(|_| ClassQueue::open()),
-            running: FastMap::default(),
+            running: RunningSet::default(),
             waiting: FastMap::default(),
         }
     }
@@ -62,21 +57,22 @@
             class,
             deadline,
         } = request;
-        if self.running.contains_key(&key) || self.waiting.contains_key(&key) {
+        if self.running.contains(key) || self.waiting.contains_key(&key) {
             return OfferOutcome::Wait;
         }
         if class == RequestClass::InternalCheck {
             self.check_due = now.after(CHECK_MEMORY);
         }
-        let finish_secs = self.wait_secs(class, &account, now) + self.mean_secs(class);
+        let finish_secs = self.wait_secs(class, &account, now) + self.shares.mean_secs(class);
         let late_secs = finish_secs - deadline.remaining(now).as_secs_f64();
         if late_secs > 0.0 {
             return refuse_after(late_secs);
         }
-        if self.classes[class as usize].waiting_of(&account) >= MAX_WAITING_PER_ACCOUNT {
+        if self.shares.queue(class).waiting_of(&account) >= MAX_WAITING_PER_ACCOUNT {
             return refuse_after(finish_secs / 2.0);
         }
-        self.push(class, &account, key, deadline);
+        self.shares.push(class, &account, key, deadline);
+        self.waiting.insert(key, (class, account));
         match self.start_alone(class, now) {
             Some(QueueAction::Start(_)) => OfferOutcome::Start,
             Some(QueueAction::Refuse { retry_after, .. }) => OfferOutcome::Refuse { retry_after },
@@ -91,10 +87,10 @@
         service_time: Duration,
         now: MonoTime,
     ) -> Vec<QueueAction> {
-        if let Some(request) = self.running.remove(&key) {
-            let queue = &mut self.classes[request.class as usize];
+        if let Some(request) = self.running.remove(key) {
+            let queue = self.shares.queue_mut(request.class);
             queue.estimate.observe(service_time);
-            self.settle(&request, service_time);
+            self.shares.settle(&request, service_time);
         }
         self.dispatch(now)
     }
@@ -102,9 +98,9 @@
     /// A request is wanted no more, whether it waits or runs.
     pub fn cancel(&mut self, key: RequestKey, now: MonoTime) -> Vec<QueueAction> {
         if let Some((class, account)) = self.waiting.remove(&key) {
-            self.classes[class as usize].remove(&account, key);
-        } else if let Some(request) = self.running.remove(&key) {
-            self.settle(&request, request.age(now));
+            self.shares.queue_mut(class).remove(&account, key);
+        } else if let Some(request) = self.running.remove(key) {
+            self.shares.settle(&request, request.age(now));
         }
         self.dispatch(now)
     }
@@ -114,8 +110,8 @@
         let first_secs = self.first_free_secs(now);
         let mut actions = Vec::new();
         for class in RequestClass::ALL {
-            let pace_secs = self.pace_secs(class);
-            let queue = &mut self.classes[class as usize];
+            let pace_secs = self.shares.pace_secs(class, self.slots);
+            let queue = self.shares.queue_mut(class);
             for (account, key, over) in queue.late_requests(first_secs, pace_secs, now) {
                 queue.remove(&account, key);
                 self.waiting.remove(&key);
@@ -131,7 +127,7 @@
     /// Changes the slots and weights; what runs keeps running.
     pub fn resize(&mut self, slots: Slots, weights: ClassWeights) {
         self.slots = slots.get();
-        self.weights = weights;
+        self.shares.reweigh(weights);
     }
 
     /// Slots in use and requests that wait.
@@ -146,68 +142,33 @@
     /// How long the oldest running request has run.
     ///
     /// Scaled by class, so that a request of a long class counts as one of the shortest
-    /// class that is as late.
+    /// class that is as late, and one of a class without answers so far as a small part.
     #[must_use]
     pub fn running_oldest(&self, now: MonoTime) -> Option<Duration> {
-        let shortest_secs = self
-            .running
-            .values()
-            .map(|request| request.charged_secs)
-            .fold(f64::INFINITY, f64::min);
-        let ages = self.running.values().map(|request| {
-            let scale = shortest_secs / request.charged_secs.max(f64::MIN_POSITIVE);
-            request.age(now).mul_f64(scale.min(1.0))
-        });
-        ages.max()
+        self.running
+            .oldest(now, |request| self.shares.scale(request.class))
     }
 
     /// The state for the dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
-        let classes: serde_json::Map<_, _> = RequestClass::ALL
-            .into_iter()
-            .map(|class| (class.to_string(), self.classes[class as usize].dump()))
-            .collect();
         serde_json::json!({
             "slots": self.slots,
             "load": self.load(),
-            "classes": classes,
+            "classes": self.shares.dump(),
         })
     }
 }
 
-/// Sharing: tags, charges and the choice of the next request.
+/// Starting requests.
 impl InstanceQueue {
     fn has_free_slot(&self) -> bool {
         self.running.len() < self.slots as usize
     }
 
-    fn mean_secs(&self, class: RequestClass) -> f64 {
-        self.classes[class as usize].estimate.mean_secs()
-    }
-
-    fn weight_of(&self, class: RequestClass) -> f64 {
-        f64::from(self.weights.of(class).get())
-    }
-
-    fn push(
-        &mut self,
-        class: RequestClass,
-        account: &AccountId,
-        key: RequestKey,
-        deadline: Deadline,
-    ) {
-        let queue = &mut self.classes[class as usize];
-        if queue.waiting() == 0 {
-            queue.start_tag = queue.start_tag.max(self.virtual_time - CLASS_CREDIT_SECS);
-        }
-        queue.push(account, key, deadline);
-        self.waiting.insert(key, (class, account.clone()));
-    }
-
     /// Starts the request just offered when a slot is free and nothing else may take it.
     fn start_alone(&mut self, class: RequestClass, now: MonoTime) -> Option<QueueAction> {
-        let is_alone = self.classes[class as usize].waiting() == 1;
+        let is_alone = self.shares.queue(class).waiting() == 1;
         let is_next = self.next_class(now) == Some(class);
         if !(self.has_free_slot() && is_alone && is_next) {
             return None;
@@ -228,20 +189,16 @@
 
     fn start_next(&mut self, now: MonoTime) -> Option<QueueAction> {
         let class = self.next_class(now)?;
-        let weight = self.weight_of(class);
-        let queue = &mut self.classes[class as usize];
-        let (account, request) = queue.pop()?;
+        let (account, request) = self.shares.pop(class)?;
         let key = request.key;
         self.waiting.remove(&key);
-        let mean_secs = queue.estimate.mean_secs();
+        let mean_secs = self.shares.mean_secs(class);
         let left_secs = request.deadline.remaining(now).as_secs_f64();
         if left_secs < mean_secs {
             let retry_after = MIN_RETRY_AFTER.max(Duration::from_secs_f64(mean_secs));
             return Some(QueueAction::Refuse { key, retry_after });
         }
-        let charged_secs = queue.charge(&account);
-        self.virtual_time = self.virtual_time.max(queue.start_tag);
-        queue.start_tag += charged_secs / weight;
+        let charged_secs = self.shares.charge(class, &account);
         let running = RunningRequest {
             account,
             class,
@@ -253,30 +210,18 @@
     }
 
     fn next_class(&self, now: MonoTime) -> Option<RequestClass> {
-        let waiting = |class: &RequestClass| {
-            self.classes[*class as usize].waiting() > 0 && !self.is_held_back(*class, now)
-        };
-        let tag = |class: &RequestClass| self.classes[*class as usize].start_tag;
-        let classes = RequestClass::ALL.into_iter().filter(waiting);
-        classes.min_by(|class, other| tag(class).total_cmp(&tag(other)))
+        self.shares
+            .next_class(|class| self.is_held_back(class, now))
     }
 
     /// Whether a long class must leave the last free slot to internal checks.
     fn is_held_back(&self, class: RequestClass, now: MonoTime) -> bool {
         let free = self.slots as usize - self.running.len().min(self.slots as usize);
-        let check_secs = self.mean_secs(RequestClass::InternalCheck);
+        let check_secs = self.shares.mean_secs(RequestClass::InternalCheck);
         self.slots > 1
             && free == 1
             && !self.check_due.has_passed(now)
-            && self.mean_secs(class) > check_secs * LONG_RATIO
-    }
-
-    fn settle(&mut self, request: &RunningRequest, service_time: Duration) {
-        let excess_secs = service_time.as_secs_f64() - request.charged_secs;
-        let weight = self.weight_of(request.class);
-        let queue = &mut self.classes[request.class as usize];
-        queue.start_tag += excess_secs / weight;
-        queue.settle(&request.account, excess_secs);
+            && self.shares.mean_secs(class) > check_secs * LONG_RATIO
     }
 }
 
@@ -287,8 +232,8 @@
         if self.has_free_slot() && self.waiting.is_empty() {
             return 0.0;
         }
-        let debt_secs = self.classes[class as usize].debt_secs(account);
-        self.first_free_secs(now) + debt_secs * self.pace_secs(class)
+        let debt_secs = self.shares.queue(class).debt_secs(account);
+        self.first_free_secs(now) + debt_secs * self.shares.pace_secs(class, self.slots)
     }
 
     /// Expected time until a slot is free.
@@ -296,23 +241,7 @@
         if self.has_free_slot() {
             return 0.0;
         }
-        let residuals = self.running.values();
-        residuals
-            .map(|request| request.residual_secs(now))
-            .fold(f64::INFINITY, f64::min)
-    }
-
-    /// Seconds that pass for each second of service of one account of `class`.
-    fn pace_secs(&self, class: RequestClass) -> f64 {
-        let rival_weights: f64 = RequestClass::ALL
-            .into_iter()
-            .filter(|other| *other != class && self.classes[*other as usize].waiting() > 0)
-            .map(|other| self.weight_of(other))
-            .sum();
-        let share = self.weight_of(class) / (self.weight_of(class) + rival_weights);
-        let accounts = self.classes[class as usize].backlogged_accounts().max(1);
-        let accounts = f64::from(u32::try_from(accounts).unwrap_or(u32::MAX));
-        accounts / (f64::from(self.slots) * share)
+        self.running.first_end_secs(now)
     }
 }
 
--- a/src/queue/mod.rs
+++ b/src/queue/mod.rs
@@ -5,12 +5,14 @@
 
 mod account_queue;
 mod class_queue;
+mod class_shares;
 mod instance_queue;
 mod offer_outcome;
 mod queue_action;
 mod queued_request;
 mod request_key;
 mod running_request;
+mod running_set;
 mod service_estimate;
 
 pub use instance_queue::InstanceQueue;
--- a/src/queue/service_estimate.rs
+++ b/src/queue/service_estimate.rs
@@ -28,6 +28,11 @@
         self.mean_secs += step * (service_time.as_secs_f64() - self.mean_secs);
     }
 
+    /// Whether it rests on samples.
+    pub(super) const fn is_known(&self) -> bool {
+        self.samples > 0
+    }
+
     /// The mean in seconds.
     pub(super) const fn mean_secs(&self) -> f64 {
         self.mean_secs
--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -141,3 +141,30 @@
     let actions = queue.tick(MonoTime::from_millis(2_100));
     assert_eq!(actions, vec![QueueAction::Start(key(2))]);
 }
+
+#[test]
+fn extract_no_stall() {
+    let mut fresh = queue(3);
+    let later = MonoTime::from_millis(1_500);
+    fresh.offer(
+        request(1, "a", RequestClass::Extract, 60_000),
+        MonoTime::ZERO,
+    );
+    let oldest = fresh.running_oldest(later).unwrap();
+    assert!(
+        oldest < Duration::from_millis(250),
+        "unknown class: {oldest:?}"
+    );
+    let mut known = queue_with_extracts();
+    known.offer(
+        request(1, "a", RequestClass::Extract, 60_000),
+        MonoTime::ZERO,
+    );
+    let oldest = known.running_oldest(later).unwrap();
+    assert!(
+        oldest < Duration::from_millis(250),
+        "known class: {oldest:?}"
+    );
+    let frozen = known.running_oldest(MonoTime::from_millis(20_000)).unwrap();
+    assert!(frozen > Duration::from_millis(250), "{frozen:?}");
+}
