--- a/tests/models/mod.rs
+++ b/tests/models/mod.rs
@@ -3,6 +3,7 @@
 
 mod instance_fault;
 mod load_stream;
+mod model_health;
 mod model_policy;
 mod model_request;
 mod service_model;
--- /dev/null
+++ b/tests/models/model_health.rs
@@ -0,0 +1,106 @@
+//! Health and records in the model.
+
+use std::time::Duration;
+
+use wagtailtrack::health::{HealthCause, SampleOutcome, ServiceBaseline, ServiceSample};
+use wagtailtrack::queue::RequestKey;
+use wagtailtrack::resource::RequestClass;
+use wagtailtrack::wire::HealthState;
+
+use super::instance_fault::usual_time;
+use super::service_model::{Event, TICK};
+use super::{Ejection, InstanceFault, ServiceModel};
+
+const PLAIN_ERRORS: u32 = 5;
+const PLAIN_WAIT: Duration = Duration::from_secs(10);
+
+impl ServiceModel {
+    pub(super) fn observe(
+        &mut self,
+        instance: usize,
+        key: RequestKey,
+        outcome: SampleOutcome,
+        service_time: Duration,
+    ) {
+        let class = self.streams[self.open[&key].stream].class;
+        let sample = ServiceSample {
+            outcome,
+            service_time,
+            class,
+        };
+        let model = &mut self.instances[instance];
+        if !self.policy.tests_sequentially {
+            let is_bad = !matches!(outcome, SampleOutcome::Good | SampleOutcome::Shed);
+            model.errors_in_row = if is_bad { model.errors_in_row + 1 } else { 0 };
+            if model.errors_in_row >= PLAIN_ERRORS && model.plain_out.has_passed(self.now) {
+                model.plain_out = self.now.after(PLAIN_WAIT);
+                self.note_ejection(instance, HealthCause::Failing);
+            }
+            return;
+        }
+        let peers = ServiceBaseline::of(self.views.front().unwrap());
+        let change = model.health.observe(&sample, &peers, self.now);
+        if let Some(change) = change.filter(|change| change.to == HealthState::Ejected) {
+            self.note_ejection(instance, change.cause);
+        }
+    }
+
+    fn note_ejection(&mut self, instance: usize, cause: HealthCause) {
+        let at = self.now;
+        self.ejections.push(Ejection {
+            instance,
+            at,
+            cause,
+        });
+    }
+
+    pub(super) fn probed(&mut self, instance: usize) {
+        let now = self.now;
+        let usual = usual_time(RequestClass::Lookup, &mut self.rng);
+        let model = &mut self.instances[instance];
+        // The health endpoint lies: it is always well, unless the instance is frozen.
+        if model.fault.map(|plan| plan.fault) != Some(InstanceFault::Frozen) {
+            model.health.probe_done(SampleOutcome::Good, usual, now);
+        }
+    }
+
+    pub(super) fn tick(&mut self) {
+        let peers = ServiceBaseline::of(self.views.front().unwrap());
+        for instance in 0..self.instances.len() {
+            let model = &mut self.instances[instance];
+            let actions = model.queue.tick(self.now);
+            let oldest = model.queue.running_oldest(self.now);
+            if self.policy.tests_sequentially {
+                let change = model.health.tick(&peers, self.now, oldest);
+                if model.health.probe_due(self.now) {
+                    self.plan(Duration::from_millis(25), Event::Probed(instance));
+                }
+                if let Some(change) = change.filter(|change| change.to == HealthState::Ejected) {
+                    self.note_ejection(instance, change.cause);
+                }
+            }
+            self.carry_out(instance, actions);
+            self.publish(instance);
+        }
+        self.views.push_back(self.records.clone());
+        if self.views.len() > self.gossip_ticks {
+            self.views.pop_front();
+        }
+        self.plan(TICK, Event::Tick);
+    }
+
+    fn publish(&mut self, instance: usize) {
+        let model = &mut self.instances[instance];
+        let record = &mut self.records[instance];
+        if model.health.median_moved() {
+            let median = model.health.median().unwrap_or_default();
+            record.median_micros = u32::try_from(median.as_micros()).unwrap();
+            self.publications += 1;
+        }
+        record.health = match self.policy.tests_sequentially {
+            true => model.health.state(),
+            false if model.plain_out.has_passed(self.now) => HealthState::Healthy,
+            false => HealthState::Ejected,
+        };
+    }
+}
--- a/tests/models/service_model.rs
+++ b/tests/models/service_model.rs
@@ -6,27 +6,23 @@
 use std::time::Duration;
 
 use wagtailtrack::balance::InstancePicker;
-use wagtailtrack::health::{
-    HealthCause, InstanceHealth, SampleOutcome, ServiceBaseline, ServiceSample,
-};
+use wagtailtrack::health::{HealthCause, InstanceHealth};
 use wagtailtrack::queue::{InstanceQueue, RequestKey};
 use wagtailtrack::resource::{ClassWeights, RequestClass};
 use wagtailtrack::retry::RetryBudget;
 use wagtailtrack::time::{Deadline, MonoTime};
 use wagtailtrack::units::{Percent, Slots, Weight};
-use wagtailtrack::wire::{HealthState, InstanceRecord};
+use wagtailtrack::wire::InstanceRecord;
 
-use super::instance_fault::{FaultPlan, usual_time};
+use super::instance_fault::FaultPlan;
 use super::model_request::OpenRequest;
 use super::{InstanceFault, LoadStream, ModelPolicy, service_of};
 
-const TICK: Duration = Duration::from_millis(50);
+pub(super) const TICK: Duration = Duration::from_millis(50);
 /// Ticks until a record has reached every daemon.
 const GOSSIP_TICKS: usize = 6;
 /// Mean service time of a lookup on a healthy instance.
 const USUAL_SECS: f64 = 0.0232;
-const PLAIN_ERRORS: u32 = 5;
-const PLAIN_WAIT: Duration = Duration::from_secs(10);
 pub(super) const WARM_UP: MonoTime = MonoTime::from_millis(12_000);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,8 +38,8 @@
     pub(super) queue: InstanceQueue,
     pub(super) health: InstanceHealth,
     pub(super) fault: Option<FaultPlan>,
-    errors_in_row: u32,
-    plain_out: Deadline,
+    pub(super) errors_in_row: u32,
+    pub(super) plain_out: Deadline,
 }
 
 /// An ejection that the model saw.
@@ -212,95 +208,6 @@
         self.serial += 1;
         self.events.push(Reverse((at, self.serial, event)));
     }
-
-    pub(super) fn observe(
-        &mut self,
-        instance: usize,
-        key: RequestKey,
-        outcome: SampleOutcome,
-        service_time: Duration,
-    ) {
-        let class = self.streams[self.open[&key].stream].class;
-        let sample = ServiceSample {
-            outcome,
-            service_time,
-            class,
-        };
-        let model = &mut self.instances[instance];
-        if !self.policy.tests_sequentially {
-            let is_bad = !matches!(outcome, SampleOutcome::Good | SampleOutcome::Shed);
-            model.errors_in_row = if is_bad { model.errors_in_row + 1 } else { 0 };
-            if model.errors_in_row >= PLAIN_ERRORS && model.plain_out.has_passed(self.now) {
-                model.plain_out = self.now.after(PLAIN_WAIT);
-                self.note_ejection(instance, HealthCause::Failing);
-            }
-            return;
-        }
-        let peers = ServiceBaseline::of(self.views.front().unwrap());
-        let change = model.health.observe(&sample, &peers, self.now);
-        if let Some(change) = change.filter(|change| change.to == HealthState::Ejected) {
-            self.note_ejection(instance, change.cause);
-        }
-    }
-
-    fn note_ejection(&mut self, instance: usize, cause: HealthCause) {
-        let at = self.now;
-        self.ejections.push(Ejection {
-            instance,
-            at,
-            cause,
-        });
-    }
-
-    fn probed(&mut self, instance: usize) {
-        let now = self.now;
-        let usual = usual_time(RequestClass::Lookup, &mut self.rng);
-        let model = &mut self.instances[instance];
-        // The health endpoint lies: it is always well, unless the instance is frozen.
-        if model.fault.map(|plan| plan.fault) != Some(InstanceFault::Frozen) {
-            model.health.probe_done(SampleOutcome::Good, usual, now);
-        }
-    }
-
-    fn tick(&mut self) {
-        let peers = ServiceBaseline::of(self.views.front().unwrap());
-        for instance in 0..self.instances.len() {
-            let model = &mut self.instances[instance];
-            let actions = model.queue.tick(self.now);
-            let oldest = model.queue.running_oldest(self.now);
-            if self.policy.tests_sequentially {
-                let change = model.health.tick(&peers, self.now, oldest);
-                if model.health.probe_due(self.now) {
-                    self.plan(Duration::from_millis(25), Event::Probed(instance));
-                }
-                if let Some(change) = change.filter(|change| change.to == HealthState::Ejected) {
-                    self.note_ejection(instance, change.cause);
-                }
-            }
-            self.carry_out(instance, actions);
-            self.publish(instance);
-        }
-        self.views.push_back(self.records.clone());
-        if self.views.len() > self.gossip_ticks {
-            self.views.pop_front();
-        }
-        self.plan(TICK, Event::Tick);
-    }
-
-    fn publish(&mut self, instance: usize) {
-        let model = &mut self.instances[instance];
-        let record = &mut self.records[instance];
-        if model.health.median_moved() {
-            let median = model.health.median().unwrap_or_default();
-            record.median_micros = u32::try_from(median.as_micros()).unwrap();
-            self.publications += 1;
-        }
-        record.health = match self.policy.tests_sequentially {
-            true => model.health.state(),
-            false if model.plain_out.has_passed(self.now) => HealthState::Healthy,
-            false => HealthState::Ejected,
-        };
-    }
 }
 
 fn weights() -> ClassWeights {
