A caller that stops reading holds up nobody else

Cause: stalled_reader got 502 'answer was lost' for every lookup of another caller, for a minute. The long answer that nobody read filled the 1 MiB window of the whole connection between ingress and egress, so no other stream's answer came through; and the stalled body was never polled, so the deadline did not free it either.

Change: a stream has a window of 256 KiB, the connection 1 GiB. A task takes a long answer's chunks off the stream and lets go of it at the deadline. The egress publishes a median that moved, and judges stalls by each class's own time, both as the health models need.

Ruled out: the slot (the dump showed it free), health (healthy).

--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -207,7 +207,9 @@
         let baseline = self.baseline(&gate.borrow().local().service);
         let now = self.sources.clock.now();
         let change = gate.borrow_mut().tick(&baseline, now);
-        if change.is_some() {
+        // The other egresses judge their instances against the medians that they hear.
+        let has_moved = gate.borrow_mut().health().median_moved();
+        if change.is_some() || has_moved {
             self.publish_gate(gate);
         }
         let takes_work = gate.borrow().takes_work() && !self.is_stopping();
--- a/src/egress/instance_gate.rs
+++ b/src/egress/instance_gate.rs
@@ -129,7 +129,7 @@
     pub fn tick(&mut self, baseline: &ServiceBaseline, now: MonoTime) -> Option<HealthChange> {
         let actions = self.queue.tick(now);
         self.carry_out(actions);
-        let oldest = self.running.values().min().map(|start| now.since(*start));
+        let oldest = self.queue.running_oldest(now);
         self.health.tick(baseline, now, oldest)
     }
 
--- a/src/ingress/answer_response.rs
+++ b/src/ingress/answer_response.rs
@@ -12,6 +12,7 @@
 use crate::ingress::attempt_task::LongAnswer;
 use crate::ingress::ingress_handle::UnderWay;
 use crate::ingress::verdict_name;
+use crate::time::{Deadline, ProcessClock};
 use crate::verdict::Verdict;
 use crate::wire::AnswerHead;
 
@@ -42,10 +43,16 @@
 }
 
 /// An answer whose rest is still to come.
-pub(crate) fn long_response(long: LongAnswer, count: UnderWay) -> Response<BoxBody> {
-    let body = AnswerBody::open(long.head.length, long.read, long.sender, long.receiver);
+pub(crate) fn long_response(
+    long: LongAnswer,
+    deadline: Deadline,
+    clock: ProcessClock,
+    count: UnderWay,
+) -> Response<BoxBody> {
+    let head = long.head.clone();
+    let body = AnswerBody::spawn(long, deadline, clock);
     answer_response(
-        &long.head,
+        &head,
         BoxBody::new(CountedBody {
             body,
             _count: count,
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -40,7 +40,8 @@
 pub(crate) struct LongAnswer {
     pub(crate) head: AnswerHead,
     pub(crate) read: VecDeque<Bytes>,
-    pub(crate) sender: PeerSender,
+    /// Dropping it cancels the request at the egress.
+    pub(crate) _sender: PeerSender,
     pub(crate) receiver: PeerReceiver,
 }
 
@@ -141,7 +142,7 @@
         Ok(AttemptEnd::Long(LongAnswer {
             head,
             read,
-            sender,
+            _sender: sender,
             receiver,
         }))
     }
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -61,7 +61,8 @@
                 AttemptEnd::Long(long) => {
                     self.note_answer(&record.instance, LoadFigure::default());
                     self.complete(&long.head);
-                    return Ok(long_response(long, count));
+                    let clock = self.ingress.sources.clock;
+                    return Ok(long_response(long, self.deadline, clock, count));
                 }
                 AttemptEnd::Failed { failure, load } => {
                     self.note_failure(&record.instance, load);
@@ -95,6 +96,7 @@
         let instance = self
             .ingress
             .with_picker(&self.plan.service, |picker, rng| {
+                picker.retain(&records);
                 let floor = self.plan.floor;
                 let instance =
                     picker.pick(&records, floor, tried, self.plan.idempotent, now, rng)?;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -21,3 +21,11 @@
 pub use peer_sender::PeerSender;
 pub use peer_stream::PeerStream;
 pub use session_key::SessionKey;
+
+/// What one stream may have under way, in bytes.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// What all streams of a connection may have under way, in bytes.
+///
+/// Large enough that streams whose callers read nothing never hold up the others.
+pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 1024 * 1024 * 1024;
--- a/src/peers/peer_connection.rs
+++ b/src/peers/peer_connection.rs
@@ -14,12 +14,13 @@
 use crate::logs::part;
 use crate::peers::frame_seal::StreamSide;
 use crate::peers::stream_receiver::StreamReceiver;
-use crate::peers::{FleetKey, PeerError, PeerStream, SessionKey};
+use crate::peers::{
+    CONNECTION_WINDOW_BYTES, FleetKey, PeerError, PeerStream, STREAM_WINDOW_BYTES, SessionKey,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 const PING_TIMEOUT: Duration = Duration::from_millis(1500);
-const WINDOW_BYTES: u32 = 1024 * 1024;
 
 /// A live connection; clones share it.
 #[derive(Clone)]
@@ -49,8 +50,8 @@
             .await
             .map_err(PeerError::Connect)?;
         let (opener, mut connection) = h2::client::Builder::new()
-            .initial_window_size(WINDOW_BYTES)
-            .initial_connection_window_size(WINDOW_BYTES)
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(socket)
             .await?;
         let alive = Rc::new(Cell::new(true));
--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -14,10 +14,11 @@
 use crate::logs::part;
 use crate::peers::frame_seal::StreamSide;
 use crate::peers::stream_receiver::StreamReceiver;
-use crate::peers::{FleetKey, PeerError, PeerStream, SessionKey};
+use crate::peers::{
+    CONNECTION_WINDOW_BYTES, FleetKey, PeerError, PeerStream, STREAM_WINDOW_BYTES, SessionKey,
+};
 use crate::wire::PeerOpening;
 
-const WINDOW_BYTES: u32 = 1024 * 1024;
 const MAX_STREAMS: u32 = 4096;
 
 /// Handles one stream, after its first message.
@@ -110,8 +111,8 @@
         .await
         .map_err(PeerError::Connect)?;
     let mut connection: Connection<TcpStream, Bytes> = h2::server::Builder::new()
-        .initial_window_size(WINDOW_BYTES)
-        .initial_connection_window_size(WINDOW_BYTES)
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .handshake(socket)
         .await?;
