--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -55,7 +55,7 @@
         }
         for record in instances {
             let newer = self.learn_record(record, true, turn);
-            is_drained |= newer && is_leaving(record);
+            is_drained |= newer && record.is_leaving();
         }
         if has_left {
             self.push_to_some(FORWARD_FANOUT, PushReach::Fleet, turn);
@@ -119,7 +119,7 @@
         let key = ChangeKey::Instance(record.instance.clone());
         let change = self.view.merge_record(record, turn.now);
         match change {
-            RecordChange::Newer if spread && is_leaving(record) => self.queue.push_urgent(key),
+            RecordChange::Newer if spread && record.is_leaving() => self.queue.push_urgent(key),
             RecordChange::Newer if spread => self.queue.push(key),
             RecordChange::Newer => self.queue.forget(&key),
             RecordChange::Same => self.count_known(&key),
@@ -219,7 +219,3 @@
             .is_some_and(|heard| heard >= since)
     }
 }
-
-const fn is_leaving(record: &InstanceRecord) -> bool {
-    matches!(record.phase, InstancePhase::Draining | InstancePhase::Gone)
-}
--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -2,16 +2,18 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::DaemonId;
+use crate::ids::{DaemonId, InstanceId};
 use crate::members::gossip_turn::GossipTurn;
 use crate::members::{ChangeKey, GossipAction, GossipCore, MemberChange, MessageSpace, ProbeStep};
 use crate::time::MonoTime;
-use crate::wire::{GossipBody, GossipMessage, MemberRecord, MemberState};
+use crate::wire::{GossipBody, GossipMessage, InstanceRecord, MemberRecord, MemberState};
 
 const RELAYS: usize = 3;
 const MOST_CHANGES: usize = 24;
 const EXTRA_SENDINGS: u32 = 3;
 const MOST_INSTANCE_SENDINGS: u32 = 6;
+// The pushes that forward a drain count as sendings too.
+const EXTRA_LEAVING_SENDINGS: u32 = 6;
 
 /// How far a push goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,10 +85,18 @@
         let full = live.ilog2() + EXTRA_SENDINGS;
         match key {
             ChangeKey::Member(_) => full,
+            ChangeKey::Instance(instance) if self.is_leaving(instance) => {
+                full + EXTRA_LEAVING_SENDINGS
+            }
             ChangeKey::Instance(_) => full.min(MOST_INSTANCE_SENDINGS),
         }
     }
 
+    fn is_leaving(&self, instance: &InstanceId) -> bool {
+        let record = self.view.records().get(instance);
+        record.is_some_and(InstanceRecord::is_leaving)
+    }
+
     /// A message without changes.
     pub(super) fn bare(&self, body: GossipBody) -> GossipMessage {
         GossipMessage {
--- a/src/wire/instance_record.rs
+++ b/src/wire/instance_record.rs
@@ -64,6 +64,14 @@
     pub median_micros: u32,
 }
 
+impl InstanceRecord {
+    /// Whether the instance takes no new work any more.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        matches!(self.phase, InstancePhase::Draining | InstancePhase::Gone)
+    }
+}
+
 impl fmt::Display for InstanceRecord {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
--- a/tests/instances_drain.rs
+++ b/tests/instances_drain.rs
@@ -10,7 +10,7 @@
 use wagtailtrack::ids::InstanceId;
 use wagtailtrack::instances::{AnnounceTable, Announcement};
 use wagtailtrack::time::MonoTime;
-use wagtailtrack::wire::InstancePhase;
+use wagtailtrack::wire::{InstancePhase, InstanceRecord};
 
 const MINUTE: Duration = Duration::from_secs(60);
 const LEASE_MILLIS: u64 = 3_000;
@@ -149,3 +149,32 @@
         assert!(stale_offers > 0, "the views were to be stale");
     }
 }
+
+/// Every one of many drains in a row reaches its whole region within seconds.
+#[test]
+fn drains_reach_region() {
+    for seed in [1, 2, 3] {
+        let mut net = GossipNet::open(120, 3, seed);
+        net.run_until(MINUTE, |net| net.all_count(120));
+        for number in 0..15 {
+            net.publish(3, &instance(3, number, InstancePhase::Ready));
+        }
+        net.run(MINUTE / 2);
+        for number in 0..15 {
+            let draining = instance(3, number, InstancePhase::Draining);
+            net.publish(3, &draining);
+            net.run_until(Duration::from_secs(5), |net| region_sees(net, &draining));
+        }
+    }
+}
+
+/// Whether every daemon of the first region sees the drain.
+fn region_sees(net: &mut GossipNet, draining: &InstanceRecord) -> bool {
+    let now = net.now;
+    net.nodes.iter_mut().step_by(3).all(|node| {
+        let records = node.core.instances_of(&draining.service, now);
+        let mut records = records.iter();
+        let found = records.find(|record| record.instance == draining.instance);
+        found.is_some_and(|found| found.phase == InstancePhase::Draining)
+    })
+}
