--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -62,8 +62,8 @@
     #[must_use]
     pub fn spawn(sources: EgressSources) -> Self {
         let handle = Self {
+            client: BackendClient::open(sources.clock),
             sources,
-            client: BackendClient::open(),
             gates: Rc::default(),
             unknown: Rc::default(),
             stopping: Rc::default(),
@@ -196,6 +196,7 @@
         loop {
             actix_rt::time::sleep(TICK).await;
             self.retry_unknown();
+            self.client.close_idle();
             for gate in self.all_gates() {
                 self.tick(&gate);
             }
@@ -209,7 +210,8 @@
         if change.is_some() {
             self.publish_gate(gate);
         }
-        if gate.borrow_mut().health().probe_due(now) {
+        let takes_work = gate.borrow().takes_work() && !self.is_stopping();
+        if takes_work && gate.borrow_mut().health().probe_due(now) {
             actix_rt::spawn(probe_task::run(self.clone(), Rc::clone(gate)));
         }
     }
--- /dev/null
+++ b/tests/limits_rate.rs
@@ -0,0 +1,95 @@
+//! Rate and burst across the fleet, under faults, in virtual time.
+
+mod limits_kit;
+
+use arbtest::arbtest;
+use fastrand::Rng;
+use limits_kit::{FaultPlan, SECOND, VirtualFleet, rate_limit};
+use wagtailtrack::settings::LimitsSettings;
+use wagtailtrack::units::TimeSpan;
+
+const SEED_BYTES: u64 = 64;
+
+/// Runs `check` with a number drawn by each of the fixed seeds from 1 to `count`.
+fn each_seed(count: u64, mut check: impl FnMut(u64)) {
+    for seed in 1..=count {
+        arbtest(|source| {
+            check(source.arbitrary()?);
+            Ok(())
+        })
+        .seed(seed << 32 | SEED_BYTES);
+    }
+}
+
+/// Faults and sizes drawn anew for each seed; few shares make each one count.
+fn rough(rng: &mut Rng) -> (LimitsSettings, FaultPlan) {
+    let settings = LimitsSettings {
+        shares: *rng.choice(&[1, 2, 4, 16]).unwrap(),
+        lease: TimeSpan::from_secs(15),
+        renew: TimeSpan::from_secs(5),
+        ..LimitsSettings::default()
+    };
+    let faults = FaultPlan {
+        lossy_percent: *rng.choice(&[1, 5, 15]).unwrap(),
+        delay: *rng.choice(&[SECOND, 5 * SECOND]).unwrap(),
+        pause_every: *rng.choice(&[2 * SECOND, 10 * SECOND]).unwrap(),
+        flip_every: *rng.choice(&[SECOND, 10 * SECOND]).unwrap(),
+        replace_every: *rng.choice(&[0, 10 * SECOND, 30 * SECOND]).unwrap(),
+        away: *rng.choice(&[(0, 0), (20, 40)]).unwrap(),
+    };
+    (settings, faults)
+}
+
+/// The account that stays within its rate.
+const STEADY: usize = 1;
+
+fn accounts(fleet: &mut VirtualFleet) {
+    fleet.add_account(rate_limit("greedy", 10, 60), 12.0);
+    fleet.add_account(rate_limit("steady", 40, 40), 5.0);
+    fleet.add_account(rate_limit("tiny", 2, 1), 2.0);
+    fleet.add_account(rate_limit("short", 50, 5), 30.0);
+}
+
+fn assert_kept(fleet: &VirtualFleet) {
+    assert_eq!(
+        fleet.lent_twice, 0,
+        "shares were pooled at two homes at once"
+    );
+    for (account, limit) in fleet.limits.iter().enumerate() {
+        let excess = fleet.audit.excess(account, limit);
+        assert_eq!(excess, 0, "{} exceeds its rate", limit.account);
+    }
+}
+
+#[test]
+fn never_above_rate() {
+    let mut admitted = 0;
+    each_seed(40, |seed| {
+        let mut rng = Rng::with_seed(seed);
+        let (settings, faults) = rough(&mut rng);
+        let mut fleet = VirtualFleet::open(seed, 4, &settings, faults);
+        accounts(&mut fleet);
+        fleet.run_until(60 * SECOND);
+        assert_kept(&fleet);
+        admitted += fleet.audit.counts(STEADY, 0..u64::MAX)[1];
+    });
+    // The faults must not have hidden everything.
+    assert!(admitted > 10_000, "{admitted} admitted over all seeds");
+}
+
+#[test]
+fn healthy_use() {
+    let mut fleet = VirtualFleet::open(1, 4, &LimitsSettings::default(), FaultPlan::none());
+    accounts(&mut fleet);
+    fleet.run_until(40 * SECOND);
+    assert_kept(&fleet);
+    let span = 10 * SECOND..39 * SECOND;
+    for (account, limit) in fleet.limits.iter().enumerate() {
+        let [_, admitted, _] = fleet.audit.counts(account, span.clone());
+        let ideal = fleet.audit.ideal(account, limit, span.clone());
+        eprintln!("{}: {admitted} of {ideal}", limit.account);
+        assert!(admitted * 10 >= ideal * 8, "{} starves", limit.account);
+    }
+    let [_, _, refused] = fleet.audit.counts(STEADY, span);
+    assert_eq!(refused, 0, "refused within the rate");
+}
--- a/tests/process_client.rs
+++ b/tests/process_client.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use common::ScratchDir;
-use wagtailtrack::admin::{AdminServer, AdminSources};
+use wagtailtrack::admin::{AdminServer, AdminSources, ChangeLine, ChangeVerb};
 use wagtailtrack::config::{ConfigHandle, ConfigSources};
 use wagtailtrack::peers::{FleetKey, PeerPool};
 use wagtailtrack::platform::HttpPlatform;
@@ -94,13 +94,18 @@
         }
     }
 
-    async fn run(&self, arguments: &[&str]) -> Output {
+    fn command(&self, arguments: &[&str]) -> Command {
         let mut command = Command::new(env!("CARGO_BIN_EXE_wagtailtrack"));
         command
             .args(["--daemon", &self.server.address().to_string()])
             .arg("--token-file")
             .arg(self.folder.path().join("token"))
             .args(arguments);
+        command
+    }
+
+    async fn run(&self, arguments: &[&str]) -> Output {
+        let mut command = self.command(arguments);
         actix_rt::task::spawn_blocking(move || command.output().unwrap())
             .await
             .unwrap()
@@ -244,3 +249,88 @@
     );
     assert_eq!(fleet.config.revision().0, 2);
 }
+
+#[actix_rt::test]
+async fn watched_changes() {
+    let fleet = Fleet::open("watched").await;
+    fleet.good(&["create", "account", "crew-1"]).await;
+    let mut watcher = fleet
+        .command(&["--json", "watch", "--from", "0"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let output = BufReader::new(watcher.stdout.take().unwrap());
+    fleet.good(&["create", "account", "crew-2"]).await;
+    fleet.good(&["delete", "account", "crew-1"]).await;
+    let lines = actix_rt::task::spawn_blocking(move || {
+        let lines: Vec<String> = output.lines().take(3).map(Result::unwrap).collect();
+        lines
+    });
+    let lines = lines.await.unwrap();
+    watcher.kill().unwrap();
+    watcher.wait().unwrap();
+    let seen: Vec<ChangeLine> = lines
+        .iter()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    let revisions: Vec<u64> = seen.iter().map(|line| line.revision.0).collect();
+    assert_eq!(revisions, [1, 2, 3]);
+    assert_eq!(seen[2].action, ChangeVerb::Delete);
+    assert_eq!(seen[2].resource["id"], "crew-1");
+    fleet.bad(&["watch", "--from", "9"], 2, "'9'").await;
+}
+
+#[actix_rt::test]
+async fn settled_operation() {
+    let fleet = Fleet::open("settled").await;
+    let change = ["--operation", "op-1", "create", "account", "crew-1"];
+    fleet
+        .bad(&["operation", "op-1"], 3, "same operation id")
+        .await;
+    fleet.good(&change).await;
+    let repeated = fleet.good(&change).await;
+    assert!(repeated.contains("before) at revision 1"), "{repeated}");
+    fleet.good(&["operation", "op-1"]).await;
+    let other = ["--operation", "op-1", "create", "account", "crew-2"];
+    fleet.bad(&other, 4, "new operation id").await;
+    let issue = [
+        "--operation",
+        "op-2",
+        "key",
+        "issue",
+        "k1",
+        "--account",
+        "crew-1",
+    ];
+    let first = fleet.good(&issue).await;
+    assert!(first.contains("wtk_"), "{first}");
+    let second = fleet.good(&issue).await;
+    assert!(
+        !second.contains("wtk_") && second.contains("withdraw the key"),
+        "{second}"
+    );
+}
+
+#[actix_rt::test]
+async fn bad_usage() {
+    let fleet = Fleet::open("usage").await;
+    fleet.bad(&["fly"], 2, "fly").await;
+    fleet.bad(&["create", "planet", "x"], 2, "planet").await;
+    fleet
+        .bad(&["create", "service", "x", "slots"], 2, "slots=3")
+        .await;
+    fleet
+        .bad(&["--wait", "3", "create", "account", "x"], 2, "250ms")
+        .await;
+    fleet
+        .bad(
+            &["check-config", "/nonexistent.toml"],
+            2,
+            "/nonexistent.toml",
+        )
+        .await;
+    let help = fleet.good(&["--help"]).await;
+    assert!(help.contains("watch"), "{help}");
+    fleet.folder.write("token", "wrong");
+    fleet.bad(&["list", "account"], 1, "token").await;
+}
