--- /dev/null
+++ b/src/members/fleet_digests.rs
@@ -0,0 +1,108 @@
+//! How `FleetView` is compared with a peer's.
+
+use crate::hash::FastMap;
+use crate::members::FleetView;
+use crate::members::member_table::digest_of;
+use crate::members::name_digest::lies_in;
+use crate::wire::{BucketDigest, InstancePhase, MemberRecord, OwnerDigest, OwnerState};
+
+const OWNERS_PER_BUCKET: usize = 16;
+
+impl FleetView {
+    /// The digest of a random bucket of owners.
+    #[must_use]
+    pub fn draw_bucket(&self, covers_records: bool, rng: &mut fastrand::Rng) -> BucketDigest {
+        let buckets = (self.members.live_count() / OWNERS_PER_BUCKET).max(1);
+        let bits = buckets.next_power_of_two().ilog2();
+        let bucket = rng.u32(0..1 << bits);
+        self.digest_bucket(&BucketDigest {
+            bits: u8::try_from(bits).unwrap_or(0),
+            bucket,
+            covers_records,
+            digest: 0,
+        })
+    }
+
+    /// This daemon's digest of the same bucket as `like`.
+    #[must_use]
+    pub fn digest_bucket(&self, like: &BucketDigest) -> BucketDigest {
+        let digests = self.owners_in(like).map(|(_, digest, _)| digest);
+        BucketDigest {
+            digest: digests.fold(0, |digest, owner| digest ^ owner),
+            ..*like
+        }
+    }
+
+    /// The digest of each live owner in `bucket`.
+    #[must_use]
+    pub fn owner_digests(&self, bucket: &BucketDigest) -> Vec<OwnerDigest> {
+        let owners = self.owners_in(bucket);
+        let mut digests: Vec<_> = owners
+            .map(|(owner, digest, _)| short(owner, digest))
+            .collect();
+        digests.sort_unstable_by_key(|digest| digest.owner);
+        digests
+    }
+
+    /// The owners in `bucket` of which a peer with the digests `theirs` has another state.
+    #[must_use]
+    pub fn differing(&self, bucket: &BucketDigest, theirs: &[OwnerDigest]) -> Vec<OwnerState> {
+        let theirs: FastMap<u32, u32> = theirs.iter().map(|its| (its.owner, its.digest)).collect();
+        let live = self
+            .owners_in(bucket)
+            .filter(|(owner, digest, _)| theirs.get(owner) != Some(&short(*owner, *digest).digest));
+        let dead = self.members.entries().filter(|entry| {
+            let known = theirs.contains_key(&entry.owner);
+            known && !entry.record.state.is_live() && lies_in(entry.owner, bucket)
+        });
+        let covers_records = bucket.covers_records;
+        let mut states: Vec<_> = live
+            .map(|(_, _, member)| self.state_of(member, covers_records))
+            .collect();
+        states.extend(dead.map(|entry| OwnerState {
+            member: entry.record.clone(),
+            instances: Vec::new(),
+        }));
+        states
+    }
+
+    fn state_of(&self, member: &MemberRecord, covers_records: bool) -> OwnerState {
+        let records = self.records.of_owner(&member.daemon);
+        let records = records.filter(|_| covers_records);
+        let mut instances: Vec<_> = records.cloned().collect();
+        // Gone records go last: they are of use only to who still holds the older one.
+        instances.sort_unstable_by_key(|record| record.phase == InstancePhase::Gone);
+        OwnerState {
+            member: member.clone(),
+            instances,
+        }
+    }
+
+    fn owners_in(
+        &self,
+        bucket: &BucketDigest,
+    ) -> impl Iterator<Item = (u32, u64, &MemberRecord)> + use<'_> {
+        let bucket = *bucket;
+        let own = (self.own_owner, digest_of(&self.own), &self.own);
+        let own = self.own.state.is_live().then_some(own).into_iter();
+        let live = self.members.entries();
+        let live = live.filter(|entry| entry.record.state.is_live());
+        own.chain(live.map(|entry| (entry.owner, entry.digest, &entry.record)))
+            .filter(move |(owner, ..)| lies_in(*owner, &bucket))
+            .map(move |(owner, digest, member)| {
+                let records = match bucket.covers_records {
+                    true => self.records.digest_of(&member.daemon),
+                    false => 0,
+                };
+                (owner, digest ^ records, member)
+            })
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "the lower half is meant")]
+const fn short(owner: u32, digest: u64) -> OwnerDigest {
+    OwnerDigest {
+        owner,
+        digest: digest as u32,
+    }
+}
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -5,6 +5,7 @@
 
 mod change_queue;
 mod datagram_codec;
+mod fleet_digests;
 mod fleet_view;
 mod gossip_action;
 mod gossip_core;
