--- a/examples/gossip_slopes.rs
+++ b/examples/gossip_slopes.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use gossip_net::{GossipNet, instance};
-use wagtailtrack::members::RecordTable;
+use wagtailtrack::members::{FleetView, RecordTable};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::Slots;
 use wagtailtrack::wire::{self, InstancePhase, OwnerState};
@@ -20,6 +20,8 @@
 const SPAN: Duration = Duration::from_secs(60);
 const DRAINS: usize = 15;
 const CHANGES_PER_SECOND: usize = 5;
+const MEMBER_COUNTS: [usize; 4] = [100, 300, 1_000, 4_100];
+const STEPS: u32 = 1_000;
 const RECORD_COUNTS: [usize; 4] = [100, 1_000, 10_000, 62_000];
 
 /// Bytes sent by one daemon in one second, in the mean, and processor time of one.
@@ -31,6 +33,7 @@
 
 fn main() {
     print_sizes();
+    print_members();
     print_records();
     print_spread();
 }
@@ -80,6 +83,33 @@
     }
 }
 
+/// What the table of members costs, and the scans of each step.
+fn print_members() {
+    println!("members    resident B each    digest us    expiry us");
+    for count in MEMBER_COUNTS {
+        let records: Vec<_> = (0..count)
+            .map(|at| wire::encode(&gossip_net::member(at, 1, REGIONS)).unwrap())
+            .collect();
+        let before = resident_bytes();
+        let mut view = FleetView::open(gossip_net::member(count, 1, REGIONS));
+        for record in &records {
+            view.merge_member(&wire::decode(record).unwrap(), 0, MonoTime::ZERO);
+        }
+        let grown = resident_bytes().saturating_sub(before) as f64 / count as f64;
+        let mut rng = fastrand::Rng::with_seed(1);
+        let digest = micros_each(|| _ = view.draw_bucket(true, &mut rng));
+        let expiry = micros_each(|| _ = view.members().expired(Duration::ZERO, MonoTime::ZERO));
+        println!("{count:>7} {grown:>18.0} {digest:>12.2} {expiry:>12.2}");
+        std::mem::forget(view);
+    }
+}
+
+fn micros_each(mut step: impl FnMut()) -> f64 {
+    let start = Instant::now();
+    (0..STEPS).for_each(|_| step());
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(STEPS)
+}
+
 fn record_at(at: usize) -> wagtailtrack::wire::InstanceRecord {
     let mut record = instance(at / INSTANCES, at % INSTANCES, InstancePhase::Ready);
     record.incarnation.0 = 1_790_000_000_000 + at as u64;
