--- a/bench/control_cost.rs
+++ b/bench/control_cost.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
+use serde_json::Value;
 
 use crate::load_run::LoadRun;
 use crate::measure_bench::MeasureBench;
@@ -14,6 +15,7 @@
 const HALF: f64 = 0.5;
 const AIM_CORE_PERCENT: f64 = 2.7;
 const AIM_MEBIBYTES: f64 = 32.0;
+const AIM_BYTES: f64 = 3.0 * 1024.0;
 const BYTES_PER_MEBIBYTE: f64 = 1024.0 * 1024.0;
 
 /// Reads processor time and memory of every daemon, idle and at half load.
@@ -28,6 +30,14 @@
         MeasureRow::at_most(MEASURE, "idle, busiest", idle.busiest, "% of a core", aim)
             .with_note(idle.words()),
         MeasureRow::at_most(MEASURE, "idle, largest", idle.largest, "MiB", AIM_MEBIBYTES),
+        MeasureRow::at_most(
+            MEASURE,
+            "idle, gossip sent, most",
+            idle.gossip_bytes,
+            "bytes a second",
+            AIM_BYTES,
+        )
+        .with_note("datagrams alone; loans, grants and pulls over h2 are not counted"),
         MeasureRow::told(MEASURE, "half load, busiest", loaded.busiest, "% of a core").with_note(
             format!(
                 "with the requests themselves; {}; {summary}",
@@ -50,6 +60,7 @@
     mean: f64,
     wakeups: f64,
     largest: f64,
+    gossip_bytes: f64,
 }
 
 impl FleetSpending {
@@ -62,9 +73,10 @@
 }
 
 async fn spent(bench: &MeasureBench) -> FleetSpending {
-    let before = readings(bench);
+    let (before, gossip_before) = (readings(bench), gossip_sent(bench).await);
     sleep(LENGTH).await;
-    let after = readings(bench);
+    let (after, gossip_after) = (readings(bench), gossip_sent(bench).await);
+    let gossip = gossip_before.iter().zip(&gossip_after);
     let pairs = || before.iter().zip(&after);
     let count = after.len() as f64;
     let parts: Vec<f64> = pairs()
@@ -78,6 +90,9 @@
         busiest: parts.iter().copied().fold(0.0, f64::max),
         mean: parts.iter().sum::<f64>() / count,
         wakeups: waits as f64 / count / LENGTH.as_secs_f64(),
+        gossip_bytes: gossip
+            .map(|(before, after)| (after - before) / LENGTH.as_secs_f64())
+            .fold(0.0, f64::max),
         largest: sizes.fold(0.0, f64::max) / BYTES_PER_MEBIBYTE,
     }
 }
@@ -88,3 +103,16 @@
         .filter_map(|daemon| ProcessUsage::read(daemon.process.pid()))
         .collect()
 }
+
+/// Bytes of datagrams that each daemon has sent so far, from its dump.
+async fn gossip_sent(bench: &MeasureBench) -> Vec<f64> {
+    let mut sent = Vec::new();
+    for daemon in &bench.fleet.daemons {
+        let answer = daemon.operator().get("/dump").await;
+        let body = answer.map(|answer| answer.body).unwrap_or_default();
+        let dump: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let bytes = dump["members"]["counters"]["sent_bytes"].as_f64();
+        sent.push(bytes.unwrap_or(f64::NAN));
+    }
+    sent
+}
