--- a/bench/main.rs
+++ b/bench/main.rs
@@ -71,7 +71,7 @@
 
 async fn run(line: &CommandLine) -> MeasureReport {
     let begun = Instant::now();
-    let before = load_average();
+    let (before, commit) = (load_average(), commit());
     let tables = if line.baseline { BASELINE_TABLES } else { "" };
     let mut bench = MeasureBench::open(line.shape, line.seed, tables).await;
     let mut rows = Vec::new();
@@ -84,7 +84,7 @@
     MeasureReport {
         shape: line.shape.to_string(),
         baseline: baseline_word(line).to_owned(),
-        commit: commit(),
+        commit,
         seed: line.seed,
         load: load_words(&bench),
         load_average: [before, load_average()],
