--- /dev/null
+++ b/src/balance/instance_picker.rs
@@ -0,0 +1,201 @@
+//! The picker of one service at one ingress.
+
+use crate::balance::known_instance::KnownInstance;
+use crate::hash::FastMap;
+use crate::health::{AdmittedInstance, floor};
+use crate::ids::{InstanceId, ZoneId};
+use crate::time::MonoTime;
+use crate::units::Percent;
+use crate::wire::{InstanceRecord, LoadFigure};
+
+/// Weight of recent choices against load a slot.
+const CHOICES_WEIGHT: f64 = 0.4;
+/// Least recent choices that count, as a part of the mean, so that an instance that was
+/// away is not flooded when it returns.
+const LEAST_CHOICES: f64 = 0.7;
+/// Load a slot from which instances count as equally busy: long queues of one account or
+/// class say nothing of the wait of another.
+const SATURATED_LOAD: f64 = 2.0;
+/// Disadvantage of an instance in another zone.
+const OTHER_ZONE: f64 = 0.02;
+
+/// Chooses the least busy instance among those that may take work.
+///
+/// Instances of like load take turns, those of the own zone somewhat more often.
+#[derive(Debug)]
+pub struct InstancePicker {
+    zone: ZoneId,
+    known: FastMap<InstanceId, KnownInstance>,
+}
+
+impl InstancePicker {
+    /// A picker in `zone` that knows nothing yet.
+    #[must_use]
+    pub fn open(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            known: FastMap::default(),
+        }
+    }
+
+    /// Chooses an instance that was not `tried`; none when no instance may take work.
+    ///
+    /// A request that is not idempotent goes to instances in full health where there are any.
+    pub fn pick(
+        &mut self,
+        records: &[InstanceRecord],
+        floor: Percent,
+        tried: &[InstanceId],
+        idempotent: bool,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Option<InstanceId> {
+        let mut candidates = self.candidates(records, floor, tried, now);
+        if !idempotent && candidates.iter().any(is_proved) {
+            candidates.retain(is_proved);
+        }
+        let drawn = draw(&candidates, records, rng)?;
+        let index = if drawn.share < Percent::FULL {
+            drawn.index
+        } else {
+            candidates.retain(|entry| entry.share == Percent::FULL);
+            self.least_busy(&candidates, records, now, rng)?
+        };
+        Some(records[index].instance.clone())
+    }
+
+    /// A request goes to the instance.
+    pub fn started(&mut self, instance: &InstanceId, now: MonoTime) {
+        self.known_mut(instance).chosen(now);
+    }
+
+    /// The instance's egress has answered with its load.
+    pub fn answered(&mut self, instance: &InstanceId, load: LoadFigure, now: MonoTime) {
+        let known = self.known_mut(instance);
+        known.load.heard(load, now);
+        known.path.answered();
+    }
+
+    /// The path to the instance's egress has failed for a request.
+    pub fn unreachable(&mut self, instance: &InstanceId, now: MonoTime) {
+        let known = self.known_mut(instance);
+        known.load.ended();
+        known.path.failed(now);
+    }
+
+    /// Forgets instances that are not among `records`.
+    pub fn retain(&mut self, records: &[InstanceRecord]) {
+        self.known
+            .retain(|instance, _| records.iter().any(|record| record.instance == *instance));
+    }
+
+    /// The state for the dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let known: serde_json::Map<_, _> = self
+            .known
+            .iter()
+            .map(|(instance, known)| (instance.to_string(), serde_json::json!(known)))
+            .collect();
+        serde_json::json!({ "zone": self.zone, "instances": known })
+    }
+
+    /// Instances that may take the request; blocked paths only when there is nothing else.
+    fn candidates(
+        &self,
+        records: &[InstanceRecord],
+        floor: Percent,
+        tried: &[InstanceId],
+        now: MonoTime,
+    ) -> Vec<AdmittedInstance> {
+        let is_untried = |entry: &AdmittedInstance| !tried.contains(&records[entry.index].instance);
+        let mut list = floor::admitted(records, floor, |record| self.is_reachable(record, now));
+        list.retain(is_untried);
+        if list.is_empty() {
+            list = floor::admitted(records, floor, |_| true);
+            list.retain(is_untried);
+        }
+        list
+    }
+
+    /// The candidate with the lowest score; equal ones by chance.
+    fn least_busy(
+        &self,
+        candidates: &[AdmittedInstance],
+        records: &[InstanceRecord],
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Option<usize> {
+        let choices: f64 = candidates
+            .iter()
+            .map(|entry| self.choices_per_slot(&records[entry.index], now))
+            .sum();
+        let count = f64::from(u32::try_from(candidates.len()).unwrap_or(u32::MAX));
+        let mean_choices = choices / count;
+        let scores = candidates.iter().map(|entry| {
+            let score = self.score(&records[entry.index], mean_choices, now);
+            (score, rng.u32(..), entry.index)
+        });
+        let best = scores.min_by(|(score, lot, _), (other, other_lot, _)| {
+            score.total_cmp(other).then(lot.cmp(other_lot))
+        });
+        best.map(|(_, _, index)| index)
+    }
+
+    fn score(&self, record: &InstanceRecord, mean_choices: f64, now: MonoTime) -> f64 {
+        let known = self.known.get(&record.instance);
+        let load = known.map_or(0.0, |known| known.load.value(now));
+        let load_per_slot = (load / f64::from(record.slots.get())).min(SATURATED_LOAD);
+        let choices = self.choices_per_slot(record, now) / mean_choices.max(f64::MIN_POSITIVE);
+        let distance = if record.zone == self.zone {
+            0.0
+        } else {
+            OTHER_ZONE
+        };
+        load_per_slot + CHOICES_WEIGHT * choices.max(LEAST_CHOICES) + distance
+    }
+
+    fn choices_per_slot(&self, record: &InstanceRecord, now: MonoTime) -> f64 {
+        let known = self.known.get(&record.instance);
+        known.map_or(0.0, |known| known.choices_at(now)) / f64::from(record.slots.get())
+    }
+
+    fn is_reachable(&self, record: &InstanceRecord, now: MonoTime) -> bool {
+        let known = self.known.get(&record.instance);
+        !known.is_some_and(|known| known.path.is_blocked(now))
+    }
+
+    fn known_mut(&mut self, instance: &InstanceId) -> &mut KnownInstance {
+        let known = self.known.entry(instance.clone());
+        known.or_insert_with(KnownInstance::open)
+    }
+}
+
+/// Whether the instance is in full health.
+fn is_proved(entry: &AdmittedInstance) -> bool {
+    entry.share == Percent::FULL && !entry.is_forced
+}
+
+/// Draws a candidate by slots and share, which gives each ramping one its part.
+fn draw(
+    candidates: &[AdmittedInstance],
+    records: &[InstanceRecord],
+    rng: &mut fastrand::Rng,
+) -> Option<AdmittedInstance> {
+    let weight = |entry: &AdmittedInstance| {
+        u64::from(records[entry.index].slots.get()) * u64::from(entry.share.get())
+    };
+    let total: u64 = candidates.iter().map(weight).sum();
+    if total == 0 {
+        return candidates.first().copied();
+    }
+    let mut point = rng.u64(0..total);
+    for entry in candidates {
+        let part = weight(entry);
+        if point < part {
+            return Some(*entry);
+        }
+        point -= part;
+    }
+    None
+}
--- /dev/null
+++ b/src/balance/mod.rs
@@ -0,0 +1,8 @@
+//! The choice of an instance for a request.
+
+mod instance_picker;
+mod known_instance;
+mod load_estimate;
+mod path_state;
+
+pub use instance_picker::InstancePicker;
--- /dev/null
+++ b/src/health/instance_health.rs
@@ -0,0 +1,248 @@
+//! The health of one instance.
+
+use std::time::Duration;
+
+use crate::health::eject_backoff::EjectBackoff;
+use crate::health::evidence_track::EvidenceTrack;
+use crate::health::ramp_progress::RampProgress;
+use crate::health::slowness_test::SlownessTest;
+use crate::health::stall_watch::StallWatch;
+use crate::health::{HealthCause, HealthChange, SampleOutcome, ServiceBaseline, ServiceSample};
+use crate::time::MonoTime;
+use crate::wire::HealthState;
+
+/// Largest share of a service's slots that ejections of failing instances may reach.
+const MAX_EJECTED_SHARE: f64 = 0.5;
+/// Log-likelihood ratios of each answer for sick against healthy.
+const FAILED_EVIDENCE: f64 = 3.2;
+const WRONG_EVIDENCE: f64 = 4.0;
+const GOOD_EVIDENCE: f64 = -0.28;
+/// Evidence that ends the way back.
+const TRIAL_SUM: f64 = 5.0;
+const SLOW_HOLD: Duration = Duration::from_millis(900);
+const FAILING_HOLD: Duration = Duration::from_millis(500);
+const HOLD_JITTER: Duration = Duration::from_millis(200);
+/// Change of the median that is news to the peers.
+const PUBLISH_RATIO: f64 = 1.5;
+/// Longest time in which a good probe answers.
+const PROBE_LIMIT: Duration = Duration::from_millis(250);
+
+/// Detects sickness from the answers of an instance and leads it back afterwards.
+#[derive(Debug, Clone)]
+pub struct InstanceHealth {
+    state: HealthState,
+    rng: fastrand::Rng,
+    stall: StallWatch,
+    slowness: SlownessTest,
+    failing: EvidenceTrack,
+    published_micros: f64,
+    backoff: EjectBackoff,
+    ramp: RampProgress,
+}
+
+impl InstanceHealth {
+    /// A healthy instance without samples; `seed` spreads the waits.
+    #[must_use]
+    pub fn open(seed: u64) -> Self {
+        Self {
+            state: HealthState::Healthy,
+            rng: fastrand::Rng::with_seed(seed),
+            stall: StallWatch::open(),
+            slowness: SlownessTest::open(),
+            failing: EvidenceTrack::open(),
+            published_micros: 0.0,
+            backoff: EjectBackoff::open(),
+            ramp: RampProgress::open(),
+        }
+    }
+
+    /// Takes the answer to a request in.
+    pub fn observe(
+        &mut self,
+        sample: &ServiceSample,
+        peers: &ServiceBaseline,
+        now: MonoTime,
+    ) -> Option<HealthChange> {
+        self.stall.finished(now);
+        self.slowness.end_stall();
+        if sample.outcome == SampleOutcome::Shed {
+            return None;
+        }
+        let is_slow = self.weigh_time(sample, peers, now);
+        self.weigh_outcome(sample.outcome, now);
+        let is_good = sample.outcome == SampleOutcome::Good && !is_slow;
+        match self.state {
+            HealthState::Healthy => self.judge(peers, now),
+            HealthState::Ramping(_) => {
+                self.ramp.count(is_good);
+                self.judge_trial(now)
+            }
+            HealthState::Ejected => {
+                if !self.backoff.has_passed(now) || !self.ramp.request_done(is_good) {
+                    return None;
+                }
+                self.readmit(now)
+            }
+        }
+    }
+
+    /// Looks at the time: `running_oldest` is the age of the oldest request that still runs.
+    ///
+    /// Call it at least every 100 ms.
+    pub fn tick(
+        &mut self,
+        peers: &ServiceBaseline,
+        now: MonoTime,
+        running_oldest: Option<Duration>,
+    ) -> Option<HealthChange> {
+        if self.stall.has_paused(now) {
+            self.slowness.track_mut().restart_hold(SLOW_HOLD, now);
+            self.failing.restart_hold(FAILING_HOLD, now);
+        }
+        let stalled_for = self.stall.stalled_for(running_oldest, peers.median(), now);
+        let hold = self.hold(SLOW_HOLD);
+        self.slowness.note_stall(stalled_for, hold, now);
+        match self.state {
+            HealthState::Healthy => self.judge(peers, now),
+            HealthState::Ramping(_) => self.judge_trial(now),
+            HealthState::Ejected => None,
+        }
+    }
+
+    /// Whether to send a probe now; one at a time, while ejected and after the wait.
+    pub fn probe_due(&mut self, now: MonoTime) -> bool {
+        self.state == HealthState::Ejected
+            && self.backoff.has_passed(now)
+            && self.ramp.begin_probe(now)
+    }
+
+    /// Takes the answer to a probe in.
+    pub fn probe_done(
+        &mut self,
+        outcome: SampleOutcome,
+        service_time: Duration,
+        now: MonoTime,
+    ) -> Option<HealthChange> {
+        let is_good = outcome == SampleOutcome::Good && service_time <= PROBE_LIMIT;
+        if self.state != HealthState::Ejected || !self.ramp.probe_done(is_good, now) {
+            return None;
+        }
+        self.readmit(now)
+    }
+
+    /// The present state.
+    #[must_use]
+    pub const fn state(&self) -> HealthState {
+        self.state
+    }
+
+    /// The median of the latest service times, for the instance's record.
+    ///
+    /// While under suspicion it follows the very last samples and the present stall, so
+    /// that peers soon see whether the whole service slows down.
+    #[must_use]
+    pub fn median(&self) -> Option<Duration> {
+        self.slowness.median()
+    }
+
+    /// Whether the median has moved enough since the last time that this was true, so that
+    /// the record is worth publishing again.
+    ///
+    /// Peers rely on it to see that the whole service slows down; ask at each tick.
+    pub fn median_moved(&mut self) -> bool {
+        let median_micros = self
+            .median()
+            .map_or(0.0, |median| median.as_secs_f64() * 1e6);
+        let ratio = (median_micros + 1.0) / (self.published_micros + 1.0);
+        let has_moved = !(1.0 / PUBLISH_RATIO..PUBLISH_RATIO).contains(&ratio);
+        if has_moved {
+            self.published_micros = median_micros;
+        }
+        has_moved
+    }
+
+    /// The state for the dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "state": self.state,
+            "median_micros": self.median().map(|median| median.as_micros()),
+            "slowness": self.slowness,
+            "failing": self.failing,
+            "backoff": self.backoff,
+            "ramp": self.ramp,
+            "stall": self.stall,
+        })
+    }
+}
+
+/// Evidence.
+impl InstanceHealth {
+    /// Weighs a service time against the usual one; whether it is slow.
+    fn weigh_time(
+        &mut self,
+        sample: &ServiceSample,
+        peers: &ServiceBaseline,
+        now: MonoTime,
+    ) -> bool {
+        let has_time = matches!(sample.outcome, SampleOutcome::Good | SampleOutcome::Stalled);
+        let hold = self.hold(SLOW_HOLD);
+        has_time
+            && self
+                .slowness
+                .weigh(sample.class, sample.service_time, peers, hold, now)
+    }
+
+    fn weigh_outcome(&mut self, outcome: SampleOutcome, now: MonoTime) {
+        let evidence = match outcome {
+            SampleOutcome::Good => GOOD_EVIDENCE,
+            SampleOutcome::Failed => FAILED_EVIDENCE,
+            SampleOutcome::Wrong => WRONG_EVIDENCE,
+            // A stall is weighed as a slow answer: a service that slows down has many.
+            SampleOutcome::Stalled | SampleOutcome::Shed => 0.0,
+        };
+        let hold = self.hold(FAILING_HOLD);
+        self.failing.add(evidence, hold, now);
+    }
+
+    fn hold(&mut self, least: Duration) -> Duration {
+        least + HOLD_JITTER.mul_f64(self.rng.f64())
+    }
+}
+
+/// Changes of state.
+impl InstanceHealth {
+    fn judge(&mut self, peers: &ServiceBaseline, now: MonoTime) -> Option<HealthChange> {
+        if self.failing.is_due(now) && peers.ejected_share() < MAX_EJECTED_SHARE {
+            return self.eject(HealthCause::Failing, now);
+        }
+        let cause = self.slowness.judge(peers, now)?;
+        self.eject(cause, now)
+    }
+
+    fn judge_trial(&mut self, now: MonoTime) -> Option<HealthChange> {
+        if self.failing.sum().max(self.slowness.track().sum()) >= TRIAL_SUM {
+            return self.eject(HealthCause::Relapsed, now);
+        }
+        let state = self.ramp.advance(now)?;
+        self.change(state, HealthCause::Ramped)
+    }
+
+    fn eject(&mut self, cause: HealthCause, now: MonoTime) -> Option<HealthChange> {
+        self.backoff.begin(now, &mut self.rng);
+        self.ramp.reset();
+        self.change(HealthState::Ejected, cause)
+    }
+
+    fn readmit(&mut self, now: MonoTime) -> Option<HealthChange> {
+        let state = self.ramp.begin_ramp(now);
+        self.change(state, HealthCause::Recovered)
+    }
+
+    fn change(&mut self, to: HealthState, cause: HealthCause) -> Option<HealthChange> {
+        self.slowness.track_mut().reset();
+        self.failing.reset();
+        let from = std::mem::replace(&mut self.state, to);
+        Some(HealthChange { from, to, cause })
+    }
+}
--- /dev/null
+++ b/src/members/gossip_send.rs
@@ -0,0 +1,199 @@
+//! How `GossipCore` composes messages.
+
+use std::net::SocketAddr;
+
+use crate::ids::DaemonId;
+use crate::members::gossip_turn::GossipTurn;
+use crate::members::{ChangeKey, GossipAction, GossipCore, MemberChange, MessageSpace, ProbeStep};
+use crate::time::MonoTime;
+use crate::wire::{GossipBody, GossipMessage, MemberRecord, MemberState};
+
+const RELAYS: usize = 3;
+const MOST_CHANGES: usize = 24;
+const EXTRA_SENDINGS: u32 = 3;
+const MOST_INSTANCE_SENDINGS: u32 = 6;
+
+/// How far a push goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PushReach {
+    /// To members of the own region, who alone keep its instances.
+    Region,
+    /// To any member.
+    Fleet,
+}
+
+impl GossipCore {
+    /// Carries out a step of the probe cycle.
+    pub(super) fn carry_out(&mut self, step: ProbeStep, turn: &mut GossipTurn<'_>) {
+        match step {
+            ProbeStep::Ping { probe, target, to } => {
+                self.send(to, Some(&target), GossipBody::Ping(probe), turn);
+            }
+            ProbeStep::Relay { probe, target, to } => {
+                self.ask_relays(probe, &target, to, turn);
+            }
+            ProbeStep::Failed { target, since } => self.suspect(&target, since, turn.now),
+        }
+    }
+
+    /// Pings an address outside the cycle.
+    pub(super) fn ping(
+        &mut self,
+        to: SocketAddr,
+        target: Option<&DaemonId>,
+        turn: &mut GossipTurn<'_>,
+    ) {
+        let probe = GossipBody::Ping(self.cycle.take_number());
+        self.send(to, target, probe, turn);
+    }
+
+    /// Sends `body` with as many changes as fit.
+    pub(super) fn send(
+        &mut self,
+        to: SocketAddr,
+        target: Option<&DaemonId>,
+        body: GossipBody,
+        turn: &mut GossipTurn<'_>,
+    ) {
+        let message = self.compose(target, body, turn.rng);
+        turn.actions.push(GossipAction::Send { to, message });
+    }
+
+    /// Pushes changes to at most `count` members, the urgent ones first.
+    pub(super) fn push_to_some(
+        &mut self,
+        count: usize,
+        reach: PushReach,
+        turn: &mut GossipTurn<'_>,
+    ) {
+        let region = self.view.own().region.clone();
+        let is_in_reach = |record: &MemberRecord| match reach {
+            PushReach::Region => record.region == region,
+            PushReach::Fleet => true,
+        };
+        for record in self.sample(count, is_in_reach, turn.rng) {
+            let target = Some(&record.daemon);
+            self.send(record.address, target, GossipBody::Push, turn);
+        }
+    }
+
+    /// How often a change is sent by each daemon that learns of it.
+    pub(super) fn sendings_of(&self, key: &ChangeKey) -> u32 {
+        let live = self.view.members().live_count() + 1;
+        let full = live.ilog2() + EXTRA_SENDINGS;
+        match key {
+            ChangeKey::Member(_) => full,
+            ChangeKey::Instance(_) => full.min(MOST_INSTANCE_SENDINGS),
+        }
+    }
+
+    /// A message without changes.
+    pub(super) fn bare(&self, body: GossipBody) -> GossipMessage {
+        GossipMessage {
+            sender: self.view.own().daemon.clone(),
+            revision: self.revision,
+            body,
+            digest: None,
+            members: Vec::new(),
+            instances: Vec::new(),
+        }
+    }
+
+    fn compose(
+        &mut self,
+        target: Option<&DaemonId>,
+        body: GossipBody,
+        rng: &mut fastrand::Rng,
+    ) -> GossipMessage {
+        let mut message = self.bare(body);
+        if matches!(message.body, GossipBody::Ping(_) | GossipBody::Ack(_)) {
+            let is_left = self.view.own().state == MemberState::Left;
+            let is_near = target.is_some_and(|target| self.is_near(target));
+            message.digest = (!is_left).then(|| self.view.draw_bucket(is_near, rng));
+        }
+        let mut space = MessageSpace::open(message);
+        self.tell_accused(target, &mut space);
+        self.fill(target, &mut space);
+        space.finish()
+    }
+
+    /// Tells a daemon that it is held for dead or suspect, so that it can refute that.
+    fn tell_accused(&self, target: Option<&DaemonId>, space: &mut MessageSpace) {
+        let Some(record) = target.and_then(|target| self.view.member(target)) else {
+            return;
+        };
+        if record.state != MemberState::Alive {
+            space.add_member(record);
+        }
+    }
+
+    fn fill(&mut self, target: Option<&DaemonId>, space: &mut MessageSpace) {
+        let is_near = target.is_none_or(|target| self.is_near(target));
+        for key in self.queue.first(MOST_CHANGES) {
+            let added = match &key {
+                ChangeKey::Member(daemon) if Some(daemon) == target => continue,
+                ChangeKey::Instance(_) if !is_near => continue,
+                ChangeKey::Member(daemon) => {
+                    let record = self.view.member(daemon);
+                    record.map(|record| space.add_member(record))
+                }
+                ChangeKey::Instance(instance) => {
+                    let record = self.view.records().get(instance);
+                    record.map(|record| space.add_instance(record))
+                }
+            };
+            match added {
+                Some(true) => self.queue.count(&key, self.sendings_of(&key)),
+                Some(false) => return,
+                None => self.queue.forget(&key),
+            }
+        }
+    }
+
+    fn ask_relays(
+        &mut self,
+        probe: u32,
+        target: &DaemonId,
+        to: SocketAddr,
+        turn: &mut GossipTurn<'_>,
+    ) {
+        for relay in self.sample(RELAYS, |record| record.daemon != *target, turn.rng) {
+            let body = GossipBody::PingRequest { probe, target: to };
+            self.send(relay.address, Some(&relay.daemon), body, turn);
+        }
+    }
+
+    fn suspect(&mut self, target: &DaemonId, since: MonoTime, now: MonoTime) {
+        if self.heard_since(target, since) {
+            return;
+        }
+        let Some(entry) = self.view.members().get(target) else {
+            return;
+        };
+        if !entry.record.state.is_live() {
+            return;
+        }
+        let own = self.view.own().daemon.clone();
+        let accusation = entry.record.in_state(MemberState::Suspect(own));
+        let awareness = self.cycle.awareness().saturating_sub(1);
+        if self.view.merge_member(&accusation, awareness, now) == MemberChange::Newer {
+            self.counters.suspicions += 1;
+            self.queue.push_urgent(ChangeKey::Member(target.clone()));
+        }
+    }
+
+    /// Random live members that `is_fit` accepts.
+    fn sample(
+        &self,
+        count: usize,
+        is_fit: impl Fn(&MemberRecord) -> bool,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<MemberRecord> {
+        let live = self.view.members().live();
+        let mut pool: Vec<_> = live.filter(|record| is_fit(record)).collect();
+        // The map's order differs between runs; a sorted start makes a seed repeatable.
+        pool.sort_unstable_by(|left, right| left.daemon.cmp(&right.daemon));
+        rng.shuffle(&mut pool);
+        pool.into_iter().take(count).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/members/members_handle.rs
@@ -0,0 +1,167 @@
+//! The running membership.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix_rt::net::UdpSocket;
+use serde_json::json;
+
+use crate::ids::{Incarnation, InstanceId, ServiceId};
+use crate::members::{
+    DatagramCodec, GossipAction, GossipCore, LiveMember, MemberRows, MemberSources,
+};
+use crate::wire::{InstanceRecord, InstancesCall, InstancesReply, MemberRecord, MemberState};
+
+const LEAVE_WAIT: Duration = Duration::from_millis(50);
+
+pub(super) struct MembersState {
+    pub(super) sources: MemberSources,
+    pub(super) codec: DatagramCodec,
+    pub(super) socket: UdpSocket,
+    pub(super) core: RefCell<GossipCore>,
+    pub(super) rng: RefCell<fastrand::Rng>,
+}
+
+/// Membership of this daemon; clones share it.
+#[derive(Clone)]
+pub struct MembersHandle {
+    pub(super) state: Rc<MembersState>,
+}
+
+impl MembersHandle {
+    /// Binds the UDP socket and starts to probe.
+    ///
+    /// # Errors
+    /// Any I/O error of binding.
+    pub async fn spawn(sources: MemberSources) -> io::Result<Self> {
+        let socket = UdpSocket::bind(sources.address).await?;
+        let mut rng = fastrand::Rng::with_seed(sources.seed);
+        let own = own_record(&sources);
+        let now = sources.clock.now();
+        let core = GossipCore::open(own, sources.seeds.clone(), now, &mut rng);
+        let state = Rc::new(MembersState {
+            codec: DatagramCodec::open(sources.key.clone()),
+            sources,
+            socket,
+            core: RefCell::new(core),
+            rng: RefCell::new(rng),
+        });
+        let handle = Self { state };
+        actix_rt::spawn(handle.clone().run_receiver());
+        actix_rt::spawn(handle.clone().run_ticks());
+        actix_rt::spawn(handle.clone().run_rows());
+        Ok(handle)
+    }
+
+    /// The live members, this daemon first.
+    #[must_use]
+    pub fn live(&self) -> Vec<LiveMember> {
+        self.state.core.borrow().live()
+    }
+
+    /// The records of `service` whose daemons are live; shared until a change.
+    #[must_use]
+    pub fn instances_of(&self, service: &ServiceId) -> Rc<[InstanceRecord]> {
+        let now = self.state.sources.clock.now();
+        self.state.core.borrow_mut().instances_of(service, now)
+    }
+
+    /// Publishes the record of an instance beside this daemon, under a higher incarnation.
+    pub fn publish(&self, record: InstanceRecord) {
+        let actions = self.decide(|core, rng, now| core.publish(&record, now, rng));
+        self.carry_out(actions);
+    }
+
+    /// Publishes that an instance beside this daemon is gone.
+    pub fn remove(&self, instance: &InstanceId) {
+        let actions = self.decide(|core, rng, now| core.remove(instance, now, rng));
+        self.carry_out(actions);
+    }
+
+    /// Answers a peer's call.
+    pub async fn serve(&self, call: InstancesCall) -> InstancesReply {
+        self.state.core.borrow().serve(&call)
+    }
+
+    /// Tells other daemons at once that this one leaves, and deletes its row.
+    pub async fn leave(&self) {
+        let actions = self.decide(|core, rng, now| core.leave(now, rng));
+        self.carry_out(actions);
+        let rows = MemberRows::open(Rc::clone(&self.state.sources.platform));
+        let sources = &self.state.sources;
+        let deletion = rows.delete(&sources.daemon, sources.boot);
+        // The platform may be away; a stale row only costs the next newcomer a ping.
+        let _ = actix_rt::time::timeout(LEAVE_WAIT, deletion).await;
+    }
+
+    /// The state for operators.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let core = self.state.core.borrow();
+        let members: Vec<_> = core.view().members().entries().collect();
+        let members: Vec<_> = members.iter().map(|entry| &entry.record).collect();
+        json!({
+            "own": core.view().own(),
+            "members": members,
+            "live": core.view().members().live_count() + 1,
+            "instance_records": core.view().records().len(),
+            "queued_changes": core.queued(),
+            "counters": core.counters(),
+        })
+    }
+
+    /// Takes a decision at the present time.
+    pub(super) fn decide(
+        &self,
+        decision: impl FnOnce(
+            &mut GossipCore,
+            &mut fastrand::Rng,
+            crate::time::MonoTime,
+        ) -> Vec<GossipAction>,
+    ) -> Vec<GossipAction> {
+        let revision = (self.state.sources.own_revision)();
+        let now = self.state.sources.clock.now();
+        let mut core = self.state.core.borrow_mut();
+        core.set_revision(revision);
+        decision(&mut core, &mut self.state.rng.borrow_mut(), now)
+    }
+
+    /// Carries out what was decided.
+    pub(super) fn carry_out(&self, actions: Vec<GossipAction>) {
+        for action in actions {
+            match action {
+                GossipAction::Send { to, message } => self.send(to, &message),
+                GossipAction::Revision(revision, from) => {
+                    (self.state.sources.on_revision)(revision, from);
+                }
+                GossipAction::Pull(from) => {
+                    actix_rt::spawn(self.clone().pull(from));
+                }
+                GossipAction::PullService {
+                    service,
+                    region,
+                    peer,
+                } => {
+                    actix_rt::spawn(self.clone().pull_service(service, region, peer));
+                }
+            }
+        }
+    }
+}
+
+/// The own record; the wall clock only hints at an incarnation above earlier boots.
+fn own_record(sources: &MemberSources) -> MemberRecord {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = wall.map_or(0, |wall| wall.as_millis());
+    MemberRecord {
+        daemon: sources.daemon.clone(),
+        boot: sources.boot,
+        incarnation: Incarnation(u64::try_from(millis).unwrap_or(0)),
+        address: sources.address,
+        zone: sources.zone.clone(),
+        region: sources.region.clone(),
+        state: MemberState::Alive,
+    }
+}
