--- /dev/null
+++ b/tests/limits_loans.rs
@@ -0,0 +1,361 @@
+//! Leases, loans and grants, one fault at a time.
+
+mod limits_kit;
+
+use std::time::Duration;
+
+use limits_kit::{MemoryTable, rate_limit};
+use wagtailtrack::ids::BootId;
+use wagtailtrack::limits::{
+    AdmitStep, ClaimEpoch, GrantPurse, HomeCandidate, HomeMap, LeaseChange, LeaseHolder,
+    LeaseIdentity, LoanBook, PoolCell, PoolLedger, PooledLoan, SHARE_PREFIX, ShardId, ShareLender,
+    ShareOrigin, ShareSet,
+};
+use wagtailtrack::resource::RateLimit;
+use wagtailtrack::time::{Deadline, MonoTime};
+use wagtailtrack::units::TimeSpan;
+use wagtailtrack::wire::{
+    GrantAnswer, GrantAsk, GrantGive, GrantUse, GrantWant, LoanAsk, LoanReturn, LoanWant,
+    ReturnedLoan, TokenGrant,
+};
+
+const LOAN: Duration = Duration::from_secs(4);
+const GRANT: Duration = Duration::from_secs(1);
+const FAR: Deadline = Deadline::at(MonoTime::from_millis(u64::MAX / 1_000));
+const SHARD: ShardId = ShardId(5);
+const HOME: BootId = BootId(11);
+const OTHER: BootId = BootId(12);
+const INGRESS: BootId = BootId(21);
+
+const fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn lender_of(origin: ShareOrigin, now: MonoTime) -> ShareLender {
+    let mut lender = ShareLender::open(LOAN, ClaimEpoch(100));
+    lender.claim(0, FAR, origin, now);
+    lender
+}
+
+fn ask(borrower: BootId, epoch: ClaimEpoch, held: ShareSet) -> LoanAsk {
+    let wants = vec![LoanWant {
+        shard: SHARD,
+        wanted: ShareSet::one(0),
+        held,
+    }];
+    LoanAsk {
+        borrower,
+        epoch,
+        wants,
+    }
+}
+
+fn plain(borrower: BootId) -> LoanAsk {
+    ask(borrower, ClaimEpoch(0), ShareSet::EMPTY)
+}
+
+/// An account whose single share of one lies in `SHARD`'s place, whatever its name.
+fn crew() -> RateLimit {
+    rate_limit("crew", 10, 10)
+}
+
+fn cell() -> PoolCell {
+    let split = wagtailtrack::limits::AccountSplit::of(&crew().account, crew().burst, 1);
+    PoolCell {
+        shard: split.shard,
+        half: 0,
+    }
+}
+
+fn pooled(until: u64) -> PooledLoan {
+    PooledLoan {
+        share: 0,
+        lender: "vm-0".parse().unwrap(),
+        serial: 1,
+        until: Deadline::at(at(until)),
+    }
+}
+
+fn full_ledger(until: u64) -> PoolLedger {
+    let mut ledger = PoolLedger::open(HOME, 1, GRANT);
+    ledger.join(cell(), pooled(until), Duration::from_secs(100), at(0));
+    ledger
+}
+
+fn grant_ask(waiting: u32, uses: Vec<GrantUse>) -> GrantAsk {
+    GrantAsk {
+        ingress: INGRESS,
+        home: HOME,
+        wants: vec![GrantWant {
+            account: crew().account,
+            half: 0,
+            waiting,
+            extra: 0,
+            uses,
+        }],
+    }
+}
+
+fn grant(ledger: &mut PoolLedger, waiting: u32, uses: Vec<GrantUse>, now: MonoTime) -> GrantGive {
+    let answer = ledger.grant(&grant_ask(waiting, uses), &|_| Some(crew()), now);
+    answer.gives[0]
+}
+
+fn tokens(give: GrantGive) -> TokenGrant {
+    match give {
+        GrantGive::Tokens(grant) => grant,
+        other => panic!("no tokens: {other:?}"),
+    }
+}
+
+#[test]
+fn one_borrower() {
+    let mut lender = lender_of(ShareOrigin::Fresh, at(0));
+    assert_eq!(lender.lend(&plain(HOME), at(0)).loans.len(), 1);
+    assert!(lender.lend(&plain(OTHER), at(3_999)).loans.is_empty());
+    assert_eq!(
+        lender.lend(&plain(OTHER), at(4_500)).loans[0].rest_millis,
+        500
+    );
+}
+
+#[test]
+fn late_return() {
+    let mut lender = lender_of(ShareOrigin::Fresh, at(0));
+    let first = lender.lend(&plain(HOME), at(0)).serial;
+    lender.lend(&plain(HOME), at(1_000));
+    let loans = vec![ReturnedLoan {
+        shard: SHARD,
+        shares: ShareSet::one(0),
+        serial: first,
+    }];
+    lender.take_back(
+        &LoanReturn {
+            borrower: HOME,
+            loans,
+        },
+        at(1_100),
+    );
+    assert!(lender.lend(&plain(OTHER), at(1_200)).loans.is_empty());
+}
+
+#[test]
+fn taken_share() {
+    let mut lender = lender_of(ShareOrigin::Taken, at(0));
+    let held = ShareSet::one(0);
+    let answer = lender.lend(&ask(HOME, ClaimEpoch(99), held), at(1));
+    assert!(answer.loans.is_empty(), "an older claim was named");
+    let renewed = lender.lend(&ask(HOME, answer.epoch, held), at(2));
+    assert_eq!(renewed.loans[0].rest_millis, 0);
+    assert!(
+        lender
+            .lend(&ask(OTHER, answer.epoch, held), at(3))
+            .loans
+            .is_empty()
+    );
+}
+
+#[test]
+fn doubled_answer() {
+    let mut ledger = PoolLedger::open(HOME, 1, GRANT);
+    let mut book = LoanBook::open(HOME, 1, LOAN);
+    let mut lender = lender_of(ShareOrigin::Fresh, at(0));
+    let member = HomeCandidate {
+        daemon: "vm-0".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+    };
+    book.follow(&HomeMap::of(vec![member]), vec![cell()], at(0));
+    let planned = book.due(&ledger, at(0)).remove(0);
+    let answer = lender.lend(&planned.ask, at(0));
+    book.answer(&planned.lender, planned.number, &answer, &mut ledger, at(1));
+    assert_eq!(ledger.held(cell(), at(1)), ShareSet::one(0));
+    assert_eq!(ledger.close(cell(), at(2)).len(), 1);
+    book.answer(&planned.lender, planned.number, &answer, &mut ledger, at(3));
+    assert!(ledger.held(cell(), at(3)).is_empty());
+}
+
+#[test]
+fn lapsed_loan() {
+    let mut ledger = full_ledger(500);
+    let until = tokens(grant(&mut ledger, 1, vec![], at(10)));
+    assert!(until.life_micros <= 490_000, "outlives its loan");
+    assert_eq!(grant(&mut ledger, 1, vec![], at(500)), GrantGive::NotHome);
+}
+
+#[test]
+fn no_early_return() {
+    let mut ledger = full_ledger(4_000);
+    let life = tokens(grant(&mut ledger, 1, vec![], at(0))).life_micros;
+    let end = u64::from(life) / 1_000;
+    assert!(
+        ledger.close(cell(), at(end - 1)).is_empty(),
+        "a grant is out"
+    );
+    assert_eq!(ledger.close(cell(), at(end)).len(), 1);
+}
+
+#[test]
+fn told_twice() {
+    let mut ledger = full_ledger(4_000);
+    let given = tokens(grant(&mut ledger, 10, vec![], at(0)));
+    let used = GrantUse {
+        grant: given.grant,
+        spent: 2,
+        closed: false,
+    };
+    for _ in 0..3 {
+        grant(&mut ledger, 0, vec![used], at(1));
+    }
+    // 8 of 10 are still out, so only 2 more can be there.
+    assert_eq!(tokens(grant(&mut ledger, 10, vec![], at(400))).tokens, 2);
+}
+
+#[test]
+fn reported_token() {
+    let (limit, now) = (crew(), at(0));
+    let mut purse = GrantPurse::open(INGRESS, 1);
+    let member = HomeCandidate {
+        daemon: "vm-0".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+    };
+    let map = HomeMap::of(vec![member]);
+    let give = |purse: &mut GrantPurse, id, tokens, now| {
+        let planned = purse.plan(&map, now).remove(0);
+        let grant = TokenGrant {
+            grant: id,
+            tokens,
+            life_micros: 1_000_000,
+            tight: true,
+        };
+        let gives = vec![GrantGive::Tokens(grant)];
+        let ends = purse.answer(&planned, &GrantAnswer { home: HOME, gives }, now);
+        (planned, ends)
+    };
+    assert!(matches!(
+        purse.admit(&limit, FAR, now),
+        AdmitStep::Waiting(_)
+    ));
+    give(&mut purse, 1, 2, now);
+    let AdmitStep::Admitted(token) = purse.admit(&limit, FAR, at(1)) else {
+        panic!("a token was in hand");
+    };
+    purse.give_back(&token, at(2));
+    assert!(matches!(
+        purse.admit(&limit, FAR, at(3)),
+        AdmitStep::Admitted(_)
+    ));
+    assert!(matches!(
+        purse.admit(&limit, FAR, at(4)),
+        AdmitStep::Waiting(_)
+    ));
+    let (planned, _) = give(&mut purse, 2, 1, at(5));
+    assert_eq!(planned.ask.wants[0].uses[0].spent, 2);
+    purse.give_back(&token, at(6));
+    assert!(
+        matches!(purse.admit(&limit, FAR, at(7)), AdmitStep::Waiting(_)),
+        "the home was told that it is spent"
+    );
+}
+
+fn holder(boot: u64) -> LeaseHolder {
+    let identity = LeaseIdentity {
+        daemon: "vm-0".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        boot: BootId(boot),
+    };
+    LeaseHolder::open(identity, TimeSpan::from_secs(3_600), 1)
+}
+
+#[test]
+fn lease_from_sending() {
+    let (table, mut holder) = (MemoryTable::open(), holder(1));
+    holder.observe(&table.rows(SHARE_PREFIX), at(0));
+    let plan = holder.plan(1, at(1_000)).unwrap();
+    table.apply(&plan.transaction());
+    let changes = holder.committed(&plan, at(60_000));
+    let [LeaseChange::Held(0, until, ShareOrigin::Fresh)] = changes[..] else {
+        panic!("{changes:?}");
+    };
+    assert!(until.time() < at(1_000 + 3_600_000));
+}
+
+#[test]
+fn lost_commit_answer() {
+    let (table, mut holder) = (MemoryTable::open(), holder(1));
+    holder.observe(&[], at(0));
+    let plan = holder.plan(1, at(0)).unwrap();
+    holder.uncertain(plan.clone());
+    assert!(holder.held().is_empty());
+    assert!(holder.observe(&[], at(500)).is_empty());
+    table.apply(&plan.transaction());
+    let changes = holder.observe(&table.rows(SHARE_PREFIX), at(1_000));
+    assert!(
+        changes.is_empty(),
+        "it came into force after it was settled"
+    );
+    let again = holder.plan(1, at(1_100)).unwrap();
+    table.apply(&again.transaction());
+    holder.uncertain(again);
+    let changes = holder.observe(&table.rows(SHARE_PREFIX), at(2_000));
+    assert!(matches!(
+        changes[..],
+        [LeaseChange::Held(0, _, ShareOrigin::Taken)]
+    ));
+}
+
+#[test]
+fn newer_run_fences() {
+    let (table, mut old, mut new) = (MemoryTable::open(), holder(1), holder(2));
+    old.observe(&[], at(0));
+    let plan = old.plan(1, at(0)).unwrap();
+    table.apply(&plan.transaction());
+    old.committed(&plan, at(1));
+    new.observe(&table.rows(SHARE_PREFIX), at(2));
+    let plan = new.plan(1, at(3)).unwrap();
+    table.apply(&plan.transaction());
+    let changes = new.committed(&plan, at(4));
+    assert!(matches!(
+        changes[..],
+        [LeaseChange::Held(0, _, ShareOrigin::Taken)]
+    ));
+    assert_eq!(
+        old.observe(&table.rows(SHARE_PREFIX), at(5)),
+        [LeaseChange::Lost(0)]
+    );
+}
+
+/// Spin's counterexample to BORROWER_FROM_RECEIPT, with a tick of 1.4 s and a loan of 3 ticks:
+/// ask 0, lend 0, tick, tick, answer 0, tick, tick, ask 1, lend 1, answer 1, spend 0, spend 1.
+#[test]
+fn late_answer_replay() {
+    let tick = |count: u64| at(count * 1_400);
+    let mut lender = lender_of(ShareOrigin::Fresh, tick(0));
+    let mut homes = [HOME, OTHER].map(|boot| {
+        let member = HomeCandidate {
+            daemon: "vm-0".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+        };
+        let mut book = LoanBook::open(boot, 1, LOAN);
+        book.follow(&HomeMap::of(vec![member]), vec![cell()], tick(0));
+        (book, PoolLedger::open(boot, 1, GRANT))
+    });
+    for (home, sent, answered, entered) in [(0, 0, 0, 2), (1, 4, 4, 4)] {
+        let (book, ledger) = &mut homes[home];
+        let planned = book.due(ledger, tick(sent)).remove(0);
+        let answer = lender.lend(&planned.ask, tick(answered));
+        assert_eq!(answer.loans.len(), 1);
+        book.answer(
+            &planned.lender,
+            planned.number,
+            &answer,
+            ledger,
+            tick(entered),
+        );
+    }
+    let held = homes
+        .each_ref()
+        .map(|(_, ledger)| ledger.held(cell(), tick(4)));
+    assert_eq!(held, [ShareSet::EMPTY, ShareSet::one(0)]);
+    let (_, first) = &mut homes[0];
+    assert_eq!(grant(first, 1, vec![], tick(4)), GrantGive::NotHome);
+}
