--- a/spec/lending.pml
+++ b/spec/lending.pml
@@ -57,25 +57,25 @@
 byte held[2];
 byte held_end[2];
 
-#ifdef LAPSED_LOAN_USED
+#ifdef MUTANT_LAPSED_LOAN_USED
 #define LIVE(h) (until[h] > 0)
 #else
 #define LIVE(h) (now < until[h])
 #endif
 
-#ifdef PROOF_WITHOUT_EPOCH
+#ifdef MUTANT_PROOF_WITHOUT_EPOCH
 #define PROVEN(h) (inherited && ask_held[h])
 #else
 #define PROVEN(h) (inherited && ask_held[h] && ask_epoch[h] == epoch)
 #endif
 
-#ifdef TWO_HOMES_LENT
+#ifdef MUTANT_TWO_HOMES_LENT
 #define MAY_LEND(h) (true)
 #else
 #define MAY_LEND(h) (borrower == h || now >= idle_from || PROVEN(h))
 #endif
 
-#ifdef RETURN_UNNUMBERED
+#ifdef MUTANT_RETURN_UNNUMBERED
 #define IS_LAST(h) (true)
 #else
 #define IS_LAST(h) (serial == return_serial[h])
@@ -158,7 +158,7 @@
      known_epoch[h] = answer_epoch[h];
      if
      :: answer_lends[h] ->
-#ifdef BORROWER_FROM_RECEIPT
+#ifdef MUTANT_BORROWER_FROM_RECEIPT
         fresh = now + LOAN;
 #else
         fresh = sent[h] + LOAN;
@@ -168,7 +168,7 @@
            until[h] = fresh; home_serial[h] = answer_serial[h]
         :: fresh > now && !LIVE(h) ->
            until[h] = fresh; home_serial[h] = answer_serial[h];
-#ifdef SHARE_JOINS_FULL
+#ifdef MUTANT_SHARE_JOINS_FULL
            level[h] = BURST - out[h]
 #else
            level[h] = LEAST(BURST - out[h], answer_rest[h])
@@ -188,7 +188,7 @@
 inline give(h) {
   level[h]--;
   out[h]++;
-#ifdef GRANT_OUTLIVES_LOAN
+#ifdef MUTANT_GRANT_OUTLIVES_LOAN
   grant_end[h] = now + GRANT;
 #else
   grant_end[h] = LEAST(now + GRANT, until[h]);
@@ -231,7 +231,7 @@
   epoch++;
   borrower = NOBODY;
   inherited = true;
-#ifdef NO_QUARANTINE
+#ifdef MUTANT_NO_QUARANTINE
   idle_from = now
 #else
   idle_from = now + LOAN
--- a/src/limits/account_purse.rs
+++ b/src/limits/account_purse.rs
@@ -12,7 +12,7 @@
 /// Ask for more when the tokens left last less than this.
 const LOW_SPAN: Duration = Duration::from_millis(250);
 /// Ask for as many tokens as last this long.
-const FULL_SPAN: Duration = Duration::from_millis(500);
+const FULL_SPAN: Duration = Duration::from_millis(750);
 /// A grant with less than this part of its life left is closed, its tokens go back.
 const LAST_PARTS: u32 = 4;
 
@@ -148,6 +148,13 @@
         !self.lanes_to_ask(now).is_empty()
     }
 
+    /// Whether requests wait, or a home with a short burst waits for a report.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        let mut grants = self.grants.iter();
+        !self.waiting.is_empty() || grants.any(|grant| grant.tight && grant.spent > grant.reported)
+    }
+
     /// Whether nothing is left to remember.
     #[must_use]
     pub fn is_idle(&self, now: MonoTime) -> bool {
--- a/src/limits/grant_purse.rs
+++ b/src/limits/grant_purse.rs
@@ -118,6 +118,16 @@
         !self.due.is_empty()
     }
 
+    /// Whether an ask should not wait to be sent with others.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        let mut due = self
+            .due
+            .iter()
+            .filter_map(|account| self.purses.get(account));
+        due.any(AccountPurse::is_urgent)
+    }
+
     /// The asks to send now, one a home.
     pub fn plan(&mut self, map: &HomeMap, now: MonoTime) -> Vec<PlannedGrant> {
         let mut planned: FastMap<HomeCandidate, GrantAsk> = FastMap::default();
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -43,7 +43,9 @@
         let now = core.now();
         let ends = core.purse.borrow_mut().tick(now);
         core.deliver(ends);
-        ask(&core);
+        if tick.is_multiple_of(TICKS_PER_REFRESH) || core.purse.borrow().is_urgent() {
+            ask(&core);
+        }
     }
 }
 
@@ -120,7 +122,9 @@
         }
     };
     core.deliver(ends);
-    ask(&core);
+    if core.purse.borrow().is_urgent() {
+        ask(&core);
+    }
 }
 
 /// Asks for a token for one request.
--- /dev/null
+++ b/tests/limits_faults.rs
@@ -0,0 +1,72 @@
+//! Refusals within the rate, and traffic, in a healthy fleet and after single faults.
+
+mod limits_kit;
+
+use limits_kit::{FaultPlan, SECOND, VirtualFleet, rate_limit};
+use wagtailtrack::settings::LimitsSettings;
+
+const NODES: usize = 6;
+const FAULT: u64 = 20 * SECOND;
+/// How long the others take to see that a daemon is gone.
+const DETECTION: u64 = 2 * SECOND;
+
+/// Eight accounts that each send 70% of their rate, 200 requests a second at each daemon.
+fn fleet_of(seed: u64) -> VirtualFleet {
+    let settings = LimitsSettings::default();
+    let mut fleet = VirtualFleet::open(seed, NODES, &settings, FaultPlan::none());
+    let demands = [60.0, 60.0, 40.0, 20.0, 10.0, 6.0, 3.0, 1.0];
+    for (index, demand) in demands.into_iter().enumerate() {
+        let rate = (demand * NODES as f64 / 0.7) as u64;
+        let burst = u32::try_from(rate.max(16)).unwrap();
+        fleet.add_account(rate_limit(&format!("tenant-{index}"), rate, burst), demand);
+    }
+    fleet
+}
+
+/// Asked and refused over all accounts.
+fn refusals(fleet: &VirtualFleet, span: std::ops::Range<u64>) -> [usize; 2] {
+    let counts = (0..fleet.limits.len()).map(|account| fleet.audit.counts(account, span.clone()));
+    for (account, counts) in counts.clone().enumerate() {
+        eprintln!("{}: {counts:?}", fleet.limits[account].account);
+    }
+    counts.fold([0, 0], |sum, [asked, _, refused]| {
+        [sum[0] + asked, sum[1] + refused]
+    })
+}
+
+#[test]
+fn steady_refusals() {
+    let mut fleet = fleet_of(1);
+    fleet.run_until(5 * SECOND);
+    let (messages, bytes) = (fleet.messages, fleet.bytes);
+    fleet.run_until(30 * SECOND);
+    let per = |count: u64| count as f64 / 25.0 / NODES as f64;
+    let traffic = (per(fleet.messages - messages), per(fleet.bytes - bytes));
+    eprintln!("messages and bytes sent a daemon a second: {traffic:?}");
+    let [asked, refused] = refusals(&fleet, 5 * SECOND..29 * SECOND);
+    assert_eq!(refused, 0, "of {asked}");
+}
+
+#[test]
+fn daemon_replaced() {
+    let mut fleet = fleet_of(2);
+    fleet.run_until(FAULT);
+    fleet.replace(0);
+    fleet.run_until(FAULT + 11 * SECOND);
+    let [asked, refused] = refusals(&fleet, FAULT..FAULT + 10 * SECOND);
+    eprintln!("daemon replaced: {refused} of {asked}");
+    assert!(refused * 1_000 < asked, "{refused} of {asked}");
+}
+
+#[test]
+fn home_killed() {
+    let mut fleet = fleet_of(3);
+    fleet.run_until(FAULT);
+    fleet.nodes[0].paused_until = 1_000 * SECOND;
+    fleet.run_until(FAULT + DETECTION);
+    (1..NODES).for_each(|viewer| fleet.set_view(viewer, (1..NODES).collect()));
+    fleet.run_until(FAULT + 11 * SECOND);
+    let [asked, refused] = refusals(&fleet, FAULT..FAULT + 10 * SECOND);
+    eprintln!("home killed: {refused} of {asked}");
+    assert!(refused * 1_000 < asked, "{refused} of {asked}");
+}
--- /dev/null
+++ b/tests/limits_kit/fleet_events.rs
@@ -0,0 +1,281 @@
+//! What the nodes do on each event.
+
+use wagtailtrack::ids::DaemonId;
+use wagtailtrack::limits::{
+    AdmittedToken, LeasePlan, PlannedLoan, SHARE_PREFIX, ShareRow, WaitEnd,
+};
+use wagtailtrack::platform::{CommitOutcome, RowKey, TableRow};
+use wagtailtrack::wire::LoanReturn;
+
+use super::virtual_letter::Letter;
+use super::virtual_node::{NodeStep, TableStep};
+use super::{SECOND, VirtualFleet};
+
+impl VirtualFleet {
+    pub(super) fn handle(&mut self, index: usize, letter: Letter) {
+        self.sender = index;
+        let true_now = self.now;
+        let node = &mut self.nodes[index];
+        let now = node.clock.at(true_now);
+        match letter {
+            Letter::Tick => self.tick(index),
+            Letter::Request(account) => self.request(index, account),
+            Letter::GiveBack(boot, token, admission) if boot == node.boot => {
+                node.purse.give_back(&token, now);
+                self.audit.withdraw(admission);
+            }
+            Letter::LoanAsk(from, number, ask) => {
+                let answer = node.lender.lend(&ask, now);
+                let lender = node.daemon.clone();
+                self.send(
+                    from,
+                    Letter::LoanAnswer(ask.borrower, lender, number, answer),
+                );
+            }
+            Letter::LoanAnswer(boot, lender, number, answer) if boot == node.boot => {
+                let ledger = &mut node.ledger;
+                node.book.answer(&lender, number, &answer, ledger, now);
+            }
+            Letter::LoanLate(boot, lender, number) if boot == node.boot => {
+                node.book.fail(&lender, number, now);
+            }
+            Letter::Return(back) => node.lender.take_back(&back, now),
+            Letter::GrantAsk(from, number, ask) => {
+                let limits = &self.limits;
+                let rate_of = |account: &_| {
+                    limits
+                        .iter()
+                        .find(|limit| limit.account == *account)
+                        .cloned()
+                };
+                let answer = node.ledger.grant(&ask, &rate_of, now);
+                self.send(from, Letter::GrantAnswer(ask.ingress, number, answer));
+            }
+            Letter::GrantAnswer(boot, number, answer) if boot == node.boot => {
+                if let Some(planned) = node.asked.remove(&number) {
+                    let ends = node.purse.answer(&planned, &answer, now);
+                    self.finish(index, ends);
+                    self.ask(index);
+                }
+            }
+            Letter::GrantLate(boot, number) if boot == node.boot => {
+                if let Some(planned) = node.asked.remove(&number) {
+                    node.purse.fail(&planned, now);
+                    self.ask(index);
+                }
+            }
+            Letter::Rows(boot, round, rows) if boot == node.boot && round == node.round => {
+                self.observe(index, &rows);
+            }
+            Letter::Commit(from, round, plan) => self.commit(from, round, plan),
+            Letter::Committed(boot, round, plan, outcome)
+                if boot == node.boot && round == node.round =>
+            {
+                node.step = TableStep::Idle;
+                node.round += 1;
+                if outcome == CommitOutcome::Committed {
+                    node.renewed = Some(plan.sent);
+                    let changes = node.holder.committed(&plan, now);
+                    node.apply(changes, now);
+                }
+            }
+            Letter::CommitLate(boot, round, plan) if boot == node.boot && round == node.round => {
+                node.step = TableStep::Idle;
+                node.round += 1;
+                node.holder.uncertain(plan);
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.strike();
+        if self.rng.u8(0..4) == 0 {
+            self.watch_pools();
+        }
+        let node = &mut self.nodes[index];
+        let now = node.clock.at(self.now);
+        let changes = node.holder.expire(now);
+        node.apply(changes, now);
+        let planned = node.book.due(&node.ledger, now);
+        let boot = node.boot;
+        for PlannedLoan {
+            lender,
+            number,
+            ask,
+        } in planned
+        {
+            let late = Letter::LoanLate(boot, lender.clone(), number);
+            self.post(index, self.timeout(500), late);
+            self.send(slot_of(&lender), Letter::LoanAsk(index, number, ask));
+        }
+        if self.rng.u8(0..5) == 0 {
+            self.close_cells(index);
+        }
+        let ends = self.nodes[index].purse.tick(now);
+        self.finish(index, ends);
+        self.ask(index);
+        self.lease(index);
+        self.post(index, self.tick, Letter::Tick);
+    }
+
+    fn close_cells(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let now = node.clock.at(self.now);
+        let own: Vec<_> = node.map.cells_of(&node.daemon).collect();
+        let borrower = node.boot;
+        node.ledger.settle(now);
+        let mut returns = Vec::new();
+        for cell in node.ledger.cells() {
+            if own.contains(&cell) {
+                node.ledger.reopen(cell);
+            } else {
+                returns.extend(node.ledger.close(cell, now));
+            }
+        }
+        for (lender, loan) in returns {
+            let loans = vec![loan];
+            self.send(
+                slot_of(&lender),
+                Letter::Return(LoanReturn { borrower, loans }),
+            );
+        }
+    }
+
+    fn ask(&mut self, index: usize) {
+        let is_batch = self.now / self.tick % 5 == 0;
+        let node = &mut self.nodes[index];
+        if !is_batch && !node.purse.is_urgent() {
+            return;
+        }
+        let now = node.clock.at(self.now);
+        for planned in node.purse.plan(&node.map, now) {
+            let number = self.next_letter;
+            self.next_letter += 1;
+            let node = &mut self.nodes[index];
+            let home = slot_of(&planned.home.daemon);
+            let (boot, ask) = (node.boot, planned.ask.clone());
+            node.asked.insert(number, planned);
+            self.post(index, self.timeout(200), Letter::GrantLate(boot, number));
+            self.send(home, Letter::GrantAsk(index, number, ask));
+        }
+    }
+
+    fn request(&mut self, index: usize, account: usize) {
+        self.next_request(index, account);
+        let limit = self.limits[account].clone();
+        let request = self.audit.request(account, self.now);
+        let node = &mut self.nodes[index];
+        let now = node.clock.at(self.now);
+        match node.admit(&limit, request, now) {
+            NodeStep::Admitted(token) => self.admitted(index, request, token),
+            NodeStep::Refused => self.audit.refuse(request),
+            NodeStep::Waiting => self.ask(index),
+        }
+    }
+
+    fn finish(&mut self, index: usize, ends: Vec<WaitEnd>) {
+        for end in ends {
+            match self.nodes[index].end(end) {
+                (request, Some(token)) => self.admitted(index, request, token),
+                (request, None) => self.audit.refuse(request),
+            }
+        }
+    }
+
+    fn admitted(&mut self, index: usize, request: usize, token: AdmittedToken) {
+        let admission = self.audit.admit(request, self.now);
+        if self.rng.u8(0..20) == 0 {
+            let boot = self.nodes[index].boot;
+            let wait = self.rng.u64(0..SECOND);
+            self.post(index, wait, Letter::GiveBack(boot, token, admission));
+        }
+    }
+
+    pub(super) fn next_request(&mut self, node: usize, account: usize) {
+        let demand = self.demand[account];
+        if demand > 0.0 {
+            let wait = -(1.0 - self.rng.f64()).ln() / demand * SECOND as f64;
+            self.post(node, wait as u64, Letter::Request(account));
+        }
+    }
+
+    /// One step with the table: a scan, or after it a commit.
+    fn lease(&mut self, index: usize) {
+        let away = self.is_away();
+        let node = &self.nodes[index];
+        if node.step != TableStep::Idle || away || self.rng.u8(0..5) > 0 {
+            return;
+        }
+        let rows = Letter::Rows(node.boot, node.round, self.table.rows(SHARE_PREFIX));
+        self.send(index, rows);
+        self.nodes[index].step = TableStep::Scanning;
+        let (boot, round) = (self.nodes[index].boot, self.nodes[index].round);
+        // A scan that is never answered ends as an empty round.
+        let late = Letter::Committed(boot, round, self.no_plan(index), nothing_done());
+        self.post(index, 3 * SECOND, late);
+    }
+
+    fn observe(&mut self, index: usize, rows: &[TableRow]) {
+        let node = &mut self.nodes[index];
+        let now = node.clock.at(self.now);
+        if node.step != TableStep::Scanning {
+            return;
+        }
+        node.step = TableStep::Idle;
+        node.round += 1;
+        let changes = node.holder.observe(rows, now);
+        node.apply(changes, now);
+        let renew = node.settings.renew.get();
+        let is_due = node.renewed.is_none_or(|at| now.since(at) >= renew);
+        let most = node
+            .settings
+            .shares_per_daemon
+            .min(node.holder.held().len() + 3);
+        if !is_due && node.holder.free(now).is_empty() {
+            return;
+        }
+        let Some(plan) = node.holder.plan(most, now) else {
+            return;
+        };
+        node.step = TableStep::Committing;
+        let (boot, round) = (node.boot, node.round);
+        self.post(
+            index,
+            self.timeout(2_000),
+            Letter::CommitLate(boot, round, plan.clone()),
+        );
+        self.send(index, Letter::Commit(index, round, plan));
+    }
+
+    fn commit(&mut self, from: usize, round: u64, plan: LeasePlan) {
+        if self.is_away() {
+            return;
+        }
+        let outcome = self.table.apply(&plan.transaction());
+        let boot = plan.row.boot;
+        self.send(from, Letter::Committed(boot, round, plan, outcome));
+    }
+
+    fn no_plan(&mut self, index: usize) -> LeasePlan {
+        let node = &self.nodes[index];
+        let row = ShareRow {
+            daemon: node.daemon.clone(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            boot: node.boot,
+            nonce: 0,
+            lease: node.settings.lease,
+            released: false,
+        };
+        let now = node.clock.at(self.now);
+        LeasePlan::of(row, Vec::new(), Default::default(), now)
+    }
+}
+
+fn slot_of(daemon: &DaemonId) -> usize {
+    daemon.as_str()[3..].parse().unwrap()
+}
+
+fn nothing_done() -> CommitOutcome {
+    CommitOutcome::Conflict(RowKey(String::new()))
+}
--- a/tests/limits_kit/mod.rs
+++ b/tests/limits_kit/mod.rs
@@ -1,14 +1,18 @@
 //! What the tests of the rate limits share.
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod fault_plan;
+mod fleet_events;
 mod limits_fleet;
 mod memory_table;
 mod rate_audit;
 mod virtual_fleet;
+mod virtual_letter;
 mod virtual_node;
 
+pub use fault_plan::FaultPlan;
 pub use limits_fleet::{LimitsFleet, rate_limit};
 pub use memory_table::{MemoryTable, TableFault};
 pub use rate_audit::RateAudit;
-pub use virtual_fleet::{FaultPlan, SECOND, VirtualFleet};
+pub use virtual_fleet::{SECOND, VirtualFleet};
 pub use virtual_node::VirtualNode;
--- /dev/null
+++ b/tests/limits_kit/virtual_letter.rs
@@ -0,0 +1,48 @@
+//! What happens to a node: messages, timers and answers of the table.
+
+use wagtailtrack::ids::{BootId, DaemonId};
+use wagtailtrack::limits::{AdmittedToken, LeasePlan};
+use wagtailtrack::platform::{CommitOutcome, TableRow};
+use wagtailtrack::wire::{
+    GrantAnswer, GrantAsk, LimitsCall, LimitsReply, LoanAnswer, LoanAsk, LoanReturn, PeerCall,
+    PeerOpening, PeerReply, encode,
+};
+
+/// Length and code of a message, and the head of its h2 frame.
+const FRAME_BYTES: usize = 20 + 9;
+
+/// An event for a node.
+#[derive(Debug, Clone)]
+pub enum Letter {
+    Tick,
+    Request(usize),
+    GiveBack(BootId, AdmittedToken, usize),
+    LoanAsk(usize, u64, LoanAsk),
+    LoanAnswer(BootId, DaemonId, u64, LoanAnswer),
+    LoanLate(BootId, DaemonId, u64),
+    Return(LoanReturn),
+    GrantAsk(usize, u64, GrantAsk),
+    GrantAnswer(BootId, u64, GrantAnswer),
+    GrantLate(BootId, u64),
+    Rows(BootId, u64, Vec<TableRow>),
+    Commit(usize, u64, LeasePlan),
+    Committed(BootId, u64, LeasePlan, CommitOutcome),
+    CommitLate(BootId, u64, LeasePlan),
+}
+
+impl Letter {
+    /// Bytes on the wire, 0 for what is no message between daemons.
+    pub fn wire_bytes(&self) -> usize {
+        let call = |call| encode(&PeerOpening::Call(PeerCall::Limits(call)));
+        let reply = |reply| encode(&PeerReply::Limits(reply));
+        let encoded = match self.clone() {
+            Self::LoanAsk(_, _, ask) => call(LimitsCall::Borrow(ask)),
+            Self::Return(back) => call(LimitsCall::Return(back)),
+            Self::GrantAsk(_, _, ask) => call(LimitsCall::Grant(ask)),
+            Self::LoanAnswer(_, _, _, answer) => reply(LimitsReply::Loans(answer)),
+            Self::GrantAnswer(_, _, answer) => reply(LimitsReply::Grants(answer)),
+            _ => return 0,
+        };
+        encoded.unwrap().len() + FRAME_BYTES
+    }
+}
--- /dev/null
+++ b/tests/limits_sizes.rs
@@ -0,0 +1,152 @@
+//! Sizes of messages and of a home's state, printed for the capacity page.
+
+mod limits_kit;
+
+use std::time::Duration;
+
+use limits_kit::rate_limit;
+use wagtailtrack::ids::BootId;
+use wagtailtrack::limits::{ClaimEpoch, PoolCell, PoolLedger, PooledLoan, ShardId, ShareSet};
+use wagtailtrack::time::{Deadline, MonoTime};
+use wagtailtrack::wire::{
+    GrantAnswer, GrantAsk, GrantGive, GrantUse, GrantWant, LimitsCall, LimitsReply, LoanAnswer,
+    LoanAsk, LoanWant, PeerCall, PeerOpening, PeerReply, ShardLoan, TokenGrant, encode,
+};
+
+const FAR: Deadline = Deadline::at(MonoTime::from_millis(1_000_000));
+
+fn call_bytes(call: LimitsCall) -> usize {
+    encode(&PeerOpening::Call(PeerCall::Limits(call)))
+        .unwrap()
+        .len()
+}
+
+fn reply_bytes(reply: LimitsReply) -> usize {
+    encode(&PeerReply::Limits(reply)).unwrap().len()
+}
+
+fn want(index: usize) -> GrantWant {
+    GrantWant {
+        account: format!("tenant-{index:05}").parse().unwrap(),
+        half: 1,
+        waiting: 1,
+        extra: 12,
+        uses: vec![GrantUse {
+            grant: 70_000,
+            spent: 12,
+            closed: true,
+        }],
+    }
+}
+
+fn grant_bytes(count: usize) -> [usize; 2] {
+    let grant = TokenGrant {
+        grant: 70_001,
+        tokens: 13,
+        life_micros: 1_000_000,
+        tight: false,
+    };
+    let ask = GrantAsk {
+        ingress: BootId(u64::MAX),
+        home: BootId(u64::MAX),
+        wants: (0..count).map(want).collect(),
+    };
+    let answer = GrantAnswer {
+        home: BootId(u64::MAX),
+        gives: vec![GrantGive::Tokens(grant); count],
+    };
+    [
+        call_bytes(LimitsCall::Grant(ask)),
+        reply_bytes(LimitsReply::Grants(answer)),
+    ]
+}
+
+fn loan_bytes(cells: u16) -> [usize; 2] {
+    let shares = ShareSet::half(0).and(ShareSet::first(16));
+    let wants = (0..cells).map(|shard| LoanWant {
+        shard: ShardId(shard),
+        wanted: shares,
+        held: shares,
+    });
+    let loans = (0..cells).map(|shard| ShardLoan {
+        shard: ShardId(shard),
+        shares,
+        rest_millis: 0,
+    });
+    let ask = LoanAsk {
+        borrower: BootId(u64::MAX),
+        epoch: ClaimEpoch(u64::MAX),
+        wants: wants.collect(),
+    };
+    let answer = LoanAnswer {
+        epoch: ClaimEpoch(u64::MAX),
+        holds: ShareSet::first(16),
+        serial: 1_000_000,
+        loan_micros: 4_000_000,
+        wait_micros: 0,
+        loans: loans.collect(),
+    };
+    [
+        call_bytes(LimitsCall::Borrow(ask)),
+        reply_bytes(LimitsReply::Loans(answer)),
+    ]
+}
+
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap();
+    text.split(' ').nth(1).unwrap().parse::<usize>().unwrap() * 4_096
+}
+
+/// A home with every share of every shard and one live grant an account.
+fn ledger_of(accounts: usize) -> PoolLedger {
+    let mut ledger = PoolLedger::open(BootId(1), 2, Duration::from_secs(1));
+    for cell in PoolCell::all() {
+        let loan = PooledLoan {
+            share: cell.half,
+            lender: "vm-0".parse().unwrap(),
+            serial: 1,
+            until: FAR,
+        };
+        ledger.join(cell, loan, Duration::from_secs(1_000), MonoTime::ZERO);
+    }
+    for index in 0..accounts {
+        let ask = GrantAsk {
+            ingress: BootId(2),
+            home: BootId(1),
+            wants: vec![want(index)],
+        };
+        let limit = |_: &_| Some(rate_limit(&format!("tenant-{index:05}"), 10, 20));
+        ledger.grant(&ask, &limit, MonoTime::ZERO);
+    }
+    ledger
+}
+
+#[test]
+fn message_sizes() {
+    for count in [1, 10, 100] {
+        let [ask, answer] = grant_bytes(count);
+        eprintln!("grant of {count} accounts: ask {ask}, answer {answer} bytes");
+    }
+    for cells in [1, 8, 64] {
+        let [ask, answer] = loan_bytes(cells);
+        eprintln!("loan of {cells} cells: ask {ask}, answer {answer} bytes");
+    }
+    assert!(
+        grant_bytes(100)[0] < 100 * 32,
+        "an account takes more than expected"
+    );
+}
+
+#[test]
+fn account_state() {
+    for accounts in [1_000, 10_000, 100_000] {
+        let before = resident_bytes();
+        let start = std::time::Instant::now();
+        let ledger = ledger_of(accounts);
+        let (state, time) = (resident_bytes() - before, start.elapsed());
+        let each = state / accounts;
+        eprintln!("{accounts} accounts: {each} bytes each, {time:?} to grant to all");
+        assert_eq!(ledger.accounts(), accounts);
+        std::mem::forget(ledger);
+    }
+}
