--- a/src/limits/account_purse.rs
+++ b/src/limits/account_purse.rs
@@ -261,8 +261,8 @@
 
 fn has_news(grant: &HeldGrant, now: MonoTime) -> bool {
     let unspent = grant.left > 0 && is_ending(grant, now);
-    let tight = grant.tight && grant.spent > grant.reported;
-    unspent || tight
+    let unreported = grant.spent > grant.reported && (grant.tight || grant.left == 0);
+    unspent || unreported
 }
 
 /// What the home should know of `grant`; closes it near its end.
--- a/src/limits/cell_pool.rs
+++ b/src/limits/cell_pool.rs
@@ -253,12 +253,9 @@
 /// How long a grant may live, and whether the burst is short for it.
 fn life_of(bucket: &AccountBucket, longest: Duration) -> (Duration, bool) {
     let fill = bucket.fill_time();
-    let tight = fill < longest * 2;
-    let life = if tight {
-        (fill / 2).clamp(LEAST_LIFE.min(longest), longest)
-    } else {
-        longest
-    };
+    let tight = fill <= longest / 2;
+    let wanted = if tight { fill / 2 } else { fill };
+    let life = wanted.clamp(LEAST_LIFE.min(longest), longest);
     (life, tight)
 }
 
--- a/tests/limits_kit/fleet_events.rs
+++ b/tests/limits_kit/fleet_events.rs
@@ -143,7 +143,7 @@
     }
 
     fn ask(&mut self, index: usize) {
-        let is_batch = self.now / self.tick % 5 == 0;
+        let is_batch = (self.now / self.tick).is_multiple_of(5);
         let node = &mut self.nodes[index];
         if !is_batch && !node.purse.is_urgent() {
             return;
