--- a/src/limits/account_purse.rs
+++ b/src/limits/account_purse.rs
@@ -12,7 +12,7 @@
 /// Ask for more when the tokens left last less than this.
 const LOW_SPAN: Duration = Duration::from_millis(250);
 /// Ask for as many tokens as last this long.
-const FULL_SPAN: Duration = Duration::from_millis(500);
+const FULL_SPAN: Duration = Duration::from_millis(750);
 /// A grant with less than this part of its life left is closed, its tokens go back.
 const LAST_PARTS: u32 = 4;
 
@@ -148,6 +148,13 @@
         !self.lanes_to_ask(now).is_empty()
     }
 
+    /// Whether requests wait, or a home with a short burst waits for a report.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        let mut grants = self.grants.iter();
+        !self.waiting.is_empty() || grants.any(|grant| grant.tight && grant.spent > grant.reported)
+    }
+
     /// Whether nothing is left to remember.
     #[must_use]
     pub fn is_idle(&self, now: MonoTime) -> bool {
@@ -254,8 +261,8 @@
 
 fn has_news(grant: &HeldGrant, now: MonoTime) -> bool {
     let unspent = grant.left > 0 && is_ending(grant, now);
-    let tight = grant.tight && grant.spent > grant.reported;
-    unspent || tight
+    let unreported = grant.spent > grant.reported && (grant.tight || grant.left == 0);
+    unspent || unreported
 }
 
 /// What the home should know of `grant`; closes it near its end.
