The egress asks for an instance's lease at the moment of use

Cause: after a pause of the daemon a request could enter for one tick (0.1 s) at an instance whose lease had lapsed, since the gate only knew the last announcement.

--- a/src/daemon/daemon_parts.rs
+++ b/src/daemon/daemon_parts.rs
@@ -30,6 +30,7 @@
     peers: PeerPool,
     platform: Rc<dyn PlatformService>,
     members: Rc<OnceCell<MembersHandle>>,
+    announce: Rc<OnceCell<Rc<AnnounceServer>>>,
 }
 
 impl DaemonParts {
@@ -43,6 +44,7 @@
             stopping: Rc::default(),
             platform: Rc::new(HttpPlatform::open(&settings.platform)),
             members: Rc::default(),
+            announce: Rc::default(),
         }
     }
 
@@ -118,6 +120,7 @@
     ) -> EgressHandle {
         let config = config.clone();
         let records = members.clone();
+        let announce = Rc::clone(&self.announce);
         let publisher = RecordPublisher {
             settings: settings.clone(),
             members: members.clone(),
@@ -128,6 +131,11 @@
             hold: settings.proxy.slot_hold.get(),
             spec_of: Rc::new(move |service| config.catalog().service(service).cloned()),
             records_of: Rc::new(move |service| records.instances_of(service)),
+            accepts_work: Rc::new(move |instance| {
+                announce
+                    .get()
+                    .is_some_and(|server| server.accepts_work(instance))
+            }),
             publish: Rc::new(move |local, state, median| {
                 let record = publisher.record(local, state, median);
                 publisher.members.publish(record);
@@ -152,7 +160,10 @@
         let server = server
             .await
             .map_err(|cause| in_field("listen.announce", address, &cause))?;
-        Ok(Rc::new(server))
+        let server = Rc::new(server);
+        // Set once: this function runs once a daemon.
+        let _ = self.announce.set(Rc::clone(&server));
+        Ok(server)
     }
 
     pub(crate) async fn bind_ingress(
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -39,6 +39,8 @@
     pub spec_of: SpecSource,
     /// What the fleet knows of a service's instances.
     pub records_of: RecordSource,
+    /// Whether an instance holds its lease and takes work, at the moment of asking.
+    pub accepts_work: Rc<dyn Fn(&InstanceId) -> bool>,
     /// Publishes the state of an instance beside this daemon.
     pub publish: StatePublisher,
 }
@@ -99,6 +101,13 @@
         }
     }
 
+    /// Whether a new request may enter at `gate`, by the clock and not only by the last tick.
+    pub(crate) fn takes_work(&self, gate: &SharedGate) -> bool {
+        let gate = gate.borrow();
+        let accepts = (self.sources.accepts_work)(&gate.local().instance);
+        accepts && gate.takes_work() && !self.is_stopping()
+    }
+
     /// Whether `stop` was called.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get()
@@ -212,8 +221,7 @@
         if change.is_some() || has_moved {
             self.publish_gate(gate);
         }
-        let takes_work = gate.borrow().takes_work() && !self.is_stopping();
-        if takes_work && gate.borrow_mut().health().probe_due(now) {
+        if self.takes_work(gate) && gate.borrow_mut().health().probe_due(now) {
             actix_rt::spawn(probe_task::run(self.clone(), Rc::clone(gate)));
         }
     }
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -32,7 +32,7 @@
             )
             .await
         }
-        Some(gate) if egress.is_stopping() || !gate.borrow().takes_work() => {
+        Some(gate) if !egress.takes_work(&gate) => {
             let load = gate.borrow().load();
             refuse(&mut sender, RefusalReason::NotReady, NOT_READY_RETRY, load).await
         }
