--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -85,6 +85,10 @@
 
     /// Forgets instances that are not among `records`.
     pub fn retain(&mut self, records: &[InstanceRecord]) {
+        // Cheap enough to be asked before each pick.
+        if self.known.len() <= records.len() {
+            return;
+        }
         self.known
             .retain(|instance, _| records.iter().any(|record| record.instance == *instance));
     }
--- a/src/egress/backend_answer.rs
+++ b/src/egress/backend_answer.rs
@@ -6,7 +6,7 @@
 
 use crate::egress::backend_connection::{AnswerRest, BackendConnection};
 use crate::ingress::header_rules::{self, REQUEST_HEADER};
-use crate::wire::{AnswerHead, FailureCause, RequestOffer};
+use crate::wire::{AnswerHead, FailureCause, LoadFigure, RequestOffer};
 
 /// The head of an answer and what follows it.
 pub struct BackendAnswer {
@@ -43,6 +43,7 @@
             status: head.status.as_u16(),
             headers: header_rules::crossing(headers),
             length,
+            load: LoadFigure::default(),
         };
         Ok(Self {
             head,
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -61,6 +61,7 @@
         guard: SlotGuard,
     ) -> Result<(), PeerError> {
         let mut blocked = Duration::ZERO;
+        answer.head.load = self.gate.borrow().load();
         self.sender
             .send(&EgressMessage::Head(answer.head.clone()))
             .await?;
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -59,7 +59,7 @@
                     held = Some((head, body));
                 }
                 AttemptEnd::Long(long) => {
-                    self.note_answer(&record.instance, LoadFigure::default());
+                    self.note_answer(&record.instance, long.head.load);
                     self.complete(&long.head);
                     let clock = self.ingress.sources.clock;
                     return Ok(long_response(long, self.deadline, clock, count));
--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -48,18 +48,18 @@
         instances: &[InstanceRecord],
         turn: &mut GossipTurn<'_>,
     ) {
-        let (mut has_left, mut is_drained) = (false, false);
+        let (mut has_left, mut is_urgent) = (false, false);
         for record in members {
             let newer = self.learn_member(record, turn.now, true);
             has_left |= newer && record.state == MemberState::Left;
         }
         for record in instances {
             let newer = self.learn_record(record, true, turn);
-            is_drained |= newer && record.is_leaving();
+            is_urgent |= newer && record.is_urgent();
         }
         if has_left {
             self.push_to_some(FORWARD_FANOUT, PushReach::Fleet, turn);
-        } else if is_drained {
+        } else if is_urgent {
             self.push_to_some(FORWARD_FANOUT, PushReach::Region, turn);
         }
     }
@@ -119,7 +119,7 @@
         let key = ChangeKey::Instance(record.instance.clone());
         let change = self.view.merge_record(record, turn.now);
         match change {
-            RecordChange::Newer if spread && record.is_leaving() => self.queue.push_urgent(key),
+            RecordChange::Newer if spread && record.is_urgent() => self.queue.push_urgent(key),
             RecordChange::Newer if spread => self.queue.push(key),
             RecordChange::Newer => self.queue.forget(&key),
             RecordChange::Same => self.count_known(&key),
--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -13,7 +13,7 @@
 const EXTRA_SENDINGS: u32 = 3;
 const MOST_INSTANCE_SENDINGS: u32 = 6;
 // The pushes that forward a drain count as sendings too.
-const EXTRA_LEAVING_SENDINGS: u32 = 6;
+const EXTRA_URGENT_SENDINGS: u32 = 6;
 
 /// How far a push goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,16 +85,16 @@
         let full = live.ilog2() + EXTRA_SENDINGS;
         match key {
             ChangeKey::Member(_) => full,
-            ChangeKey::Instance(instance) if self.is_leaving(instance) => {
-                full + EXTRA_LEAVING_SENDINGS
+            ChangeKey::Instance(instance) if self.is_urgent(instance) => {
+                full + EXTRA_URGENT_SENDINGS
             }
             ChangeKey::Instance(_) => full.min(MOST_INSTANCE_SENDINGS),
         }
     }
 
-    fn is_leaving(&self, instance: &InstanceId) -> bool {
+    fn is_urgent(&self, instance: &InstanceId) -> bool {
         let record = self.view.records().get(instance);
-        record.is_some_and(InstanceRecord::is_leaving)
+        record.is_some_and(InstanceRecord::is_urgent)
     }
 
     /// A message without changes.
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -53,6 +53,8 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Length of the body, where the backend server named it.
     pub length: Option<u64>,
+    /// The instance's load, this request included.
+    pub load: LoadFigure,
 }
 
 /// Why an egress refused a request.
--- a/src/wire/instance_record.rs
+++ b/src/wire/instance_record.rs
@@ -65,6 +65,12 @@
 }
 
 impl InstanceRecord {
+    /// Whether ingresses must hear of the record at once: work goes where it should not.
+    #[must_use]
+    pub const fn is_urgent(&self) -> bool {
+        self.is_leaving() || matches!(self.health, HealthState::Ejected)
+    }
+
     /// Whether the instance takes no new work any more.
     #[must_use]
     pub const fn is_leaving(&self) -> bool {
--- a/tests/members_spread.rs
+++ b/tests/members_spread.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use gossip_net::{GossipNet, SEEDS, instance};
-use wagtailtrack::wire::InstancePhase;
+use wagtailtrack::wire::{HealthState, InstancePhase};
 
 const MINUTE: Duration = Duration::from_secs(60);
 
@@ -71,3 +71,27 @@
         println!("seed {seed}: leave seen after {took:?}");
     }
 }
+
+/// Ingresses of the region hear of an ejection within a second, so that its work goes elsewhere.
+#[test]
+fn ejection_spreads() {
+    for seed in [1, 2, 3] {
+        let mut net = GossipNet::open(120, 3, seed);
+        net.run_until(MINUTE, |net| net.all_count(120));
+        let mut record = instance(3, 0, InstancePhase::Ready);
+        net.publish(3, &record);
+        net.run(MINUTE / 2);
+        record.health = HealthState::Ejected;
+        net.publish(3, &record);
+        net.run_until(Duration::from_secs(1), |net| {
+            let now = net.now;
+            net.nodes.iter_mut().step_by(3).all(|node| {
+                let records = node.core.instances_of(&record.service, now);
+                let found = records
+                    .iter()
+                    .find(|found| found.instance == record.instance);
+                found.is_some_and(|found| found.health == HealthState::Ejected)
+            })
+        });
+    }
+}
