--- a/src/ingress/header_rules.rs
+++ b/src/ingress/header_rules.rs
@@ -1,6 +1,7 @@
 //! Which headers cross the fleet, and where a key may hide.
 
 use actix_http::header::HeaderMap;
+use memchr::{memchr, memmem};
 
 /// Header in which callers present their key.
 pub const KEY_HEADER: &str = "authorization";
@@ -72,11 +73,12 @@
 /// Whether `bytes` hold the secret, plainly or percent-encoded.
 #[must_use]
 pub fn contains(bytes: &[u8], secret: &str) -> bool {
-    holds(bytes, secret.as_bytes()) || holds(&percent_decoded(bytes), secret.as_bytes())
-}
-
-fn holds(bytes: &[u8], part: &[u8]) -> bool {
-    !part.is_empty() && bytes.windows(part.len()).any(|window| window == part)
+    if secret.is_empty() {
+        return false;
+    }
+    let is_escaped = memchr(b'%', bytes).is_some();
+    memmem::find(bytes, secret.as_bytes()).is_some()
+        || (is_escaped && memmem::find(&percent_decoded(bytes), secret.as_bytes()).is_some())
 }
 
 fn percent_decoded(bytes: &[u8]) -> Vec<u8> {
--- a/tests/process_path.rs
+++ b/tests/process_path.rs
@@ -157,3 +157,33 @@
         "{metrics}"
     );
 }
+
+/// Bytes that are no HTTP get an error or a close, and the daemon serves on.
+#[actix_rt::test]
+async fn malformed_requests() {
+    let desk = DeskFleet::open("path-malformed", 1).await;
+    let address = desk.fleet.daemons[0].callers();
+    let requests: [&[u8]; 4] = [
+        b"nonsense\r\n\r\n",
+        b"GET /lookups/1 HTTP/1.1\r\nbad header\r\n\r\n",
+        b"POST /filings HTTP/1.1\r\ncontent-length: x\r\n\r\n",
+        &[0xff; 300],
+    ];
+    for request in requests {
+        let request = request.to_vec();
+        let sending = actix_rt::task::spawn_blocking(move || {
+            let mut socket = std::net::TcpStream::connect(address).unwrap();
+            std::io::Write::write_all(&mut socket, &request).unwrap();
+            socket.shutdown(std::net::Shutdown::Write).unwrap();
+            let mut answer = Vec::new();
+            let _ = std::io::Read::read_to_end(&mut socket, &mut answer);
+            String::from_utf8_lossy(&answer).into_owned()
+        });
+        let answer = sending.await.unwrap();
+        assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 4"),
+            "{answer}"
+        );
+    }
+    assert_eq!(lookup(&desk.caller(0)).await.verdict(), "ran");
+}
--- a/tests/process_settings.rs
+++ b/tests/process_settings.rs
@@ -87,3 +87,13 @@
         "{message}"
     );
 }
+
+#[test]
+fn port_in_use() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = GOOD.replace("127.0.0.1:7003", &address);
+    let text = text.replace("127.0.0.1:70", "127.77.77.77:170");
+    let words = ["listen.admin", &address, "address of this VM that is free"];
+    refused("taken", &text, &words);
+}
