--- a/tests/two_step.rs
+++ b/tests/two_step.rs
@@ -6,12 +6,9 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 use wagtailtrack::egress::{StartAction, StartEvent, StartMachine, StartState};
-use wagtailtrack::ingress::{
-    AttemptAction, AttemptEvent, AttemptFailure, AttemptHistory, AttemptMachine, AttemptState,
-};
+use wagtailtrack::ingress::{AttemptAction, AttemptEvent, AttemptMachine, AttemptState};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::verdict::Verdict;
-use wagtailtrack::wire::RefusalReason;
 
 const SEEDS: std::ops::Range<u64> = 0..400;
 const HOLD: Duration = Duration::from_millis(500);
@@ -274,49 +271,3 @@
         AttemptAction::End(Verdict::MayHaveRun)
     );
 }
-
-fn busy() -> AttemptFailure {
-    AttemptFailure {
-        verdict: Verdict::NotRun,
-        reason: Some(RefusalReason::Busy),
-        cause: None,
-        retry_after: Duration::ZERO,
-    }
-}
-
-/// Busy instances are only glanced at, and asked again to wait when no other is left.
-#[test]
-fn glances_then_waits() {
-    let mut history = AttemptHistory::default();
-    assert!(!history.may_wait());
-    history.begin("desk-1".parse().unwrap());
-    history.fail(busy());
-    assert!(!history.may_wait() && history.allows_retry(Verdict::NotRun, false));
-    assert!(
-        history.recall_busy(),
-        "one busy instance may be asked again"
-    );
-    assert!(history.tried().is_empty() && history.may_wait());
-    assert!(!history.recall_busy());
-    let mut history = AttemptHistory::default();
-    for instance in ["desk-1", "desk-2"] {
-        history.begin(instance.parse().unwrap());
-        history.fail(busy());
-    }
-    assert!(history.may_wait());
-}
-
-/// An attempt that may have run is not hidden by a later one that was refused.
-#[test]
-fn worst_verdict_stays() {
-    let mut history = AttemptHistory::default();
-    history.begin("desk-1".parse().unwrap());
-    history.fail(AttemptFailure {
-        verdict: Verdict::MayHaveRun,
-        reason: None,
-        ..busy()
-    });
-    history.begin("desk-2".parse().unwrap());
-    history.fail(busy());
-    assert_eq!(history.refusal(false).verdict(), Verdict::MayHaveRun);
-}
