Dead counts and a copied look-up go

Found on reading the whole change: HttpServer counted open connections for nobody, PeerPool had three methods without a caller, the egress passed an instance's name beside the record that holds it, and two picks looked a record up in the same words. Behaviour is the same.

--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -90,7 +90,7 @@
         } else {
             self.open_gate(local, &spec);
         }
-        self.publish(&local.instance, local);
+        self.publish(local);
     }
 
     /// Takes no new work: offers are refused, and the fleet is told.
@@ -154,7 +154,7 @@
 
     pub(crate) fn publish_gate(&self, gate: &SharedGate) {
         let local = gate.borrow().local().clone();
-        self.publish(&local.instance, &local);
+        self.publish(&local);
     }
 
     fn open_gate(&self, local: &LocalInstance, spec: &ServiceSpec) {
@@ -168,8 +168,8 @@
         }
     }
 
-    fn publish(&self, instance: &InstanceId, local: &LocalInstance) {
-        let (state, median) = match self.gate(instance) {
+    fn publish(&self, local: &LocalInstance) {
+        let (state, median) = match self.gate(&local.instance) {
             Some(gate) => {
                 let mut gate = gate.borrow_mut();
                 (gate.health().state(), gate.health().median())
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -31,15 +31,8 @@
 /// open ones go on.
 pub struct HttpServer {
     address: SocketAddr,
-    counts: ConnectionCounts,
-    _open: oneshot::Sender<()>,
-}
-
-/// Counts of connections, shared with each of them.
-#[derive(Clone, Default)]
-struct ConnectionCounts {
-    open: Rc<Cell<usize>>,
     closing: Rc<Cell<usize>>,
+    _open: oneshot::Sender<()>,
 }
 
 impl HttpServer {
@@ -50,12 +43,12 @@
     pub async fn bind(address: SocketAddr, handler: HttpHandler) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let counts = ConnectionCounts::default();
+        let closing = Rc::new(Cell::new(0));
         let (open, closed) = oneshot::channel();
-        actix_rt::spawn(serve_until(listener, handler, counts.clone(), closed));
+        actix_rt::spawn(serve_until(listener, handler, Rc::clone(&closing), closed));
         Ok(Self {
             address,
-            counts,
+            closing,
             _open: open,
         })
     }
@@ -66,30 +59,23 @@
         self.address
     }
 
-    /// Connections that are open.
-    #[must_use]
-    pub fn connections(&self) -> usize {
-        self.counts.open.get()
-    }
-
     /// Connections that were told to close and have not ended yet; the count outlives the listener.
     #[must_use]
     pub fn closing(&self) -> Rc<Cell<usize>> {
-        Rc::clone(&self.counts.closing)
+        Rc::clone(&self.closing)
     }
 }
 
 async fn serve_until(
     listener: TcpListener,
     handler: HttpHandler,
-    counts: ConnectionCounts,
+    closing: Rc<Cell<usize>>,
     closed: oneshot::Receiver<()>,
 ) {
     let answer = fn_service(move |request: Request| {
         let reply = handler(request);
         async move { Ok::<_, Infallible>(reply.await) }
     });
-    let closing = Rc::clone(&counts.closing);
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
@@ -106,11 +92,9 @@
     let serve = |socket: TcpStream| {
         // Without this a small answer can wait for a delayed acknowledgement.
         let _ = socket.set_nodelay(true);
-        let (service, open) = (Rc::clone(&service), Rc::clone(&counts.open));
-        open.set(open.get() + 1);
+        let service = Rc::clone(&service);
         actix_rt::spawn(async move {
             let _ = service.call(socket).await;
-            open.set(open.get() - 1);
         });
     };
     {
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -115,10 +115,7 @@
                 picker.started(&instance, now);
                 Some(instance)
             })?;
-        records
-            .iter()
-            .find(|record| record.instance == instance)
-            .cloned()
+        record_of(&records, &instance)
     }
 
     fn pick_in_turn(
@@ -129,10 +126,7 @@
         let mut state = self.ingress.state.borrow_mut();
         let turns = state.turns.entry(self.plan.service.clone()).or_default();
         let instance = turns.pick(records, tried)?;
-        records
-            .iter()
-            .find(|record| record.instance == instance)
-            .cloned()
+        record_of(records, &instance)
     }
 
     async fn attempt(
@@ -237,3 +231,8 @@
         }
     }
 }
+
+fn record_of(records: &[InstanceRecord], instance: &InstanceId) -> Option<InstanceRecord> {
+    let mut records = records.iter();
+    records.find(|record| record.instance == *instance).cloned()
+}
--- a/src/peers/peer_pool.rs
+++ b/src/peers/peer_pool.rs
@@ -53,23 +53,6 @@
             .unwrap_or(Err(PeerError::Timeout))
     }
 
-    /// Closes the connection to `address` once its streams have ended.
-    pub fn forget(&self, address: SocketAddr) {
-        self.slots.borrow_mut().remove(&address);
-    }
-
-    /// The number of peers with a connection or an attempt at one.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.slots.borrow().len()
-    }
-
-    /// Whether there is no connection.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     async fn exchange(&self, address: SocketAddr, call: PeerCall) -> Result<PeerReply, PeerError> {
         let mut stream = self.open_stream(address).await?;
         stream.send(&PeerOpening::Call(call)).await?;
