--- a/bench/slopes/catalog_slope.rs
+++ b/bench/slopes/catalog_slope.rs
@@ -58,7 +58,7 @@
 
 fn resources(index: usize) -> Vec<ConfigResource> {
     let mut resources = vec![
-        ConfigResource::Account(ClientAccount { id: name(index) }),
+        ConfigResource::Account(ClientAccount::named(name(index))),
         change_of_key(index),
         limit(index),
     ];
@@ -114,5 +114,6 @@
         class: RequestClass::Lookup,
         access: RouteAccess::All,
         idempotency: IdempotencyRule::ByMethod,
+        rules: wagtailtrack::resource::RouteRules::default(),
     })
 }
--- a/examples/catalog_size.rs
+++ b/examples/catalog_size.rs
@@ -57,6 +57,7 @@
                 internal_check: weight,
             },
             retry_budget: Percent::new(10)?,
+            recovery: wagtailtrack::resource::RecoveryRule::default(),
         }));
     }
     for number in 0..routes {
@@ -67,6 +68,7 @@
             class: RequestClass::Lookup,
             access: RouteAccess::All,
             idempotency: IdempotencyRule::ByMethod,
+            rules: wagtailtrack::resource::RouteRules::default(),
         }));
     }
     for number in 0..accounts {
@@ -77,7 +79,7 @@
 
 fn load_account(catalog: &mut Catalog, number: u64) -> Result<(), Box<dyn std::error::Error>> {
     let id: wagtailtrack::ids::AccountId = format!("account-{number:08}").parse()?;
-    catalog.load(ConfigResource::Account(ClientAccount { id: id.clone() }));
+    catalog.load(ConfigResource::Account(ClientAccount::named(id.clone())));
     catalog.load(ConfigResource::Key(ClientKey {
         id: format!("key-{number:08}").parse()?,
         account: id.clone(),
--- a/examples/follower_ages.rs
+++ b/examples/follower_ages.rs
@@ -89,6 +89,7 @@
             lease: Duration::from_secs(10),
             ask_pause: Duration::from_secs(1),
             polls_per_second: 100,
+            is_document: false,
         };
         let now = MonoTime::from_millis(START_MILLIS);
         let followers = (0..members).map(|index| {
@@ -177,7 +178,7 @@
         let change = ConfigChange {
             revision: Revision(2),
             operation: "op-1".parse()?,
-            action: ConfigAction::Put(ConfigResource::Account(ClientAccount { id: "a1".parse()? })),
+            action: ConfigAction::Put(ConfigResource::Account(ClientAccount::named("a1".parse()?))),
         };
         let started = self.now();
         let actions = self.followers[0].accepted(&change);
--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -19,6 +19,17 @@
 /// Disadvantage of an instance in another zone.
 const OTHER_ZONE: f64 = 0.02;
 
+/// What a request asks of the instance chosen for it.
+#[derive(Debug, Clone, Copy)]
+pub struct PickWish<'a> {
+    /// The service's floor.
+    pub floor: Percent,
+    /// Instances that the request has been to.
+    pub tried: &'a [InstanceId],
+    /// Whether it may be repeated.
+    pub idempotent: bool,
+}
+
 /// Chooses the least busy instance among those that may take work.
 ///
 /// Instances of like load take turns, those of the own zone somewhat more often.
@@ -39,8 +50,6 @@
     }
 
     /// Chooses an instance that was not `tried`; none when no instance may take work.
-    ///
-    /// A request that is not idempotent goes to instances in full health where there are any.
     pub fn pick(
         &mut self,
         records: &[InstanceRecord],
@@ -50,18 +59,38 @@
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Option<InstanceId> {
-        let mut candidates = self.candidates(records, floor, tried, now);
-        if !idempotent && candidates.iter().any(is_proved) {
+        let wish = PickWish {
+            floor,
+            tried,
+            idempotent,
+        };
+        let chosen = self.choose(records, &wish, now, rng)?;
+        Some(records[chosen.index].instance.clone())
+    }
+
+    /// Chooses an instance; none when no instance may take work.
+    ///
+    /// A request that is not idempotent, or that failed once already, goes to instances in full
+    /// health where there are any.
+    pub fn choose(
+        &mut self,
+        records: &[InstanceRecord],
+        wish: &PickWish<'_>,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Option<AdmittedInstance> {
+        let mut candidates = self.candidates(records, wish.floor, wish.tried, now);
+        let needs_proof = !wish.idempotent || !wish.tried.is_empty();
+        if needs_proof && candidates.iter().any(is_proved) {
             candidates.retain(is_proved);
         }
         let drawn = draw(&candidates, records, rng)?;
-        let index = if drawn.share < Percent::FULL {
-            drawn.index
-        } else {
-            candidates.retain(|entry| entry.share == Percent::FULL);
-            self.least_busy(&candidates, records, now, rng)?
-        };
-        Some(records[index].instance.clone())
+        if drawn.share < Percent::FULL {
+            return Some(drawn);
+        }
+        candidates.retain(|entry| entry.share == Percent::FULL);
+        let index = self.least_busy(&candidates, records, now, rng)?;
+        candidates.into_iter().find(|entry| entry.index == index)
     }
 
     /// A request goes to the instance.
@@ -177,7 +206,7 @@
 
 /// Whether the instance is in full health.
 fn is_proved(entry: &AdmittedInstance) -> bool {
-    entry.share == Percent::FULL && !entry.is_forced
+    entry.share == Percent::FULL && !entry.is_forced && entry.is_trusted
 }
 
 /// Draws a candidate by slots and share, which gives each ramping one its part.
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,5 +4,7 @@
 mod known_instance;
 mod load_estimate;
 mod path_state;
+mod split_turn;
 
-pub use instance_picker::InstancePicker;
+pub use instance_picker::{InstancePicker, PickWish};
+pub use split_turn::SplitTurn;
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -4,8 +4,10 @@
     AccountTable, CatalogError, ConfigAction, ConfigChange, KeyLookup, KeyTable, RouteTable,
 };
 use crate::hash::FastMap;
-use crate::ids::{AccountId, Revision, RouteId, ServiceId};
-use crate::resource::{ConfigResource, KeyHash, RateLimit, ServiceRoute, ServiceSpec};
+use crate::ids::{AccountId, HostName, Revision, RouteId, ServiceId};
+use crate::resource::{
+    ClientAccount, ConfigResource, KeyHash, RateLimit, ServiceRoute, ServiceSpec,
+};
 use crate::wire::SnapshotItem;
 
 /// What refers to a client account.
@@ -24,6 +26,8 @@
 pub struct Catalog {
     revision: Revision,
     accounts: AccountTable,
+    /// Those few accounts that say more than their name.
+    account_rules: FastMap<AccountId, ClientAccount>,
     keys: KeyTable,
     routes: RouteTable,
     services: FastMap<ServiceId, ServiceSpec>,
@@ -86,10 +90,23 @@
         }
     }
 
-    /// The route of `path`, by its longest prefix of whole segments.
+    /// The route of `path` at any host, by its longest prefix of whole segments.
     #[must_use]
     pub fn route_for(&self, path: &str) -> Option<&ServiceRoute> {
-        self.routes.find(path)
+        self.routes.find(None, path)
+    }
+
+    /// The route of `path` at `host`, by its longest prefix.
+    #[must_use]
+    pub fn route_at(&self, host: Option<&HostName>, path: &str) -> Option<&ServiceRoute> {
+        self.routes.find(host, path)
+    }
+
+    /// What the operators say of `account`.
+    #[must_use]
+    pub fn account(&self, account: &AccountId) -> ClientAccount {
+        let known = self.account_rules.get(account).cloned();
+        known.unwrap_or_else(|| ClientAccount::named(account.clone()))
     }
 
     /// The rate limit of `account`, put together from the packed table.
@@ -114,10 +131,14 @@
         self.routes.iter()
     }
 
-    /// The route that has exactly `prefix`.
+    /// The route of `host` that has exactly `prefix`.
     #[must_use]
-    pub fn route_with_prefix(&self, prefix: &str) -> Option<&ServiceRoute> {
-        self.routes.with_prefix(prefix)
+    pub fn route_with_prefix(
+        &self,
+        host: Option<&HostName>,
+        prefix: &str,
+    ) -> Option<&ServiceRoute> {
+        self.routes.with_prefix(host, prefix)
     }
 
     /// What refers to `account`.
@@ -161,7 +182,7 @@
             SnapshotItem::Service(service) => self.put(ConfigResource::Service(service)),
             SnapshotItem::Route(route) => self.put(ConfigResource::Route(route)),
             SnapshotItem::Account(account, rate) => {
-                self.accounts.intern(&account);
+                self.put(ConfigResource::Account(account));
                 if let Some(limit) = rate {
                     self.accounts.set_rate(&limit);
                 }
@@ -188,6 +209,11 @@
         match resource {
             ConfigResource::Account(account) => {
                 self.accounts.intern(&account.id);
+                if account == ClientAccount::named(account.id.clone()) {
+                    self.account_rules.remove(&account.id);
+                } else {
+                    self.account_rules.insert(account.id.clone(), account);
+                }
             }
             ConfigResource::Key(key) => {
                 let number = self.accounts.intern(&key.account);
@@ -203,7 +229,10 @@
 
     fn remove(&mut self, resource: &ConfigResource) {
         match resource {
-            ConfigResource::Account(account) => self.accounts.remove(&account.id),
+            ConfigResource::Account(account) => {
+                self.accounts.remove(&account.id);
+                self.account_rules.remove(&account.id);
+            }
             ConfigResource::Key(key) => self.keys.remove(&key.hash),
             ConfigResource::Rate(limit) => self.accounts.clear_rate(&limit.account),
             ConfigResource::Route(route) => self.routes.remove(&route.id),
--- a/src/config/catalog_pages.rs
+++ b/src/config/catalog_pages.rs
@@ -48,7 +48,7 @@
     };
     let items = found
         .into_iter()
-        .map(|(account, rate)| SnapshotItem::Account(account, rate));
+        .map(|(account, rate)| SnapshotItem::Account(catalog.account(&account), rate));
     let next = SnapshotPart::Accounts(start.saturating_add(ACCOUNTS_A_PAGE));
     (items.collect(), Some(next))
 }
--- a/src/config/change_attempt.rs
+++ b/src/config/change_attempt.rs
@@ -18,7 +18,7 @@
     /// Sends the transaction, then calls `commit_ended`.
     Commit(Transaction),
     /// Answers the operator; the change is applied here if there is one.
-    Finish(ChangeOutcome, Option<ConfigChange>),
+    Finish(ChangeOutcome, Option<Box<ConfigChange>>),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -209,6 +209,6 @@
 
     fn finish(&mut self, outcome: ChangeOutcome, change: Option<ConfigChange>) -> AttemptAction {
         self.step = AttemptStep::Done;
-        AttemptAction::Finish(outcome, change)
+        AttemptAction::Finish(outcome, change.map(Box::new))
     }
 }
--- a/src/config/change_planner.rs
+++ b/src/config/change_planner.rs
@@ -110,13 +110,15 @@
             name.clone(),
             "a key is issued once and then only withdrawn",
         )),
-        (ConfigResource::Route(route), _) => match catalog.route_with_prefix(&route.prefix) {
-            Some(other) if other.id != route.id => Err(ChangeRefusal::PrefixTaken(
-                route.prefix.clone(),
-                other.id.to_string(),
-            )),
-            _ => Ok(()),
-        },
+        (ConfigResource::Route(route), _) => {
+            match catalog.route_with_prefix(route.rules.host.as_ref(), &route.prefix) {
+                Some(other) if other.id != route.id => Err(ChangeRefusal::PrefixTaken(
+                    route.prefix.clone(),
+                    other.id.to_string(),
+                )),
+                _ => Ok(()),
+            }
+        }
         _ => Ok(()),
     }
 }
--- a/src/config/config_follower.rs
+++ b/src/config/config_follower.rs
@@ -74,7 +74,31 @@
         if !self.is_loaded {
             return Freshness::Stale;
         }
-        self.lease.freshness(now, self.catalog.revision())
+        match self.lease.freshness(now, self.catalog.revision()) {
+            // Operators of a document write to its store, which others may reach all the while.
+            Freshness::Outage if self.rules.is_document => Freshness::Stale,
+            freshness => freshness,
+        }
+    }
+
+    /// How long a confirmation is good for.
+    #[must_use]
+    pub const fn lease_span(&self) -> Duration {
+        self.rules.lease
+    }
+
+    /// Whether the configuration is one document in a store.
+    #[must_use]
+    pub const fn follows_document(&self) -> bool {
+        self.rules.is_document
+    }
+
+    /// Takes note that what is in force was the newest at `time`.
+    pub fn confirm(&mut self, time: MonoTime, now: MonoTime) {
+        let revision = self.catalog.revision();
+        if self.is_loaded && time <= now {
+            self.lease.confirm(revision, time, revision);
+        }
     }
 
     /// The evidence behind it.
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -7,8 +7,9 @@
 
 use crate::config::config_driver::ConfigDriver;
 use crate::config::{
-    AttemptAction, Catalog, ChangeAttempt, ChangeOutcome, ChangeRequest, ConfigChange,
-    ConfigFollower, ConfigStore, FeedError, FollowerRules, InForce, MOST_ANSWERED, in_force,
+    AttemptAction, Catalog, ChangeAttempt, ChangeOutcome, ChangeRequest, ConfigChange, ConfigFeed,
+    ConfigFollower, ConfigStore, FeedError, FollowerRules, InForce, MOST_ANSWERED, document_task,
+    in_force,
 };
 use crate::ids::{DaemonId, Revision};
 use crate::logs::part;
@@ -48,14 +49,27 @@
     #[must_use]
     pub fn spawn(sources: ConfigSources) -> Self {
         let rules = FollowerRules::of_settings(&sources.settings);
+        let driver = Self::driver(sources, rules);
+        actix_rt::spawn(Rc::clone(&driver).run());
+        Self { driver }
+    }
+
+    /// Starts to follow a configuration that is one document.
+    #[must_use]
+    pub fn spawn_document(sources: ConfigSources, feed: Rc<dyn ConfigFeed>) -> Self {
+        let rules = FollowerRules::of_document(&sources.settings);
+        let driver = Self::driver(sources, rules);
+        actix_rt::spawn(document_task::run(Rc::clone(&driver), feed));
+        Self { driver }
+    }
+
+    fn driver(sources: ConfigSources, rules: FollowerRules) -> Rc<ConfigDriver> {
         let follower = ConfigFollower::open(rules, fastrand::u64(..), sources.clock.now());
-        let driver = Rc::new(ConfigDriver {
+        Rc::new(ConfigDriver {
             store: ConfigStore::open(Rc::clone(&sources.platform)),
             sources,
             follower: RefCell::new(follower),
-        });
-        actix_rt::spawn(Rc::clone(&driver).run());
-        Self { driver }
+        })
     }
 
     /// The catalog in force; never held across an await.
@@ -84,6 +98,9 @@
 
     /// Takes note that the peer at `from` has `revision`.
     pub fn heard(&self, revision: Revision, from: SocketAddr) {
+        if self.driver.follower.borrow().follows_document() {
+            return;
+        }
         let actions = self.driver.follower.borrow_mut().heard(revision, from);
         self.driver.start(actions);
     }
--- /dev/null
+++ b/src/config/document_task.rs
@@ -0,0 +1,82 @@
+//! Drives a `DocumentFollower`.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use crate::config::config_driver::ConfigDriver;
+use crate::config::document_follower::replaces;
+use crate::config::{
+    Catalog, ConfigDocument, ConfigFeed, DocumentFollower, FeedAnswer, FollowFinding, FollowStep,
+};
+use crate::logs::part;
+use crate::platform::PlatformError;
+use crate::time::MonoTime;
+
+/// Follows `feed` for as long as the daemon runs.
+pub(super) async fn run(driver: Rc<ConfigDriver>, feed: Rc<dyn ConfigFeed>) {
+    let clock = driver.sources.clock;
+    let lease = driver.follower.borrow().lease_span();
+    let follower = RefCell::new(DocumentFollower::open(lease, clock.now()));
+    let mut rng = fastrand::Rng::new();
+    loop {
+        let sent = clock.now();
+        let step = follower.borrow().next(sent);
+        let answer = match step {
+            FollowStep::Pause(until) => {
+                actix_rt::time::sleep(until.remaining(sent)).await;
+                continue;
+            }
+            FollowStep::Read => feed.read().await.map(FeedAnswer::Reading),
+            FollowStep::Follow(position, wait) => feed.follow(position, wait).await,
+        };
+        let failures = follower.borrow().failures();
+        log_answer(&answer, failures);
+        let now = clock.now();
+        let finding = follower.borrow_mut().answered(sent, now, answer, &mut rng);
+        if let Some(finding) = finding {
+            take(&driver, finding, now);
+        }
+    }
+}
+
+/// One line when the store is lost, and one when it is back.
+fn log_answer(answer: &Result<FeedAnswer, PlatformError>, failures: u32) {
+    match answer {
+        Err(cause) if failures == 0 => {
+            log::warn!(target: part::CONFIG, cause:%; "Configuration store does not answer.");
+        }
+        Ok(FeedAnswer::Reading(_)) if failures > 0 => {
+            log::info!(target: part::CONFIG, failures; "Configuration store answers again.");
+        }
+        Ok(FeedAnswer::HistoryLost) => {
+            log::info!(target: part::CONFIG, "Configuration store lost its history, reading anew.");
+        }
+        Ok(FeedAnswer::Reading(_)) | Err(_) => {}
+    }
+}
+
+fn take(driver: &ConfigDriver, finding: FollowFinding, now: MonoTime) {
+    if let Some(cause) = finding.unusable {
+        log::error!(target: part::CONFIG, cause; "New configuration cannot be used, the one before stays in force.");
+    }
+    if let Some(document) = finding.document {
+        put_in_force(driver, document);
+    }
+    if let Some(time) = finding.confirmed {
+        driver.follower.borrow_mut().confirm(time, now);
+    }
+}
+
+fn put_in_force(driver: &ConfigDriver, document: ConfigDocument) {
+    let mut follower = driver.follower.borrow_mut();
+    let have = follower.is_loaded().then(|| follower.catalog().revision());
+    let revision = document.revision;
+    if !replaces(revision, have) {
+        log::debug!(target: part::CONFIG, revision:%; "Configuration is not newer, dropped.");
+        return;
+    }
+    let catalog = Catalog::of_resources(revision, document.resources);
+    let [accounts, keys, routes, services] = catalog.counts();
+    follower.snapshot_read(Some(catalog));
+    log::info!(target: part::CONFIG, revision:%, accounts, keys, routes, services; "Configuration in force.");
+}
--- a/src/config/follower_rules.rs
+++ b/src/config/follower_rules.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::limits::clock_margin;
 use crate::settings::PlatformSettings;
 
 const LEAST_POLL: Duration = Duration::from_secs(1);
@@ -15,6 +16,8 @@
     pub ask_pause: Duration,
     /// Reads of the head that the whole fleet makes in a second.
     pub polls_per_second: u32,
+    /// Whether the configuration is one document, which only its store confirms.
+    pub is_document: bool,
 }
 
 impl FollowerRules {
@@ -25,6 +28,17 @@
             lease: settings.freshness.get(),
             ask_pause: Duration::from_secs(1),
             polls_per_second: settings.head_polls_per_second.max(1),
+            is_document: false,
+        }
+    }
+
+    /// The rules for a configuration that is one document.
+    #[must_use]
+    pub fn of_document(settings: &PlatformSettings) -> Self {
+        Self {
+            lease: clock_margin::shortened(settings.freshness.get()),
+            is_document: true,
+            ..Self::of_settings(settings)
         }
     }
 
--- a/src/config/path_segments.rs
+++ b/src/config/path_segments.rs
@@ -16,15 +16,18 @@
     segment.is_empty() || matches!(segment.replace("%2e", ".").as_str(), "." | "..")
 }
 
-/// The prefixes of `path` by whole segments, the longest first, ending with `/`.
+/// The prefixes of `path`, the longest first, ending with `/`.
+///
+/// One that ends with a slash stands for what lies below it alone, one without for its whole
+/// segment as well.
 pub(super) fn prefixes(path: &str, most_bytes: usize) -> impl Iterator<Item = &str> {
-    let whole = Some(path).filter(|path| path.len() <= most_bytes && *path != "/");
+    let whole = Some(path).filter(|path| path.len() <= most_bytes && !path.ends_with('/'));
     let cut = path.len().min(most_bytes.saturating_add(1));
     let shorter = path.as_bytes()[..cut]
         .iter()
         .enumerate()
         .rev()
         .filter(|(index, byte)| **byte == b'/' && *index > 0)
-        .map(|(index, _)| &path[..index]);
+        .flat_map(|(index, _)| [&path[..=index], &path[..index]]);
     whole.into_iter().chain(shorter).chain(Some("/"))
 }
--- a/src/config/resource_rules.rs
+++ b/src/config/resource_rules.rs
@@ -55,6 +55,6 @@
                 "name at most 1000, or open the route to all",
             ))
         }
-        RouteAccess::Accounts(_) | RouteAccess::All => Ok(()),
+        RouteAccess::Accounts(_) | RouteAccess::All | RouteAccess::Public => Ok(()),
     }
 }
--- a/src/config/route_table.rs
+++ b/src/config/route_table.rs
@@ -1,4 +1,4 @@
-//! Routes by name and by prefix.
+//! Routes by name, and by host and prefix.
 
 use std::hash::BuildHasher;
 
@@ -6,7 +6,7 @@
 use hashbrown::HashTable;
 
 use crate::config::path_segments;
-use crate::ids::{AccountId, RouteId, ServiceId};
+use crate::ids::{AccountId, HostName, RouteId, ServiceId};
 use crate::resource::{RouteAccess, ServiceRoute};
 
 /// Finds the route of a path with one look-up per segment.
@@ -25,13 +25,12 @@
     pub fn insert(&mut self, route: ServiceRoute) {
         self.remove(&route.id);
         self.longest_bytes = self.longest_bytes.max(route.prefix.len());
-        let (by_prefix, by_id) = (self.prefix_hash(&route.prefix), self.id_hash(&route.id));
+        let by_prefix = self.prefix_hash(route.rules.host.as_ref(), &route.prefix);
+        let by_id = self.id_hash(&route.id);
         let place = self.place(route);
         let (places, hasher) = (&self.places, &self.hasher);
         self.by_prefix.insert_unique(by_prefix, place, |other| {
-            hash_at(places, *other, |route| {
-                hasher.hash_one(route.prefix.as_str())
-            })
+            hash_at(places, *other, |route| prefix_key_hash(hasher, route))
         });
         self.by_id.insert_unique(by_id, place, |other| {
             hash_at(places, *other, |route| hasher.hash_one(route.id.as_str()))
@@ -48,10 +47,7 @@
         };
         let hashes = [
             (self.id_hash(id), &mut self.by_id),
-            (
-                self.hasher.hash_one(route.prefix.as_str()),
-                &mut self.by_prefix,
-            ),
+            (prefix_key_hash(&self.hasher, &route), &mut self.by_prefix),
         ];
         for (hash, index) in hashes {
             if let Ok(entry) = index.find_entry(hash, |other| *other == place) {
@@ -61,25 +57,39 @@
         self.free.push(place);
     }
 
-    /// The route with the longest prefix of whole segments of `path`; a query is ignored.
+    /// The route with the longest prefix of `path`; a query is ignored.
     ///
-    /// A path that a backend server could read as another one has no route.
+    /// Routes of the request's host go before those of any host. A path that a backend server
+    /// could read as another one has no route of any host; a host's routes take paths literally.
     #[must_use]
-    pub fn find(&self, path: &str) -> Option<&ServiceRoute> {
+    pub fn find(&self, host: Option<&HostName>, path: &str) -> Option<&ServiceRoute> {
         let path = path.split(['?', '#']).next().unwrap_or(path);
-        if !path.starts_with('/') || path_segments::is_ambiguous(path) {
+        if !path.starts_with('/') {
             return None;
         }
-        path_segments::prefixes(path, self.longest_bytes)
-            .find_map(|prefix| self.with_prefix(prefix))
+        let longest = |host: Option<&HostName>| {
+            path_segments::prefixes(path, self.longest_bytes)
+                .find_map(|prefix| self.with_prefix(host, prefix))
+        };
+        if let Some(route) = host.and_then(|host| longest(Some(host))) {
+            return Some(route);
+        }
+        if path_segments::is_ambiguous(path) {
+            return None;
+        }
+        longest(None)
     }
 
-    /// The route that has `prefix`.
+    /// The route of `host` that has `prefix`.
     #[must_use]
-    pub fn with_prefix(&self, prefix: &str) -> Option<&ServiceRoute> {
-        let place = self.by_prefix.find(self.prefix_hash(prefix), |place| {
-            self.at(*place).is_some_and(|route| route.prefix == prefix)
-        })?;
+    pub fn with_prefix(&self, host: Option<&HostName>, prefix: &str) -> Option<&ServiceRoute> {
+        let place = self
+            .by_prefix
+            .find(self.prefix_hash(host, prefix), |place| {
+                self.at(*place).is_some_and(|route| {
+                    route.prefix == prefix && route.rules.host.as_ref() == host
+                })
+            })?;
         self.at(*place)
     }
 
@@ -118,7 +128,7 @@
     #[must_use]
     pub fn of_account(&self, account: &AccountId) -> Vec<RouteId> {
         self.names(|route| match &route.access {
-            RouteAccess::All => false,
+            RouteAccess::All | RouteAccess::Public => false,
             RouteAccess::Accounts(named) => named.contains(account),
         })
     }
@@ -151,8 +161,8 @@
         self.places.get(place as usize)?.as_ref()
     }
 
-    fn prefix_hash(&self, prefix: &str) -> u64 {
-        self.hasher.hash_one(prefix)
+    fn prefix_hash(&self, host: Option<&HostName>, prefix: &str) -> u64 {
+        self.hasher.hash_one((host.map(HostName::as_str), prefix))
     }
 
     fn id_hash(&self, id: &RouteId) -> u64 {
@@ -160,6 +170,11 @@
     }
 }
 
+fn prefix_key_hash(hasher: &RandomState, route: &ServiceRoute) -> u64 {
+    let host = route.rules.host.as_ref().map(HostName::as_str);
+    hasher.hash_one((host, route.prefix.as_str()))
+}
+
 fn hash_at(
     places: &[Option<ServiceRoute>],
     place: u32,
--- a/src/daemon/daemon_parts.rs
+++ b/src/daemon/daemon_parts.rs
@@ -7,8 +7,10 @@
 
 use crate::admin::{AdminServer, AdminSources};
 use crate::config::{ConfigHandle, ConfigSources};
+use crate::daemon::DaemonEdges;
 use crate::daemon::daemon_view::DaemonView;
-use crate::egress::{EgressHandle, EgressSources};
+use crate::egress::{ClientRules, EgressHandle, EgressSources};
+use crate::http::HeaderRules;
 use crate::ids::{BootId, Incarnation};
 use crate::ingress::{IngressHandle, IngressSources};
 use crate::instances::{AnnounceServer, AnnounceSources, LocalInstance};
@@ -16,7 +18,7 @@
 use crate::members::{MemberSources, MembersHandle};
 use crate::metrics::MetricsExport;
 use crate::peers::{FleetKey, PeerPool};
-use crate::platform::{HttpPlatform, PlatformService};
+use crate::platform::PlatformService;
 use crate::settings::DaemonSettings;
 use crate::time::ProcessClock;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord};
@@ -27,14 +29,16 @@
     pub(crate) clock: ProcessClock,
     pub(crate) key: FleetKey,
     pub(crate) stopping: Rc<Cell<bool>>,
+    headers: Rc<HeaderRules>,
     peers: PeerPool,
     platform: Rc<dyn PlatformService>,
+    edges: DaemonEdges,
     members: Rc<OnceCell<MembersHandle>>,
     announce: Rc<OnceCell<Rc<AnnounceServer>>>,
 }
 
 impl DaemonParts {
-    pub(crate) fn open(settings: &DaemonSettings) -> Self {
+    pub(crate) fn open(settings: &DaemonSettings, edges: DaemonEdges) -> Self {
         let key = FleetKey::open(&settings.fleet_secret);
         Self {
             boot: BootId(fastrand::u64(1..)),
@@ -42,7 +46,9 @@
             peers: PeerPool::open(key.clone()),
             key,
             stopping: Rc::default(),
-            platform: Rc::new(HttpPlatform::open(&settings.platform)),
+            headers: Rc::new(HeaderRules::open(&settings.headers)),
+            platform: Rc::clone(&edges.platform),
+            edges,
             members: Rc::default(),
             announce: Rc::default(),
         }
@@ -51,14 +57,18 @@
     pub(crate) fn spawn_config(&self, settings: &DaemonSettings) -> ConfigHandle {
         let members = Rc::clone(&self.members);
         let own = settings.listen.peers;
-        ConfigHandle::spawn(ConfigSources {
+        let sources = ConfigSources {
             settings: settings.platform.clone(),
             daemon: settings.daemon.clone(),
             clock: self.clock,
             peers: self.peers.clone(),
             platform: Rc::clone(&self.platform),
             peer_addresses: Rc::new(move || other_addresses(&members, own)),
-        })
+        };
+        match &self.edges.document {
+            Some(feed) => ConfigHandle::spawn_document(sources, Rc::clone(feed)),
+            None => ConfigHandle::spawn(sources),
+        }
     }
 
     pub(crate) async fn spawn_members(
@@ -128,6 +138,7 @@
         };
         EgressHandle::spawn(EgressSources {
             clock: self.clock,
+            rules: ClientRules::open(Rc::clone(&self.headers), &settings.proxy),
             hold: settings.proxy.slot_hold.get(),
             spec_of: Rc::new(move |service| config.catalog().service(service).cloned()),
             records_of: Rc::new(move |service| records.instances_of(service)),
@@ -153,6 +164,7 @@
         let stopping = Rc::clone(&self.stopping);
         let server = AnnounceServer::bind(AnnounceSources {
             address,
+            reader: Rc::clone(&self.edges.announcements),
             clock: self.clock,
             on_change: Rc::new(move |local| egress.announce(&local)),
             is_stopping: Rc::new(move || stopping.get()),
@@ -178,6 +190,8 @@
             clock: self.clock,
             boot: self.boot,
             zone: settings.zone.clone(),
+            service: settings.service.clone(),
+            headers: Rc::clone(&self.headers),
             proxy: settings.proxy.clone(),
             baseline: settings.baseline,
             peers: self.peers.clone(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon: its command line and how its parts are wired together.
 
 mod command_line;
+mod daemon_edges;
 mod daemon_handle;
 mod daemon_parts;
 mod daemon_view;
@@ -8,5 +9,6 @@
 mod run;
 
 pub use command_line::CommandLine;
+pub use daemon_edges::DaemonEdges;
 pub use daemon_handle::DaemonHandle;
-pub use run::run;
+pub use run::{run, run_with};
--- a/src/daemon/peer_calls.rs
+++ b/src/daemon/peer_calls.rs
@@ -40,7 +40,7 @@
 impl CallParts {
     async fn serve(self, opening: PeerOpening, mut stream: PeerStream) {
         let call = match opening {
-            PeerOpening::Request(offer) => return self.egress.serve(offer, stream).await,
+            PeerOpening::Request(offer) => return self.egress.serve(*offer, stream).await,
             PeerOpening::Call(call) => call,
         };
         let reply = self.reply(call).await;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -4,14 +4,23 @@
 use std::pin::pin;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::daemon::{CommandLine, DaemonHandle};
+use crate::daemon::{CommandLine, DaemonEdges, DaemonHandle};
 use crate::exit::ExitStatus;
 use crate::logs;
 use crate::settings::DaemonSettings;
 
-/// Runs the daemon that the command line names.
+/// Runs the daemon that the command line names, with the project's own protocols.
 #[must_use]
 pub fn run(line: &CommandLine) -> ExitStatus {
+    run_with(line, DaemonEdges::open)
+}
+
+/// Runs the daemon that the command line names, with other edges.
+#[must_use]
+pub fn run_with(
+    line: &CommandLine,
+    edges: impl FnOnce(&DaemonSettings) -> DaemonEdges,
+) -> ExitStatus {
     let settings = match DaemonSettings::open(&line.config) {
         Ok(settings) => settings,
         Err(error) => return fail(&error.to_string()),
@@ -19,10 +28,13 @@
     if let Err(error) = logs::open(settings.log_level) {
         return fail(&error.to_string());
     }
-    actix_rt::System::new().block_on(serve(settings))
+    actix_rt::System::new().block_on(async {
+        let edges = edges(&settings);
+        serve(settings, edges).await
+    })
 }
 
-async fn serve(settings: DaemonSettings) -> ExitStatus {
+async fn serve(settings: DaemonSettings, edges: DaemonEdges) -> ExitStatus {
     let (terminate, interrupt) = match (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -30,7 +42,7 @@
         (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
         (Err(error), _) | (_, Err(error)) => return fail(&error.to_string()),
     };
-    let daemon = match DaemonHandle::open(settings).await {
+    let daemon = match DaemonHandle::open(settings, edges).await {
         Ok(daemon) => daemon,
         Err(error) => return fail(&error.to_string()),
     };
--- a/src/egress/backend_answer.rs
+++ b/src/egress/backend_answer.rs
@@ -4,36 +4,43 @@
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use bytes::Bytes;
 
+use crate::egress::backend_client::ClientRules;
 use crate::egress::backend_connection::{AnswerRest, BackendConnection};
-use crate::ingress::header_rules::{self, REQUEST_HEADER};
 use crate::wire::{AnswerHead, FailureCause, LoadFigure, RequestOffer};
 
+/// Whether an answer is to another request than `name`: a second or late one.
+pub(crate) fn is_foreign(head: &ResponseHead, rules: &ClientRules, name: &str) -> bool {
+    let echoed = head.headers().get(rules.headers.request());
+    echoed.is_some_and(|echoed| echoed.as_bytes() != name.as_bytes())
+}
+
 /// The head of an answer and what follows it.
 pub struct BackendAnswer {
     /// The head.
     pub head: AnswerHead,
+    /// Whether the backend server says that it did not run the request.
+    pub is_not_run: bool,
     rest: AnswerRest,
     received: u64,
 }
 
 impl BackendAnswer {
-    /// The answer to `offer`, which went out under `name`.
+    /// The answer to `offer`.
     ///
     /// # Errors
-    /// `FailureCause::BadAnswer` when it names another request, or does not mark its end: an
-    /// answer that only ends with its connection cannot be told from a cut one.
+    /// `FailureCause::BadAnswer` when it does not mark its end, unless the rules accept that: an
+    /// answer that only ends with its connection is hard to tell from a cut one.
     pub(crate) fn open(
         head: &ResponseHead,
         rest: AnswerRest,
         offer: &RequestOffer,
-        name: &str,
+        rules: &ClientRules,
     ) -> Result<Self, FailureCause> {
         let headers = head.headers();
-        let echoed = headers.get(REQUEST_HEADER);
-        let is_crossed = echoed.is_some_and(|echoed| echoed.as_bytes() != name.as_bytes());
-        if is_crossed || !marks_end(head, &offer.method) {
+        if !rules.accept_unframed && !marks_end(head, &offer.method) {
             return Err(FailureCause::BadAnswer);
         }
+        let is_not_run = rules.headers.says_not_run(head.status.as_u16(), headers);
         let named = headers.get(CONTENT_LENGTH);
         let length = match rest {
             AnswerRest::Nothing(_) => Some(0),
@@ -41,12 +48,13 @@
         };
         let head = AnswerHead {
             status: head.status.as_u16(),
-            headers: header_rules::crossing(headers),
+            headers: rules.headers.crossing(headers),
             length,
             load: LoadFigure::default(),
         };
         Ok(Self {
             head,
+            is_not_run,
             rest,
             received: 0,
         })
--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -1,6 +1,6 @@
 //! The HTTP client towards the instances beside the daemon.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,24 +8,55 @@
 use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Uri};
 
-use crate::egress::backend_answer::BackendAnswer;
-use crate::egress::backend_connection::BackendConnection;
+use crate::egress::backend_answer::{self, BackendAnswer};
+use crate::egress::backend_connection::{AnswerRest, BackendConnection};
 use crate::hash::FastMap;
-use crate::ingress::header_rules::{DEADLINE_HEADER, REQUEST_HEADER};
+use crate::http::HeaderRules;
+use crate::ids::{AccountId, ServiceId};
+use crate::logs::part;
+use crate::settings::ProxySettings;
 use crate::time::{Deadline, ProcessClock};
 use crate::verdict::Verdict;
 use crate::wire::{FailureCause, RequestOffer};
 
-/// Below the keep-alive of usual servers, so that a kept connection is not closed under a request.
+/// How long an idle connection is kept where the instance grants no time of its own: below the
+/// keep-alive of usual servers, so that it is not closed under a request.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// How long before the end of the time granted an idle connection is given up: a request on its
+/// way takes milliseconds, and instances count whole seconds.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Idle connections kept to one instance: more than any instance has slots to use them.
 const MAX_KEPT: usize = 16;
+/// Answers to other requests that are skipped on one connection before it is given up.
+const MAX_FOREIGN: usize = 4;
 
 type KeptConnections = FastMap<SocketAddr, Vec<(BackendConnection, Deadline)>>;
 
+/// How requests look to instances, and which answers count.
+#[derive(Debug, Clone, Default)]
+pub struct ClientRules {
+    /// Names of headers.
+    pub headers: Rc<HeaderRules>,
+    /// Whether an answer without a length may end with its connection.
+    pub accept_unframed: bool,
+}
+
+impl ClientRules {
+    /// The rules of the settings.
+    #[must_use]
+    pub fn open(headers: Rc<HeaderRules>, proxy: &ProxySettings) -> Self {
+        Self {
+            headers,
+            accept_unframed: proxy.accept_unframed,
+        }
+    }
+}
+
 /// Sends requests to instances; only connections that brought a whole answer are used again.
 #[derive(Clone)]
 pub struct BackendClient {
     clock: ProcessClock,
+    rules: ClientRules,
     kept: Rc<RefCell<KeptConnections>>,
 }
 
@@ -57,11 +88,18 @@
 }
 
 impl BackendClient {
-    /// Opens a client without connections.
+    /// Opens a client without connections that keeps to the usual rules.
     #[must_use]
     pub fn open(clock: ProcessClock) -> Self {
+        Self::open_with(clock, ClientRules::default())
+    }
+
+    /// Opens a client without connections that keeps to `rules`.
+    #[must_use]
+    pub fn open_with(clock: ProcessClock, rules: ClientRules) -> Self {
         Self {
             clock,
+            rules,
             kept: Rc::default(),
         }
     }
@@ -86,11 +124,17 @@
                 .map_err(|_| SendFailure::not_run(FailureCause::ConnectionLost))?,
         };
         let remaining = deadline.remaining(self.clock.now());
-        let exchange = exchange(connection, head, offer);
-        actix_rt::time::timeout(remaining, exchange)
+        let skipped = Cell::new(0);
+        let exchange = exchange(connection, head, offer, &self.rules, &skipped);
+        let result = actix_rt::time::timeout(remaining, exchange)
             .await
-            .unwrap_or(Err(FailureCause::Timeout))
-            .map_err(SendFailure::may_have_run)
+            .unwrap_or(Err(FailureCause::Timeout));
+        // Answers to other requests came instead, and none to this one.
+        let is_crossed = skipped.get() > 0;
+        result.map_err(|cause| match is_crossed {
+            true => SendFailure::may_have_run(FailureCause::BadAnswer),
+            false => SendFailure::may_have_run(cause),
+        })
     }
 
     /// Keeps the connection of a whole answer for the next request.
@@ -98,7 +142,11 @@
         let Some(connection) = answer.finish() else {
             return;
         };
-        let deadline = self.clock.now().after(KEEP_ALIVE);
+        let granted = connection
+            .keeps_for
+            .unwrap_or(KEEP_ALIVE + KEEP_ALIVE_MARGIN);
+        let idle = granted.saturating_sub(KEEP_ALIVE_MARGIN);
+        let deadline = self.clock.now().after(idle);
         let mut kept = self.kept.borrow_mut();
         let connections = kept.entry(address).or_default();
         if connections.len() < MAX_KEPT {
@@ -141,34 +189,66 @@
             head.headers
                 .append(name, HeaderValue::from_bytes(value).ok()?);
         }
-        let remaining = deadline.remaining(self.clock.now());
-        set(&mut head.headers, HOST, &address.to_string());
-        set(
-            &mut head.headers,
-            HeaderName::from_static(REQUEST_HEADER),
-            &request_name(offer),
-        );
-        let millis = remaining.as_millis().to_string();
-        set(
-            &mut head.headers,
-            HeaderName::from_static(DEADLINE_HEADER),
-            &millis,
-        );
+        let rules = &self.rules.headers;
+        let host = offer.host.as_ref().filter(|_| rules.keeps_host());
+        let own_host = address.to_string();
+        let millis = deadline.remaining(self.clock.now()).as_millis().to_string();
+        let headers = &mut head.headers;
+        set(headers, HOST, host.unwrap_or(&own_host));
+        set(headers, rules.request(), &offer.name);
+        set(headers, rules.deadline(), &millis);
+        let optional = [
+            (rules.expected_instance(), Some(offer.instance.as_str())),
+            (
+                rules.account(),
+                offer.holder.as_ref().map(AccountId::as_str),
+            ),
+            (rules.caller(), offer.caller.as_ref().map(ServiceId::as_str)),
+        ];
+        for (name, text) in optional {
+            if let (Some(name), Some(text)) = (name, text) {
+                set(headers, name, text);
+            }
+        }
         Some(head)
     }
 }
 
+/// Sends the request and receives the head of its answer; answers to other requests, which come
+/// late or twice, are skipped.
 async fn exchange(
     mut connection: BackendConnection,
     head: RequestHead,
     offer: &RequestOffer,
+    rules: &ClientRules,
+    skipped: &Cell<usize>,
 ) -> Result<BackendAnswer, FailureCause> {
     connection
         .send(head, &offer.body)
         .await
         .map_err(|_| FailureCause::ConnectionLost)?;
-    let (head, rest) = connection.receive().await?;
-    BackendAnswer::open(&head, rest, offer, &request_name(offer))
+    while skipped.get() < MAX_FOREIGN {
+        let (head, rest) = connection.receive().await?;
+        if !backend_answer::is_foreign(&head, rules, &offer.name) {
+            return BackendAnswer::open(&head, rest, offer, rules);
+        }
+        log::info!(target: part::EGRESS, request = offer.name, instance:% = offer.instance; "Answer to another request skipped.");
+        skipped.set(skipped.get() + 1);
+        connection = skip(rest).await?;
+    }
+    Err(FailureCause::BadAnswer)
+}
+
+/// Reads the rest of an answer that nobody waits for.
+async fn skip(rest: AnswerRest) -> Result<BackendConnection, FailureCause> {
+    let connection = match rest {
+        AnswerRest::Nothing(connection) => connection,
+        AnswerRest::Body(mut body) => {
+            while body.next().await?.is_some() {}
+            body.into_open()
+        }
+    };
+    connection.ok_or(FailureCause::BadAnswer)
 }
 
 fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
@@ -176,7 +256,3 @@
         headers.insert(name, value);
     }
 }
-
-fn request_name(offer: &RequestOffer) -> String {
-    format!("{}-{}", offer.boot, offer.request)
-}
--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -9,6 +9,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead};
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
@@ -24,6 +25,8 @@
     socket: TcpStream,
     buffer: BytesMut,
     codec: ClientCodec,
+    /// How long the instance keeps an idle connection, where it says so.
+    pub(crate) keeps_for: Option<Duration>,
 }
 
 /// A connection whose answer's body is still to come.
@@ -31,6 +34,9 @@
     socket: TcpStream,
     buffer: BytesMut,
     codec: ClientPayloadCodec,
+    keeps_for: Option<Duration>,
+    /// Whether the end of the connection is the end of the answer.
+    ends_with_connection: bool,
 }
 
 /// What follows an answer's head.
@@ -53,6 +59,7 @@
             socket,
             buffer: BytesMut::new(),
             codec: ClientCodec::default(),
+            keeps_for: None,
         })
     }
 
@@ -83,17 +90,23 @@
                 None => read_more(&mut self.socket, &mut self.buffer).await?,
             }
         };
+        self.keeps_for = keep_alive_of(&head);
         let rest = match self.codec.message_type() {
             MessageType::None => AnswerRest::Nothing(self.into_kept()),
-            MessageType::Payload | MessageType::Stream => AnswerRest::Body(BodyConnection {
-                socket: self.socket,
-                buffer: self.buffer,
-                codec: self.codec.into_payload_codec(),
-            }),
+            kind @ (MessageType::Payload | MessageType::Stream) => {
+                AnswerRest::Body(BodyConnection {
+                    keeps_for: self.keeps_for,
+                    ends_with_connection: matches!(kind, MessageType::Stream) && !is_framed(&head),
+                    socket: self.socket,
+                    buffer: self.buffer,
+                    codec: self.codec.into_payload_codec(),
+                })
+            }
         };
         Ok((head, rest))
     }
 
+    /// Itself, unless surplus bytes or the instance's word end it.
     fn into_kept(self) -> Option<Self> {
         let may_keep = self.codec.keep_alive() && self.buffer.is_empty();
         may_keep.then_some(self)
@@ -101,10 +114,14 @@
 }
 
 impl BodyConnection {
-    /// The next bytes of the body, or none at its marked end.
+    /// The next bytes of the body, or none at its end.
     ///
-    /// An answer that only ends with its connection cannot be told from a cut one.
+    /// An answer without a length ends when the instance closes the connection in good order; a
+    /// reset cuts it.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, FailureCause> {
+        if self.ends_with_connection {
+            return self.next_unframed().await;
+        }
         loop {
             let decoded = self.codec.decode(&mut self.buffer);
             match decoded.map_err(|_| FailureCause::BadAnswer)? {
@@ -114,17 +131,51 @@
         }
     }
 
-    /// The connection after the whole body, if it may be used again.
-    pub(crate) fn finish(self) -> Option<BackendConnection> {
-        let connection = BackendConnection {
+    async fn next_unframed(&mut self) -> Result<Option<Bytes>, FailureCause> {
+        if self.buffer.is_empty() {
+            match self.socket.read_buf(&mut self.buffer).await {
+                Ok(0) => return Ok(None),
+                Ok(_) => {}
+                Err(_) => return Err(FailureCause::ConnectionLost),
+            }
+        }
+        Ok(Some(self.buffer.split().freeze()))
+    }
+
+    /// The connection after a body that is over, whatever follows on it.
+    pub(crate) fn into_open(self) -> Option<BackendConnection> {
+        if self.ends_with_connection {
+            return None;
+        }
+        Some(BackendConnection {
             socket: self.socket,
             buffer: self.buffer,
             codec: self.codec.into_message_codec(),
-        };
-        connection.into_kept()
+            keeps_for: self.keeps_for,
+        })
+    }
+
+    /// The connection after the whole body, if it may be used again.
+    pub(crate) fn finish(self) -> Option<BackendConnection> {
+        self.into_open()?.into_kept()
     }
 }
 
+/// The idle time that the instance grants, from its `Keep-Alive` header in whole seconds.
+fn keep_alive_of(head: &ResponseHead) -> Option<Duration> {
+    let value = head.headers().get("keep-alive")?.to_str().ok()?;
+    let parts = value.split(',').map(str::trim);
+    let timeout = parts
+        .filter_map(|part| part.strip_prefix("timeout="))
+        .next()?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
+
+fn is_framed(head: &ResponseHead) -> bool {
+    let headers = head.headers();
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 async fn read_more(socket: &mut TcpStream, buffer: &mut BytesMut) -> Result<(), FailureCause> {
     match socket.read_buf(buffer).await {
         Ok(0) | Err(_) => Err(FailureCause::ConnectionLost),
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -6,9 +6,9 @@
 
 use serde_json::json;
 
-use crate::egress::{BackendClient, InstanceGate, offer_task, probe_task};
+use crate::egress::{BackendClient, ClientRules, InstanceGate, offer_task, probe_task};
 use crate::hash::FastMap;
-use crate::health::{ServiceBaseline, ServiceSample};
+use crate::health::{HealthChange, ServiceBaseline, ServiceSample};
 use crate::ids::{InstanceId, ServiceId};
 use crate::instances::LocalInstance;
 use crate::logs::part;
@@ -33,6 +33,8 @@
 pub struct EgressSources {
     /// The process's clock.
     pub clock: ProcessClock,
+    /// How requests look to instances.
+    pub rules: ClientRules,
     /// How long a held slot waits for go.
     pub hold: Duration,
     /// How a service is configured.
@@ -64,7 +66,7 @@
     #[must_use]
     pub fn spawn(sources: EgressSources) -> Self {
         let handle = Self {
-            client: BackendClient::open(sources.clock),
+            client: BackendClient::open_with(sources.clock, sources.rules.clone()),
             sources,
             gates: Rc::default(),
             unknown: Rc::default(),
@@ -147,9 +149,34 @@
         let baseline = self.baseline(&gate.borrow().local().service);
         let now = self.sources.clock.now();
         let change = gate.borrow_mut().observe(sample, &baseline, now);
-        if change.is_some() {
-            self.publish_gate(gate);
-        }
+        self.tell_health(gate, change, sample.outcome);
+    }
+
+    /// Tells the fleet of a change of health, and the log why.
+    pub(crate) fn tell_health(
+        &self,
+        gate: &SharedGate,
+        change: Option<HealthChange>,
+        outcome: impl std::fmt::Debug,
+    ) -> bool {
+        let news = gate.borrow_mut().health_news();
+        let Some((before, after)) = news else {
+            return false;
+        };
+        let load = gate.borrow().load();
+        log::info!(
+            target: part::HEALTH,
+            instance:% = gate.borrow().local().instance,
+            before:?,
+            after:?,
+            cause:? = change.map(|change| change.cause),
+            outcome:?,
+            in_use = load.in_use,
+            queued = load.queued;
+            "Health changed."
+        );
+        self.publish_gate(gate);
+        true
     }
 
     pub(crate) fn publish_gate(&self, gate: &SharedGate) {
@@ -172,7 +199,7 @@
         let (state, median) = match self.gate(&local.instance) {
             Some(gate) => {
                 let mut gate = gate.borrow_mut();
-                (gate.health().state(), gate.health().median())
+                (gate.health().published(), gate.health().median())
             }
             None => (HealthState::Healthy, None),
         };
@@ -218,7 +245,7 @@
         let change = gate.borrow_mut().tick(&baseline, now);
         // The other egresses judge their instances against the medians that they hear.
         let has_moved = gate.borrow_mut().health().median_moved();
-        if change.is_some() || has_moved {
+        if !self.tell_health(gate, change, "none") && has_moved {
             self.publish_gate(gate);
         }
         if self.takes_work(gate) && gate.borrow_mut().health().probe_due(now) {
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -11,11 +11,15 @@
 use crate::egress::probe_task::{outcome_of_failure, outcome_of_status};
 use crate::egress::{BackendAnswer, EgressHandle, SendFailure, SlotGuard};
 use crate::health::{SampleOutcome, ServiceSample};
+use crate::logs::part;
 use crate::peers::{PeerError, PeerReceiver, PeerSender};
 use crate::time::{Deadline, MonoTime, ProcessClock};
 use crate::verdict::Verdict;
 use crate::wire::{EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer};
 
+/// HTTP's status for a request that reached the wrong server.
+const MISDIRECTED: u16 = 421;
+
 /// A request that holds its slot and may run.
 pub(crate) struct ExecutionTask<'a> {
     pub(crate) egress: &'a EgressHandle,
@@ -33,6 +37,7 @@
         let start = guard.sent().unwrap_or_else(|| self.clock.now());
         match self.send_to_instance().await {
             None => Ok(()),
+            Some(Ok(answer)) if answer.is_not_run => self.refuse(answer, guard).await,
             Some(Ok(answer)) => self.pass_on(answer, start, guard).await,
             Some(Err(failure)) => {
                 self.observe(outcome_of_failure(failure.cause), start, Duration::ZERO);
@@ -54,6 +59,25 @@
         }
     }
 
+    /// The instance says that it did not run the request.
+    async fn refuse(
+        &mut self,
+        mut answer: BackendAnswer,
+        guard: SlotGuard,
+    ) -> Result<(), PeerError> {
+        let reason = match answer.head.status {
+            MISDIRECTED => RefusalReason::WrongInstance,
+            _ => RefusalReason::Shed,
+        };
+        self.observe(SampleOutcome::Shed, self.clock.now(), Duration::ZERO);
+        while let Ok(Some(_)) = self.next_chunk(&mut answer).await {}
+        drop(guard);
+        let address = self.gate.borrow().local().address;
+        self.egress.client.release(address, answer);
+        let load = self.gate.borrow().load();
+        refuse(&mut self.sender, reason, NOT_READY_RETRY, load).await
+    }
+
     async fn pass_on(
         &mut self,
         mut answer: BackendAnswer,
@@ -131,6 +155,17 @@
 
     fn observe(&self, outcome: SampleOutcome, start: MonoTime, blocked: Duration) {
         let total = self.clock.now().since(start);
+        log::debug!(
+            target: part::EGRESS,
+            request = self.offer.name,
+            instance:% = self.offer.instance,
+            class:% = self.offer.class,
+            outcome:?,
+            took_ms = total.as_millis(),
+            is_forced = self.offer.is_forced,
+            health:? = self.gate.borrow_mut().health().published();
+            "Request ended at its instance."
+        );
         let sample = ServiceSample {
             outcome,
             service_time: total.saturating_sub(blocked),
--- a/src/egress/instance_gate.rs
+++ b/src/egress/instance_gate.rs
@@ -12,7 +12,7 @@
 use crate::queue::{InstanceQueue, OfferOutcome, QueueAction, QueuedRequest, RequestKey};
 use crate::resource::ServiceSpec;
 use crate::time::MonoTime;
-use crate::wire::{InstancePhase, LoadFigure};
+use crate::wire::{HealthState, InstancePhase, LoadFigure};
 
 /// When to come back to a service of which an instance leaves.
 const LEAVING_RETRY: Duration = Duration::from_millis(100);
@@ -39,6 +39,8 @@
     local: LocalInstance,
     queue: InstanceQueue,
     health: InstanceHealth,
+    /// The state told last.
+    published: HealthState,
     waiting: FastMap<RequestKey, oneshot::Sender<QueueWord>>,
     running: FastMap<RequestKey, MonoTime>,
     probe_target: Option<String>,
@@ -48,9 +50,12 @@
     /// The gate of an instance that was just announced.
     #[must_use]
     pub fn open(local: LocalInstance, spec: &ServiceSpec, seed: u64) -> Self {
+        let mut health = InstanceHealth::open(seed);
+        health.set_recovery(spec.recovery);
         Self {
             queue: InstanceQueue::open(local.slots, spec.weights),
-            health: InstanceHealth::open(seed),
+            health,
+            published: HealthState::Healthy,
             local,
             waiting: FastMap::default(),
             running: FastMap::default(),
@@ -68,6 +73,7 @@
     /// and may go elsewhere.
     pub fn announce(&mut self, local: LocalInstance, spec: &ServiceSpec) {
         self.queue.resize(local.slots, spec.weights);
+        self.health.set_recovery(spec.recovery);
         self.local = local;
         if !self.takes_work() {
             self.refuse_waiting();
@@ -80,6 +86,22 @@
         matches!(self.local.phase, InstancePhase::Ready)
     }
 
+    /// Whether the instance's health lets a request in.
+    #[must_use]
+    pub fn admits(&self, idempotent: bool, is_forced: bool) -> bool {
+        let health = self.health.published();
+        // One at a time finds out whether the instance has recovered, and spoils little if not.
+        let has_room = health != HealthState::Suspect || self.is_idle();
+        is_forced || (health.takes(idempotent) && has_room)
+    }
+
+    /// The health to tell the fleet, if it is not what was told last.
+    pub fn health_news(&mut self) -> Option<(HealthState, HealthState)> {
+        let state = self.health.published();
+        let before = std::mem::replace(&mut self.published, state);
+        (before != state).then_some((before, state))
+    }
+
     /// A request asks for a slot.
     pub fn enter(&mut self, request: QueuedRequest, now: MonoTime) -> GateEntry {
         let key = request.key;
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -19,6 +19,9 @@
 /// When to come back to an instance that takes no work.
 pub(crate) const NOT_READY_RETRY: Duration = Duration::from_millis(100);
 
+/// When to come back to an instance that is thought sick: another takes the request meanwhile.
+const SICK_RETRY: Duration = Duration::from_millis(200);
+
 /// When to come back to an instance whose slots are taken.
 const BUSY_RETRY: Duration = Duration::from_millis(50);
 
@@ -39,6 +42,10 @@
             let load = gate.borrow().load();
             refuse(&mut sender, RefusalReason::NotReady, NOT_READY_RETRY, load).await
         }
+        Some(gate) if !gate.borrow().admits(offer.idempotent, offer.is_forced) => {
+            let load = gate.borrow().load();
+            refuse(&mut sender, RefusalReason::Sick, SICK_RETRY, load).await
+        }
         Some(gate) => {
             OfferTask::open(egress, offer, gate, sender, receiver)
                 .run()
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -6,7 +6,7 @@
 use crate::egress::{BackendAnswer, EgressHandle, SendFailure};
 use crate::health::SampleOutcome;
 use crate::ids::{AccountId, BootId, RequestId, RouteId};
-use crate::resource::RequestClass;
+use crate::resource::{Priority, RequestClass};
 use crate::wire::{FailureCause, RequestOffer};
 
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -36,9 +36,7 @@
         .borrow_mut()
         .health()
         .probe_done(outcome, now.since(start), now);
-    if change.is_some() {
-        egress.publish_gate(&gate);
-    }
+    egress.tell_health(&gate, change, outcome);
 }
 
 /// What an answer with `status` says about the instance.
@@ -80,6 +78,12 @@
         service: gate.local().service.clone(),
         route: PROBE_NAME.parse::<RouteId>().ok()?,
         account: PROBE_NAME.parse::<AccountId>().ok()?,
+        holder: None,
+        caller: None,
+        name: format!("{PROBE_NAME}-{}", fastrand::u64(..)),
+        host: None,
+        priority: Priority::default(),
+        is_forced: true,
         class: RequestClass::InternalCheck,
         idempotent: true,
         may_wait: false,
--- a/src/health/admitted_instance.rs
+++ b/src/health/admitted_instance.rs
@@ -11,4 +11,8 @@
     pub share: Percent,
     /// Whether only the floor lets it in, although it is ejected.
     pub is_forced: bool,
+    /// Whether only the floor gives it its full share.
+    pub is_widened: bool,
+    /// Whether it takes requests that cannot be repeated.
+    pub is_trusted: bool,
 }
--- a/src/health/eject_backoff.rs
+++ b/src/health/eject_backoff.rs
@@ -4,11 +4,18 @@
 
 use serde::Serialize;
 
+use crate::resource::RecoveryRule;
 use crate::time::{Deadline, MonoTime};
 
+/// Wait after a first ejection.
 const FIRST_WAIT: Duration = Duration::from_secs(2);
+/// The wait doubles at most this often: to two minutes, for instances that are tried by probes.
 const MAX_DOUBLINGS: u32 = 6;
+/// The same for instances that are tried by callers' requests, which cost little and tell at once.
+const MAX_REQUEST_DOUBLINGS: u32 = 1;
+/// Time after which one ejection is forgotten.
 const FORGIVE_AFTER: Duration = Duration::from_secs(60);
+/// Part of the wait that is drawn by lot, so that instances do not come back in step.
 const JITTER_SHARE: f64 = 0.25;
 
 /// A wait that doubles with each ejection and forgives one a minute.
@@ -17,6 +24,7 @@
     offences: u32,
     ejected_at: MonoTime,
     until: Deadline,
+    recovery: RecoveryRule,
 }
 
 impl EjectBackoff {
@@ -26,13 +34,23 @@
             offences: 0,
             ejected_at: MonoTime::ZERO,
             until: Deadline::at(MonoTime::ZERO),
+            recovery: RecoveryRule::Probes,
         }
     }
 
+    /// Sets how the instance is tried.
+    pub(super) const fn set_recovery(&mut self, recovery: RecoveryRule) {
+        self.recovery = recovery;
+    }
+
     /// Begins the wait of a new ejection.
     pub(super) fn begin(&mut self, now: MonoTime, rng: &mut fastrand::Rng) {
         self.forgive(now);
-        let wait = FIRST_WAIT * 2_u32.pow(self.offences.min(MAX_DOUBLINGS));
+        let most = match self.recovery {
+            RecoveryRule::Probes => MAX_DOUBLINGS,
+            RecoveryRule::Requests => MAX_REQUEST_DOUBLINGS,
+        };
+        let wait = FIRST_WAIT * 2_u32.pow(self.offences.min(most));
         let jitter = wait.mul_f64(JITTER_SHARE * rng.f64());
         self.until = now.after(wait + jitter);
         self.offences = self.offences.saturating_add(1);
--- a/src/health/floor.rs
+++ b/src/health/floor.rs
@@ -11,6 +11,9 @@
 use crate::units::Percent;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord};
 
+/// Part of its work that an instance is tried with after a bad answer: often enough to see soon
+/// that it has recovered, while what it spoils is repeated elsewhere.
+const SUSPECT_SHARE: Percent = Percent::HALF;
 /// Ratio of medians between one band of sickness and the next.
 const BAND_RATIO: u32 = 4;
 
@@ -80,6 +83,7 @@
             let index = self.usable[place];
             match self.records[index].health {
                 HealthState::Healthy => self.admit(index, Percent::FULL, false),
+                HealthState::Suspect => self.admit(index, SUSPECT_SHARE, false),
                 HealthState::Ramping(share) => self.admit(index, share, false),
                 HealthState::Ejected => {}
             }
@@ -101,10 +105,11 @@
             let Some(entry) = entries.find(|entry| entry.index == index) else {
                 continue;
             };
-            if self.present < self.needed {
+            if self.present < self.needed && entry.share < Percent::FULL {
                 let full = hundredths(&self.records[index]);
                 self.present += full - part_of(full, entry.share);
                 entry.share = Percent::FULL;
+                entry.is_widened = true;
             }
         }
     }
@@ -124,6 +129,8 @@
             index,
             share,
             is_forced,
+            is_widened: false,
+            is_trusted: self.records[index].health.takes(false),
         });
     }
 }
--- a/src/health/health_cause.rs
+++ b/src/health/health_cause.rs
@@ -18,6 +18,8 @@
     Relapsed,
     /// Its probes or requests went well after the ejection.
     Recovered,
+    /// Its wait is over, and callers' requests try it.
+    Tried,
     /// It took its present part of the work well.
     Ramped,
 }
@@ -30,6 +32,7 @@
             Self::Stalled => "stalled",
             Self::Relapsed => "relapsed",
             Self::Recovered => "recovered",
+            Self::Tried => "tried",
             Self::Ramped => "ramped",
         })
     }
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -7,7 +7,9 @@
 use crate::health::ramp_progress::RampProgress;
 use crate::health::slowness_test::SlownessTest;
 use crate::health::stall_watch::StallWatch;
+use crate::health::trust_track::TrustTrack;
 use crate::health::{HealthCause, HealthChange, SampleOutcome, ServiceBaseline, ServiceSample};
+use crate::resource::RecoveryRule;
 use crate::time::MonoTime;
 use crate::wire::HealthState;
 
@@ -40,6 +42,10 @@
     published_micros: f64,
     backoff: EjectBackoff,
     ramp: RampProgress,
+    recovery: RecoveryRule,
+    /// Back from an ejection without having proved itself yet.
+    is_trial: bool,
+    trust: TrustTrack,
 }
 
 impl InstanceHealth {
@@ -55,9 +61,18 @@
             published_micros: 0.0,
             backoff: EjectBackoff::open(),
             ramp: RampProgress::open(),
+            recovery: RecoveryRule::default(),
+            is_trial: false,
+            trust: TrustTrack::default(),
         }
     }
 
+    /// Sets how the instance comes back from an ejection.
+    pub const fn set_recovery(&mut self, recovery: RecoveryRule) {
+        self.recovery = recovery;
+        self.backoff.set_recovery(recovery);
+    }
+
     /// Takes the answer to a request in.
     pub fn observe(
         &mut self,
@@ -72,6 +87,8 @@
         }
         let is_slow = self.weigh_time(sample, peers, now);
         self.weigh_outcome(sample.outcome, now);
+        self.trust.observe(sample.outcome, now);
+        self.is_trial &= !self.trust.is_trusted();
         let is_good = sample.outcome == SampleOutcome::Good && !is_slow;
         match self.state {
             HealthState::Healthy => self.judge(peers, now),
@@ -79,7 +96,7 @@
                 self.ramp.count(is_good);
                 self.judge_trial(now)
             }
-            HealthState::Ejected => {
+            HealthState::Ejected | HealthState::Suspect => {
                 if !self.backoff.has_passed(now) || !self.ramp.request_done(is_good) {
                     return None;
                 }
@@ -102,18 +119,23 @@
             self.failing.restart_hold(FAILING_HOLD, now);
         }
         let stalled_for = self.stall.stalled_for(running_oldest, peers.median(), now);
+        self.trust.tick(now);
+        if stalled_for.is_some() || self.stall.is_slow(running_oldest, peers.median(), now) {
+            self.trust.lose(now);
+        }
         let hold = self.hold(SLOW_HOLD);
         self.slowness.note_stall(stalled_for, hold, now);
         match self.state {
             HealthState::Healthy => self.judge(peers, now),
             HealthState::Ramping(_) => self.judge_trial(now),
-            HealthState::Ejected => None,
+            HealthState::Ejected | HealthState::Suspect => self.try_again(now),
         }
     }
 
     /// Whether to send a probe now; one at a time, while ejected and after the wait.
     pub fn probe_due(&mut self, now: MonoTime) -> bool {
-        self.state == HealthState::Ejected
+        self.recovery == RecoveryRule::Probes
+            && self.state == HealthState::Ejected
             && self.backoff.has_passed(now)
             && self.ramp.begin_probe(now)
     }
@@ -132,12 +154,21 @@
         self.readmit(now)
     }
 
-    /// The present state.
+    /// The present state, trust left out.
     #[must_use]
     pub const fn state(&self) -> HealthState {
         self.state
     }
 
+    /// The state for the instance's record.
+    #[must_use]
+    pub const fn published(&self) -> HealthState {
+        match self.state {
+            HealthState::Healthy if !self.trust.is_trusted() => HealthState::Suspect,
+            state => state,
+        }
+    }
+
     /// The median of the latest service times, for the instance's record.
     ///
     /// While under suspicion it follows the very last samples and the present stall, so
@@ -179,6 +210,7 @@
             "backoff": self.backoff,
             "ramp": self.ramp,
             "stall": self.stall,
+            "trust": self.trust,
         })
     }
 }
@@ -220,6 +252,9 @@
 /// Changes of state.
 impl InstanceHealth {
     fn judge(&mut self, peers: &ServiceBaseline, now: MonoTime) -> Option<HealthChange> {
+        if self.is_trial && self.failing.sum() >= TRIAL_SUM {
+            return self.eject(HealthCause::Relapsed, now);
+        }
         if self.failing.is_due(now) && peers.ejected_share() < MAX_EJECTED_SHARE {
             return self.eject(HealthCause::Failing, now);
         }
@@ -235,6 +270,16 @@
         self.change(state, HealthCause::Ramped)
     }
 
+    /// Lets callers' requests find out whether the instance has recovered.
+    fn try_again(&mut self, now: MonoTime) -> Option<HealthChange> {
+        if self.recovery == RecoveryRule::Probes || !self.backoff.has_passed(now) {
+            return None;
+        }
+        self.is_trial = true;
+        self.trust.lose(now);
+        self.change(HealthState::Healthy, HealthCause::Tried)
+    }
+
     fn eject(&mut self, cause: HealthCause, now: MonoTime) -> Option<HealthChange> {
         self.backoff.begin(now, &mut self.rng);
         self.ramp.reset();
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -18,6 +18,7 @@
 mod service_sample;
 mod slowness_test;
 mod stall_watch;
+mod trust_track;
 
 pub use admitted_instance::AdmittedInstance;
 pub use floor::admissible;
--- a/src/health/stall_watch.rs
+++ b/src/health/stall_watch.rs
@@ -8,7 +8,11 @@
 
 /// Usual service times without an answer that make a stall.
 const STALL_RATIO: u32 = 8;
+/// The same for a first doubt, which costs little when it is wrong.
+const DOUBT_RATIO: u32 = 4;
+/// Shortest silence that counts.
 const MIN_STALL: Duration = Duration::from_millis(250);
+/// Silence that makes a stall where no usual service time is known.
 const UNKNOWN_STALL: Duration = Duration::from_secs(2);
 /// Gap between ticks that shows a pause of this process.
 const PAUSE_GAP: Duration = Duration::from_millis(600);
@@ -45,6 +49,20 @@
         has_paused
     }
 
+    /// Whether the oldest request runs for so long that the instance may be about to stall.
+    pub(super) fn is_slow(
+        &self,
+        running_oldest: Option<Duration>,
+        usual: Option<Duration>,
+        now: MonoTime,
+    ) -> bool {
+        let (Some(oldest), Some(usual)) = (running_oldest, usual) else {
+            return false;
+        };
+        let silence = oldest.min(now.since(self.finished_at));
+        silence >= (usual * DOUBT_RATIO).max(MIN_STALL)
+    }
+
     /// How long the instance has been stalled, when it has.
     pub(super) fn stalled_for(
         &self,
--- /dev/null
+++ b/src/health/trust_track.rs
@@ -0,0 +1,73 @@
+//! Whether an instance may be given requests that cannot be repeated.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::health::SampleOutcome;
+use crate::time::{Deadline, MonoTime};
+
+/// Good answers in a row that restore trust: an instance that fails half of its requests passes
+/// one time in four, one that fails nine in ten one time in a hundred.
+const GOOD_NEEDED: u32 = 2;
+/// Time without any answer that restores it, for instances that get no requests to prove
+/// themselves with: about as long as a sick spell lasts.
+const QUIET_TIME: Duration = Duration::from_secs(4);
+
+/// Lost by a single bad answer, long before an ejection is due: what fails a request that cannot
+/// be repeated is lost for the caller, while any other is sent elsewhere and finds out meanwhile
+/// whether the instance has recovered.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(super) struct TrustTrack {
+    doubt: Option<TrustDoubt>,
+}
+
+#[derive(Debug, Clone, Copy, Serialize)]
+struct TrustDoubt {
+    good: u32,
+    until: Deadline,
+}
+
+impl TrustTrack {
+    /// Whether the instance is trusted.
+    pub(super) const fn is_trusted(&self) -> bool {
+        self.doubt.is_none()
+    }
+
+    /// Takes an answer in.
+    pub(super) fn observe(&mut self, outcome: SampleOutcome, now: MonoTime) {
+        match outcome {
+            SampleOutcome::Good => self.add_good(now),
+            SampleOutcome::Failed | SampleOutcome::Wrong | SampleOutcome::Stalled => {
+                self.lose(now);
+            }
+            SampleOutcome::Shed => {}
+        }
+    }
+
+    /// The instance has shown that it may be sick.
+    pub(super) fn lose(&mut self, now: MonoTime) {
+        self.doubt = Some(TrustDoubt {
+            good: 0,
+            until: now.after(QUIET_TIME),
+        });
+    }
+
+    /// Time passed.
+    pub(super) fn tick(&mut self, now: MonoTime) {
+        if self.doubt.is_some_and(|doubt| doubt.until.has_passed(now)) {
+            self.doubt = None;
+        }
+    }
+
+    fn add_good(&mut self, now: MonoTime) {
+        let Some(doubt) = &mut self.doubt else {
+            return;
+        };
+        doubt.good += 1;
+        doubt.until = now.after(QUIET_TIME);
+        if doubt.good >= GOOD_NEEDED {
+            self.doubt = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/http/header_rules.rs
@@ -0,0 +1,187 @@
+//! Which headers cross the fleet, what they are called, and where a key may hide.
+
+use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName};
+use memchr::{memchr, memmem};
+
+use crate::settings::HeaderSettings;
+use crate::verdict::VERDICT_HEADER;
+
+/// Headers that belong to one connection, as HTTP names them.
+const CONNECTION_HEADERS: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "host",
+];
+
+/// Plain names and values, as they travel between daemons.
+pub type HeaderList = Vec<(String, Vec<u8>)>;
+
+/// The headers that the fleet reads, sets or keeps to itself.
+#[derive(Debug, Clone)]
+pub struct HeaderRules {
+    settings: HeaderSettings,
+    /// Names that never cross as they came: those of each hop and those that the fleet sets.
+    own: Vec<HeaderName>,
+}
+
+impl HeaderRules {
+    /// The rules of `settings`.
+    #[must_use]
+    pub fn open(settings: &HeaderSettings) -> Self {
+        let set = [
+            &settings.expected_instance,
+            &settings.account,
+            &settings.caller,
+        ];
+        let mut own = vec![settings.request.get(), settings.deadline.get()];
+        own.push(HeaderName::from_static(VERDICT_HEADER));
+        own.extend(set.into_iter().flatten().map(|field| field.get()));
+        Self {
+            settings: settings.clone(),
+            own,
+        }
+    }
+
+    /// The header that names a request; an answer that names another request is not passed on.
+    #[must_use]
+    pub fn request(&self) -> HeaderName {
+        self.settings.request.get()
+    }
+
+    /// The header in which a caller names its deadline, in milliseconds from now.
+    #[must_use]
+    pub fn deadline(&self) -> HeaderName {
+        self.settings.deadline.get()
+    }
+
+    /// Whether backend servers see the caller's own name of a request.
+    #[must_use]
+    pub const fn keeps_name(&self) -> bool {
+        self.settings.keep_request_name
+    }
+
+    /// Whether backend servers see the host that the caller addressed.
+    #[must_use]
+    pub const fn keeps_host(&self) -> bool {
+        self.settings.keep_host
+    }
+
+    /// The header that tells a backend server which instance a request is for.
+    #[must_use]
+    pub fn expected_instance(&self) -> Option<HeaderName> {
+        self.settings
+            .expected_instance
+            .as_ref()
+            .map(|field| field.get())
+    }
+
+    /// The header that tells a backend server the client account.
+    #[must_use]
+    pub fn account(&self) -> Option<HeaderName> {
+        self.settings.account.as_ref().map(|field| field.get())
+    }
+
+    /// The header that tells a backend server the service beside the ingress.
+    #[must_use]
+    pub fn caller(&self) -> Option<HeaderName> {
+        self.settings.caller.as_ref().map(|field| field.get())
+    }
+
+    /// Whether an answer with `headers` and `status` says that the request was not run.
+    #[must_use]
+    pub fn says_not_run(&self, status: u16, headers: &HeaderMap) -> bool {
+        let Some(field) = &self.settings.not_run else {
+            return false;
+        };
+        status == MISDIRECTED || headers.contains_key(field.get())
+    }
+
+    /// The headers of a caller's request that may cross to a backend server.
+    #[must_use]
+    pub fn crossing_request(&self, headers: &HeaderMap, secret: Option<&str>) -> HeaderList {
+        let credentials = &self.settings.credentials;
+        let is_credential =
+            |name: &str| credentials.iter().any(|field| field.get().as_str() == name);
+        let shows = |bytes: &[u8]| secret.is_some_and(|secret| contains(bytes, secret));
+        self.crossing(headers)
+            .into_iter()
+            .filter(|(name, _)| name != AUTHORIZATION.as_str() && !is_credential(name))
+            .filter(|(name, value)| !shows(value) && !shows(name.as_bytes()))
+            .collect()
+    }
+
+    /// The headers of a backend server's answer that may cross to the caller.
+    #[must_use]
+    pub fn crossing(&self, headers: &HeaderMap) -> HeaderList {
+        let named = named_by_connection(headers);
+        headers
+            .iter()
+            .map(|(name, value)| {
+                (
+                    name.as_str().to_ascii_lowercase(),
+                    value.as_bytes().to_vec(),
+                )
+            })
+            .filter(|(name, _)| !CONNECTION_HEADERS.contains(&name.as_str()))
+            .filter(|(name, _)| !self.own.iter().any(|own| own.as_str() == name))
+            .filter(|(name, _)| !named.contains(name))
+            .collect()
+    }
+}
+
+impl Default for HeaderRules {
+    fn default() -> Self {
+        Self::open(&HeaderSettings::default())
+    }
+}
+
+/// HTTP's status for a request that reached the wrong server.
+const MISDIRECTED: u16 = 421;
+
+/// Whether `bytes` hold the secret, plainly or percent-encoded.
+#[must_use]
+pub fn contains(bytes: &[u8], secret: &str) -> bool {
+    if secret.is_empty() {
+        return false;
+    }
+    let is_escaped = memchr(b'%', bytes).is_some();
+    memmem::find(bytes, secret.as_bytes()).is_some()
+        || (is_escaped && memmem::find(&percent_decoded(bytes), secret.as_bytes()).is_some())
+}
+
+fn percent_decoded(bytes: &[u8]) -> Vec<u8> {
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut rest = bytes;
+    while let Some((first, after)) = rest.split_first() {
+        let escaped = (*first == b'%').then(|| hex_byte(after)).flatten();
+        decoded.push(escaped.unwrap_or(*first));
+        rest = if escaped.is_some() {
+            &after[2..]
+        } else {
+            after
+        };
+    }
+    decoded
+}
+
+fn hex_byte(digits: &[u8]) -> Option<u8> {
+    let text = std::str::from_utf8(digits.get(..2)?).ok()?;
+    u8::from_str_radix(text, 16).ok()
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
+    headers
+        .get_all("connection")
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect()
+}
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -16,11 +16,29 @@
 use tokio::sync::oneshot;
 
 use crate::http::ConnectionMark;
+use crate::http::watched_stream::WatchedStream;
 use crate::logs::part;
 
-const KEEP_ALIVE: Duration = Duration::from_secs(30);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a listener waits for what a client does next.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpTimeouts {
+    /// How long a connection may be idle.
+    pub keep_alive: Duration,
+    /// How long the head of a request may take.
+    pub request_head: Duration,
+}
+
+impl Default for HttpTimeouts {
+    /// Usual values of HTTP servers: half a minute and ten seconds.
+    fn default() -> Self {
+        Self {
+            keep_alive: Duration::from_secs(30),
+            request_head: Duration::from_secs(10),
+        }
+    }
+}
 
 /// Answers one request.
 pub type HttpHandler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
@@ -41,11 +59,24 @@
     /// # Errors
     /// Any I/O error of binding.
     pub async fn bind(address: SocketAddr, handler: HttpHandler) -> io::Result<Self> {
+        Self::bind_with(address, handler, HttpTimeouts::default()).await
+    }
+
+    /// Binds `address`, keeps to `timeouts`, and answers each request by `handler`.
+    ///
+    /// # Errors
+    /// Any I/O error of binding.
+    pub async fn bind_with(
+        address: SocketAddr,
+        handler: HttpHandler,
+        timeouts: HttpTimeouts,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let closing = Rc::new(Cell::new(0));
         let (open, closed) = oneshot::channel();
-        actix_rt::spawn(serve_until(listener, handler, Rc::clone(&closing), closed));
+        let serving = serve_until(listener, handler, timeouts, Rc::clone(&closing), closed);
+        actix_rt::spawn(serving);
         Ok(Self {
             address,
             closing,
@@ -69,6 +100,7 @@
 async fn serve_until(
     listener: TcpListener,
     handler: HttpHandler,
+    timeouts: HttpTimeouts,
     closing: Rc<Cell<usize>>,
     closed: oneshot::Receiver<()>,
 ) {
@@ -77,13 +109,13 @@
         async move { Ok::<_, Infallible>(reply.await) }
     });
     let factory = HttpService::build()
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-        .on_connect_ext(move |_: &TcpStream, data| {
+        .keep_alive(timeouts.keep_alive)
+        .client_request_timeout(timeouts.request_head)
+        .on_connect_ext(move |stream: &WatchedStream, data| {
             data.insert(ConnectionMark::open(Rc::clone(&closing)));
+            data.insert(stream.watch());
         })
-        .h1(answer)
-        .tcp();
+        .h1(answer);
     let Ok(service) = factory.new_service(()).await else {
         log::error!(target: part::DAEMON, "Cannot set up the HTTP service.");
         return;
@@ -94,7 +126,8 @@
         let _ = socket.set_nodelay(true);
         let service = Rc::clone(&service);
         actix_rt::spawn(async move {
-            let _ = service.call(socket).await;
+            let peer = socket.peer_addr().ok();
+            let _ = service.call((WatchedStream::open(socket), peer)).await;
         });
     };
     {
--- /dev/null
+++ b/src/http/watched_stream.rs
@@ -0,0 +1,87 @@
+//! A caller's connection whose end is seen while a request is being served.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::http::CallerWatch;
+
+/// A TCP stream that notes its end in a `CallerWatch`.
+#[derive(Debug)]
+pub(crate) struct WatchedStream {
+    socket: TcpStream,
+    watch: CallerWatch,
+}
+
+impl WatchedStream {
+    pub(crate) fn open(socket: TcpStream) -> Self {
+        Self {
+            socket,
+            watch: CallerWatch::default(),
+        }
+    }
+
+    pub(crate) fn watch(&self) -> CallerWatch {
+        self.watch.clone()
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.socket).poll_read(context, buffer);
+        match &read {
+            Poll::Ready(Ok(())) if buffer.filled().len() > before => {}
+            Poll::Ready(_) => self.watch.set(),
+            Poll::Pending => {}
+        }
+        read
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+}
+
+impl ActixStream for WatchedStream {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.socket, context)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.socket, context)
+    }
+}
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -3,6 +3,7 @@
 mod account_id;
 mod boot_id;
 mod daemon_id;
+mod host_name;
 mod incarnation;
 mod instance_id;
 mod key_id;
@@ -20,6 +21,7 @@
 pub use account_id::AccountId;
 pub use boot_id::BootId;
 pub use daemon_id::DaemonId;
+pub use host_name::HostName;
 pub use incarnation::Incarnation;
 pub use instance_id::InstanceId;
 pub use key_id::KeyId;
--- a/src/ids/name.rs
+++ b/src/ids/name.rs
@@ -52,6 +52,12 @@
         pub struct $name(std::sync::Arc<str>);
 
         impl $name {
+            /// A name that the program itself gives; `text` must be a valid name.
+            #[must_use]
+            pub fn fixed(text: &'static str) -> Self {
+                Self(text.into())
+            }
+
             /// The name as text.
             #[must_use]
             pub fn as_str(&self) -> &str {
--- a/src/ingress/attempt_history.rs
+++ b/src/ingress/attempt_history.rs
@@ -7,8 +7,10 @@
 use crate::verdict::Verdict;
 use crate::wire::{FailureCause, RefusalReason};
 
-/// Attempts at one request, the first included.
+/// Instances that one request may reach where its route says nothing.
 pub const MAX_ATTEMPTS: usize = 4;
+/// Offers of one request, those included that an egress refused: bounds the work for one caller.
+pub const MAX_OFFERS: usize = 8;
 /// Instances asked for a free slot before the request waits in the queue of one.
 pub const MAX_GLANCES: usize = 2;
 /// When to come back to a service without instances.
@@ -27,9 +29,20 @@
     pub retry_after: Duration,
 }
 
+impl AttemptFailure {
+    /// Whether the attempt provably reached no instance.
+    #[must_use]
+    pub fn is_unreached(&self) -> bool {
+        self.verdict == Verdict::NotRun && self.reason.is_none_or(RefusalReason::is_unreached)
+    }
+}
+
 /// Collects the attempts; one that may have run is never forgotten.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct AttemptHistory {
+    most: usize,
+    /// Attempts that provably reached no instance.
+    unreached: usize,
     tried: Vec<InstanceId>,
     busy: Vec<InstanceId>,
     must_wait: bool,
@@ -37,17 +50,38 @@
     last: Option<AttemptFailure>,
 }
 
+impl Default for AttemptHistory {
+    fn default() -> Self {
+        Self::open(MAX_ATTEMPTS)
+    }
+}
+
 impl AttemptHistory {
+    /// No attempt yet; `most` instances may be reached.
+    #[must_use]
+    pub const fn open(most: usize) -> Self {
+        Self {
+            most,
+            unreached: 0,
+            tried: Vec::new(),
+            busy: Vec::new(),
+            must_wait: false,
+            may_have_run: false,
+            last: None,
+        }
+    }
+
     /// The instances tried so far.
     #[must_use]
     pub fn tried(&self) -> &[InstanceId] {
         &self.tried
     }
 
-    /// Whether this is the last attempt allowed; a glance at a busy instance is none.
+    /// Whether this is the last attempt allowed; one that its egress refused is none.
     #[must_use]
     pub fn is_last(&self) -> bool {
-        self.tried.len() - self.busy.len() >= MAX_ATTEMPTS
+        self.tried.len().saturating_sub(self.unreached) >= self.most
+            || self.tried.len() >= MAX_OFFERS
     }
 
     /// Whether the next attempt may wait in a queue.
@@ -68,6 +102,7 @@
         let busy = std::mem::take(&mut self.busy);
         self.tried.retain(|instance| !busy.contains(instance));
         self.must_wait = true;
+        self.unreached = self.unreached.saturating_sub(busy.len());
         !busy.is_empty()
     }
 
@@ -86,6 +121,9 @@
         if failure.reason == Some(RefusalReason::Busy) {
             self.busy.extend(self.tried.last().cloned());
         }
+        if failure.is_unreached() {
+            self.unreached += 1;
+        }
         self.may_have_run |= !matches!(failure.verdict, Verdict::NotRun);
         self.last = Some(failure);
     }
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -75,7 +75,7 @@
         let stream = self.peers.open_stream(self.address).await?;
         let (mut sender, mut receiver) = stream.split();
         machine.take(AttemptEvent::OfferLeaves);
-        sender.send(&PeerOpening::Request(offer)).await?;
+        sender.send(&PeerOpening::Request(Box::new(offer))).await?;
         loop {
             match receiver.expect().await? {
                 EgressMessage::Ready => {
--- a/src/ingress/caller_key.rs
+++ b/src/ingress/caller_key.rs
@@ -1,8 +1,7 @@
 //! Reads the caller's key.
 
-use actix_http::header::HeaderMap;
+use actix_http::header::{AUTHORIZATION, HeaderMap};
 
-use crate::ingress::header_rules::KEY_HEADER;
 use crate::ingress::request_refusal::RequestRefusal;
 
 const SCHEME: &str = "bearer";
@@ -12,7 +11,7 @@
 /// # Errors
 /// `RequestRefusal::NoKey` when there is none, several, or one in another form.
 pub fn caller_key(headers: &HeaderMap) -> Result<&str, RequestRefusal> {
-    let mut values = headers.get_all(KEY_HEADER);
+    let mut values = headers.get_all(AUTHORIZATION);
     let value = values.next().ok_or(RequestRefusal::NoKey)?;
     if values.next().is_some() {
         return Err(RequestRefusal::NoKey);
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -6,12 +6,14 @@
 use actix_http::body::BoxBody;
 use bytes::Bytes;
 
+use crate::balance::PickWish;
+use crate::http::HeaderList;
 use crate::ids::{InstanceId, RequestId};
 use crate::ingress::answer_response::{long_response, whole_response};
 use crate::ingress::attempt_task::{AttemptEnd, AttemptTask};
-use crate::ingress::header_rules::HeaderList;
 use crate::ingress::ingress_handle::UnderWay;
 use crate::ingress::{AttemptHistory, IngressHandle, RequestPlan, RequestRefusal};
+use crate::logs::part;
 use crate::resource::RequestClass;
 use crate::retry::RetryBudget;
 use crate::time::{Deadline, MonoTime};
@@ -27,6 +29,10 @@
 pub(crate) struct CallerRequest<'a> {
     pub(crate) ingress: &'a IngressHandle,
     pub(crate) id: RequestId,
+    /// The name under which instances see it.
+    pub(crate) name: String,
+    /// The host that the caller addressed.
+    pub(crate) host: Option<String>,
     pub(crate) plan: RequestPlan,
     pub(crate) deadline: Deadline,
     pub(crate) method: String,
@@ -35,23 +41,36 @@
     pub(crate) body: Bytes,
 }
 
+/// An instance chosen for an attempt.
+struct ChosenInstance {
+    record: InstanceRecord,
+    /// Whether it is chosen for the floor although it is known to be sick.
+    is_forced: bool,
+}
+
 impl CallerRequest<'_> {
     /// Tries instances in turn, as far as the verdicts, the budget and the deadline allow.
     pub(crate) async fn attempt_all(
         &self,
         count: UnderWay,
     ) -> Result<Response<BoxBody>, RequestRefusal> {
-        let mut history = AttemptHistory::default();
+        let mut history = match self.plan.attempts {
+            Some(most) => AttemptHistory::open(most),
+            None => AttemptHistory::default(),
+        };
         let mut held = None;
         self.with_budget(|budget, now| budget.first_attempt(now));
-        while let Some(record) = self.next_record(&mut history) {
+        while let Some(chosen) = self.next_choice(&mut history) {
             let may_wait = history.may_wait();
+            let record = &chosen.record;
             history.begin(record.instance.clone());
-            match self.attempt(&record, &history, may_wait).await {
+            let end = self.attempt(&chosen, &history, may_wait).await;
+            self.log_attempt(record, &history, &end);
+            match end {
                 AttemptEnd::Whole { head, body, load } => {
                     self.note_answer(&record.instance, load);
                     if !self.is_worth_repeating(&head)
-                        || !self.may_retry(&history, Verdict::MayHaveRun)
+                        || !self.may_retry(&history, Verdict::MayHaveRun, false)
                     {
                         self.complete(&head);
                         return Ok(whole_response(&head, body));
@@ -68,7 +87,7 @@
                 AttemptEnd::Failed { failure, load } => {
                     self.note_failure(&record.instance, load);
                     history.fail(failure);
-                    if !self.may_retry(&history, failure.verdict) {
+                    if !self.may_retry(&history, failure.verdict, failure.is_unreached()) {
                         break;
                     }
                 }
@@ -81,9 +100,9 @@
     }
 
     /// The instance to try next; busy ones again when no other is left.
-    fn next_record(&self, history: &mut AttemptHistory) -> Option<InstanceRecord> {
-        if let Some(record) = self.pick(history.tried()) {
-            return Some(record);
+    fn next_choice(&self, history: &mut AttemptHistory) -> Option<ChosenInstance> {
+        if let Some(chosen) = self.pick(history.tried()) {
+            return Some(chosen);
         }
         if !history.recall_busy() {
             return None;
@@ -95,7 +114,7 @@
         self.deadline.has_passed(self.ingress.sources.clock.now())
     }
 
-    fn pick(&self, tried: &[InstanceId]) -> Option<InstanceRecord> {
+    fn pick(&self, tried: &[InstanceId]) -> Option<ChosenInstance> {
         let records = self
             .ingress
             .sources
@@ -105,36 +124,50 @@
             return self.pick_in_turn(&records, tried);
         }
         let now = self.ingress.sources.clock.now();
-        let instance = self
+        let wish = PickWish {
+            floor: self.plan.floor,
+            tried,
+            idempotent: self.plan.idempotent,
+        };
+        let chosen = self
             .ingress
             .with_picker(&self.plan.service, |picker, rng| {
                 picker.retain(&records);
-                let floor = self.plan.floor;
-                let instance =
-                    picker.pick(&records, floor, tried, self.plan.idempotent, now, rng)?;
-                picker.started(&instance, now);
-                Some(instance)
+                let chosen = picker.choose(&records, &wish, now, rng)?;
+                picker.started(&records[chosen.index].instance, now);
+                Some(chosen)
             })?;
-        record_of(&records, &instance)
+        let record = records[chosen.index].clone();
+        Some(ChosenInstance {
+            is_forced: chosen.is_forced
+                || chosen.is_widened
+                || !record.health.takes(self.plan.idempotent),
+            record,
+        })
     }
 
     fn pick_in_turn(
         &self,
         records: &[InstanceRecord],
         tried: &[InstanceId],
-    ) -> Option<InstanceRecord> {
+    ) -> Option<ChosenInstance> {
         let mut state = self.ingress.state.borrow_mut();
         let turns = state.turns.entry(self.plan.service.clone()).or_default();
         let instance = turns.pick(records, tried)?;
-        record_of(records, &instance)
+        let record = record_of(records, &instance)?;
+        Some(ChosenInstance {
+            record,
+            is_forced: true,
+        })
     }
 
     async fn attempt(
         &self,
-        record: &InstanceRecord,
+        chosen: &ChosenInstance,
         history: &AttemptHistory,
         may_wait: bool,
     ) -> AttemptEnd {
+        let record = &chosen.record;
         let sources = &self.ingress.sources;
         let deadline = self.attempt_deadline(record, history);
         let task = AttemptTask {
@@ -144,7 +177,7 @@
             deadline,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
         };
-        task.run(self.offer(record, deadline, may_wait)).await
+        task.run(self.offer(chosen, deadline, may_wait)).await
     }
 
     /// An idempotent request leaves time for another attempt.
@@ -163,7 +196,8 @@
         now.after(patience.min(remaining))
     }
 
-    fn offer(&self, record: &InstanceRecord, deadline: Deadline, may_wait: bool) -> RequestOffer {
+    fn offer(&self, chosen: &ChosenInstance, deadline: Deadline, may_wait: bool) -> RequestOffer {
+        let record = &chosen.record;
         let sources = &self.ingress.sources;
         let remaining = deadline.remaining(sources.clock.now());
         RequestOffer {
@@ -173,6 +207,12 @@
             service: self.plan.service.clone(),
             route: self.plan.route.clone(),
             account: self.plan.account.clone(),
+            holder: self.plan.holder.clone(),
+            caller: sources.service.clone(),
+            name: self.name.clone(),
+            host: self.host.clone(),
+            priority: self.plan.priority,
+            is_forced: chosen.is_forced,
             class: self.plan.class,
             idempotent: self.plan.idempotent,
             may_wait,
@@ -184,6 +224,28 @@
         }
     }
 
+    fn log_attempt(&self, record: &InstanceRecord, history: &AttemptHistory, end: &AttemptEnd) {
+        let (status, failure) = match end {
+            AttemptEnd::Whole { head, .. } => (head.status, None),
+            AttemptEnd::Long(long) => (long.head.status, None),
+            AttemptEnd::Failed { failure, .. } => (0, Some(failure)),
+        };
+        let now = self.ingress.sources.clock.now();
+        log::debug!(
+            target: part::INGRESS,
+            request = self.name,
+            route:% = self.plan.route,
+            account:% = self.plan.account,
+            attempt = history.tried().len(),
+            instance:% = record.instance,
+            health:? = record.health,
+            status,
+            failure:?,
+            left_ms = self.deadline.remaining(now).as_millis();
+            "Attempt ended."
+        );
+    }
+
     fn note_answer(&self, instance: &InstanceId, load: LoadFigure) {
         let now = self.ingress.sources.clock.now();
         self.ingress.with_picker(&self.plan.service, |picker, _| {
@@ -204,11 +266,12 @@
         self.plan.idempotent && matches!(head.status, 500 | 502 | 503 | 504)
     }
 
-    fn may_retry(&self, history: &AttemptHistory, verdict: Verdict) -> bool {
+    /// Whether another attempt follows; one that reached no instance costs nothing of the budget.
+    fn may_retry(&self, history: &AttemptHistory, verdict: Verdict, is_free: bool) -> bool {
         if !history.allows_retry(verdict, self.plan.idempotent) || self.has_passed() {
             return false;
         }
-        let allowed = verdict == Verdict::NotRun || self.with_budget(RetryBudget::try_retry);
+        let allowed = is_free || self.with_budget(RetryBudget::try_retry);
         if allowed && !history.was_glance() {
             self.ingress.state.borrow_mut().totals.retries += 1;
         }
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -7,16 +7,17 @@
 
 use serde_json::json;
 
-use crate::balance::InstancePicker;
+use crate::balance::{InstancePicker, SplitTurn};
 use crate::baseline::{RoundRobin, StaticSplit};
 use crate::config::ConfigHandle;
 use crate::hash::FastMap;
-use crate::http::{HttpHandler, HttpServer};
-use crate::ids::{BootId, RequestId, ServiceId, ZoneId};
+use crate::http::{HeaderRules, HttpHandler, HttpServer, HttpTimeouts};
+use crate::ids::{BootId, RequestId, RouteId, ServiceId, ZoneId};
 use crate::ingress::{CreditLedger, RequestTotals, request_task};
 use crate::limits::LimitsHandle;
 use crate::members::MembersHandle;
 use crate::peers::PeerPool;
+use crate::resource::ServiceRoute;
 use crate::retry::RetryBudget;
 use crate::settings::{BaselineSettings, ProxySettings};
 use crate::time::ProcessClock;
@@ -31,6 +32,10 @@
     pub boot: BootId,
     /// The daemon's availability zone.
     pub zone: ZoneId,
+    /// The service that runs beside the daemon, where the settings name one.
+    pub service: Option<ServiceId>,
+    /// Names of headers.
+    pub headers: Rc<HeaderRules>,
     /// Bounds of the request path.
     pub proxy: ProxySettings,
     /// Plain decisions, if any.
@@ -51,6 +56,7 @@
     pub(crate) budgets: FastMap<ServiceId, RetryBudget>,
     pub(crate) turns: FastMap<ServiceId, RoundRobin>,
     pub(crate) split: StaticSplit,
+    pub(crate) split_turns: FastMap<RouteId, SplitTurn>,
     pub(crate) credits: CreditLedger,
     pub(crate) totals: RequestTotals,
     pub(crate) rng: fastrand::Rng,
@@ -79,6 +85,7 @@
             budgets: FastMap::default(),
             turns: FastMap::default(),
             split: StaticSplit::default(),
+            split_turns: FastMap::default(),
             credits: CreditLedger::default(),
             totals: RequestTotals::default(),
             rng: fastrand::Rng::new(),
@@ -92,7 +99,12 @@
             under_way: Rc::default(),
             stopping: Rc::default(),
         };
-        let server = HttpServer::bind(address, handle.clone().handler()).await?;
+        let timeouts = HttpTimeouts {
+            keep_alive: handle.sources.proxy.keep_alive.get(),
+            ..HttpTimeouts::default()
+        };
+        let handler = handle.clone().handler();
+        let server = HttpServer::bind_with(address, handler, timeouts).await?;
         *handle.closing.borrow_mut() = server.closing();
         *handle.server.borrow_mut() = Some(server);
         Ok(handle)
@@ -182,9 +194,24 @@
             .budgets
             .entry(service.clone())
             .or_insert_with(|| RetryBudget::open(share));
+        if let Some(reserve) = self.sources.proxy.retry_reserve {
+            budget.share_reserve(reserve, self.sources.members.live_count());
+        }
         act(budget)
     }
 
+    /// The part of a split route that takes the next request.
+    pub(crate) fn next_part(&self, route: &ServiceRoute) -> ServiceId {
+        if route.rules.split.is_empty() {
+            return route.service.clone();
+        }
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let turn = state.split_turns.entry(route.id.clone()).or_default();
+        let part = turn.next(&route.rules.split, &mut state.rng);
+        part.unwrap_or_else(|| route.service.clone())
+    }
+
     fn handler(self) -> HttpHandler {
         Rc::new(move |request| {
             let handle = self.clone();
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -8,19 +8,18 @@
 mod caller_key;
 mod caller_request;
 mod credit_ledger;
-pub mod header_rules;
 mod ingress_handle;
 mod request_plan;
 mod request_refusal;
 mod request_task;
 mod request_totals;
 
-pub use attempt_history::{AttemptFailure, AttemptHistory, MAX_ATTEMPTS};
+pub use attempt_history::{AttemptFailure, AttemptHistory, MAX_ATTEMPTS, MAX_OFFERS};
 pub use attempt_machine::{AttemptAction, AttemptEvent, AttemptMachine, AttemptState};
 pub use caller_key::caller_key;
 pub use credit_ledger::{CreditLedger, CreditLine};
 pub use ingress_handle::{IngressHandle, IngressSources};
-pub use request_plan::RequestPlan;
+pub use request_plan::{RequestFacts, RequestPlan};
 pub use request_refusal::RequestRefusal;
 pub use request_totals::RequestTotals;
 
--- a/src/ingress/request_refusal.rs
+++ b/src/ingress/request_refusal.rs
@@ -8,6 +8,7 @@
 use actix_http::{Response, StatusCode};
 
 use crate::http;
+use crate::ids::AccountId;
 use crate::ingress::verdict_name;
 use crate::units::ByteSize;
 use crate::verdict::Verdict;
@@ -37,7 +38,7 @@
     /// The client account has no rate limit configured.
     NoRate,
     /// The client account is over its rate.
-    OverRate(Duration),
+    OverRate(AccountId, Duration),
     /// The daemon has no configuration that it may trust.
     NotConfigured,
     /// The daemon is stopping.
@@ -46,6 +47,8 @@
     NoCapacity(Option<RefusalReason>, Duration),
     /// The deadline passed before the request was started.
     DeadlinePassed,
+    /// The caller has closed its connection; nobody reads the answer.
+    CallerLeft,
     /// The request may have run and its answer is lost.
     Lost(Option<FailureCause>),
 }
@@ -63,14 +66,14 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Forbidden | Self::NoRate => StatusCode::FORBIDDEN,
             Self::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::OverRate(..) => StatusCode::TOO_MANY_REQUESTS,
             Self::NotConfigured | Self::Stopping | Self::NoCapacity(..) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::DeadlinePassed | Self::Lost(Some(FailureCause::Timeout)) => {
                 StatusCode::GATEWAY_TIMEOUT
             }
-            Self::Lost(_) => StatusCode::BAD_GATEWAY,
+            Self::CallerLeft | Self::Lost(_) => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -78,7 +81,7 @@
     #[must_use]
     pub const fn verdict(&self) -> Verdict {
         match self {
-            Self::Lost(_) => Verdict::MayHaveRun,
+            Self::CallerLeft | Self::Lost(_) => Verdict::MayHaveRun,
             _ => Verdict::NotRun,
         }
     }
@@ -87,20 +90,20 @@
     #[must_use]
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::OverRate(span) | Self::NoCapacity(_, span) => Some(*span),
+            Self::OverRate(_, span) | Self::NoCapacity(_, span) => Some(*span),
             Self::NotConfigured | Self::Stopping | Self::DeadlinePassed => Some(DEFAULT_RETRY),
             _ => None,
         }
     }
 
-    /// The HTTP answer.
+    /// The HTTP answer; `exact` writes fractions of a second into `Retry-After`.
     #[must_use]
-    pub fn response(&self) -> Response<BoxBody> {
+    pub fn response(&self, exact: bool) -> Response<BoxBody> {
         let mut response = http::text(self.status(), &self.to_string());
         let verdict = HeaderValue::from_static(self.verdict().as_str());
         response.headers_mut().insert(verdict_name(), verdict);
         if let Some(span) = self.retry_after() {
-            set_retry_after(&mut response, span);
+            set_retry_after(&mut response, span, exact);
         }
         if self.status() == StatusCode::UNAUTHORIZED {
             let scheme = HeaderValue::from_static("Bearer");
@@ -112,9 +115,12 @@
 }
 
 /// HTTP counts `Retry-After` in whole seconds; a finer header stands beside it.
-fn set_retry_after(response: &mut Response<BoxBody>, span: Duration) {
-    let seconds = span.as_millis().div_ceil(1_000).max(1);
-    if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+fn set_retry_after(response: &mut Response<BoxBody>, span: Duration, exact: bool) {
+    let seconds = match exact {
+        true => format!("{:.3}", span.as_secs_f64()),
+        false => span.as_millis().div_ceil(1_000).max(1).to_string(),
+    };
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
     if let Ok(value) = HeaderValue::from_str(&span.as_millis().to_string()) {
@@ -140,12 +146,13 @@
             Self::BodyTooLarge(most) => write!(formatter, "the body is larger than {most}"),
             Self::BadBody(cause) => write!(formatter, "the body cannot be read: {cause}"),
             Self::NoRate => formatter.write_str("the client account has no rate; ask the operators to set one"),
-            Self::OverRate(_) => formatter.write_str("the client account is over its rate"),
+            Self::OverRate(account, _) => write!(formatter, "client account '{account}' is over its rate"),
             Self::NotConfigured => formatter.write_str("this daemon has no current configuration yet"),
             Self::Stopping => formatter.write_str("this daemon is stopping; use another"),
             Self::NoCapacity(Some(reason), _) => write!(formatter, "no capacity: {reason}"),
             Self::NoCapacity(None, _) => formatter.write_str("no instance of the service is available"),
             Self::DeadlinePassed => formatter.write_str("the deadline passed before the request was started"),
+            Self::CallerLeft => formatter.write_str("the caller closed its connection before the answer"),
             Self::Lost(Some(cause)) => write!(formatter, "the request may have run: {cause}"),
             Self::Lost(None) => formatter.write_str("the request may have run: its answer was lost"),
         }
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -1,25 +1,27 @@
 //! Serves one caller's request from its head to its answer.
 
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{HOST, HeaderMap, HeaderValue};
 use actix_http::{ConnectionType, HttpMessage, Request, Response};
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 
-use crate::http::{BodyError, ConnectionMark, read_body};
-use crate::ids::RequestId;
+use crate::http::{BodyError, CallerWatch, ConnectionMark, header_rules, read_body};
+use crate::ids::{HostName, RequestId};
 use crate::ingress::caller_request::CallerRequest;
-use crate::ingress::header_rules::{self, DEADLINE_HEADER, REQUEST_HEADER};
 use crate::ingress::ingress_handle::UnderWay;
-use crate::ingress::{IngressHandle, RequestPlan, RequestRefusal, caller_key};
+use crate::ingress::{IngressHandle, RequestFacts, RequestPlan, RequestRefusal, caller_key};
 use crate::limits::{Admission, AdmittedToken};
 use crate::logs::part;
 use crate::resource::KeyHash;
 use crate::time::Deadline;
 use crate::verdict::Verdict;
 
-/// Answers one request.
+/// Answers one request; one whose caller has left is given up at once, and its attempt with it.
 pub(crate) async fn answer(
     ingress: &IngressHandle,
     mut request: Request,
@@ -28,15 +30,15 @@
     ingress.state.borrow_mut().totals.requests += 1;
     let id = ingress.next_request();
     let name = name_of(ingress, id, request.headers());
-    let result = serve(ingress, id, &mut request, count).await;
+    let result = serve_watched(ingress, id, &name, &mut request, count).await;
     let (verdict, mut response) = match result {
         Ok(response) => (Verdict::Ran, response),
-        Err(refusal) => (refusal.verdict(), refused(ingress, &refusal)),
+        Err(refusal) => (refusal.verdict(), refused(ingress, &name, &refusal)),
     };
     ingress.state.borrow_mut().totals.answered(verdict);
-    if let Some(name) = name {
-        let header = HeaderName::from_static(REQUEST_HEADER);
-        response.headers_mut().insert(header, name);
+    if let Ok(value) = HeaderValue::from_str(&name) {
+        let header = ingress.sources.headers.request();
+        response.headers_mut().insert(header, value);
     }
     if ingress.is_stopping() {
         response
@@ -49,36 +51,70 @@
     response
 }
 
-fn refused(ingress: &IngressHandle, refusal: &RequestRefusal) -> Response<BoxBody> {
-    if matches!(refusal, RequestRefusal::OverRate(_)) {
+/// Serves the request until its caller leaves.
+async fn serve_watched(
+    ingress: &IngressHandle,
+    id: RequestId,
+    name: &str,
+    request: &mut Request,
+    count: UnderWay,
+) -> Result<Response<BoxBody>, RequestRefusal> {
+    let Some(watch) = request.conn_data::<CallerWatch>().cloned() else {
+        return serve(ingress, id, name, request, count).await;
+    };
+    let serving = pin!(serve(ingress, id, name, request, count));
+    match select(serving, pin!(watch.wait())).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(RequestRefusal::CallerLeft),
+    }
+}
+
+fn refused(ingress: &IngressHandle, name: &str, refusal: &RequestRefusal) -> Response<BoxBody> {
+    if matches!(refusal, RequestRefusal::OverRate(..)) {
         ingress.state.borrow_mut().totals.over_rate += 1;
     }
-    log::debug!(target: part::INGRESS, verdict:% = refusal.verdict(), cause:% = refusal; "Request refused.");
-    refusal.response()
+    log::info!(
+        target: part::INGRESS,
+        request = name,
+        verdict:% = refusal.verdict(),
+        status = refusal.status().as_u16(),
+        retry_after_ms:? = refusal.retry_after().map(|span| span.as_millis()),
+        cause:% = refusal;
+        "Request refused."
+    );
+    refusal.response(ingress.sources.proxy.exact_retry_after)
 }
 
 /// The caller's own name of the request, else ours; operators find it in the logs.
-fn name_of(ingress: &IngressHandle, id: RequestId, headers: &HeaderMap) -> Option<HeaderValue> {
-    let own = headers.get(REQUEST_HEADER).cloned();
-    own.or_else(|| HeaderValue::from_str(&format!("{}-{id}", ingress.sources.boot)).ok())
+fn name_of(ingress: &IngressHandle, id: RequestId, headers: &HeaderMap) -> String {
+    let own = headers.get(ingress.sources.headers.request());
+    let own = own.and_then(|value| value.to_str().ok());
+    own.map_or_else(|| format!("{}-{id}", ingress.sources.boot), str::to_owned)
 }
 
 async fn serve(
     ingress: &IngressHandle,
     id: RequestId,
+    name: &str,
     request: &mut Request,
     count: UnderWay,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
-    let secret = caller_key(request.headers())?.to_owned();
-    let plan = plan(ingress, request, &secret)?;
-    let deadline = deadline_of(ingress, request.headers())?;
+    let rules = Rc::clone(&ingress.sources.headers);
+    let secret = caller_key(request.headers()).map(str::to_owned);
+    let plan = plan(ingress, request, secret.as_deref())?;
+    let secret = secret.ok();
+    let deadline = deadline_of(ingress, &plan, request.headers())?;
     let body = body_of(ingress, request).await?;
-    check_exposure(request, &body, &secret)?;
-    let headers = header_rules::crossing_request(request.headers(), &secret);
+    if let Some(secret) = &secret {
+        check_exposure(request, &body, secret)?;
+    }
+    let headers = rules.crossing_request(request.headers(), secret.as_deref());
     let token = admit(ingress, &plan, deadline).await?;
     let call = CallerRequest {
         ingress,
         id,
+        name: instance_name(ingress, id, name),
+        host: host_of(request).map(str::to_owned),
         plan,
         deadline,
         method: request.method().as_str().to_owned(),
@@ -96,27 +132,54 @@
     result
 }
 
+/// The name under which an instance sees the request: unlike the caller's own it is unique.
+fn instance_name(ingress: &IngressHandle, id: RequestId, name: &str) -> String {
+    match ingress.sources.headers.keeps_name() {
+        true => name.to_owned(),
+        false => format!("{}-{id}", ingress.sources.boot),
+    }
+}
+
 fn plan(
     ingress: &IngressHandle,
     request: &Request,
-    secret: &str,
+    secret: Result<&str, &RequestRefusal>,
 ) -> Result<RequestPlan, RequestRefusal> {
     let config = &ingress.sources.config;
-    if !config.is_loaded() || !config.is_fresh(ingress.sources.clock.now()) {
+    if !config.is_loaded() {
         return Err(RequestRefusal::NotConfigured);
     }
-    let hash = KeyHash::of_secret(secret);
-    RequestPlan::open(
-        &config.catalog(),
-        &hash,
-        request.path(),
-        request.method().as_str(),
-    )
+    let hash = secret.map(KeyHash::of_secret);
+    let host = host_of(request).and_then(host_name);
+    let facts = RequestFacts {
+        host: host.as_ref(),
+        path: request.path(),
+        method: request.method().as_str(),
+        key: hash.as_ref().map_err(|refusal| *refusal),
+        is_fresh: config.is_fresh(ingress.sources.clock.now()),
+    };
+    RequestPlan::open(&config.catalog(), &facts, |route| ingress.next_part(route))
 }
 
-fn deadline_of(ingress: &IngressHandle, headers: &HeaderMap) -> Result<Deadline, RequestRefusal> {
+/// The host as it was sent, with its port.
+fn host_of(request: &Request) -> Option<&str> {
+    let host = request.headers().get(HOST)?;
+    host.to_str().ok()
+}
+
+fn host_name(host: &str) -> Option<HostName> {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase().parse().ok()
+}
+
+/// The caller's deadline, and the route's timeout where that comes first.
+fn deadline_of(
+    ingress: &IngressHandle,
+    plan: &RequestPlan,
+    headers: &HeaderMap,
+) -> Result<Deadline, RequestRefusal> {
     let proxy = &ingress.sources.proxy;
-    let span = match headers.get(DEADLINE_HEADER) {
+    let span = match headers.get(ingress.sources.headers.deadline()) {
         None => proxy.default_deadline.get(),
         Some(value) => {
             let text = String::from_utf8_lossy(value.as_bytes());
@@ -127,6 +190,7 @@
             Duration::from_millis(millis).min(proxy.max_deadline.get())
         }
     };
+    let span = plan.timeout.map_or(span, |timeout| span.min(timeout));
     Ok(ingress.sources.clock.now().after(span))
 }
 
@@ -156,12 +220,17 @@
     deadline: Deadline,
 ) -> Result<Option<AdmittedToken>, RequestRefusal> {
     let sources = &ingress.sources;
+    if plan.is_unlimited {
+        return Ok(None);
+    }
     if sources.baseline.static_split {
         return admit_split(ingress, plan).map(|()| None);
     }
     match sources.limits.admit(&plan.account, deadline).await {
         Admission::Admitted(token) => Ok(Some(token)),
-        Admission::Refused { retry_after } => Err(RequestRefusal::OverRate(retry_after)),
+        Admission::Refused { retry_after } => {
+            Err(RequestRefusal::OverRate(plan.account.clone(), retry_after))
+        }
         Admission::NoLimit => Err(RequestRefusal::NoRate),
     }
 }
@@ -178,7 +247,7 @@
     state
         .split
         .admit(&limit, parts, now)
-        .map_err(RequestRefusal::OverRate)
+        .map_err(|retry_after| RequestRefusal::OverRate(plan.account.clone(), retry_after))
 }
 
 fn target_of(request: &Request) -> String {
--- a/src/instances/announce_error.rs
+++ b/src/instances/announce_error.rs
@@ -46,6 +46,14 @@
         Leaving(instance: InstanceId) {
             display("instance '{instance}' is leaving; announce 'starting' to begin anew")
         }
+        /// Another instance has taken the address since.
+        Replaced(instance: InstanceId, address: SocketAddr) {
+            display("instance '{instance}' is late: one that started after it announced '{address}'")
+        }
+        /// The instance is not known.
+        Unknown(instance: InstanceId) {
+            display("instance '{instance}' is not known here; nothing to remove")
+        }
         /// There is no room for another instance.
         Full(most: usize) {
             display("this daemon serves {most} instances already; run fewer on one VM")
@@ -68,7 +76,8 @@
             Self::Read(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Read(BodyError::Malformed(_)) => StatusCode::BAD_REQUEST,
             Self::Remote(_) => StatusCode::FORBIDDEN,
-            Self::Leaving(_) => StatusCode::CONFLICT,
+            Self::Leaving(_) | Self::Replaced(..) => StatusCode::CONFLICT,
+            Self::Unknown(_) => StatusCode::NOT_FOUND,
             Self::Full(_) | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -115,6 +115,12 @@
                     Err(error) => refuse(&error),
                 }
             }
+            (Method::DELETE, Some(rest)) if rest.len() > 1 && rest.starts_with('/') => {
+                match self.remove(&rest[1..], &request) {
+                    Ok(local) => http::json(StatusCode::OK, &local),
+                    Err(error) => refuse(&error),
+                }
+            }
             (_, Some(rest)) if rest.is_empty() || rest.starts_with('/') => wrong_method(),
             _ => http::text(
                 StatusCode::NOT_FOUND,
@@ -131,7 +137,7 @@
         check_peer(request.peer_addr())?;
         let instance: InstanceId = name.parse()?;
         let body = http::read_body(request.payload(), MOST_BODY).await?;
-        let announcement = Announcement::parse(&body)?;
+        let announcement = (self.sources.reader)(&body)?;
         if !is_on_this_vm(announcement.address.ip()) {
             return Err(AnnounceError::Address(announcement.address));
         }
@@ -154,11 +160,28 @@
             .announce(instance, announcement, now);
         let (local, changed) = outcome?;
         if changed {
-            log::info!(target: part::INSTANCES, instance:%, phase:? = local.phase; "Instance changed.");
+            let replaced = self.table.borrow_mut().replaced_by(&local, now);
+            for ended in replaced {
+                log::info!(target: part::INSTANCES, instance:% = ended.instance, by:% = instance; "Instance replaced at its address.");
+                (self.sources.on_change)(ended);
+            }
+            log::info!(target: part::INSTANCES, instance:%, service:% = local.service, phase:? = local.phase, address:% = local.address; "Instance changed.");
             (self.sources.on_change)(local.clone());
         }
         Ok(local)
     }
+
+    /// The instance takes no more work from now on.
+    fn remove(&self, name: &str, request: &Request) -> Result<LocalInstance, AnnounceError> {
+        check_peer(request.peer_addr())?;
+        let instance: InstanceId = name.parse()?;
+        let now = self.sources.clock.now();
+        let removed = self.table.borrow_mut().remove(&instance, now);
+        let local = removed.ok_or_else(|| AnnounceError::Unknown(instance.clone()))?;
+        log::info!(target: part::INSTANCES, instance:%; "Instance removed itself.");
+        (self.sources.on_change)(local.clone());
+        Ok(local)
+    }
 }
 
 fn refuse(error: &AnnounceError) -> Response<BoxBody> {
@@ -172,9 +195,9 @@
 }
 
 fn wrong_method() -> Response<BoxBody> {
-    let message = "use PUT /v1/instances/{instance}, or GET /v1/instances";
+    let message = "use PUT or DELETE /v1/instances/{instance}, or GET /v1/instances";
     let mut response = http::text(StatusCode::METHOD_NOT_ALLOWED, message);
-    let allowed = HeaderValue::from_static("GET, PUT");
+    let allowed = HeaderValue::from_static("GET, PUT, DELETE");
     response.headers_mut().insert(ALLOW, allowed);
     response
 }
--- a/src/instances/announcement.rs
+++ b/src/instances/announcement.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::ServiceId;
 use crate::instances::AnnounceError;
@@ -28,6 +28,19 @@
     pub slots: Slots,
     /// How long the announcement holds without a renewal.
     pub lease: TimeSpan,
+    /// Tells a late announcement from the newest one, where the backend server says so.
+    #[serde(default)]
+    pub order: Option<AnnounceOrder>,
+}
+
+/// Orders the announcements of one backend server and its restarts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AnnounceOrder {
+    /// When the backend server started, in milliseconds since the Unix epoch.
+    pub started_millis: u64,
+    /// Counts its announcements since then.
+    pub sequence: u64,
 }
 
 impl Announcement {
--- a/src/instances/mod.rs
+++ b/src/instances/mod.rs
@@ -9,7 +9,7 @@
 
 pub use announce_error::AnnounceError;
 pub use announce_server::AnnounceServer;
-pub use announce_sources::AnnounceSources;
+pub use announce_sources::{AnnounceReader, AnnounceSources};
 pub use announce_table::AnnounceTable;
-pub use announcement::{Announcement, LEAST_LEASE, MOST_LEASE};
+pub use announcement::{AnnounceOrder, Announcement, LEAST_LEASE, MOST_LEASE};
 pub use local_instance::LocalInstance;
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -61,6 +61,12 @@
         self.state.core.borrow().live()
     }
 
+    /// How many members are live, this daemon included.
+    #[must_use]
+    pub fn live_count(&self) -> usize {
+        self.state.core.borrow().view().members().live_count() + 1
+    }
+
     /// The records of `service` whose daemons are live; shared until a change.
     #[must_use]
     pub fn instances_of(&self, service: &ServiceId) -> Rc<[InstanceRecord]> {
--- a/src/members/members_rows_task.rs
+++ b/src/members/members_rows_task.rs
@@ -6,8 +6,15 @@
 use crate::logs::part;
 use crate::members::{MemberRow, MemberRows, MembersHandle};
 
-const ROW_RETRY: Duration = Duration::from_secs(10);
+/// Pause before the first repetition, while the table does not answer or nobody else is known;
+/// doubles with each: daemons that start together find their rows after a few hundred milliseconds.
+const FIRST_RETRY: Duration = Duration::from_millis(400);
+/// Longest such pause.
+const LONGEST_RETRY: Duration = Duration::from_secs(10);
+/// Pause between two looks while other daemons are known: gossip tells of newcomers, rows only
+/// mend a fleet that was split.
 const ROW_POLL: Duration = Duration::from_secs(300);
+/// Rows read at once; a few daemons tell the rest.
 const MOST_CONTACTS: usize = 8;
 
 impl MembersHandle {
@@ -22,6 +29,7 @@
             region: sources.region.clone(),
         };
         let mut written = false;
+        let mut retry = FIRST_RETRY;
         loop {
             if !written {
                 written = rows.write(&sources.daemon, &row).await.is_ok();
@@ -30,8 +38,9 @@
             let is_alone = self.state.core.borrow().live().len() == 1;
             let wait = match written && !is_alone {
                 true => ROW_POLL,
-                false => ROW_RETRY,
+                false => retry,
             };
+            retry = (retry * 2).min(LONGEST_RETRY);
             let factor = 0.5 + self.state.rng.borrow_mut().f64();
             actix_rt::time::sleep(wait.mul_f64(factor)).await;
         }
--- a/src/resource/access.rs
+++ b/src/resource/access.rs
@@ -11,6 +11,8 @@
 pub enum RouteAccess {
     /// Every client account.
     All,
+    /// Anyone, without a key: backend servers call one another through such routes.
+    Public,
     /// These client accounts alone.
     Accounts(Vec<AccountId>),
 }
@@ -20,7 +22,7 @@
     #[must_use]
     pub fn allows(&self, account: &AccountId) -> bool {
         match self {
-            Self::All => true,
+            Self::All | Self::Public => true,
             Self::Accounts(named) => named.contains(account),
         }
     }
--- a/src/resource/request_class.rs
+++ b/src/resource/request_class.rs
@@ -75,6 +75,14 @@
 }
 
 impl ClassWeights {
+    /// Weights where operators name none: filings and internal checks before lookups, bulk last.
+    pub const USUAL: Self = Self {
+        lookup: Weight::fixed(4),
+        filing: Weight::fixed(8),
+        extract: Weight::fixed(2),
+        internal_check: Weight::fixed(8),
+    };
+
     /// The weight of `class`.
     #[must_use]
     pub const fn of(&self, class: RequestClass) -> Weight {
--- a/src/resource/service_route.rs
+++ b/src/resource/service_route.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{RouteId, ServiceId};
-use crate::resource::{IdempotencyRule, RequestClass, RouteAccess};
+use crate::resource::{IdempotencyRule, RequestClass, RouteAccess, RouteRules};
 
 /// Leads the paths below a prefix to a service; the longest prefix wins.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
@@ -23,4 +23,7 @@
     /// Whether its requests may be repeated.
     #[serde(default)]
     pub idempotency: IdempotencyRule,
+    /// How its requests are carried.
+    #[serde(default)]
+    pub rules: RouteRules,
 }
--- a/src/resource/service_spec.rs
+++ b/src/resource/service_spec.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ServiceId;
-use crate::resource::ClassWeights;
+use crate::resource::{ClassWeights, RecoveryRule};
 use crate::units::{Percent, Slots};
 
 /// How the fleet treats the backend servers of a service.
@@ -21,4 +21,7 @@
     pub weights: ClassWeights,
     /// Retries allowed, as a share of first attempts.
     pub retry_budget: Percent,
+    /// How the egress finds out whether an ejected instance has recovered.
+    #[serde(default)]
+    pub recovery: RecoveryRule,
 }
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -3,8 +3,12 @@
 use crate::time::MonoTime;
 use crate::units::Percent;
 
+/// Time in which both counts halve: an outage is not served out of what came long before it.
 const HALF_LIFE_SECS: f64 = 5.0;
+/// Retries that a daemon may cause whatever its traffic, where the settings name no reserve.
 const RESERVE_RETRIES: f64 = 3.0;
+/// Time within which the settings count the fleet's reserve.
+const RESERVE_WINDOW_SECS: f64 = 10.0;
 
 /// Keeps retries within a share of recent first attempts, plus a small reserve.
 ///
@@ -13,6 +17,7 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     share: f64,
+    reserve: f64,
     attempts: f64,
     retries: f64,
     counted_at: MonoTime,
@@ -24,6 +29,7 @@
     pub fn open(share: Percent) -> Self {
         Self {
             share: f64::from(share.get()) / 100.0,
+            reserve: RESERVE_RETRIES,
             attempts: 0.0,
             retries: 0.0,
             counted_at: MonoTime::ZERO,
@@ -35,6 +41,16 @@
         self.share = f64::from(share.get()) / 100.0;
     }
 
+    /// Gives this daemon its part of the reserve of a fleet of `daemons`.
+    ///
+    /// The reserve fills again while the window passes, so that only a part of it may be spent
+    /// at any one time.
+    pub fn share_reserve(&mut self, fleet_reserve: u32, daemons: usize) {
+        let refills = 1.0 + RESERVE_WINDOW_SECS * std::f64::consts::LN_2 / HALF_LIFE_SECS;
+        let daemons = f64::from(u32::try_from(daemons.max(1)).unwrap_or(u32::MAX));
+        self.reserve = f64::from(fleet_reserve) / (daemons * refills);
+    }
+
     /// A request was sent for the first time.
     pub fn first_attempt(&mut self, now: MonoTime) {
         self.fade(now);
@@ -52,7 +68,7 @@
     }
 
     fn allowed_retries(&self) -> f64 {
-        RESERVE_RETRIES + self.share * self.attempts
+        self.reserve + self.share * self.attempts
     }
 
     fn fade(&mut self, now: MonoTime) {
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -5,11 +5,11 @@
 
 use serde::Deserialize;
 
-use crate::ids::{DaemonId, RegionId, ZoneId};
+use crate::ids::{DaemonId, RegionId, ServiceId, ZoneId};
 use crate::limits::MAX_SHARES;
 use crate::settings::{
-    BaselineSettings, LimitsSettings, ListenSettings, OperatorSettings, PlatformSettings,
-    ProxySettings, SettingsError,
+    BaselineSettings, HeaderSettings, LimitsSettings, ListenSettings, OperatorSettings,
+    PlatformSettings, ProxySettings, ServiceSettings, SettingsError,
 };
 use crate::units::TimeSpan;
 
@@ -26,6 +26,9 @@
     pub region: RegionId,
     /// Availability zone of its VM.
     pub zone: ZoneId,
+    /// Service of the backend server on its VM, told to those that its requests reach.
+    #[serde(default)]
+    pub service: Option<ServiceId>,
     /// Secret that all daemons of the fleet share.
     pub fleet_secret: String,
     /// Lowest level that is logged.
@@ -40,9 +43,15 @@
     pub platform: PlatformSettings,
     /// The operators' credential.
     pub operators: OperatorSettings,
+    /// Names of headers.
+    #[serde(default)]
+    pub headers: HeaderSettings,
     /// The request path.
     #[serde(default)]
     pub proxy: ProxySettings,
+    /// Rules of services of which the configuration gives none.
+    #[serde(default)]
+    pub services: ServiceSettings,
     /// The rate limits.
     #[serde(default)]
     pub limits: LimitsSettings,
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -20,6 +20,15 @@
     pub slot_hold: TimeSpan,
     /// How long a graceful shutdown may take.
     pub shutdown: TimeSpan,
+    /// How long a caller's connection may be idle.
+    pub keep_alive: TimeSpan,
+    /// Whether an answer that ends with its connection counts as whole when that ends in order.
+    pub accept_unframed: bool,
+    /// Whether `Retry-After` carries fractions of a second, for callers that read them.
+    pub exact_retry_after: bool,
+    /// Retries that the whole fleet may cause for a service within ten seconds, beyond the
+    /// service's share; each daemon has a few of its own when this is left out.
+    pub retry_reserve: Option<u32>,
 }
 
 impl Default for ProxySettings {
@@ -31,6 +40,10 @@
             max_deadline: TimeSpan::from_secs(60),
             slot_hold: TimeSpan::from_millis(500),
             shutdown: TimeSpan::from_secs(30),
+            keep_alive: TimeSpan::from_secs(30),
+            accept_unframed: false,
+            exact_retry_after: false,
+            retry_reserve: None,
         }
     }
 }
--- a/src/units/macros.rs
+++ b/src/units/macros.rs
@@ -43,6 +43,12 @@
                 Ok(Self(count))
             }
 
+            /// A quantity that the program itself gives, within the bounds.
+            #[must_use]
+            pub const fn fixed(count: u32) -> Self {
+                Self(count)
+            }
+
             /// The plain number.
             #[must_use]
             pub const fn get(self) -> u32 {
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -1,5 +1,6 @@
 //! Sizes, rates and spans as newtypes that read and print with their unit.
 
+mod attempt_limit;
 mod burst;
 mod byte_size;
 mod macros;
@@ -10,6 +11,7 @@
 mod unit_error;
 mod weight;
 
+pub use attempt_limit::AttemptLimit;
 pub use burst::Burst;
 pub use byte_size::ByteSize;
 pub use percent::Percent;
--- a/src/units/percent.rs
+++ b/src/units/percent.rs
@@ -6,7 +6,7 @@
 use crate::text_serde;
 use crate::units::UnitError;
 
-/// A whole percentage from 0 to 100, written like `60%`.
+/// A whole percentage from 0 to 100, written like `60%` or `0.6`.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, bincode::Encode, bincode::Decode,
 )]
@@ -15,6 +15,12 @@
 impl Percent {
     const MOST: u8 = 100;
 
+    /// Nothing.
+    pub const NONE: Self = Self(0);
+
+    /// One half.
+    pub const HALF: Self = Self(Self::MOST / 2);
+
     /// The whole.
     pub const FULL: Self = Self(Self::MOST);
 
@@ -34,6 +40,21 @@
         Ok(Self(value))
     }
 
+    /// The percentage nearest to `share` of one, if that lies between 0 and 1.
+    #[must_use]
+    pub fn of_share(share: f64) -> Option<Self> {
+        if !(0.0..=1.0).contains(&share) {
+            return None;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "lies between 0 and 100"
+        )]
+        let value = (share * f64::from(Self::MOST)).round() as u8;
+        Some(Self(value))
+    }
+
     /// The plain number, 0 to 100.
     #[must_use]
     pub const fn get(self) -> u8 {
@@ -58,7 +79,9 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let malformed = || UnitError::Form("percentage", text.to_owned(), "60%");
-        let digits = text.strip_suffix('%').ok_or_else(malformed)?;
+        let Some(digits) = text.strip_suffix('%') else {
+            return Self::of_share(text.parse().map_err(|_| malformed())?).ok_or_else(malformed);
+        };
         Self::new(digits.parse().map_err(|_| malformed())?)
     }
 }
--- a/src/units/time_span.rs
+++ b/src/units/time_span.rs
@@ -8,7 +8,9 @@
 use crate::units::UnitError;
 
 /// A length of time, written like `250ms` or `3s`; used only to compute deadlines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, bincode::Encode, bincode::Decode,
+)]
 pub struct TimeSpan(Duration);
 
 impl TimeSpan {
--- a/src/wire/config_call.rs
+++ b/src/wire/config_call.rs
@@ -4,7 +4,7 @@
 
 use crate::config::ConfigChange;
 use crate::ids::{AccountId, Revision};
-use crate::resource::{KeyHash, RateLimit, ServiceRoute, ServiceSpec};
+use crate::resource::{ClientAccount, KeyHash, RateLimit, ServiceRoute, ServiceSpec};
 
 /// What a daemon asks.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -79,7 +79,7 @@
     /// A route.
     Route(ServiceRoute),
     /// A client account and its rate.
-    Account(AccountId, Option<RateLimit>),
+    Account(ClientAccount, Option<RateLimit>),
     /// A key.
     Key(SnapshotKey),
 }
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -75,6 +75,20 @@
     DeadlinePassed,
     /// The backend server could not be connected to.
     ConnectFailed,
+    /// The instance is thought sick, and the ingress did not know it.
+    Sick,
+    /// The backend server itself said that it did not run the request.
+    Shed,
+    /// Another instance answered at the address.
+    WrongInstance,
+}
+
+impl RefusalReason {
+    /// Whether nothing was sent to the instance.
+    #[must_use]
+    pub const fn is_unreached(self) -> bool {
+        !matches!(self, Self::Shed | Self::WrongInstance)
+    }
 }
 
 impl fmt::Display for RefusalReason {
@@ -87,6 +101,9 @@
             Self::HoldExpired => "the held slot expired",
             Self::DeadlinePassed => "the deadline passed",
             Self::ConnectFailed => "the backend server cannot be connected to",
+            Self::Sick => "the instance is thought sick",
+            Self::Shed => "the backend server has no room",
+            Self::WrongInstance => "another instance has the address",
         })
     }
 }
--- a/src/wire/instance_record.rs
+++ b/src/wire/instance_record.rs
@@ -31,6 +31,8 @@
 pub enum HealthState {
     /// It takes its full part.
     Healthy,
+    /// It has just failed: it takes requests that may be repeated.
+    Suspect,
     /// It takes no work but probes.
     Ejected,
     /// It comes back with this part of its work.
@@ -64,11 +66,23 @@
     pub median_micros: u32,
 }
 
+impl HealthState {
+    /// Whether an instance in this state takes a request without being forced.
+    #[must_use]
+    pub const fn takes(self, idempotent: bool) -> bool {
+        match self {
+            Self::Healthy => true,
+            Self::Suspect | Self::Ramping(_) => idempotent,
+            Self::Ejected => false,
+        }
+    }
+}
+
 impl InstanceRecord {
     /// Whether ingresses must hear of the record at once: work goes where it should not.
     #[must_use]
     pub const fn is_urgent(&self) -> bool {
-        self.is_leaving() || matches!(self.health, HealthState::Ejected)
+        self.is_leaving() || matches!(self.health, HealthState::Suspect | HealthState::Ejected)
     }
 
     /// Whether the instance takes no new work any more.
--- a/src/wire/peer_opening.rs
+++ b/src/wire/peer_opening.rs
@@ -10,5 +10,5 @@
     /// A call with one reply.
     Call(PeerCall),
     /// A caller's request.
-    Request(RequestOffer),
+    Request(Box<RequestOffer>),
 }
--- a/src/wire/request_offer.rs
+++ b/src/wire/request_offer.rs
@@ -3,7 +3,7 @@
 use bincode::{Decode, Encode};
 
 use crate::ids::{AccountId, BootId, InstanceId, RequestId, RouteId, ServiceId};
-use crate::resource::RequestClass;
+use crate::resource::{Priority, RequestClass};
 
 /// A request that waits for a slot of an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -18,8 +18,20 @@
     pub service: ServiceId,
     /// The route taken.
     pub route: RouteId,
-    /// The client account served.
+    /// The account under which the request waits.
     pub account: AccountId,
+    /// The client account served; none when the request carried no key.
+    pub holder: Option<AccountId>,
+    /// The service beside the ingress, where the settings name one.
+    pub caller: Option<ServiceId>,
+    /// The name under which the instance sees the request.
+    pub name: String,
+    /// The host that the caller addressed.
+    pub host: Option<String>,
+    /// Its rank.
+    pub priority: Priority,
+    /// Whether the ingress knows the instance as sick and chose it all the same, for the floor.
+    pub is_forced: bool,
     /// The class of the work.
     pub class: RequestClass,
     /// Whether it may be repeated; if not, the egress waits for go.
--- a/tests/common/follower_net.rs
+++ b/tests/common/follower_net.rs
@@ -59,6 +59,7 @@
             lease,
             ask_pause: Duration::from_secs(1),
             polls_per_second: 100,
+            is_document: false,
         };
         let mut net = Self {
             members: Vec::new(),
--- a/tests/config_catalog.rs
+++ b/tests/config_catalog.rs
@@ -29,6 +29,7 @@
         class: RequestClass::Lookup,
         access: RouteAccess::All,
         idempotency: IdempotencyRule::ByMethod,
+        rules: wagtailtrack::resource::RouteRules::default(),
     }
 }
 
@@ -124,7 +125,7 @@
         let number: u8 = u.int_in_range(0..=15)?;
         let account = || format!("account-{number}").parse().unwrap();
         let resource = match u.int_in_range(0..=5)? {
-            0 => ConfigResource::Account(ClientAccount { id: account() }),
+            0 => ConfigResource::Account(ClientAccount::named(account())),
             1 => {
                 self.rates.insert(number, u64::from(number) + 1);
                 ConfigResource::Rate(rate(number))
@@ -145,7 +146,7 @@
             _ if self.keys.values().any(|(owner, _)| *owner == number) => return Ok(None),
             _ => {
                 self.rates.remove(&number);
-                let account = ClientAccount { id: account() };
+                let account = ClientAccount::named(account());
                 return Ok(Some(ConfigAction::Remove(ConfigResource::Account(account))));
             }
         };
@@ -196,11 +197,11 @@
 #[test]
 fn deleted_names() {
     let account = |number: u32| {
-        ConfigResource::Account(ClientAccount {
-            id: format!("account-with-a-long-name-{number:08}")
+        ConfigResource::Account(ClientAccount::named(
+            format!("account-with-a-long-name-{number:08}")
                 .parse()
                 .unwrap(),
-        })
+        ))
     };
     let mut catalog = Catalog::of_resources(Revision(0), Some(ConfigResource::Rate(rate(7))));
     catalog.load(ConfigResource::Key(key(1, 7, false)));
--- a/tests/config_races.rs
+++ b/tests/config_races.rs
@@ -150,9 +150,7 @@
     /// A change of one of two accounts' rates, on top of the version that the operator sees.
     fn request(&mut self, index: usize) -> ChangeRequest {
         let id = ["a1", "a2"][self.rng.usize(..2)];
-        let account = ConfigResource::Account(ClientAccount {
-            id: id.parse().unwrap(),
-        });
+        let account = ConfigResource::Account(ClientAccount::named(id.parse().unwrap()));
         let rate = ConfigResource::Rate(RateLimit {
             account: id.parse().unwrap(),
             rate: Rate::per_second(self.rng.u64(1..1_000)).unwrap(),
--- a/tests/config_replay.rs
+++ b/tests/config_replay.rs
@@ -16,9 +16,7 @@
 const LATE: MonoTime = MonoTime::from_millis(2_000);
 
 fn account(id: &str) -> ConfigResource {
-    ConfigResource::Account(ClientAccount {
-        id: id.parse().unwrap(),
-    })
+    ConfigResource::Account(ClientAccount::named(id.parse().unwrap()))
 }
 
 fn begin(id: &str) -> (ChangeAttempt, AttemptAction) {
--- a/tests/instances_http.rs
+++ b/tests/instances_http.rs
@@ -24,6 +24,7 @@
         let stopping: Rc<RefCell<bool>> = Rc::default();
         let (told, asked) = (Rc::clone(&changes), Rc::clone(&stopping));
         let server = AnnounceServer::bind(AnnounceSources {
+            reader: Rc::new(wagtailtrack::instances::Announcement::parse),
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             clock: ProcessClock::open(),
             on_change: Rc::new(move |local| told.borrow_mut().push(local)),
--- a/tests/process_announce.rs
+++ b/tests/process_announce.rs
@@ -92,6 +92,12 @@
         service: "desk".parse().unwrap(),
         route: "lookups".parse().unwrap(),
         account: "crew".parse().unwrap(),
+        holder: None,
+        caller: None,
+        name: "7-9".to_owned(),
+        host: None,
+        priority: wagtailtrack::resource::Priority::default(),
+        is_forced: false,
         class: RequestClass::Lookup,
         idempotent: number.is_multiple_of(2),
         may_wait: true,
@@ -103,7 +109,10 @@
     };
     let egress = desk.fleet.daemons[1].peers();
     let mut stream = peers.open_stream(egress).await.unwrap();
-    stream.send(&PeerOpening::Request(offer)).await.unwrap();
+    stream
+        .send(&PeerOpening::Request(Box::new(offer)))
+        .await
+        .unwrap();
     stream.expect().await.unwrap()
 }
 
