--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -16,8 +16,11 @@
 /// Load a slot from which instances count as equally busy: long queues of one account or
 /// class say nothing of the wait of another.
 const SATURATED_LOAD: f64 = 2.0;
-/// Disadvantage of an instance in another zone.
-const OTHER_ZONE: f64 = 0.02;
+/// Disadvantage of an instance in another zone: less than one more request on a free instance
+/// with few slots, so that work stays in its zone while there is room.
+const OTHER_ZONE: f64 = 0.25;
+/// The same for bulk answers, whose bytes cost more than an uneven load.
+const OTHER_ZONE_BULK: f64 = 1.2;
 
 /// What a request asks of the instance chosen for it.
 #[derive(Debug, Clone, Copy)]
@@ -28,6 +31,19 @@
     pub tried: &'a [InstanceId],
     /// Whether it may be repeated.
     pub idempotent: bool,
+    /// Whether it may find out how an instance is that has just failed.
+    pub may_try: bool,
+    /// Whether its answer is large.
+    pub is_bulk: bool,
+}
+
+impl PickWish<'_> {
+    const fn distance(&self) -> f64 {
+        match self.is_bulk {
+            true => OTHER_ZONE_BULK,
+            false => OTHER_ZONE,
+        }
+    }
 }
 
 /// Chooses the least busy instance among those that may take work.
@@ -63,6 +79,8 @@
             floor,
             tried,
             idempotent,
+            may_try: true,
+            is_bulk: false,
         };
         let chosen = self.choose(records, &wish, now, rng)?;
         Some(records[chosen.index].instance.clone())
@@ -70,8 +88,8 @@
 
     /// Chooses an instance; none when no instance may take work.
     ///
-    /// A request that is not idempotent, or that failed once already, goes to instances in full
-    /// health where there are any.
+    /// A request that is not idempotent, that failed once already or whose retry would be missed
+    /// goes to instances in full health where there are any.
     pub fn choose(
         &mut self,
         records: &[InstanceRecord],
@@ -80,7 +98,7 @@
         rng: &mut fastrand::Rng,
     ) -> Option<AdmittedInstance> {
         let mut candidates = self.candidates(records, wish.floor, wish.tried, now);
-        let needs_proof = !wish.idempotent || !wish.tried.is_empty();
+        let needs_proof = !wish.idempotent || !wish.tried.is_empty() || !wish.may_try;
         if needs_proof && candidates.iter().any(is_proved) {
             candidates.retain(is_proved);
         }
@@ -89,7 +107,7 @@
             return Some(drawn);
         }
         candidates.retain(|entry| entry.share == Percent::FULL);
-        let index = self.least_busy(&candidates, records, now, rng)?;
+        let index = self.least_busy(&candidates, records, wish.distance(), now, rng)?;
         candidates.into_iter().find(|entry| entry.index == index)
     }
 
@@ -156,6 +174,7 @@
         &self,
         candidates: &[AdmittedInstance],
         records: &[InstanceRecord],
+        distance: f64,
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Option<usize> {
@@ -166,7 +185,7 @@
         let count = f64::from(u32::try_from(candidates.len()).unwrap_or(u32::MAX));
         let mean_choices = choices / count;
         let scores = candidates.iter().map(|entry| {
-            let score = self.score(&records[entry.index], mean_choices, now);
+            let score = self.score(&records[entry.index], mean_choices, distance, now);
             (score, rng.u32(..), entry.index)
         });
         let best = scores.min_by(|(score, lot, _), (other, other_lot, _)| {
@@ -175,15 +194,20 @@
         best.map(|(_, _, index)| index)
     }
 
-    fn score(&self, record: &InstanceRecord, mean_choices: f64, now: MonoTime) -> f64 {
+    fn score(
+        &self,
+        record: &InstanceRecord,
+        mean_choices: f64,
+        distance: f64,
+        now: MonoTime,
+    ) -> f64 {
         let known = self.known.get(&record.instance);
         let load = known.map_or(0.0, |known| known.load.value(now));
         let load_per_slot = (load / f64::from(record.slots.get())).min(SATURATED_LOAD);
         let choices = self.choices_per_slot(record, now) / mean_choices.max(f64::MIN_POSITIVE);
-        let distance = if record.zone == self.zone {
-            0.0
-        } else {
-            OTHER_ZONE
+        let distance = match record.zone == self.zone {
+            true => 0.0,
+            false => distance,
         };
         load_per_slot + CHOICES_WEIGHT * choices.max(LEAST_CHOICES) + distance
     }
--- a/src/config/document_follower.rs
+++ b/src/config/document_follower.rs
@@ -11,9 +11,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause: a store that is back is heard of within about a second.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Part of the freshness lease that one question waits at the store, so that one lost answer
-/// does not yet end the lease.
-const WAIT_PART: u32 = 2;
+/// Part of the freshness lease that one question waits at the store: the rest is enough to read
+/// anew after a lost answer, before the lease ends.
+const WAIT_PART: f64 = 0.6;
 
 /// The next call to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,7 +71,7 @@
             return FollowStep::Pause(self.resume_at);
         }
         match self.position {
-            Some(position) => FollowStep::Follow(position, self.lease / WAIT_PART),
+            Some(position) => FollowStep::Follow(position, self.lease.mul_f64(WAIT_PART)),
             None => FollowStep::Read,
         }
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 mod daemon_view;
 mod peer_calls;
 mod run;
+mod settings_watch;
 
 pub use command_line::CommandLine;
 pub use daemon_edges::DaemonEdges;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,10 +1,12 @@
 //! Runs a daemon until it is told to stop.
 
-use futures_util::future::{Either, select};
+use std::path::PathBuf;
 use std::pin::pin;
+
+use futures_util::future::{Either, select};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::daemon::{CommandLine, DaemonEdges, DaemonHandle};
+use crate::daemon::{CommandLine, DaemonEdges, DaemonHandle, settings_watch};
 use crate::exit::ExitStatus;
 use crate::logs;
 use crate::settings::DaemonSettings;
@@ -30,18 +32,22 @@
     }
     actix_rt::System::new().block_on(async {
         let edges = edges(&settings);
-        serve(settings, edges).await
+        serve(line.config.clone(), settings, edges).await
     })
 }
 
-async fn serve(settings: DaemonSettings, edges: DaemonEdges) -> ExitStatus {
-    let (terminate, interrupt) = match (
+async fn serve(path: PathBuf, settings: DaemonSettings, edges: DaemonEdges) -> ExitStatus {
+    let (terminate, interrupt, hangup) = match (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
     ) {
-        (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
-        (Err(error), _) | (_, Err(error)) => return fail(&error.to_string()),
+        (Ok(terminate), Ok(interrupt), Ok(hangup)) => (terminate, interrupt, hangup),
+        (Err(error), ..) | (_, Err(error), _) | (.., Err(error)) => {
+            return fail(&error.to_string());
+        }
     };
+    actix_rt::spawn(settings_watch::run(path, settings.clone(), hangup));
     let daemon = match DaemonHandle::open(settings, edges).await {
         Ok(daemon) => daemon,
         Err(error) => return fail(&error.to_string()),
--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -10,7 +10,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead};
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -27,6 +27,8 @@
     codec: ClientCodec,
     /// How long the instance keeps an idle connection, where it says so.
     pub(crate) keeps_for: Option<Duration>,
+    /// Whether the last request sent was one whose answer has no body whatever its head says.
+    is_head: bool,
 }
 
 /// A connection whose answer's body is still to come.
@@ -60,6 +62,7 @@
             buffer: BytesMut::new(),
             codec: ClientCodec::default(),
             keeps_for: None,
+            is_head: false,
         })
     }
 
@@ -73,6 +76,7 @@
     /// Sends a request; a failure leaves open whether it arrived.
     pub(crate) async fn send(&mut self, head: RequestHead, body: &[u8]) -> io::Result<()> {
         let size = BodySize::Sized(body.len() as u64);
+        self.is_head = head.method == Method::HEAD;
         let mut bytes = BytesMut::new();
         let head = RequestHeadType::Owned(head);
         self.codec.encode(Message::Item((head, size)), &mut bytes)?;
@@ -92,6 +96,10 @@
         };
         self.keeps_for = keep_alive_of(&head);
         let rest = match self.codec.message_type() {
+            // The codec takes an answer without a length for one without a body.
+            MessageType::None if self.may_have_body(&head) && !is_framed(&head) => {
+                AnswerRest::Body(self.into_unframed())
+            }
             MessageType::None => AnswerRest::Nothing(self.into_kept()),
             kind @ (MessageType::Payload | MessageType::Stream) => {
                 AnswerRest::Body(BodyConnection {
@@ -106,6 +114,21 @@
         Ok((head, rest))
     }
 
+    fn may_have_body(&self, head: &ResponseHead) -> bool {
+        !self.is_head && !matches!(head.status.as_u16(), 204 | 304)
+    }
+
+    /// The connection as the body of an answer that ends with it.
+    fn into_unframed(self) -> BodyConnection {
+        BodyConnection {
+            socket: self.socket,
+            buffer: self.buffer,
+            codec: self.codec.into_payload_codec(),
+            keeps_for: None,
+            ends_with_connection: true,
+        }
+    }
+
     /// Itself, unless surplus bytes or the instance's word end it.
     fn into_kept(self) -> Option<Self> {
         let may_keep = self.codec.keep_alive() && self.buffer.is_empty();
@@ -152,6 +175,7 @@
             buffer: self.buffer,
             codec: self.codec.into_message_codec(),
             keeps_for: self.keeps_for,
+            is_head: false,
         })
     }
 
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -100,6 +100,7 @@
                 }
             }
         }
+        log::debug!(target: part::EGRESS, request = self.offer.name, status = answer.head.status, bytes = answer.received(); "Answer passed on.");
         self.observe(outcome_of_status(answer.head.status), start, blocked);
         self.remember(answer.head.status);
         drop(guard);
--- a/src/egress/instance_gate.rs
+++ b/src/egress/instance_gate.rs
@@ -88,10 +88,11 @@
 
     /// Whether the instance's health lets a request in.
     #[must_use]
-    pub fn admits(&self, idempotent: bool, is_forced: bool) -> bool {
+    pub fn admits(&self, idempotent: bool, is_forced: bool, now: MonoTime) -> bool {
         let health = self.health.published();
         // One at a time finds out whether the instance has recovered, and spoils little if not.
-        let has_room = health != HealthState::Suspect || self.is_idle();
+        let has_room =
+            health != HealthState::Suspect || (self.is_idle() && self.health.allows_trial(now));
         is_forced || (health.takes(idempotent) && has_room)
     }
 
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -42,7 +42,7 @@
             let load = gate.borrow().load();
             refuse(&mut sender, RefusalReason::NotReady, NOT_READY_RETRY, load).await
         }
-        Some(gate) if !gate.borrow().admits(offer.idempotent, offer.is_forced) => {
+        Some(gate) if !admits(egress, &gate, &offer) => {
             let load = gate.borrow().load();
             refuse(&mut sender, RefusalReason::Sick, SICK_RETRY, load).await
         }
@@ -57,6 +57,12 @@
     }
 }
 
+fn admits(egress: &EgressHandle, gate: &SharedGate, offer: &RequestOffer) -> bool {
+    let now = egress.sources.clock.now();
+    let gate = gate.borrow();
+    gate.admits(offer.idempotent, offer.is_forced, now)
+}
+
 /// Tells the ingress that the request was not run and never will be.
 pub(crate) async fn refuse(
     sender: &mut PeerSender,
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -43,8 +43,6 @@
     backoff: EjectBackoff,
     ramp: RampProgress,
     recovery: RecoveryRule,
-    /// Back from an ejection without having proved itself yet.
-    is_trial: bool,
     trust: TrustTrack,
 }
 
@@ -62,7 +60,6 @@
             backoff: EjectBackoff::open(),
             ramp: RampProgress::open(),
             recovery: RecoveryRule::default(),
-            is_trial: false,
             trust: TrustTrack::default(),
         }
     }
@@ -88,7 +85,6 @@
         let is_slow = self.weigh_time(sample, peers, now);
         self.weigh_outcome(sample.outcome, now);
         self.trust.observe(sample.outcome, now);
-        self.is_trial &= !self.trust.is_trusted();
         let is_good = sample.outcome == SampleOutcome::Good && !is_slow;
         match self.state {
             HealthState::Healthy => self.judge(peers, now),
@@ -169,6 +165,12 @@
         }
     }
 
+    /// Whether a request that may be repeated may find out now how the instance is.
+    #[must_use]
+    pub fn allows_trial(&self, now: MonoTime) -> bool {
+        self.trust.allows_trial(now)
+    }
+
     /// The median of the latest service times, for the instance's record.
     ///
     /// While under suspicion it follows the very last samples and the present stall, so
@@ -251,11 +253,11 @@
 
 /// Changes of state.
 impl InstanceHealth {
+    /// An instance that fails is ejected, unless callers' requests try it: then a few at a time
+    /// go there, find out when it recovers, and are repeated elsewhere until then.
     fn judge(&mut self, peers: &ServiceBaseline, now: MonoTime) -> Option<HealthChange> {
-        if self.is_trial && self.failing.sum() >= TRIAL_SUM {
-            return self.eject(HealthCause::Relapsed, now);
-        }
-        if self.failing.is_due(now) && peers.ejected_share() < MAX_EJECTED_SHARE {
+        let is_contained = self.recovery == RecoveryRule::Requests;
+        if !is_contained && self.failing.is_due(now) && peers.ejected_share() < MAX_EJECTED_SHARE {
             return self.eject(HealthCause::Failing, now);
         }
         let cause = self.slowness.judge(peers, now)?;
@@ -275,7 +277,6 @@
         if self.recovery == RecoveryRule::Probes || !self.backoff.has_passed(now) {
             return None;
         }
-        self.is_trial = true;
         self.trust.lose(now);
         self.change(HealthState::Healthy, HealthCause::Tried)
     }
--- a/src/health/trust_track.rs
+++ b/src/health/trust_track.rs
@@ -14,6 +14,10 @@
 /// themselves with: about as long as a sick spell lasts.
 const QUIET_TIME: Duration = Duration::from_secs(4);
 
+/// Time after a bad answer until the next request may find out whether the instance has recovered:
+/// each that fails is repeated elsewhere, on a budget that the whole fleet shares.
+const TRIAL_PAUSE: Duration = Duration::from_millis(800);
+
 /// Lost by a single bad answer, long before an ejection is due: what fails a request that cannot
 /// be repeated is lost for the caller, while any other is sent elsewhere and finds out meanwhile
 /// whether the instance has recovered.
@@ -25,6 +29,8 @@
 #[derive(Debug, Clone, Copy, Serialize)]
 struct TrustDoubt {
     good: u32,
+    /// When the next trial may begin.
+    trial_at: Deadline,
     until: Deadline,
 }
 
@@ -34,6 +40,12 @@
         self.doubt.is_none()
     }
 
+    /// Whether a request may find out now how the instance is.
+    pub(super) fn allows_trial(&self, now: MonoTime) -> bool {
+        self.doubt
+            .is_none_or(|doubt| doubt.trial_at.has_passed(now))
+    }
+
     /// Takes an answer in.
     pub(super) fn observe(&mut self, outcome: SampleOutcome, now: MonoTime) {
         match outcome {
@@ -49,6 +61,7 @@
     pub(super) fn lose(&mut self, now: MonoTime) {
         self.doubt = Some(TrustDoubt {
             good: 0,
+            trial_at: now.after(TRIAL_PAUSE),
             until: now.after(QUIET_TIME),
         });
     }
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -128,6 +128,8 @@
             floor: self.plan.floor,
             tried,
             idempotent: self.plan.idempotent,
+            may_try: self.with_budget(RetryBudget::allows_trial),
+            is_bulk: self.plan.class == RequestClass::Extract,
         };
         let chosen = self
             .ingress
@@ -268,14 +270,34 @@
 
     /// Whether another attempt follows; one that reached no instance costs nothing of the budget.
     fn may_retry(&self, history: &AttemptHistory, verdict: Verdict, is_free: bool) -> bool {
-        if !history.allows_retry(verdict, self.plan.idempotent) || self.has_passed() {
+        let obstacle = if !verdict.allows_retry(self.plan.idempotent) {
+            Some("it may have run and cannot be repeated")
+        } else if history.is_last() {
+            Some("no attempt is left")
+        } else if self.has_passed() {
+            Some("its deadline has passed")
+        } else if !is_free && !self.with_budget(RetryBudget::try_retry) {
+            Some("the retry budget is spent")
+        } else {
+            None
+        };
+        if let Some(obstacle) = obstacle {
+            log::info!(
+                target: part::INGRESS,
+                request = self.name,
+                route:% = self.plan.route,
+                service:% = self.plan.service,
+                attempts = history.tried().len(),
+                verdict:%,
+                obstacle;
+                "No further attempt."
+            );
             return false;
         }
-        let allowed = is_free || self.with_budget(RetryBudget::try_retry);
-        if allowed && !history.was_glance() {
+        if !history.was_glance() {
             self.ingress.state.borrow_mut().totals.retries += 1;
         }
-        allowed
+        true
     }
 
     fn with_budget<T>(&self, act: impl FnOnce(&mut RetryBudget, MonoTime) -> T) -> T {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -195,7 +195,8 @@
             .entry(service.clone())
             .or_insert_with(|| RetryBudget::open(share));
         if let Some(reserve) = self.sources.proxy.retry_reserve {
-            budget.share_reserve(reserve, self.sources.members.live_count());
+            let daemons = self.sources.members.live_count();
+            budget.share_reserve(share, reserve, daemons);
         }
         act(budget)
     }
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -78,6 +78,85 @@
         Ok(settings)
     }
 
+    /// The names of the parts in which `other` differs, the log level left out.
+    #[must_use]
+    pub fn changed_fields(&self, other: &Self) -> Vec<&'static str> {
+        let parts = [
+            (
+                "daemon",
+                format!("{:?}", self.daemon),
+                format!("{:?}", other.daemon),
+            ),
+            (
+                "region",
+                format!("{:?}", self.region),
+                format!("{:?}", other.region),
+            ),
+            (
+                "zone",
+                format!("{:?}", self.zone),
+                format!("{:?}", other.zone),
+            ),
+            (
+                "service",
+                format!("{:?}", self.service),
+                format!("{:?}", other.service),
+            ),
+            (
+                "fleet_secret",
+                self.fleet_secret.clone(),
+                other.fleet_secret.clone(),
+            ),
+            (
+                "seeds",
+                format!("{:?}", self.seeds),
+                format!("{:?}", other.seeds),
+            ),
+            (
+                "listen",
+                format!("{:?}", self.listen),
+                format!("{:?}", other.listen),
+            ),
+            (
+                "platform",
+                format!("{:?}", self.platform),
+                format!("{:?}", other.platform),
+            ),
+            (
+                "operators",
+                format!("{:?}", self.operators),
+                format!("{:?}", other.operators),
+            ),
+            (
+                "headers",
+                format!("{:?}", self.headers),
+                format!("{:?}", other.headers),
+            ),
+            (
+                "proxy",
+                format!("{:?}", self.proxy),
+                format!("{:?}", other.proxy),
+            ),
+            (
+                "services",
+                format!("{:?}", self.services),
+                format!("{:?}", other.services),
+            ),
+            (
+                "limits",
+                format!("{:?}", self.limits),
+                format!("{:?}", other.limits),
+            ),
+            (
+                "baseline",
+                format!("{:?}", self.baseline),
+                format!("{:?}", other.baseline),
+            ),
+        ];
+        let changed = parts.into_iter().filter(|(_, own, its)| own != its);
+        changed.map(|(name, ..)| name).collect()
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         self.check_secret()?;
         self.check_addresses()?;
--- a/tests/backend_client.rs
+++ b/tests/backend_client.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use wagtailtrack::egress::{BackendAnswer, BackendClient, SendFailure};
+use wagtailtrack::egress::{BackendAnswer, BackendClient, ClientRules, SendFailure};
 use wagtailtrack::ids::{BootId, RequestId};
 use wagtailtrack::resource::RequestClass;
 use wagtailtrack::time::ProcessClock;
@@ -131,6 +131,20 @@
     assert_eq!(failure.cause, FailureCause::BadAnswer);
 }
 
+/// Where the settings accept it, an answer without a length is whole when its connection ends in
+/// good order; what was read of it is not dropped.
+#[actix_rt::test]
+async fn accepted_end() {
+    let rules = ClientRules {
+        accept_unframed: true,
+        ..ClientRules::default()
+    };
+    let instance = RawInstance::open(format!("{HEAD}\r\nlane"), true);
+    let client = BackendClient::open_with(ProcessClock::open(), rules);
+    let mut answer = send(&client, instance.address).await.ok().unwrap();
+    assert_eq!(read(&mut answer).await, Ok(b"lane".to_vec()));
+}
+
 #[actix_rt::test]
 async fn lost_before_head() {
     for answer in ["", "HTTP/1.1 20", "garbage\r\n\r\n"] {
@@ -162,6 +176,8 @@
     assert_eq!(failure.verdict, Verdict::MayHaveRun);
     let own = format!("{HEAD}x-request-id: 7-9\r\ncontent-length: 0\r\n\r\n");
     let instance = RawInstance::open(own, false);
+    // The deadline above has passed by the first client's clock.
+    let client = BackendClient::open(ProcessClock::open());
     assert!(send(&client, instance.address).await.is_ok());
 }
 
