--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -6,13 +6,16 @@
 use crate::ids::{InstanceId, ZoneId};
 use crate::time::MonoTime;
 use crate::units::Percent;
-use crate::wire::{InstanceRecord, LoadFigure};
+use crate::wire::{InstancePhase, InstanceRecord, LoadFigure};
 
 /// Weight of recent choices against load a slot.
 const CHOICES_WEIGHT: f64 = 0.4;
 /// Least recent choices that count, as a part of the mean, so that an instance that was
 /// away is not flooded when it returns.
 const LEAST_CHOICES: f64 = 0.7;
+/// Trusted slots are scarce below one part in this many: most of the load could not be served, while
+/// even instances that fail half of their requests would serve some.
+const SCARCE_PARTS: u64 = 8;
 /// Load a slot from which instances count as equally busy: long queues of one account or
 /// class say nothing of the wait of another.
 const SATURATED_LOAD: f64 = 2.0;
@@ -98,17 +101,30 @@
         rng: &mut fastrand::Rng,
     ) -> Option<AdmittedInstance> {
         let mut candidates = self.candidates(records, wish.floor, wish.tried, now);
+        let is_scarce = is_trust_scarce(records);
         let needs_proof = !wish.idempotent || !wish.tried.is_empty() || !wish.may_try;
-        if needs_proof && candidates.iter().any(is_proved) {
+        if needs_proof && !is_scarce && candidates.iter().any(is_proved) {
             candidates.retain(is_proved);
         }
         let drawn = draw(&candidates, records, rng)?;
         if drawn.share < Percent::FULL {
             return Some(drawn);
         }
-        candidates.retain(|entry| entry.share == Percent::FULL);
+        if !drawn.is_trusted && !is_scarce {
+            return Some(drawn);
+        }
+        let is_alike = |entry: &AdmittedInstance| {
+            entry.share == Percent::FULL && (is_scarce || entry.is_trusted)
+        };
+        if candidates.iter().any(is_alike) {
+            candidates.retain(is_alike);
+        }
         let index = self.least_busy(&candidates, records, wish.distance(), now, rng)?;
-        candidates.into_iter().find(|entry| entry.index == index)
+        let found = candidates.into_iter().find(|entry| entry.index == index)?;
+        Some(AdmittedInstance {
+            is_widened: found.is_widened || (is_scarce && !found.is_trusted),
+            ..found
+        })
     }
 
     /// A request goes to the instance.
@@ -228,6 +244,18 @@
     }
 }
 
+/// Whether so few instances are trusted that distrust would cost more than it saves.
+fn is_trust_scarce(records: &[InstanceRecord]) -> bool {
+    let ready = || {
+        let records = records.iter();
+        records.filter(|record| record.phase == InstancePhase::Ready)
+    };
+    let slots = |record: &InstanceRecord| u64::from(record.slots.get());
+    let trusted = ready().filter(|record| record.health.takes(false));
+    let all: u64 = ready().map(slots).sum();
+    trusted.map(slots).sum::<u64>() * SCARCE_PARTS < all
+}
+
 /// Whether the instance is in full health.
 fn is_proved(entry: &AdmittedInstance) -> bool {
     entry.share == Percent::FULL && !entry.is_forced && entry.is_trusted
--- a/src/egress/instance_gate.rs
+++ b/src/egress/instance_gate.rs
@@ -41,6 +41,8 @@
     health: InstanceHealth,
     /// The state told last.
     published: HealthState,
+    /// The request that finds out how the instance is.
+    trial: Option<RequestKey>,
     waiting: FastMap<RequestKey, oneshot::Sender<QueueWord>>,
     running: FastMap<RequestKey, MonoTime>,
     probe_target: Option<String>,
@@ -52,10 +54,13 @@
     pub fn open(local: LocalInstance, spec: &ServiceSpec, seed: u64) -> Self {
         let mut health = InstanceHealth::open(seed);
         health.set_recovery(spec.recovery);
+        let mut queue = InstanceQueue::open(local.slots, spec.weights);
+        queue.keep_slot(spec.check_slot);
         Self {
-            queue: InstanceQueue::open(local.slots, spec.weights),
+            queue,
             health,
             published: HealthState::Healthy,
+            trial: None,
             local,
             waiting: FastMap::default(),
             running: FastMap::default(),
@@ -73,6 +78,7 @@
     /// and may go elsewhere.
     pub fn announce(&mut self, local: LocalInstance, spec: &ServiceSpec) {
         self.queue.resize(local.slots, spec.weights);
+        self.queue.keep_slot(spec.check_slot);
         self.health.set_recovery(spec.recovery);
         self.local = local;
         if !self.takes_work() {
@@ -91,11 +97,18 @@
     pub fn admits(&self, idempotent: bool, is_forced: bool, now: MonoTime) -> bool {
         let health = self.health.published();
         // One at a time finds out whether the instance has recovered, and spoils little if not.
-        let has_room =
-            health != HealthState::Suspect || (self.is_idle() && self.health.allows_trial(now));
+        let has_room = health != HealthState::Suspect
+            || (self.trial.is_none() && self.health.allows_trial(now));
         is_forced || (health.takes(idempotent) && has_room)
     }
 
+    /// Notes that the request of `key` finds out how the instance is, if that is in doubt.
+    pub fn begin_trial(&mut self, key: RequestKey) {
+        if self.health.published() == HealthState::Suspect && self.trial.is_none() {
+            self.trial = Some(key);
+        }
+    }
+
     /// The health to tell the fleet, if it is not what was told last.
     pub fn health_news(&mut self) -> Option<(HealthState, HealthState)> {
         let state = self.health.published();
@@ -126,6 +139,7 @@
 
     /// A request that was sent is over.
     pub fn finish(&mut self, key: RequestKey, now: MonoTime) {
+        self.end_trial(key);
         let started = self.running.remove(&key).unwrap_or(now);
         let actions = self.queue.finish(key, now.since(started), now);
         self.carry_out(actions);
@@ -133,6 +147,7 @@
 
     /// A request leaves without having been sent.
     pub fn leave(&mut self, key: RequestKey, now: MonoTime) {
+        self.end_trial(key);
         self.waiting.remove(&key);
         let actions = self.queue.cancel(key, now);
         self.carry_out(actions);
@@ -198,6 +213,12 @@
         })
     }
 
+    fn end_trial(&mut self, key: RequestKey) {
+        if self.trial == Some(key) {
+            self.trial = None;
+        }
+    }
+
     /// Each leaves the queue through its own guard.
     fn refuse_waiting(&mut self) {
         for (_, sender) in self.waiting.drain() {
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -120,6 +120,9 @@
             request: self.offer.request,
         };
         let mut guard = SlotGuard::open(self.gate.clone(), key, self.clock);
+        if self.offer.idempotent {
+            self.gate.borrow_mut().begin_trial(key);
+        }
         match self.start(key).await? {
             StartEnd::Run => {}
             StartEnd::Refused(reason, retry_after) => {
--- a/src/health/floor.rs
+++ b/src/health/floor.rs
@@ -11,9 +11,6 @@
 use crate::units::Percent;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord};
 
-/// Part of its work that an instance is tried with after a bad answer: often enough to see soon
-/// that it has recovered, while what it spoils is repeated elsewhere.
-const SUSPECT_SHARE: Percent = Percent::HALF;
 /// Ratio of medians between one band of sickness and the next.
 const BAND_RATIO: u32 = 4;
 
@@ -82,8 +79,9 @@
         for place in 0..self.usable.len() {
             let index = self.usable[place];
             match self.records[index].health {
-                HealthState::Healthy => self.admit(index, Percent::FULL, false),
-                HealthState::Suspect => self.admit(index, SUSPECT_SHARE, false),
+                HealthState::Healthy | HealthState::Suspect => {
+                    self.admit(index, Percent::FULL, false);
+                }
                 HealthState::Ramping(share) => self.admit(index, share, false),
                 HealthState::Ejected => {}
             }
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -84,7 +84,7 @@
         }
         let is_slow = self.weigh_time(sample, peers, now);
         self.weigh_outcome(sample.outcome, now);
-        self.trust.observe(sample.outcome, now);
+        self.trust.observe(sample, now);
         let is_good = sample.outcome == SampleOutcome::Good && !is_slow;
         match self.state {
             HealthState::Healthy => self.judge(peers, now),
@@ -116,7 +116,8 @@
         }
         let stalled_for = self.stall.stalled_for(running_oldest, peers.median(), now);
         self.trust.tick(now);
-        if stalled_for.is_some() || self.stall.is_slow(running_oldest, peers.median(), now) {
+        let is_slow = self.stall.is_slow(running_oldest, peers.median(), now);
+        if (stalled_for.is_some() || is_slow) && self.trust.is_trusted() {
             self.trust.lose(now);
         }
         let hold = self.hold(SLOW_HOLD);
--- a/src/health/trust_track.rs
+++ b/src/health/trust_track.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::health::SampleOutcome;
+use crate::health::{SampleOutcome, ServiceSample};
 use crate::time::{Deadline, MonoTime};
 
 /// Good answers in a row that restore trust: an instance that fails half of its requests passes
@@ -13,14 +13,16 @@
 /// Time without any answer that restores it, for instances that get no requests to prove
 /// themselves with: about as long as a sick spell lasts.
 const QUIET_TIME: Duration = Duration::from_secs(4);
-
-/// Time after a bad answer until the next request may find out whether the instance has recovered:
-/// each that fails is repeated elsewhere, on a budget that the whole fleet shares.
+/// Time after a second bad answer until the next request may find out whether the instance has
+/// recovered: each that fails is repeated elsewhere, on a budget that the whole fleet shares.
 const TRIAL_PAUSE: Duration = Duration::from_millis(800);
 
 /// Lost by a single bad answer, long before an ejection is due: what fails a request that cannot
 /// be repeated is lost for the caller, while any other is sent elsewhere and finds out meanwhile
 /// whether the instance has recovered.
+///
+/// A single bad answer may be no more than that, so the first trial comes at once. Once that has
+/// failed too, trials are spaced.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub(super) struct TrustTrack {
     doubt: Option<TrustDoubt>,
@@ -28,6 +30,7 @@
 
 #[derive(Debug, Clone, Copy, Serialize)]
 struct TrustDoubt {
+    since: MonoTime,
     good: u32,
     /// When the next trial may begin.
     trial_at: Deadline,
@@ -47,9 +50,9 @@
     }
 
     /// Takes an answer in.
-    pub(super) fn observe(&mut self, outcome: SampleOutcome, now: MonoTime) {
-        match outcome {
-            SampleOutcome::Good => self.add_good(now),
+    pub(super) fn observe(&mut self, sample: &ServiceSample, now: MonoTime) {
+        match sample.outcome {
+            SampleOutcome::Good => self.add_good(sample.service_time, now),
             SampleOutcome::Failed | SampleOutcome::Wrong | SampleOutcome::Stalled => {
                 self.lose(now);
             }
@@ -59,9 +62,14 @@
 
     /// The instance has shown that it may be sick.
     pub(super) fn lose(&mut self, now: MonoTime) {
+        let trial_at = match self.doubt {
+            None => Deadline::at(now),
+            Some(_) => now.after(TRIAL_PAUSE),
+        };
         self.doubt = Some(TrustDoubt {
+            since: now,
             good: 0,
-            trial_at: now.after(TRIAL_PAUSE),
+            trial_at,
             until: now.after(QUIET_TIME),
         });
     }
@@ -73,10 +81,14 @@
         }
     }
 
-    fn add_good(&mut self, now: MonoTime) {
+    /// What was sent before the bad answer came says nothing of the time since.
+    fn add_good(&mut self, service_time: Duration, now: MonoTime) {
         let Some(doubt) = &mut self.doubt else {
             return;
         };
+        if now.since(doubt.since) < service_time {
+            return;
+        }
         doubt.good += 1;
         doubt.until = now.after(QUIET_TIME);
         if doubt.good >= GOOD_NEEDED {
--- a/src/ingress/attempt_history.rs
+++ b/src/ingress/attempt_history.rs
@@ -10,7 +10,7 @@
 /// Instances that one request may reach where its route says nothing.
 pub const MAX_ATTEMPTS: usize = 4;
 /// Offers of one request, those included that an egress refused: bounds the work for one caller.
-pub const MAX_OFFERS: usize = 8;
+pub const MAX_OFFERS: usize = 12;
 /// Instances asked for a free slot before the request waits in the queue of one.
 pub const MAX_GLANCES: usize = 2;
 /// When to come back to a service without instances.
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 pub struct AttemptHistory {
     most: usize,
+    glances: usize,
     /// Attempts that provably reached no instance.
     unreached: usize,
     tried: Vec<InstanceId>,
@@ -62,6 +63,7 @@
     pub const fn open(most: usize) -> Self {
         Self {
             most,
+            glances: MAX_GLANCES,
             unreached: 0,
             tried: Vec::new(),
             busy: Vec::new(),
@@ -71,6 +73,12 @@
         }
     }
 
+    /// The same, with `glances` instances asked for a free slot first.
+    #[must_use]
+    pub fn with_glances(self, glances: usize) -> Self {
+        Self { glances, ..self }
+    }
+
     /// The instances tried so far.
     #[must_use]
     pub fn tried(&self) -> &[InstanceId] {
@@ -87,7 +95,7 @@
     /// Whether the next attempt may wait in a queue.
     #[must_use]
     pub const fn may_wait(&self) -> bool {
-        self.must_wait || self.busy.len() >= MAX_GLANCES
+        self.must_wait || self.busy.len() >= self.glances
     }
 
     /// Whether the last attempt only found its instance busy.
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -57,7 +57,8 @@
         let mut history = match self.plan.attempts {
             Some(most) => AttemptHistory::open(most),
             None => AttemptHistory::default(),
-        };
+        }
+        .with_glances(self.ingress.sources.proxy.glances as usize);
         let mut held = None;
         self.with_budget(|budget, now| budget.first_attempt(now));
         while let Some(chosen) = self.next_choice(&mut history) {
@@ -101,20 +102,21 @@
 
     /// The instance to try next; busy ones again when no other is left.
     fn next_choice(&self, history: &mut AttemptHistory) -> Option<ChosenInstance> {
-        if let Some(chosen) = self.pick(history.tried()) {
+        if let Some(chosen) = self.pick(history) {
             return Some(chosen);
         }
         if !history.recall_busy() {
             return None;
         }
-        self.pick(history.tried())
+        self.pick(history)
     }
 
     fn has_passed(&self) -> bool {
         self.deadline.has_passed(self.ingress.sources.clock.now())
     }
 
-    fn pick(&self, tried: &[InstanceId]) -> Option<ChosenInstance> {
+    fn pick(&self, history: &AttemptHistory) -> Option<ChosenInstance> {
+        let tried = history.tried();
         let records = self
             .ingress
             .sources
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub struct InstanceQueue {
     slots: u32,
+    /// Whether long classes leave a slot free for internal checks.
+    keeps_slot: bool,
     shares: ClassShares,
     check_due: Deadline,
     running: RunningSet,
@@ -42,6 +44,7 @@
     pub fn open(slots: Slots, weights: ClassWeights) -> Self {
         Self {
             slots: slots.get(),
+            keeps_slot: true,
             shares: ClassShares::open(weights),
             check_due: Deadline::at(MonoTime::ZERO),
             running: RunningSet::default(),
@@ -130,6 +133,12 @@
         self.shares.reweigh(weights);
     }
 
+    /// Sets whether long classes leave a slot free while internal checks come: where these are
+    /// few and short, the slot serves more callers than it spares checks their wait.
+    pub const fn keep_slot(&mut self, keeps_slot: bool) {
+        self.keeps_slot = keeps_slot;
+    }
+
     /// Slots in use and requests that wait.
     #[must_use]
     pub fn load(&self) -> LoadFigure {
@@ -218,7 +227,8 @@
     fn is_held_back(&self, class: RequestClass, now: MonoTime) -> bool {
         let free = self.slots as usize - self.running.len().min(self.slots as usize);
         let check_secs = self.shares.mean_secs(RequestClass::InternalCheck);
-        self.slots > 1
+        self.keeps_slot
+            && self.slots > 1
             && free == 1
             && !self.check_due.has_passed(now)
             && self.shares.mean_secs(class) > check_secs * LONG_RATIO
--- a/src/resource/service_spec.rs
+++ b/src/resource/service_spec.rs
@@ -24,4 +24,11 @@
     /// How the egress finds out whether an ejected instance has recovered.
     #[serde(default)]
     pub recovery: RecoveryRule,
+    /// Whether long classes leave a slot of each instance free while internal checks come.
+    #[serde(default = "keeps_check_slot")]
+    pub check_slot: bool,
+}
+
+const fn keeps_check_slot() -> bool {
+    true
 }
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -26,6 +26,9 @@
     pub accept_unframed: bool,
     /// Whether `Retry-After` carries fractions of a second, for callers that read them.
     pub exact_retry_after: bool,
+    /// Instances asked for a free slot before a request waits in the queue of one: more where the
+    /// way to another VM is short against the work.
+    pub glances: u32,
     /// Retries that the whole fleet may cause for a service within ten seconds, beyond the
     /// service's share; each daemon has a few of its own when this is left out.
     pub retry_reserve: Option<u32>,
@@ -43,6 +46,7 @@
             keep_alive: TimeSpan::from_secs(30),
             accept_unframed: false,
             exact_retry_after: false,
+            glances: 2,
             retry_reserve: None,
         }
     }
--- a/src/settings/service_settings.rs
+++ b/src/settings/service_settings.rs
@@ -19,6 +19,8 @@
     pub retry_budget: Percent,
     /// How an ejected instance comes back.
     pub recovery: RecoveryRule,
+    /// Whether long classes leave a slot of each instance free while internal checks come.
+    pub check_slot: bool,
 }
 
 impl Default for ServiceSettings {
@@ -29,6 +31,7 @@
             weights: ClassWeights::USUAL,
             retry_budget: Percent::NONE,
             recovery: RecoveryRule::Probes,
+            check_slot: true,
         }
     }
 }
--- a/src/units/percent.rs
+++ b/src/units/percent.rs
@@ -18,9 +18,6 @@
     /// Nothing.
     pub const NONE: Self = Self(0);
 
-    /// One half.
-    pub const HALF: Self = Self(Self::MOST / 2);
-
     /// The whole.
     pub const FULL: Self = Self(Self::MOST);
 
