--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -5,7 +5,7 @@
 use crate::health::{AdmittedInstance, floor};
 use crate::ids::{InstanceId, ZoneId};
 use crate::time::MonoTime;
-use crate::units::Percent;
+use crate::units::{Percent, ZoneCost};
 use crate::wire::{InstancePhase, InstanceRecord, LoadFigure};
 
 /// Weight of recent choices against load a slot.
@@ -19,11 +19,8 @@
 /// Load a slot from which instances count as equally busy: long queues of one account or
 /// class say nothing of the wait of another.
 const SATURATED_LOAD: f64 = 2.0;
-/// Disadvantage of an instance in another zone: less than one more request on a free instance
-/// with few slots, so that work stays in its zone while there is room.
-const OTHER_ZONE: f64 = 0.25;
-/// The same for bulk answers, whose bytes cost more than an uneven load.
-const OTHER_ZONE_BULK: f64 = 1.2;
+/// How much more the zone counts for bulk answers, whose bytes cost more than an uneven load.
+const BULK_FACTOR: f64 = 5.0;
 
 /// What a request asks of the instance chosen for it.
 #[derive(Debug, Clone, Copy)]
@@ -40,21 +37,14 @@
     pub is_bulk: bool,
 }
 
-impl PickWish<'_> {
-    const fn distance(&self) -> f64 {
-        match self.is_bulk {
-            true => OTHER_ZONE_BULK,
-            false => OTHER_ZONE,
-        }
-    }
-}
-
 /// Chooses the least busy instance among those that may take work.
 ///
 /// Instances of like load take turns, those of the own zone somewhat more often.
 #[derive(Debug)]
 pub struct InstancePicker {
     zone: ZoneId,
+    /// Disadvantage of an instance in another zone, in load a slot.
+    zone_cost: f64,
     known: FastMap<InstanceId, KnownInstance>,
 }
 
@@ -62,8 +52,15 @@
     /// A picker in `zone` that knows nothing yet.
     #[must_use]
     pub fn open(zone: ZoneId) -> Self {
+        Self::open_with(zone, ZoneCost::default())
+    }
+
+    /// A picker in `zone` for which bytes between availability zones cost `cost`.
+    #[must_use]
+    pub fn open_with(zone: ZoneId, cost: ZoneCost) -> Self {
         Self {
             zone,
+            zone_cost: cost.get(),
             known: FastMap::default(),
         }
     }
@@ -119,7 +116,11 @@
         if candidates.iter().any(is_alike) {
             candidates.retain(is_alike);
         }
-        let index = self.least_busy(&candidates, records, wish.distance(), now, rng)?;
+        let distance = match wish.is_bulk {
+            true => self.zone_cost * BULK_FACTOR,
+            false => self.zone_cost,
+        };
+        let index = self.least_busy(&candidates, records, distance, now, rng)?;
         let found = candidates.into_iter().find(|entry| entry.index == index)?;
         Some(AdmittedInstance {
             is_widened: found.is_widened || (is_scarce && !found.is_trusted),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -30,10 +30,12 @@
     if let Err(error) = logs::open(settings.log_level) {
         return fail(&error.to_string());
     }
-    actix_rt::System::new().block_on(async {
+    let status = actix_rt::System::new().block_on(async {
         let edges = edges(&settings);
         serve(line.config.clone(), settings, edges).await
-    })
+    });
+    logs::finish();
+    status
 }
 
 async fn serve(path: PathBuf, settings: DaemonSettings, edges: DaemonEdges) -> ExitStatus {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -176,10 +176,11 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let zone = &self.sources.zone;
+        let cost = self.sources.proxy.zone_cost;
         let picker = state
             .pickers
             .entry(service.clone())
-            .or_insert_with(|| InstancePicker::open(zone.clone()));
+            .or_insert_with(|| InstancePicker::open_with(zone.clone(), cost));
         act(picker, &mut state.rng)
     }
 
--- a/src/logs.rs
+++ b/src/logs/mod.rs
@@ -29,7 +29,11 @@
     pub const API: &str = "api";
 }
 
-/// Sends log records to the standard error output.
+mod log_queue;
+
+pub use log_queue::{LogQueue, dropped_lines, finish};
+
+/// Sends log records to the standard output, through a queue that never blocks a request.
 ///
 /// # Errors
 /// Fails when a logger is set already.
@@ -42,7 +46,7 @@
             let (level, part) = (record.level(), record.target());
             out.finish(format_args!("{time} {level} {part}: {message}{fields}"));
         })
-        .chain(std::io::stderr())
+        .chain(Box::new(LogQueue::spawn()) as Box<dyn std::io::Write + Send>)
         .apply()
 }
 
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -96,6 +96,9 @@
     count(meter, latest, "peer_messages_refused", |sources| {
         sources.refused_messages
     });
+    count(meter, latest, "log_lines_dropped", |_| {
+        crate::logs::dropped_lines()
+    });
     gauge(meter, latest, "egress_under_way", |sources| {
         sources.egress_under_way
     });
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-use crate::units::{ByteSize, TimeSpan};
+use crate::units::{ByteSize, TimeSpan, ZoneCost};
 
 /// How requests are carried.
 #[derive(Debug, Clone, Deserialize)]
@@ -29,6 +29,8 @@
     /// Instances asked for a free slot before a request waits in the queue of one: more where the
     /// way to another VM is short against the work.
     pub glances: u32,
+    /// What it costs to send a request to another availability zone.
+    pub zone_cost: ZoneCost,
     /// Retries that the whole fleet may cause for a service within ten seconds, beyond the
     /// service's share; each daemon has a few of its own when this is left out.
     pub retry_reserve: Option<u32>,
@@ -47,6 +49,7 @@
             accept_unframed: false,
             exact_retry_after: false,
             glances: 2,
+            zone_cost: ZoneCost::default(),
             retry_reserve: None,
         }
     }
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -10,6 +10,7 @@
 mod time_span;
 mod unit_error;
 mod weight;
+mod zone_cost;
 
 pub use attempt_limit::AttemptLimit;
 pub use burst::Burst;
@@ -20,3 +21,4 @@
 pub use time_span::TimeSpan;
 pub use unit_error::UnitError;
 pub use weight::Weight;
+pub use zone_cost::ZoneCost;
--- a/tests/common/child_process.rs
+++ b/tests/common/child_process.rs
@@ -74,6 +74,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks it to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Pauses it.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
--- a/tests/common/daemon_process.rs
+++ b/tests/common/daemon_process.rs
@@ -129,6 +129,14 @@
         self.starts += 1;
     }
 
+    /// Writes its settings anew, as `change` makes them of the present ones, and tells it.
+    pub fn reload(&self, change: impl Fn(String) -> String) {
+        let settings = self.folder.join(format!("{}.toml", self.plan.daemon));
+        let text = std::fs::read_to_string(&settings).unwrap();
+        std::fs::write(&settings, change(text)).unwrap();
+        self.process.hang_up();
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         self.plan.listen[0]
--- a/tests/common/desk_fleet.rs
+++ b/tests/common/desk_fleet.rs
@@ -46,6 +46,11 @@
         desk
     }
 
+    /// The key's secret.
+    pub fn key(&self) -> &str {
+        &self.secret
+    }
+
     /// A caller of the daemon `index`, with the key.
     pub fn caller(&self, index: usize) -> CallerClient {
         self.fleet.daemons[index].caller().with_key(&self.secret)
--- /dev/null
+++ b/tests/platform_wire.rs
@@ -0,0 +1,124 @@
+//! The border to the users' platform: configuration, heartbeats and rows.
+#![allow(
+    dead_code,
+    reason = "each part of the border is tested through a few of its functions"
+)]
+
+#[path = "../platform/beat_wire.rs"]
+mod beat_wire;
+#[path = "../platform/config_wire.rs"]
+mod config_wire;
+#[path = "../platform/store_wire.rs"]
+mod store_wire;
+
+use wagtailtrack::config::Catalog;
+use wagtailtrack::ids::{HostName, Version};
+use wagtailtrack::platform::{RowCheck, RowKey, RowWrite, Transaction};
+use wagtailtrack::resource::{KeyHash, RequestClass, RouteAccess};
+use wagtailtrack::settings::ServiceSettings;
+use wagtailtrack::wire::InstancePhase;
+
+const CONFIG: &str = r#"{"version":7,"later":{"field":1},
+ "tenants":[{"name":"crew","apiKeys":["k1","k2"],"priority":1,"ratePerS":4.5,"burst":9},
+            {"name":"free","apiKeys":["k3"],"ratePerS":0}],
+ "listeners":[{"host":"roads.example","rules":[
+   {"name":"filings","kind":"unsafe","goalMs":600,"priority":1,"public":false,
+    "match":{"pathPrefix":"/permits/"},"action":{"service":"desk","timeoutMs":2500,"attempts":2}},
+   {"name":"checks","kind":"safe","public":true,"match":{"pathPrefix":"/checks/"},
+    "action":{"split":[{"service":"desk","weight":90},{"service":"hub","weight":0}],"timeoutMs":500}}]}],
+ "clusters":[{"name":"desk","healthPath":"/healthz","maxConns":330},{"name":"hub"}]}"#;
+
+/// Every field that matters arrives under the product's names; unknown ones are passed over.
+#[test]
+fn whole_configuration() {
+    let document = config_wire::document(CONFIG.as_bytes(), &ServiceSettings::default()).unwrap();
+    let catalog = Catalog::of_resources(document.revision, document.resources);
+    let host: HostName = "roads.example".parse().unwrap();
+    let filings = catalog.route_at(Some(&host), "/permits/17").unwrap();
+    assert_eq!(filings.class, RequestClass::Filing);
+    assert!(!filings.idempotency.allows_repeat("GET"));
+    assert_eq!(filings.rules.attempts.unwrap().get(), 2);
+    assert_eq!(filings.rules.timeout.unwrap().get().as_millis(), 2_500);
+    let checks = catalog.route_at(Some(&host), "/checks/17").unwrap();
+    assert_eq!(checks.access, RouteAccess::Public);
+    assert_eq!(
+        checks.rules.split.len(),
+        1,
+        "a part without weight gets nothing"
+    );
+    let crew = "crew".parse().unwrap();
+    assert_eq!(
+        catalog.rate_of(&crew).unwrap().rate.milli_per_second(),
+        4_500
+    );
+    assert!(catalog.account(&"free".parse().unwrap()).unlimited);
+    for secret in ["k1", "k2"] {
+        let known = catalog.account_of_key(&KeyHash::of_secret(secret));
+        assert_eq!(known, wagtailtrack::config::KeyLookup::Known(crew.clone()));
+    }
+}
+
+/// What cannot be used says what is wrong.
+#[test]
+fn unusable_configuration() {
+    let cases = [
+        ("{", "EOF"),
+        (r#"{"version":"7","listeners":[],"clusters":[]}"#, "u64"),
+        (
+            r#"{"version":7,"clusters":[],"listeners":[{"host":"h","rules":[{"name":"r","kind":"safe","match":{"pathPrefix":"/"},"action":{}}]}]}"#,
+            "route 'r'",
+        ),
+    ];
+    for (text, expected) in cases {
+        let error = config_wire::document(text.as_bytes(), &ServiceSettings::default());
+        let error = error.unwrap_err();
+        assert!(error.contains(expected), "{error}");
+    }
+}
+
+/// Heartbeats of other writers name no instance; those of ours keep their order.
+#[test]
+fn heartbeats() {
+    let beat = r#"{"service":"desk","addr":"10.1.0.9:8080","zone":"z","version":"v1","slots":3,
+        "state":"draining","coldLeftMs":0,"seq":4,"born":1700000000000}"#;
+    let read = beat_wire::announcement(beat.as_bytes()).unwrap();
+    assert_eq!(read.phase, InstancePhase::Draining);
+    assert_eq!(read.order.unwrap().sequence, 4);
+    for foreign in [
+        &b"\xff\xfe"[..],
+        br#"{"service":"desk"}"#,
+        br#"{"service":"desk","addr":"10.1.0.9:8080","slots":"3","state":"ready","seq":1}"#,
+        br#"{"service":"desk","addr":"10.1.0.9:8080","slots":3,"state":"odd","seq":1}"#,
+    ] {
+        assert!(beat_wire::announcement(foreign).is_err());
+    }
+}
+
+/// Keys are split at the first slash; a row that is no base64 is passed over.
+#[test]
+fn rows() {
+    let transaction = Transaction {
+        checks: vec![RowCheck {
+            key: RowKey("limits/share/003".to_owned()),
+            version: Version(0),
+        }],
+        writes: vec![RowWrite {
+            key: RowKey("limits/share/003".to_owned()),
+            value: Some(b"node".to_vec()),
+        }],
+    };
+    let body = serde_json::to_value(store_wire::TxBody::of(&transaction)).unwrap();
+    assert_eq!(body["precondition"][0]["table"], "limits");
+    assert_eq!(body["precondition"][0]["ver"], 0);
+    assert_eq!(body["puts"][0]["key"], "share/003");
+    assert_eq!(body["puts"][0]["value"], "bm9kZQ==");
+    let answer = r#"{"rows":[{"key":"a","value":"bm9kZQ==","ver":4},{"key":"b","value":"?","ver":5},
+        {"key":"c","ver":6,"deleted":true}],"truncated":false,"ver":9,"nowMs":77}"#;
+    let answer: store_wire::RowsAnswer = serde_json::from_str(answer).unwrap();
+    let rows = answer.rows.into_iter();
+    let rows: Vec<_> = rows
+        .filter_map(|row| row.into_table_row("members"))
+        .collect();
+    assert_eq!(rows.len(), 1);
+    assert_eq!(rows[0].key.0, "members/a");
+}
--- /dev/null
+++ b/tests/process_output.rs
@@ -0,0 +1,59 @@
+//! Logs, reloads and callers that leave, through real processes.
+
+mod common;
+
+use std::io::Write;
+
+use common::{DeskFleet, eventually};
+
+/// A caller that closes its connection ends its lookup at the instance, through both daemons.
+#[actix_rt::test]
+async fn caller_leaves() {
+    let desk = DeskFleet::open("output-leaves", 2).await;
+    for backend in &desk.fleet.backends {
+        backend.fault("\"frozen\"").await;
+    }
+    let mut socket = std::net::TcpStream::connect(desk.fleet.daemons[0].callers()).unwrap();
+    let key = desk.key();
+    write!(
+        socket,
+        "GET /lookups/1 HTTP/1.1\r\nhost: desk\r\nauthorization: Bearer {key}\r\n\r\n"
+    )
+    .unwrap();
+    let under_way = || -> usize {
+        let counts = (0..2).map(|index| {
+            let dump = desk.fleet.operate(index, &["dump"]);
+            let dump: serde_json::Value = serde_json::from_slice(&dump.stdout).unwrap();
+            dump["egress"]["under_way"].as_u64().unwrap()
+        });
+        usize::try_from(counts.sum::<u64>()).unwrap()
+    };
+    eventually("the lookup at an egress", async || under_way() == 1).await;
+    drop(socket);
+    eventually("no lookup at any egress", async || under_way() == 0).await;
+}
+
+/// Settings are read again on a signal; a bad file leaves those before in force.
+#[actix_rt::test]
+async fn settings_reread() {
+    let mut desk = DeskFleet::open("output-reread", 1).await;
+    let daemon = &mut desk.fleet.daemons[0];
+    daemon.reload(|text| {
+        format!("log_level = \"WARN\"\n{text}").replacen("region = \"r1\"", "region = \"r9\"", 1)
+    });
+    eventually("a line on the reload", async || {
+        daemon
+            .process
+            .output()
+            .contains("take effect after a restart")
+    })
+    .await;
+    daemon.reload(|_| "daemon = 7".to_owned());
+    eventually("a line on the refusal", async || {
+        daemon.process.output().contains("Settings cannot be used")
+    })
+    .await;
+    assert!(daemon.process.is_running());
+    let answer = desk.caller(0).get("/lookups/1").await.unwrap();
+    assert!(answer.status.is_success());
+}
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -50,3 +50,48 @@
     budget.first_attempt(MonoTime::ZERO);
     assert!(!budget.try_retry(MonoTime::ZERO));
 }
+
+/// Twenty-five daemons whose every request fails keep the bound of the whole fleet in any window
+/// of ten seconds, and restarts add only their part of the reserve.
+#[test]
+fn fleet_bound() {
+    const DAEMONS: usize = 25;
+    const RESERVE: u32 = 58;
+    let mut budgets = vec![RetryBudget::open(share(20)); DAEMONS];
+    let mut retries = Vec::new();
+    for turn in 0..4_000_u64 {
+        let now = MonoTime::from_millis(turn * 10);
+        let budget = &mut budgets[usize::try_from(turn).unwrap() % DAEMONS];
+        budget.share_reserve(share(20), RESERVE, DAEMONS);
+        budget.first_attempt(now);
+        if budget.try_retry(now) {
+            retries.push(turn * 10);
+        }
+    }
+    let attempts = 1_000.0;
+    let allowed = 0.2 * attempts + f64::from(RESERVE);
+    for (index, start) in retries.iter().enumerate() {
+        let inside = retries[index..]
+            .iter()
+            .take_while(|time| **time < start + 10_000);
+        let count = f64::from(u32::try_from(inside.count()).unwrap());
+        assert!(count <= allowed, "{count} retries from {start} ms");
+    }
+    assert!(retries.len() > 300, "only {} retries", retries.len());
+}
+
+/// Requests that only find out how an instance is leave half of the budget to the others.
+#[test]
+fn trials_leave_room() {
+    let mut budget = RetryBudget::open(share(10));
+    let now = MonoTime::from_millis(1);
+    for _ in 0..100 {
+        budget.first_attempt(now);
+    }
+    let mut trials = 0;
+    while budget.allows_trial(now) && budget.try_retry(now) {
+        trials += 1;
+    }
+    assert!((4..=7).contains(&trials), "{trials} trials of 13 retries");
+    assert!(budget.try_retry(now));
+}
