--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -33,6 +33,8 @@
     pub idempotent: bool,
     /// Whether it may find out how an instance is that has just failed.
     pub may_try: bool,
+    /// Whether it may wait for an instance in full health that was only found busy.
+    pub may_wait: bool,
     /// Whether its answer is large.
     pub is_bulk: bool,
 }
@@ -80,6 +82,7 @@
             tried,
             idempotent,
             may_try: true,
+            may_wait: false,
             is_bulk: false,
         };
         let chosen = self.choose(records, &wish, now, rng)?;
@@ -100,8 +103,12 @@
         let mut candidates = self.candidates(records, wish.floor, wish.tried, now);
         let is_scarce = is_trust_scarce(records);
         let needs_proof = !wish.idempotent || !wish.tried.is_empty() || !wish.may_try;
-        if needs_proof && !is_scarce && candidates.iter().any(is_proved) {
-            candidates.retain(is_proved);
+        if needs_proof && !is_scarce {
+            if candidates.iter().any(is_proved) {
+                candidates.retain(is_proved);
+            } else if wish.may_wait {
+                return None;
+            }
         }
         let drawn = draw(&candidates, records, rng)?;
         if drawn.share < Percent::FULL {
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -26,6 +26,9 @@
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// How long a stopping daemon serves on, so that callers and the other daemons learn of it.
 const STOP_LINGER: Duration = Duration::from_secs(2);
+/// Part of the time for a stop that is left for the farewell, so that the daemon ends by itself
+/// before it is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// How long it serves open connections once it has stopped listening.
 const CLOSE_LINGER: Duration = Duration::from_millis(300);
 
@@ -110,7 +113,8 @@
     pub async fn stop(&self) -> ExitStatus {
         log::info!(target: part::DAEMON, "Stopping.");
         let now = self.clock.now();
-        let deadline = now.after(self.settings.proxy.shutdown.get());
+        let longest = self.settings.proxy.shutdown.get();
+        let deadline = now.after(longest.saturating_sub(STOP_MARGIN));
         self.stopping.set(true);
         self.egress.stop();
         self.ingress.stop();
--- a/src/ingress/attempt_history.rs
+++ b/src/ingress/attempt_history.rs
@@ -105,6 +105,12 @@
             .is_some_and(|failure| failure.reason == Some(RefusalReason::Busy))
     }
 
+    /// Whether some instance was only found busy.
+    #[must_use]
+    pub fn has_busy(&self) -> bool {
+        !self.busy.is_empty()
+    }
+
     /// Nothing else is left to try: whether busy instances may be asked again, now to wait.
     pub fn recall_busy(&mut self) -> bool {
         let busy = std::mem::take(&mut self.busy);
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -130,6 +130,7 @@
             floor: self.plan.floor,
             tried,
             idempotent: self.plan.idempotent,
+            may_wait: !self.plan.idempotent && history.has_busy(),
             may_try: self.with_budget(RetryBudget::allows_trial),
             is_bulk: self.plan.class == RequestClass::Extract,
         };
