--- a/src/limits/account_purse.rs
+++ b/src/limits/account_purse.rs
@@ -220,14 +220,18 @@
         live.map(|grant| grant.left).sum()
     }
 
-    /// Until when all homes of the account have said that there are no tokens, if they have.
+    /// Until when all homes that answer have said that there are no tokens, if they have.
+    ///
+    /// A home that has just been silent has nothing to give either: waiting for it would only
+    /// delay the refusal.
     #[must_use]
     pub fn empty_until(&self, now: MonoTime) -> Option<Deadline> {
         let used = || self.lanes.iter().filter(|lane| lane.is_used());
-        if !used().all(|lane| lane.is_empty(now)) {
+        if !used().all(|lane| lane.is_empty(now) || lane.is_silent(now)) {
             return None;
         }
-        used().map(GrantLane::empty_until).min()
+        let empty = used().filter(|lane| lane.is_empty(now));
+        empty.map(GrantLane::empty_until).min()
     }
 
     fn lane(&self, lane: u8) -> &GrantLane {
--- a/src/limits/grant_lane.rs
+++ b/src/limits/grant_lane.rs
@@ -62,6 +62,12 @@
         now < self.empty_until
     }
 
+    /// Whether the home did not answer just now.
+    #[must_use]
+    pub fn is_silent(&self, now: MonoTime) -> bool {
+        now < self.silent_until
+    }
+
     /// Until when there are no tokens.
     #[must_use]
     pub const fn empty_until(&self) -> Deadline {
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -19,7 +19,7 @@
 const TICKS_PER_PRUNE: u32 = 500;
 /// How long a request waits for a home that has not answered: shorter than what a start of the whole
 /// fleet takes to lend its shares would refuse what is within its rate.
-const ADMIT_WAIT: Duration = Duration::from_millis(800);
+const ADMIT_WAIT: Duration = Duration::from_millis(500);
 const GRANT_TIMEOUT: Duration = Duration::from_millis(200);
 const LOAN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Peers that are told of released shares.
