--- a/src/limits/lease_task.rs
+++ b/src/limits/lease_task.rs
@@ -9,10 +9,15 @@
 use crate::limits::{LeasePlan, SHARE_PREFIX, ShareSet};
 use crate::logs::part;
 use crate::platform::{CommitOutcome, PlatformError};
-use crate::time::MonoTime;
+use crate::time::{Deadline, MonoTime};
 
 const CLAIM_WAIT: Duration = Duration::from_millis(200);
 const FAILURE_WAIT: Duration = Duration::from_secs(1);
+/// Daemons that start together claim one after the other within this time: a claim that meets
+/// another costs both a call.
+const FIRST_CLAIM: Duration = Duration::from_millis(1_000);
+/// Renewals between two looks of a daemon that holds nothing: others look meanwhile.
+const IDLE_LOOKS: u32 = 2;
 /// Shares claimed at a time, so that daemons that start together get like numbers.
 const CLAIM_STEP: u32 = 3;
 /// Shares that stay free this long are claimed beyond the daemon's usual number.
@@ -58,6 +63,8 @@
 
 #[derive(Default)]
 struct LeaseRounds {
+    /// When shares that are no one's may first be claimed, drawn by lot.
+    claim_at: Option<Deadline>,
     renewed: Option<MonoTime>,
     free_since: Option<MonoTime>,
 }
@@ -105,7 +112,11 @@
             false => settings.shares_per_daemon,
         };
         let renews = self.renews(core, now) && !held.is_empty();
-        let claims = !free.is_empty() && (held.len() < most || holder.has_own(now));
+        let claim_at = *self
+            .claim_at
+            .get_or_insert_with(|| now.after(FIRST_CLAIM.mul_f64(fastrand::f64())));
+        let may_claim = claim_at.has_passed(now) && held.len() < most;
+        let claims = !free.is_empty() && (may_claim || holder.has_own(now));
         let count = most.min(held.len() + CLAIM_STEP);
         (renews || claims).then(|| holder.plan(count, now))?
     }
@@ -148,9 +159,13 @@
     fn idle_wait(&self, core: &Rc<LimitsCore>) -> Duration {
         let now = core.now();
         if !core.holder.borrow().free(now).is_empty() {
-            return CLAIM_WAIT;
+            let first = self.claim_at.map_or(CLAIM_WAIT, |at| at.remaining(now));
+            return first.max(CLAIM_WAIT);
         }
         let renew = core.sources.settings.renew.get();
+        if core.holder.borrow().held().is_empty() {
+            return renew * IDLE_LOOKS;
+        }
         let due = self.renewed.map_or(now, |at| at.max(now)) + renew;
         due.since(now).max(CLAIM_WAIT)
     }
--- a/src/limits/limits_core.rs
+++ b/src/limits/limits_core.rs
@@ -10,13 +10,16 @@
 use crate::hash::FastMap;
 use crate::ids::DaemonId;
 use crate::limits::{
-    Admission, ClaimEpoch, GrantPurse, HomeMap, LeaseChange, LeaseHolder, LeaseIdentity,
-    LimitsSources, LoanBook, PoolLedger, ShareLender, ShareSet, WaitEnd,
+    AccountSplit, Admission, ClaimEpoch, GrantPurse, HomeMap, LeaseChange, LeaseHolder,
+    LeaseIdentity, LimitsSources, LoanBook, PoolCell, PoolLedger, ShareLender, ShareSet, WaitEnd,
 };
 use crate::logs::part;
 use crate::peers::PeerError;
-use crate::time::MonoTime;
-use crate::wire::{LimitsCall, LimitsReply, PeerCall, PeerReply};
+use crate::time::{Deadline, MonoTime};
+use crate::wire::{GrantAsk, LimitsCall, LimitsReply, PeerCall, PeerReply};
+
+/// How long a home keeps loans for accounts that went quiet: pauses of a caller are shorter.
+const WANTED_TIME: Duration = Duration::from_secs(60);
 
 /// State machines behind cells; no borrow outlives a statement.
 pub(crate) struct LimitsCore {
@@ -28,6 +31,10 @@
     pub ledger: RefCell<PoolLedger>,
     pub purse: RefCell<GrantPurse>,
     pub waiters: RefCell<FastMap<u64, oneshot::Sender<Admission>>>,
+    /// Cells that ingresses asked this home for, and until when it keeps loans for them.
+    pub wanted: RefCell<FastMap<PoolCell, Deadline>>,
+    /// Whether a cell was asked for that was not wanted before.
+    pub has_news: Cell<bool>,
     pub leaving: Cell<bool>,
     pub lease_wake: Rc<Notify>,
     pub admitted: Cell<u64>,
@@ -52,6 +59,8 @@
             ledger: RefCell::new(PoolLedger::open(boot, total, grant)),
             purse: RefCell::new(GrantPurse::open(boot, total)),
             waiters: RefCell::default(),
+            wanted: RefCell::default(),
+            has_news: Cell::new(false),
             leaving: Cell::new(false),
             lease_wake: Rc::default(),
             admitted: Cell::new(0),
@@ -74,6 +83,7 @@
                 LimitsReply::Heard
             }
             LimitsCall::Grant(ask) => {
+                self.note_wanted(&ask, now);
                 let rate_of = &*self.sources.rate_of;
                 let answer = self.ledger.borrow_mut().grant(&ask, rate_of, now);
                 LimitsReply::Grants(answer)
@@ -86,6 +96,28 @@
         }
     }
 
+    /// A home borrows only for accounts that send requests: loans for all others would cost a
+    /// message to each lender twice in the life of a loan.
+    fn note_wanted(&self, ask: &GrantAsk, now: MonoTime) {
+        for want in &ask.wants {
+            let Some(limit) = (self.sources.rate_of)(&want.account) else {
+                continue;
+            };
+            let split = AccountSplit::of(&want.account, limit.burst, self.sources.settings.shares);
+            let cell = PoolCell {
+                shard: split.shard,
+                half: want.half & 1,
+            };
+            let before = self
+                .wanted
+                .borrow_mut()
+                .insert(cell, now.after(WANTED_TIME));
+            if before.is_none() {
+                self.has_news.set(true);
+            }
+        }
+    }
+
     /// Calls the daemon at `address`, itself without a socket.
     pub async fn call(
         &self,
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -34,7 +34,7 @@
         let Some(core) = core.upgrade() else {
             return;
         };
-        if tick.is_multiple_of(TICKS_PER_REFRESH) {
+        if tick.is_multiple_of(TICKS_PER_REFRESH) || core.has_news.get() {
             refresh(&core);
         }
         if tick.is_multiple_of(TICKS_PER_PRUNE) {
@@ -57,8 +57,16 @@
     members.sort();
     members.dedup();
     let now = core.now();
-    if *core.map.borrow().members() != members {
+    let now_wanted = core.has_news.take();
+    let expired = core.wanted.borrow().values().any(|end| end.has_passed(now));
+    core.wanted
+        .borrow_mut()
+        .retain(|_, end| !end.has_passed(now));
+    let is_moved = *core.map.borrow().members() != members;
+    if is_moved {
         core.map.replace(HomeMap::of(members));
+    }
+    if is_moved || now_wanted || expired {
         let map = core.map.borrow();
         let cells = own_cells(core, &map);
         core.book.borrow_mut().follow(&map, cells, now);
@@ -167,7 +175,9 @@
     if core.leaving.get() {
         return Vec::new();
     }
-    map.cells_of(&core.sources.daemon).collect()
+    let wanted = core.wanted.borrow();
+    let cells = map.cells_of(&core.sources.daemon);
+    cells.filter(|cell| wanted.contains_key(cell)).collect()
 }
 
 /// Gives up the loans of cells whose home is elsewhere; whether none is left.
