--- /dev/null
+++ b/tests/limits_silent.rs
@@ -0,0 +1,61 @@
+//! A request of an account whose one home is lost and whose other is empty.
+//!
+//! The load answered: several VMs are lost at once while an account sends many times its rate.
+
+mod limits_kit;
+
+use std::time::Duration;
+
+use limits_kit::rate_limit;
+use wagtailtrack::ids::BootId;
+use wagtailtrack::limits::{AdmitStep, GrantPurse, HomeCandidate, HomeMap, WaitEnd};
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::wire::{GrantAnswer, GrantGive};
+
+const SHARES: u32 = 8;
+
+fn home(name: &str, port: u16) -> HomeCandidate {
+    HomeCandidate {
+        daemon: name.parse().unwrap(),
+        address: ([127, 0, 0, 1], port).into(),
+    }
+}
+
+/// Once one home says that it is empty and the other is silent, requests are refused at once.
+#[test]
+fn empty_and_silent() {
+    let limit = rate_limit("crew", 10, 20);
+    let map = HomeMap::of(vec![home("one", 1), home("two", 2)]);
+    let mut purse = GrantPurse::open(BootId(7), SHARES);
+    let mut now = MonoTime::from_millis(1_000);
+    let patience = Duration::from_millis(500);
+    let first = purse.admit(&limit, now.after(patience), now);
+    assert!(matches!(first, AdmitStep::Waiting(_)));
+    let mut ends = Vec::new();
+    let mut homes = 0;
+    while ends.is_empty() && homes < 10 {
+        for planned in purse.plan(&map, now) {
+            homes += 1;
+            if homes == 1 {
+                purse.fail(&planned, now);
+                continue;
+            }
+            let give = GrantGive::Empty {
+                retry_micros: 100_000,
+            };
+            let answer = GrantAnswer {
+                home: BootId(9),
+                gives: vec![give; planned.ask.wants.len()],
+            };
+            ends.extend(purse.answer(&planned, &answer, now));
+        }
+        now = now + Duration::from_millis(5);
+        ends.extend(purse.tick(now));
+    }
+    assert!(matches!(ends[..], [WaitEnd::Refused(..)]), "{ends:?}");
+    let next = purse.admit(&limit, now.after(patience), now);
+    let AdmitStep::Refused(retry_after) = next else {
+        panic!("it waits for the silent home: {next:?}");
+    };
+    assert!(retry_after <= Duration::from_millis(100));
+}
