A daemon that is no home yet does not count as silent; a test of unread output

Cause: the whole suite met steady_refusals and home_killed of limits_faults red. The lane's silence also began when a daemon answered that it has no share yet, which is how each home begins, now that homes borrow on demand.

--- a/src/limits/grant_lane.rs
+++ b/src/limits/grant_lane.rs
@@ -17,6 +17,9 @@
     used: bool,
     asked: Option<MonoTime>,
     empty_until: MonoTime,
+    /// Until when it is not asked.
+    passed_until: MonoTime,
+    /// Until when it counts as lost.
     silent_until: MonoTime,
 }
 
@@ -28,6 +31,7 @@
             used,
             asked: None,
             empty_until: MonoTime::ZERO,
+            passed_until: MonoTime::ZERO,
             silent_until: MonoTime::ZERO,
         }
     }
@@ -41,7 +45,7 @@
     /// Whether an ask may leave, if only to report.
     #[must_use]
     pub fn is_open(&self, now: MonoTime) -> bool {
-        self.used && self.asked.is_none() && now >= self.silent_until
+        self.used && self.asked.is_none() && now >= self.passed_until
     }
 
     /// Whether an ask for tokens may leave.
@@ -89,14 +93,15 @@
         self.empty_until = now + wait;
     }
 
-    /// The daemon is no home of this half.
+    /// The daemon is no home of this half yet: it may borrow for it within milliseconds.
     pub fn not_home(&mut self, now: MonoTime) {
-        self.silent_until = now + NOT_HOME_WAIT;
+        self.passed_until = now + NOT_HOME_WAIT;
     }
 
     /// The ask failed.
     pub fn failed(&mut self, now: MonoTime) {
         self.asked = None;
         self.silent_until = now + SILENT_WAIT;
+        self.passed_until = self.silent_until;
     }
 }
--- a/tests/process_output.rs
+++ b/tests/process_output.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 
-use common::{DeskFleet, eventually};
+use common::{
+    CallerClient, ChildProcess, DaemonPlan, DeskFleet, ScratchDir, eventually, free_address,
+};
+
+/// Requests whose lines are more than a pipe and the daemon's queue hold.
+const FLOOD_REQUESTS: usize = 6_000;
 
 /// A caller that closes its connection ends its lookup at the instance, through both daemons.
 #[actix_rt::test]
@@ -57,3 +62,25 @@
     let answer = desk.caller(0).get("/lookups/1").await.unwrap();
     assert!(answer.status.is_success());
 }
+
+/// While nobody reads the output, requests are answered all the same; later lines tell how many
+/// are missing.
+#[actix_rt::test]
+async fn unread_output() {
+    let folder = ScratchDir::open("output-unread");
+    let mut plan = DaemonPlan::new("d1", "r1a", free_address());
+    plan.fields = "log_level = \"INFO\"".to_owned();
+    let settings = folder.write("d1.toml", &plan.settings());
+    let arguments = ["--config".to_owned(), settings.display().to_string()];
+    let log = folder.path().join("errors");
+    let (_daemon, output) = ChildProcess::spawn_piped("wagtailtrackd", &arguments, &log);
+    let caller = CallerClient::open(plan.listen[0]);
+    eventually("an answer", async || caller.get("/").await.is_ok()).await;
+    for _ in 0..FLOOD_REQUESTS {
+        let answer = caller.get("/lookups/1").await.unwrap();
+        assert_eq!(answer.status, 503);
+    }
+    let mut lines = BufReader::new(output).lines();
+    let is_told = lines.any(|line| line.unwrap().contains("log lines dropped here"));
+    assert!(is_told);
+}
