Health: a good answer ends the suspicion of a stall where no usual time is known

Cause of queued_work_moves: with no usual service time in the records, 2 s without an answer make a stall. Instances that take about 2 s by nature fell under suspicion, and one in a few was ejected a second later, although it had answered. Since egresses refuse requests for instances that they know as sick, the other instance then got all filings; a probe has to answer within 250 ms, so that the ejected one did not come back within the test's minute. The code before refused nothing, which hid it. A good answer now clears what a stall alone has raised, and the limit grows to twice the longest good answer. Found in the log of a failing run: Healthy to Suspect to Ejected(Slow) while in_use was 1.

Ruled out: the picker's load after refused glances (both instances alike), zones (one only). The one run that saw a filing start after the drain was not seen again; a probe of the ejected instance counts as a run there, which would explain it, but no run shows so.

--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -79,6 +79,12 @@
     ) -> Option<HealthChange> {
         self.stall.finished(now);
         self.slowness.end_stall();
+        if sample.outcome == SampleOutcome::Good {
+            self.stall.served(sample.service_time);
+            if peers.median().is_none() {
+                self.clear_stall();
+            }
+        }
         if sample.outcome == SampleOutcome::Shed {
             return None;
         }
@@ -118,7 +124,7 @@
         self.trust.tick(now);
         let is_slow = self.stall.is_slow(running_oldest, peers.median(), now);
         if (stalled_for.is_some() || is_slow) && self.trust.is_trusted() {
-            self.trust.lose(now);
+            self.trust.lose_by_stall(now);
         }
         let hold = self.hold(SLOW_HOLD);
         self.slowness.note_stall(stalled_for, hold, now);
@@ -235,6 +241,12 @@
                 .weigh(sample.class, sample.service_time, peers, hold, now)
     }
 
+    /// Where no usual service time is known, a good answer proves that it was no stall.
+    fn clear_stall(&mut self) {
+        self.slowness.track_mut().reset();
+        self.trust.clear_stall();
+    }
+
     fn weigh_outcome(&mut self, outcome: SampleOutcome, now: MonoTime) {
         let evidence = match outcome {
             SampleOutcome::Good => GOOD_EVIDENCE,
--- a/src/health/stall_watch.rs
+++ b/src/health/stall_watch.rs
@@ -12,8 +12,12 @@
 const DOUBT_RATIO: u32 = 4;
 /// Shortest silence that counts.
 const MIN_STALL: Duration = Duration::from_millis(250);
-/// Silence that makes a stall where no usual service time is known.
+/// Silence that makes a stall where no usual service time is known: far longer than most services
+/// take.
 const UNKNOWN_STALL: Duration = Duration::from_secs(2);
+/// Multiple of the longest service time seen that makes one there, where that is longer: service
+/// times of one class seldom differ by more.
+const UNKNOWN_RATIO: u32 = 2;
 /// Gap between ticks that shows a pause of this process.
 const PAUSE_GAP: Duration = Duration::from_millis(600);
 
@@ -22,6 +26,8 @@
 pub(super) struct StallWatch {
     finished_at: MonoTime,
     ticked_at: MonoTime,
+    /// The longest service time of a good answer.
+    longest: Duration,
 }
 
 impl StallWatch {
@@ -30,6 +36,7 @@
         Self {
             finished_at: MonoTime::ZERO,
             ticked_at: MonoTime::ZERO,
+            longest: Duration::ZERO,
         }
     }
 
@@ -38,6 +45,11 @@
         self.finished_at = self.finished_at.max(now);
     }
 
+    /// The answer was good and took `service_time`.
+    pub(super) fn served(&mut self, service_time: Duration) {
+        self.longest = self.longest.max(service_time);
+    }
+
     /// Notes a tick; true when this process had stopped for a while before it.
     pub(super) fn has_paused(&mut self, now: MonoTime) -> bool {
         let gap = now.since(self.ticked_at);
@@ -73,7 +85,7 @@
         let silence = running_oldest?.min(now.since(self.finished_at));
         let limit = match usual {
             Some(usual) => (usual * STALL_RATIO).max(MIN_STALL),
-            None => UNKNOWN_STALL,
+            None => (self.longest * UNKNOWN_RATIO).max(UNKNOWN_STALL),
         };
         (silence >= limit).then_some(silence)
     }
--- a/src/health/trust_track.rs
+++ b/src/health/trust_track.rs
@@ -35,6 +35,8 @@
     /// When the next trial may begin.
     trial_at: Deadline,
     until: Deadline,
+    /// Whether it stands only on a request that ran for long.
+    is_stall: bool,
 }
 
 impl TrustTrack {
@@ -71,9 +73,23 @@
             good: 0,
             trial_at,
             until: now.after(QUIET_TIME),
+            is_stall: false,
         });
     }
 
+    /// A request has run for so long that the instance may be stalled.
+    pub(super) fn lose_by_stall(&mut self, now: MonoTime) {
+        self.lose(now);
+        if let Some(doubt) = &mut self.doubt {
+            doubt.is_stall = true;
+        }
+    }
+
+    /// The instance was not stalled after all.
+    pub(super) fn clear_stall(&mut self) {
+        self.doubt.take_if(|doubt| doubt.is_stall);
+    }
+
     /// Time passed.
     pub(super) fn tick(&mut self, now: MonoTime) {
         if self.doubt.is_some_and(|doubt| doubt.until.has_passed(now)) {
