Refusal lines name what decided them

The line now has the time for which the request was held, the limit, and what the homes of both halves say ("empty for 41 ms", "silent", "unheard"); RateRefusal carries it. limits_silent checks the text.

--- a/src/ingress/request_refusal.rs
+++ b/src/ingress/request_refusal.rs
@@ -8,8 +8,8 @@
 use actix_http::{Response, StatusCode};
 
 use crate::http;
-use crate::ids::AccountId;
 use crate::ingress::verdict_name;
+use crate::limits::RateRefusal;
 use crate::units::ByteSize;
 use crate::verdict::Verdict;
 use crate::wire::{FailureCause, RefusalReason};
@@ -38,7 +38,7 @@
     /// The client account has no rate limit configured.
     NoRate,
     /// The client account is over its rate.
-    OverRate(AccountId, Duration),
+    OverRate(RateRefusal),
     /// The daemon has no configuration that it may trust.
     NotConfigured,
     /// The daemon is stopping.
@@ -90,12 +90,22 @@
     #[must_use]
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::OverRate(_, span) | Self::NoCapacity(_, span) => Some(*span),
+            Self::OverRate(refusal) => Some(refusal.retry_after),
+            Self::NoCapacity(_, span) => Some(*span),
             Self::NotConfigured | Self::Stopping | Self::DeadlinePassed => Some(DEFAULT_RETRY),
             _ => None,
         }
     }
 
+    /// What decided it, beyond what callers are told, for the log.
+    #[must_use]
+    pub fn inputs(&self) -> Option<String> {
+        match self {
+            Self::OverRate(refusal) => Some(refusal.to_string()),
+            _ => None,
+        }
+    }
+
     /// The HTTP answer; `exact` writes fractions of a second into `Retry-After`.
     #[must_use]
     pub fn response(&self, exact: bool) -> Response<BoxBody> {
@@ -146,7 +156,7 @@
             Self::BodyTooLarge(most) => write!(formatter, "the body is larger than {most}"),
             Self::BadBody(cause) => write!(formatter, "the body cannot be read: {cause}"),
             Self::NoRate => formatter.write_str("the client account has no rate; ask the operators to set one"),
-            Self::OverRate(account, _) => write!(formatter, "client account '{account}' is over its rate"),
+            Self::OverRate(refusal) => write!(formatter, "client account '{}' is over its rate", refusal.limit.account),
             Self::NotConfigured => formatter.write_str("this daemon has no current configuration yet"),
             Self::Stopping => formatter.write_str("this daemon is stopping; use another"),
             Self::NoCapacity(Some(reason), _) => write!(formatter, "no capacity: {reason}"),
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -15,10 +15,10 @@
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::ingress_handle::UnderWay;
 use crate::ingress::{IngressHandle, RequestFacts, RequestPlan, RequestRefusal, caller_key};
-use crate::limits::{Admission, AdmittedToken};
+use crate::limits::{Admission, AdmittedToken, RateRefusal};
 use crate::logs::part;
 use crate::resource::KeyHash;
-use crate::time::Deadline;
+use crate::time::{Deadline, MonoTime};
 use crate::verdict::Verdict;
 
 /// Answers one request; one whose caller has left is given up at once, and its attempt with it.
@@ -30,10 +30,11 @@
     ingress.state.borrow_mut().totals.requests += 1;
     let id = ingress.next_request();
     let name = name_of(ingress, id, request.headers());
+    let begin = ingress.sources.clock.now();
     let result = serve_watched(ingress, id, &name, &mut request, count).await;
     let (verdict, mut response) = match result {
         Ok(response) => (Verdict::Ran, response),
-        Err(refusal) => (refusal.verdict(), refused(ingress, &name, &refusal)),
+        Err(refusal) => (refusal.verdict(), refused(ingress, &name, &refusal, begin)),
     };
     ingress.state.borrow_mut().totals.answered(verdict);
     if let Ok(value) = HeaderValue::from_str(&name) {
@@ -69,7 +70,13 @@
     }
 }
 
-fn refused(ingress: &IngressHandle, name: &str, refusal: &RequestRefusal) -> Response<BoxBody> {
+fn refused(
+    ingress: &IngressHandle,
+    name: &str,
+    refusal: &RequestRefusal,
+    begin: MonoTime,
+) -> Response<BoxBody> {
+    let now = ingress.sources.clock.now();
     if matches!(refusal, RequestRefusal::OverRate(..)) {
         ingress.state.borrow_mut().totals.over_rate += 1;
     }
@@ -79,6 +86,8 @@
         verdict:% = refusal.verdict(),
         status = refusal.status().as_u16(),
         retry_after_ms:? = refusal.retry_after().map(|span| span.as_millis()),
+        held_ms = now.since(begin).as_millis(),
+        inputs:? = refusal.inputs(),
         cause:% = refusal;
         "Request refused."
     );
@@ -228,9 +237,7 @@
     }
     match sources.limits.admit(&plan.account, deadline).await {
         Admission::Admitted(token) => Ok(Some(token)),
-        Admission::Refused { retry_after } => {
-            Err(RequestRefusal::OverRate(plan.account.clone(), retry_after))
-        }
+        Admission::Refused(refusal) => Err(RequestRefusal::OverRate(refusal)),
         Admission::NoLimit => Err(RequestRefusal::NoRate),
     }
 }
@@ -247,7 +254,7 @@
     state
         .split
         .admit(&limit, parts, now)
-        .map_err(|retry_after| RequestRefusal::OverRate(plan.account.clone(), retry_after))
+        .map_err(|retry_after| RequestRefusal::OverRate(RateRefusal::unasked(limit, retry_after)))
 }
 
 fn target_of(request: &Request) -> String {
--- a/src/limits/account_purse.rs
+++ b/src/limits/account_purse.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::BootId;
-use crate::limits::{AccountSplit, DemandRate, GrantLane};
+use crate::limits::{AccountSplit, DemandRate, GrantLane, RateRefusal};
 use crate::resource::RateLimit;
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{GrantUse, GrantWant, TokenGrant};
@@ -234,6 +234,16 @@
         empty.map(GrantLane::empty_until).min()
     }
 
+    /// A refusal until `retry_after` from now, with what the homes say.
+    #[must_use]
+    pub fn refusal(&self, retry_after: Duration, now: MonoTime) -> RateRefusal {
+        RateRefusal {
+            limit: self.limit.clone(),
+            retry_after,
+            homes: [self.lanes[0].word(now), self.lanes[1].word(now)],
+        }
+    }
+
     fn lane(&self, lane: u8) -> &GrantLane {
         &self.lanes[usize::from(lane & 1)]
     }
--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -1,8 +1,7 @@
 //! The answer to a request that asks for a token.
 
-use std::time::Duration;
-
 use crate::ids::{AccountId, BootId};
+use crate::limits::RateRefusal;
 
 /// Whether a request is within its client account's rate.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -10,10 +9,7 @@
     /// It is; the token is spent.
     Admitted(AdmittedToken),
     /// It is not, or no home could be reached.
-    Refused {
-        /// When the caller may come back.
-        retry_after: Duration,
-    },
+    Refused(RateRefusal),
     /// The client account has no rate limit and so no rate.
     NoLimit,
 }
--- a/src/limits/grant_lane.rs
+++ b/src/limits/grant_lane.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::limits::HomeWord;
 use crate::time::{Deadline, MonoTime};
 
 /// A home that has not answered for this long is passed over.
@@ -72,6 +73,17 @@
         now < self.silent_until
     }
 
+    /// What the home is known to say.
+    #[must_use]
+    pub fn word(&self, now: MonoTime) -> HomeWord {
+        match self {
+            lane if !lane.used => HomeWord::Unused,
+            lane if lane.is_empty(now) => HomeWord::Empty(lane.empty_until.since(now)),
+            lane if lane.is_silent(now) => HomeWord::Silent,
+            _ => HomeWord::Unheard,
+        }
+    }
+
     /// Until when there are no tokens.
     #[must_use]
     pub const fn empty_until(&self) -> Deadline {
--- a/src/limits/grant_purse.rs
+++ b/src/limits/grant_purse.rs
@@ -6,8 +6,8 @@
 use crate::hash::FastMap;
 use crate::ids::{AccountId, BootId, DaemonId};
 use crate::limits::{
-    AccountPurse, AccountSplit, AdmittedToken, HomeCandidate, HomeMap, PoolCell, WaitingRequest,
-    clock_margin,
+    AccountPurse, AccountSplit, AdmittedToken, HomeCandidate, HomeMap, PoolCell, RateRefusal,
+    WaitingRequest, clock_margin,
 };
 use crate::resource::RateLimit;
 use crate::time::{Deadline, MonoTime};
@@ -33,8 +33,8 @@
 pub enum AdmitStep {
     /// It has a token.
     Admitted(AdmittedToken),
-    /// It is refused, to come back after this time.
-    Refused(Duration),
+    /// It is refused.
+    Refused(RateRefusal),
     /// It waits under this number.
     Waiting(u64),
 }
@@ -44,8 +44,8 @@
 pub enum WaitEnd {
     /// It has a token.
     Admitted(u64, AdmittedToken),
-    /// It is refused, to come back after this time.
-    Refused(u64, Duration),
+    /// It is refused.
+    Refused(u64, RateRefusal),
 }
 
 impl WaitEnd {
@@ -109,7 +109,7 @@
             });
         }
         if let Some(end) = purse.empty_until(now) {
-            return AdmitStep::Refused(end.remaining(now));
+            return AdmitStep::Refused(purse.refusal(end.remaining(now), now));
         }
         self.next_request = number;
         purse.waiting.push_back(WaitingRequest { number, until });
@@ -270,7 +270,7 @@
 fn serve_waiting(purse: &mut AccountPurse, now: MonoTime, ends: &mut Vec<WaitEnd>) {
     while let Some(first) = purse.waiting.front().copied() {
         let end = if first.until.has_passed(now) {
-            WaitEnd::Refused(first.number, UNREACHED_RETRY)
+            WaitEnd::Refused(first.number, purse.refusal(UNREACHED_RETRY, now))
         } else if let Some((home, grant)) = purse.spend(now) {
             let account = purse.limit().account.clone();
             let token = AdmittedToken {
@@ -280,7 +280,7 @@
             };
             WaitEnd::Admitted(first.number, token)
         } else if let Some(end) = purse.empty_until(now) {
-            WaitEnd::Refused(first.number, end.remaining(now))
+            WaitEnd::Refused(first.number, purse.refusal(end.remaining(now), now))
         } else {
             return;
         };
--- a/src/limits/limits_core.rs
+++ b/src/limits/limits_core.rs
@@ -167,9 +167,7 @@
         for end in ends {
             let (number, admission) = match end {
                 WaitEnd::Admitted(number, token) => (number, Admission::Admitted(token)),
-                WaitEnd::Refused(number, retry_after) => {
-                    (number, Admission::Refused { retry_after })
-                }
+                WaitEnd::Refused(number, refusal) => (number, Admission::Refused(refusal)),
             };
             let waiter = self.waiters.borrow_mut().remove(&number);
             let undelivered = match waiter {
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -9,9 +9,11 @@
 use crate::ids::{AccountId, DaemonId};
 use crate::limits::limits_core::LimitsCore;
 use crate::limits::{
-    Admission, AdmitStep, HomeMap, PlannedGrant, PlannedLoan, PoolCell, ShareSet, lease_task,
+    Admission, AdmitStep, HomeMap, PlannedGrant, PlannedLoan, PoolCell, RateRefusal, ShareSet,
+    lease_task,
 };
 use crate::logs::part;
+use crate::resource::RateLimit;
 use crate::time::Deadline;
 use crate::wire::{LimitsCall, LimitsReply, LoanAsk, LoanReturn, ReturnedLoan};
 
@@ -177,8 +179,8 @@
     let step = core.purse.borrow_mut().admit(&limit, until, now);
     let admission = match step {
         AdmitStep::Admitted(token) => Admission::Admitted(token),
-        AdmitStep::Refused(retry_after) => Admission::Refused { retry_after },
-        AdmitStep::Waiting(number) => wait(core, number).await,
+        AdmitStep::Refused(refusal) => Admission::Refused(refusal),
+        AdmitStep::Waiting(number) => wait(core, limit, number).await,
     };
     let counter = match admission {
         Admission::Admitted(_) => &core.admitted,
@@ -188,13 +190,13 @@
     admission
 }
 
-async fn wait(core: &Rc<LimitsCore>, number: u64) -> Admission {
+async fn wait(core: &Rc<LimitsCore>, limit: RateLimit, number: u64) -> Admission {
     let (sender, receiver) = oneshot::channel();
     core.waiters.borrow_mut().insert(number, sender);
     ask(core);
-    receiver.await.unwrap_or(Admission::Refused {
-        retry_after: ADMIT_WAIT,
-    })
+    receiver
+        .await
+        .unwrap_or_else(|_| Admission::Refused(RateRefusal::unasked(limit, ADMIT_WAIT)))
 }
 
 fn own_cells(core: &LimitsCore, map: &HomeMap) -> Vec<PoolCell> {
--- a/tests/limits_silent.rs
+++ b/tests/limits_silent.rs
@@ -69,10 +69,11 @@
 fn empty_and_silent() {
     let (next, ends) = next_step(FirstHome::Silent);
     assert!(matches!(ends[..], [WaitEnd::Refused(..)]), "{ends:?}");
-    let AdmitStep::Refused(retry_after) = next else {
+    let AdmitStep::Refused(refusal) = next else {
         panic!("it waits for the silent home: {next:?}");
     };
-    assert!(retry_after <= Duration::from_millis(100));
+    assert!(refusal.retry_after <= Duration::from_millis(100));
+    assert!(refusal.to_string().contains("silent"), "{refusal}");
 }
 
 /// A daemon that is not yet a home may be one in a moment: requests wait for it.
