--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -53,7 +53,7 @@
     /// # Errors
     /// Any I/O error of binding names the setting and its address.
     pub async fn open(settings: DaemonSettings, edges: DaemonEdges) -> io::Result<Self> {
-        let parts = DaemonParts::open(&settings, edges);
+        let parts = DaemonParts::open(&settings, edges)?;
         let config = parts.spawn_config(&settings);
         let members = parts.spawn_members(&settings, &config).await?;
         let limits = parts.spawn_limits(&settings, &config, &members);
--- a/src/daemon/daemon_parts.rs
+++ b/src/daemon/daemon_parts.rs
@@ -18,7 +18,7 @@
 use crate::members::{MemberSources, MembersHandle};
 use crate::metrics::MetricsExport;
 use crate::peers::{FleetKey, PeerPool};
-use crate::platform::PlatformService;
+use crate::platform::{PlatformService, TimedPlatform};
 use crate::settings::DaemonSettings;
 use crate::time::ProcessClock;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord};
@@ -33,25 +33,30 @@
     peers: PeerPool,
     platform: Rc<dyn PlatformService>,
     edges: DaemonEdges,
+    metrics: Rc<MetricsExport>,
     members: Rc<OnceCell<MembersHandle>>,
     announce: Rc<OnceCell<Rc<AnnounceServer>>>,
 }
 
 impl DaemonParts {
-    pub(crate) fn open(settings: &DaemonSettings, edges: DaemonEdges) -> Self {
+    pub(crate) fn open(settings: &DaemonSettings, edges: DaemonEdges) -> io::Result<Self> {
         let key = FleetKey::open(&settings.fleet_secret);
-        Self {
+        let clock = ProcessClock::open();
+        let metrics = Rc::new(MetricsExport::open().map_err(io::Error::other)?);
+        let platform = Rc::clone(&edges.platform);
+        Ok(Self {
             boot: BootId(fastrand::u64(1..)),
-            clock: ProcessClock::open(),
+            clock,
             peers: PeerPool::open(key.clone()),
             key,
             stopping: Rc::default(),
             headers: Rc::new(HeaderRules::open(&settings.headers)),
-            platform: Rc::clone(&edges.platform),
+            platform: Rc::new(TimedPlatform::open(platform, clock, metrics.durations())),
             edges,
+            metrics,
             members: Rc::default(),
             announce: Rc::default(),
-        }
+        })
     }
 
     pub(crate) fn spawn_config(&self, settings: &DaemonSettings) -> ConfigHandle {
@@ -140,6 +145,7 @@
             clock: self.clock,
             rules: ClientRules::open(Rc::clone(&self.headers), &settings.proxy),
             hold: settings.proxy.slot_hold.get(),
+            durations: self.metrics.durations(),
             spec_of: Rc::new(move |service| config.catalog().service(service).cloned()),
             records_of: Rc::new(move |service| records.instances_of(service)),
             accepts_work: Rc::new(move |instance| {
@@ -198,6 +204,7 @@
             config: config.clone(),
             limits: limits.clone(),
             members: members.clone(),
+            durations: self.metrics.durations(),
         };
         IngressHandle::bind(address, sources)
             .await
@@ -212,7 +219,7 @@
         let address = settings.listen.admin;
         let view = Rc::new(view);
         let (shown, measured) = (Rc::clone(&view), Rc::clone(&view));
-        let export = MetricsExport::open().map_err(io::Error::other)?;
+        let export = Rc::clone(&self.metrics);
         let stopping = Rc::clone(&self.stopping);
         let loaded = view.config.clone();
         AdminServer::bind(AdminSources {
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -12,6 +12,7 @@
 use crate::ids::{InstanceId, ServiceId};
 use crate::instances::LocalInstance;
 use crate::logs::part;
+use crate::metrics::DurationMetrics;
 use crate::peers::PeerStream;
 use crate::resource::ServiceSpec;
 use crate::time::ProcessClock;
@@ -37,6 +38,8 @@
     pub rules: ClientRules,
     /// How long a held slot waits for go.
     pub hold: Duration,
+    /// Histograms of durations.
+    pub durations: DurationMetrics,
     /// How a service is configured.
     pub spec_of: SpecSource,
     /// What the fleet knows of a service's instances.
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -172,6 +172,8 @@
             service_time: total.saturating_sub(blocked),
             class: self.offer.class,
         };
+        let durations = &self.egress.sources.durations;
+        durations.record_instance(sample.class, outcome, sample.service_time);
         self.egress.observe(&self.gate, &sample);
     }
 
--- a/src/health/sample_outcome.rs
+++ b/src/health/sample_outcome.rs
@@ -17,3 +17,17 @@
     /// The instance's own shedding: load, not sickness.
     Shed,
 }
+
+impl SampleOutcome {
+    /// Its name in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Good => "good",
+            Self::Failed => "failed",
+            Self::Wrong => "wrong",
+            Self::Stalled => "stalled",
+            Self::Shed => "shed",
+        }
+    }
+}
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -16,6 +16,7 @@
 use crate::ingress::{CreditLedger, RequestTotals, request_task};
 use crate::limits::LimitsHandle;
 use crate::members::MembersHandle;
+use crate::metrics::DurationMetrics;
 use crate::peers::PeerPool;
 use crate::resource::ServiceRoute;
 use crate::retry::RetryBudget;
@@ -48,6 +49,8 @@
     pub limits: LimitsHandle,
     /// The members and their instances.
     pub members: MembersHandle,
+    /// Histograms of durations.
+    pub durations: DurationMetrics,
 }
 
 /// What the ingress keeps between requests.
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -37,6 +37,8 @@
         Err(refusal) => (refusal.verdict(), refused(ingress, &name, &refusal, begin)),
     };
     ingress.state.borrow_mut().totals.answered(verdict);
+    let held = ingress.sources.clock.now().since(begin);
+    ingress.sources.durations.record_request(verdict, held);
     if let Ok(value) = HeaderValue::from_str(&name) {
         let header = ingress.sources.headers.request();
         response.headers_mut().insert(header, value);
@@ -235,7 +237,12 @@
     if sources.baseline.static_split {
         return admit_split(ingress, plan).map(|()| None);
     }
-    match sources.limits.admit(&plan.account, deadline).await {
+    let begin = sources.clock.now();
+    let admission = sources.limits.admit(&plan.account, deadline).await;
+    let waited = sources.clock.now().since(begin);
+    let is_admitted = matches!(admission, Admission::Admitted(_));
+    sources.durations.record_token(is_admitted, waited);
+    match admission {
         Admission::Admitted(token) => Ok(Some(token)),
         Admission::Refused(refusal) => Err(RequestRefusal::OverRate(refusal)),
         Admission::NoLimit => Err(RequestRefusal::NoRate),
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -25,6 +25,8 @@
     pub const HEALTH: &str = "health";
     /// Configuration.
     pub const CONFIG: &str = "config";
+    /// Calls to the platform.
+    pub const PLATFORM: &str = "platform";
     /// Operators' API.
     pub const API: &str = "api";
 }
--- /dev/null
+++ b/src/metrics/duration_metrics.rs
@@ -0,0 +1,90 @@
+//! Histograms of how long things take.
+
+use std::fmt;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Histogram, Meter};
+
+use crate::health::SampleOutcome;
+use crate::resource::RequestClass;
+use crate::verdict::Verdict;
+
+/// Upper bounds in seconds: each about twice the one before, from the fastest lookup to the longest
+/// deadline.
+const BOUNDS_SECS: [f64; 13] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0, 60.0,
+];
+
+/// Records durations, for the metrics; clones record into the same histograms.
+///
+/// Labels are closed sets, so that the number of series does not grow with accounts or routes.
+#[derive(Clone)]
+pub struct DurationMetrics {
+    request: Histogram<f64>,
+    token: Histogram<f64>,
+    instance: Histogram<f64>,
+    platform: Histogram<f64>,
+}
+
+impl DurationMetrics {
+    /// Histograms of `meter`.
+    #[must_use]
+    pub fn open(meter: &Meter) -> Self {
+        let histogram = |name: &'static str, about: &'static str| {
+            let builder = meter.f64_histogram(name).with_unit("s");
+            builder
+                .with_description(about)
+                .with_boundaries(BOUNDS_SECS.to_vec())
+                .build()
+        };
+        Self {
+            request: histogram("request_duration", "From a request's head to its answer."),
+            token: histogram(
+                "rate_wait",
+                "Wait for a token of the client account's rate.",
+            ),
+            instance: histogram(
+                "instance_duration",
+                "Time that an instance beside this daemon took.",
+            ),
+            platform: histogram("platform_call_duration", "Calls to the platform."),
+        }
+    }
+
+    /// A request of a caller got its answer.
+    pub fn record_request(&self, verdict: Verdict, span: Duration) {
+        let labels = [KeyValue::new("verdict", verdict.as_str())];
+        self.request.record(span.as_secs_f64(), &labels);
+    }
+
+    /// A request was admitted, or refused for its rate.
+    pub fn record_token(&self, is_admitted: bool, span: Duration) {
+        let labels = [KeyValue::new("admitted", is_admitted)];
+        self.token.record(span.as_secs_f64(), &labels);
+    }
+
+    /// An instance was done with a request.
+    pub fn record_instance(&self, class: RequestClass, outcome: SampleOutcome, span: Duration) {
+        let labels = [
+            KeyValue::new("class", class.to_string()),
+            KeyValue::new("outcome", outcome.as_str()),
+        ];
+        self.instance.record(span.as_secs_f64(), &labels);
+    }
+
+    /// A call to the platform ended.
+    pub fn record_platform(&self, call: &'static str, is_answered: bool, span: Duration) {
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("answered", is_answered),
+        ];
+        self.platform.record(span.as_secs_f64(), &labels);
+    }
+}
+
+impl fmt::Debug for DurationMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("DurationMetrics(..)")
+    }
+}
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -9,6 +9,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::ingress::{CreditLine, RequestTotals};
+use crate::metrics::DurationMetrics;
 
 /// A snapshot of what is exported.
 #[derive(Debug, Clone, Default)]
@@ -31,6 +32,7 @@
 pub struct MetricsExport {
     registry: Registry,
     latest: Arc<Mutex<MetricsSources>>,
+    durations: DurationMetrics,
     _provider: SdkMeterProvider,
 }
 
@@ -46,14 +48,22 @@
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let latest = Arc::new(Mutex::new(MetricsSources::default()));
-        observe_all(&provider.meter("wagtailtrack"), &latest);
+        let meter = provider.meter("wagtailtrack");
+        observe_all(&meter, &latest);
         Ok(Self {
             registry,
             latest,
+            durations: DurationMetrics::open(&meter),
             _provider: provider,
         })
     }
 
+    /// The histograms, for the parts that record into them.
+    #[must_use]
+    pub fn durations(&self) -> DurationMetrics {
+        self.durations.clone()
+    }
+
     /// The metrics of `sources` as text.
     #[must_use]
     pub fn text(&self, sources: MetricsSources) -> String {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,5 +1,7 @@
 //! Metrics by `opentelemetry`, in the Prometheus text format.
 
+mod duration_metrics;
 mod metrics_export;
 
+pub use duration_metrics::DurationMetrics;
 pub use metrics_export::{MetricsExport, MetricsSources};
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod row_bytes;
 mod row_key;
 mod table_row;
+mod timed_platform;
 mod transaction;
 
 pub use commit_outcome::CommitOutcome;
@@ -17,4 +18,5 @@
 pub use platform_wire::{ReadAnswer, ReadQuestion, ScanQuestion};
 pub use row_key::RowKey;
 pub use table_row::TableRow;
+pub use timed_platform::TimedPlatform;
 pub use transaction::{RowCheck, RowWrite, Transaction};
--- /dev/null
+++ b/tests/process_metrics.rs
@@ -0,0 +1,63 @@
+//! What docs/METRICS.md says of the metrics, against a real daemon's output.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{CallerClient, DeskFleet};
+
+const TABLE: &str = include_str!("../docs/METRICS.md");
+
+/// Names in the first column of the table.
+fn described() -> BTreeSet<String> {
+    let rows = TABLE.lines().filter_map(|line| line.strip_prefix("| `"));
+    rows.filter_map(|row| row.split('`').next())
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Names of the output, without the exporter's own.
+fn served(metrics: &str) -> BTreeSet<String> {
+    let types = metrics
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "));
+    types
+        .filter_map(|line| line.split(' ').next())
+        .filter(|name| !name.starts_with("target_info") && !name.starts_with("otel_scope"))
+        .map(str::to_owned)
+        .collect()
+}
+
+#[actix_rt::test]
+async fn described_metrics() {
+    let desk = DeskFleet::open("metrics-described", 1).await;
+    desk.file(0, "one").await.unwrap();
+    let admin = CallerClient::open(desk.fleet.daemons[0].admin());
+    let metrics = admin.get("/metrics").await.unwrap().text();
+    assert_eq!(served(&metrics), described(), "{metrics}");
+}
+
+/// Durations are counted once a request, in seconds, with the labels that the page names.
+#[actix_rt::test]
+async fn counted_durations() {
+    let desk = DeskFleet::open("metrics-durations", 1).await;
+    for tag in ["one", "two", "three"] {
+        desk.file(0, tag).await.unwrap();
+    }
+    let admin = CallerClient::open(desk.fleet.daemons[0].admin());
+    let metrics = admin.get("/metrics").await.unwrap().text();
+    let value = |name: &str, label: &str| {
+        let line = metrics
+            .lines()
+            .find(|line| line.starts_with(name) && line.contains(label));
+        let line = line.unwrap_or_else(|| panic!("no {name} with {label}: {metrics}"));
+        let value = line.rsplit(' ').next().unwrap();
+        value.parse::<f64>().unwrap()
+    };
+    let filings = "class=\"filing\"";
+    assert!((value("instance_duration_seconds_count", filings) - 3.0).abs() < 0.1);
+    assert!(value("instance_duration_seconds_sum", filings) < 60.0);
+    assert!(value("request_duration_seconds_count", "verdict=\"ran\"") >= 3.0);
+    assert!(value("rate_wait_seconds_count", "admitted=\"true\"") >= 3.0);
+    assert!(value("platform_call_duration_seconds_count", "call=\"scan\"") >= 1.0);
+}
