Limits: a home that no one can ask who it is borrows once the loans before it have lapsed

Found in the read-through: a lender that could not reach the address of a home (a cut one way) would have refused a restarted home for good; only loans that still run are in doubt now (unreachable_home). And the answer at the address counts only if it is the asker's own boot: at an address that means another VM to everyone, such as 0.0.0.0, a lender would have heard itself and ended the loans of a live home. Whom to ask for tokens is a type of its own (GrantTarget). Ruled out: another way to end the loans before their time (the row of the members table is a hint only).

--- a/src/limits/grant_purse.rs
+++ b/src/limits/grant_purse.rs
@@ -5,6 +5,7 @@
 
 use crate::hash::FastMap;
 use crate::ids::{AccountId, BootId, DaemonId};
+use crate::limits::grant_target::GrantTarget;
 use crate::limits::{
     AccountPurse, AccountSplit, AdmittedToken, HomeCandidate, HomeMap, HomeRole, PoolCell,
     RateRefusal, WaitingRequest, clock_margin,
@@ -165,7 +166,11 @@
                 };
                 let prefers_backup =
                     purse.lanes[usize::from(lane_ask.lane & 1)].prefers_backup(now);
-                let Some(target) = target_of(&self.silent, map, cell, prefers_backup, now) else {
+                let is_silent = |daemon: &DaemonId| {
+                    let until = self.silent.get(daemon);
+                    until.is_some_and(|until| !until.has_passed(now))
+                };
+                let Some(target) = GrantTarget::of(map, cell, prefers_backup, is_silent) else {
                     continue;
                 };
                 let daemon = &target.home.daemon;
@@ -256,39 +261,6 @@
     }
 }
 
-/// Whom to ask for a cell.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct GrantTarget {
-    home: HomeCandidate,
-    role: HomeRole,
-    is_last: bool,
-}
-
-/// The home of `cell`, or its backup while the home is silent or has no loans yet.
-fn target_of(
-    silent: &FastMap<DaemonId, Deadline>,
-    map: &HomeMap,
-    cell: PoolCell,
-    prefers_backup: bool,
-    now: MonoTime,
-) -> Option<GrantTarget> {
-    let is_silent = |candidate: &HomeCandidate| {
-        let until = silent.get(&candidate.daemon);
-        until.is_some_and(|until| !until.has_passed(now))
-    };
-    let home = map.home(cell)?;
-    let backup = map.backup(cell).filter(|backup| !is_silent(backup));
-    let (chosen, role) = match backup {
-        Some(backup) if prefers_backup || is_silent(home) => (backup, HomeRole::Backup),
-        _ => (home, HomeRole::Home),
-    };
-    Some(GrantTarget {
-        home: chosen.clone(),
-        role,
-        is_last: role == HomeRole::Backup || backup.is_none(),
-    })
-}
-
 fn open_purse(limit: &RateLimit, total: u32, ingress: BootId, now: MonoTime) -> AccountPurse {
     let split = AccountSplit::of(&limit.account, limit.burst, total);
     let turn = (ingress.0 as u8) ^ (split.shard.0 as u8);
--- /dev/null
+++ b/src/limits/grant_target.rs
@@ -0,0 +1,39 @@
+//! Whom to ask for tokens of a cell.
+
+use crate::ids::DaemonId;
+use crate::limits::{HomeCandidate, HomeMap, HomeRole, PoolCell};
+
+/// A daemon to ask; ordered, so that asks to one daemon are sent together.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct GrantTarget {
+    /// The daemon.
+    pub(super) home: HomeCandidate,
+    /// What it is to the cell.
+    pub(super) role: HomeRole,
+    /// Whether there is no other daemon to ask instead.
+    pub(super) is_last: bool,
+}
+
+impl GrantTarget {
+    /// The home of `cell`; its backup while the home is silent or `prefers_backup` says that it has
+    /// no loans yet.
+    pub(super) fn of(
+        map: &HomeMap,
+        cell: PoolCell,
+        prefers_backup: bool,
+        is_silent: impl Fn(&DaemonId) -> bool,
+    ) -> Option<Self> {
+        let home = map.home(cell)?;
+        let backup = map.backup(cell);
+        let backup = backup.filter(|backup| !is_silent(&backup.daemon));
+        let (chosen, role) = match backup {
+            Some(backup) if prefers_backup || is_silent(&home.daemon) => (backup, HomeRole::Backup),
+            _ => (home, HomeRole::Home),
+        };
+        Some(Self {
+            home: chosen.clone(),
+            role,
+            is_last: role == HomeRole::Backup || backup.is_none(),
+        })
+    }
+}
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -112,7 +112,8 @@
 
 /// Finds out whether a home that asks for loans has replaced the one that had its address before.
 pub(crate) async fn confirm_home(core: &LimitsCore, ask: &LoanAsk) {
-    let Some(before) = core.lender.borrow().unconfirmed(ask) else {
+    let now = core.now();
+    let Some(before) = core.lender.borrow().unconfirmed(ask, now) else {
         return;
     };
     let reply = core
@@ -120,10 +121,13 @@
         .await;
     let now = core.now();
     match reply {
-        Ok(LimitsReply::Identity(boot)) => {
+        Ok(LimitsReply::Identity(boot)) if boot == ask.borrower => {
             let mut lender = core.lender.borrow_mut();
             lender.home_replaced(ask.address, before, boot, now);
         }
+        Ok(LimitsReply::Identity(boot)) => {
+            log::info!(target: part::LIMITS, address:% = ask.address, borrower:% = ask.borrower, boot:%; "An ask for loans is not of the process at its address.");
+        }
         Ok(_) => {
             log::warn!(target: part::LIMITS, address:% = ask.address; "A home does not say who it is.");
         }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -14,6 +14,7 @@
 mod demand_rate;
 mod grant_lane;
 mod grant_purse;
+mod grant_target;
 mod home_map;
 mod lease_holder;
 mod lease_plan;
--- a/src/limits/share_lender.rs
+++ b/src/limits/share_lender.rs
@@ -134,7 +134,7 @@
             wait_micros: 0,
             loans: Vec::with_capacity(ask.wants.len()),
         };
-        if let Some(before) = self.unconfirmed(ask) {
+        if let Some(before) = self.unconfirmed(ask, now) {
             log::debug!(
                 target: part::LIMITS,
                 address:% = ask.address, before:%, borrower:% = ask.borrower;
@@ -151,13 +151,20 @@
         answer
     }
 
-    /// The process that borrowed from the address of `ask` before, if it was another one.
+    /// The process that has borrowed from the address of `ask`, if it is another one and its loans
+    /// still run.
     ///
     /// It may be the one that `ask` comes from that is gone: ask the address before lending.
     #[must_use]
-    pub fn unconfirmed(&self, ask: &LoanAsk) -> Option<BootId> {
+    pub fn unconfirmed(&self, ask: &LoanAsk, now: MonoTime) -> Option<BootId> {
         let before = self.homes.get(&ask.address).copied();
-        before.filter(|before| *before != ask.borrower)
+        let is_other = |before: &BootId| *before != ask.borrower && self.has_loans(*before, now);
+        before.filter(is_other)
+    }
+
+    fn has_loans(&self, borrower: BootId, now: MonoTime) -> bool {
+        let mut records = self.shares.values().flat_map(|held| &held.loans);
+        records.any(|record| record.borrower == Some(borrower) && !record.is_idle(now))
     }
 
     /// The process `boot` answers at `address`, where `before` borrowed when it was called.
--- a/tests/limits_kit/fleet_events.rs
+++ b/tests/limits_kit/fleet_events.rs
@@ -24,7 +24,7 @@
                 node.purse.give_back(&token, now);
                 self.audit.withdraw(admission);
             }
-            Letter::LoanAsk(from, number, ask) => match node.lender.unconfirmed(&ask) {
+            Letter::LoanAsk(from, number, ask) => match node.lender.unconfirmed(&ask, now) {
                 Some(before) => {
                     let boot = node.boot;
                     self.send(from, Letter::Identify(index, boot, before, number, ask));
@@ -37,7 +37,9 @@
                 self.send(lender, answer);
             }
             Letter::Identity(boot, before, (from, found), number, ask) if boot == node.boot => {
-                node.lender.home_replaced(ask.address, before, found, now);
+                if found == ask.borrower {
+                    node.lender.home_replaced(ask.address, before, found, now);
+                }
                 self.lend(index, from, number, &ask);
             }
             Letter::LoanAnswer(boot, lender, number, answer) if boot == node.boot => {
--- a/tests/limits_loans.rs
+++ b/tests/limits_loans.rs
@@ -390,15 +390,25 @@
     let mut lender = lender_of(ShareOrigin::Fresh, at(0));
     assert_eq!(lender.lend(&plain(HOME), at(0)).loans.len(), 1);
     let ask = from_same_address(OTHER);
-    assert_eq!(lender.unconfirmed(&ask), Some(HOME));
+    assert_eq!(lender.unconfirmed(&ask, at(50)), Some(HOME));
     let unconfirmed = lender.lend(&ask, at(100));
     assert!(unconfirmed.loans.is_empty() && unconfirmed.wait_micros > 0);
     lender.home_replaced(address_of(HOME), HOME, OTHER, at(200));
-    assert_eq!(lender.unconfirmed(&ask), None);
+    assert_eq!(lender.unconfirmed(&ask, at(200)), None);
     assert!(lender.lend(&ask, at(1_200)).loans.is_empty(), "grants live");
     assert_eq!(lender.lend(&ask, at(1_300)).loans.len(), 1);
 }
 
+/// A home that no one can ask who it is borrows once the loans before it have lapsed.
+#[test]
+fn unreachable_home() {
+    let mut lender = lender_of(ShareOrigin::Fresh, at(0));
+    assert_eq!(lender.lend(&plain(HOME), at(0)).loans.len(), 1);
+    let ask = from_same_address(OTHER);
+    assert!(lender.lend(&ask, at(3_900)).loans.is_empty());
+    assert_eq!(lender.lend(&ask, at(4_000)).loans.len(), 1);
+}
+
 /// What the home before had sent comes late, and so does the word of who had the address.
 #[test]
 fn late_home() {
