Health: the scales of classes begin with exact medians

The running median of all classes began at its first sample and moved by 0.5/n: an instance whose first request was a check never came near 350 ms, its median was told as some milliseconds, and once enough instances had begun so the service's usual time was low and sound instances were ejected as slow, several at once. Change: medians of the first 20 samples are exact.

--- a/src/health/class_scales.rs
+++ b/src/health/class_scales.rs
@@ -4,6 +4,9 @@
 
 /// Samples of a class before its times count.
 const MIN_SAMPLES: u32 = 20;
+/// Samples of which the median is exact. Where classes differ by hundreds, small steps from a first
+/// sample would never reach it, and instances would not compare.
+const EXACT_SAMPLES: usize = 20;
 const FIRST_STEP: f64 = 0.5;
 const LAST_STEP: f64 = 0.005;
 
@@ -29,18 +32,21 @@
     }
 }
 
-/// A median of logarithms that follows slowly and shrugs off outliers.
-#[derive(Debug, Clone, Copy, Default)]
+/// A median of logarithms, exact at first, that then follows slowly and shrugs off outliers.
+#[derive(Debug, Clone, Default)]
 struct LogMedian {
     value: f64,
     samples: u32,
+    first: Vec<f64>,
 }
 
 impl LogMedian {
     fn observe(&mut self, log_micros: f64) {
         self.samples = self.samples.saturating_add(1);
-        if self.samples == 1 {
-            self.value = log_micros;
+        if self.first.len() < EXACT_SAMPLES {
+            let place = self.first.partition_point(|known| *known < log_micros);
+            self.first.insert(place, log_micros);
+            self.value = self.first[self.first.len() / 2];
             return;
         }
         let step = (FIRST_STEP / f64::from(self.samples)).max(LAST_STEP);
