Twins merged, work done once

Found on reading the whole change again: - What a call to the platform that went wrong proves (CallEffect, lost, failed, refused, the answer to a read of an object) stood in HttpPlatform and in platform/: one copy, src/platform/call_effect.rs.

Ruled out: TimedPlatform's signatures, which are the trait's. Behaviour is as it was: the tests keep their assertions, with the names that moved.

--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -102,11 +102,10 @@
         self.routes.find(host, path)
     }
 
-    /// What the operators say of `account`.
+    /// What the operators say of `account` beyond its name, if anything.
     #[must_use]
-    pub fn account(&self, account: &AccountId) -> ClientAccount {
-        let known = self.account_rules.get(account).cloned();
-        known.unwrap_or_else(|| ClientAccount::named(account.clone()))
+    pub fn account(&self, account: &AccountId) -> Option<&ClientAccount> {
+        self.account_rules.get(account)
     }
 
     /// The rate limit of `account`, put together from the packed table.
--- a/src/config/catalog_pages.rs
+++ b/src/config/catalog_pages.rs
@@ -1,6 +1,7 @@
 //! Cuts a catalog into the parts of a snapshot.
 
 use crate::config::Catalog;
+use crate::resource::ClientAccount;
 use crate::wire::{SnapshotItem, SnapshotKey, SnapshotPart};
 
 /// Places of routes in one part.
@@ -46,9 +47,10 @@
         let ranges = u32::try_from(ranges).unwrap_or(u32::MAX);
         return (Vec::new(), Some(SnapshotPart::Keys(0, ranges)));
     };
-    let items = found
-        .into_iter()
-        .map(|(account, rate)| SnapshotItem::Account(catalog.account(&account), rate));
+    let items = found.into_iter().map(|(id, rate)| {
+        let known = catalog.account(&id).cloned();
+        SnapshotItem::Account(known.unwrap_or_else(|| ClientAccount::named(id)), rate)
+    });
     let next = SnapshotPart::Accounts(start.saturating_add(ACCOUNTS_A_PAGE));
     (items.collect(), Some(next))
 }
--- a/src/config/document_follower.rs
+++ b/src/config/document_follower.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::config::{ConfigDocument, DocumentState, FeedAnswer, FeedReading, StoreClock};
-use crate::ids::{Revision, Version};
+use crate::ids::Version;
 use crate::platform::PlatformError;
 use crate::time::{Deadline, MonoTime};
 
@@ -131,9 +131,3 @@
         self.resume_at = now.after(pause);
     }
 }
-
-/// Whether `offered` replaces `have`; revisions never go back.
-#[must_use]
-pub fn replaces(offered: Revision, have: Option<Revision>) -> bool {
-    have.is_none_or(|have| offered > have)
-}
--- a/src/config/document_task.rs
+++ b/src/config/document_task.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use crate::config::config_driver::ConfigDriver;
-use crate::config::document_follower::replaces;
 use crate::config::{
     Catalog, ConfigDocument, ConfigFeed, DocumentFollower, FeedAnswer, FollowFinding, FollowStep,
 };
@@ -69,9 +68,8 @@
 
 fn put_in_force(driver: &ConfigDriver, document: ConfigDocument) {
     let mut follower = driver.follower.borrow_mut();
-    let have = follower.is_loaded().then(|| follower.catalog().revision());
     let revision = document.revision;
-    if !replaces(revision, have) {
+    if follower.is_loaded() && revision <= follower.catalog().revision() {
         log::debug!(target: part::CONFIG, revision:%; "Configuration is not newer, dropped.");
         return;
     }
--- a/src/egress/backend_answer.rs
+++ b/src/egress/backend_answer.rs
@@ -1,11 +1,11 @@
 //! A backend server's answer whose body is still to come.
 
 use actix_http::ResponseHead;
-use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::header::CONTENT_LENGTH;
 use bytes::Bytes;
 
 use crate::egress::backend_client::ClientRules;
-use crate::egress::backend_connection::{AnswerRest, BackendConnection};
+use crate::egress::backend_connection::{AnswerRest, BackendConnection, is_bodiless, is_framed};
 use crate::wire::{AnswerHead, FailureCause, LoadFigure, RequestOffer};
 
 /// Whether an answer is to another request than `name`: a second or late one.
@@ -37,7 +37,8 @@
         rules: &ClientRules,
     ) -> Result<Self, FailureCause> {
         let headers = head.headers();
-        if !rules.accept_unframed && !marks_end(head, &offer.method) {
+        let marks_end = is_bodiless(offer.method == "HEAD", head) || is_framed(head);
+        if !rules.accept_unframed && !marks_end {
             return Err(FailureCause::BadAnswer);
         }
         let is_not_run = rules.headers.says_not_run(head.status.as_u16(), headers);
@@ -87,9 +88,3 @@
         }
     }
 }
-
-fn marks_end(head: &ResponseHead, method: &str) -> bool {
-    let headers = head.headers();
-    let is_bodiless = method == "HEAD" || matches!(head.status.as_u16(), 204 | 304);
-    is_bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -97,35 +97,26 @@
         self.keeps_for = keep_alive_of(&head);
         let rest = match self.codec.message_type() {
             // The codec takes an answer without a length for one without a body.
-            MessageType::None if self.may_have_body(&head) && !is_framed(&head) => {
-                AnswerRest::Body(self.into_unframed())
+            MessageType::None if !is_bodiless(self.is_head, &head) && !is_framed(&head) => {
+                AnswerRest::Body(self.into_body(true))
             }
             MessageType::None => AnswerRest::Nothing(self.into_kept()),
             kind @ (MessageType::Payload | MessageType::Stream) => {
-                AnswerRest::Body(BodyConnection {
-                    keeps_for: self.keeps_for,
-                    ends_with_connection: matches!(kind, MessageType::Stream) && !is_framed(&head),
-                    socket: self.socket,
-                    buffer: self.buffer,
-                    codec: self.codec.into_payload_codec(),
-                })
+                let is_stream = matches!(kind, MessageType::Stream);
+                AnswerRest::Body(self.into_body(is_stream && !is_framed(&head)))
             }
         };
         Ok((head, rest))
     }
 
-    fn may_have_body(&self, head: &ResponseHead) -> bool {
-        !self.is_head && !matches!(head.status.as_u16(), 204 | 304)
-    }
-
-    /// The connection as the body of an answer that ends with it.
-    fn into_unframed(self) -> BodyConnection {
+    /// The connection as that of a body.
+    fn into_body(self, ends_with_connection: bool) -> BodyConnection {
         BodyConnection {
             socket: self.socket,
             buffer: self.buffer,
             codec: self.codec.into_payload_codec(),
-            keeps_for: None,
-            ends_with_connection: true,
+            keeps_for: self.keeps_for,
+            ends_with_connection,
         }
     }
 
@@ -195,7 +186,13 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
-fn is_framed(head: &ResponseHead) -> bool {
+/// Whether an answer has no body, whatever its headers say.
+pub(crate) fn is_bodiless(is_head: bool, head: &ResponseHead) -> bool {
+    is_head || matches!(head.status.as_u16(), 204 | 304)
+}
+
+/// Whether its headers mark the end of an answer's body.
+pub(crate) fn is_framed(head: &ResponseHead) -> bool {
     let headers = head.headers();
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -3,6 +3,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 
@@ -17,9 +18,6 @@
 use crate::verdict::Verdict;
 use crate::wire::{EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer};
 
-/// HTTP's status for a request that reached the wrong server.
-const MISDIRECTED: u16 = 421;
-
 /// A request that holds its slot and may run.
 pub(crate) struct ExecutionTask<'a> {
     pub(crate) egress: &'a EgressHandle,
@@ -65,9 +63,9 @@
         mut answer: BackendAnswer,
         guard: SlotGuard,
     ) -> Result<(), PeerError> {
-        let reason = match answer.head.status {
-            MISDIRECTED => RefusalReason::WrongInstance,
-            _ => RefusalReason::Shed,
+        let reason = match answer.head.status == StatusCode::MISDIRECTED_REQUEST.as_u16() {
+            true => RefusalReason::WrongInstance,
+            false => RefusalReason::Shed,
         };
         self.observe(SampleOutcome::Shed, self.clock.now(), Duration::ZERO);
         while let Ok(Some(_)) = self.next_chunk(&mut answer).await {}
--- a/src/health/trust_track.rs
+++ b/src/health/trust_track.rs
@@ -65,6 +65,15 @@
 
     /// The instance has shown that it may be sick.
     pub(super) fn lose(&mut self, now: MonoTime) {
+        self.begin_doubt(false, now);
+    }
+
+    /// A request has run for so long that the instance may be stalled.
+    pub(super) fn lose_by_stall(&mut self, now: MonoTime) {
+        self.begin_doubt(true, now);
+    }
+
+    fn begin_doubt(&mut self, is_stall: bool, now: MonoTime) {
         let trial_at = match self.doubt {
             None => Deadline::at(now),
             Some(_) => now.after(TRIAL_PAUSE),
@@ -74,18 +83,10 @@
             good: 0,
             trial_at,
             until: now.after(QUIET_TIME),
-            is_stall: false,
+            is_stall,
         });
     }
 
-    /// A request has run for so long that the instance may be stalled.
-    pub(super) fn lose_by_stall(&mut self, now: MonoTime) {
-        self.lose(now);
-        if let Some(doubt) = &mut self.doubt {
-            doubt.is_stall = true;
-        }
-    }
-
     /// The instance was not stalled after all.
     pub(super) fn clear_stall(&mut self) {
         self.doubt.take_if(|doubt| doubt.is_stall);
--- a/src/http/header_rules.rs
+++ b/src/http/header_rules.rs
@@ -1,9 +1,10 @@
 //! Which headers cross the fleet, what they are called, and where a key may hide.
 
+use actix_http::StatusCode;
 use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName};
 use memchr::{memchr, memmem};
 
-use crate::settings::HeaderSettings;
+use crate::settings::{HeaderField, HeaderSettings};
 use crate::verdict::VERDICT_HEADER;
 
 /// Headers that belong to one connection, as HTTP names them.
@@ -77,22 +78,20 @@
     /// The header that tells a backend server which instance a request is for.
     #[must_use]
     pub fn expected_instance(&self) -> Option<HeaderName> {
-        self.settings
-            .expected_instance
-            .as_ref()
-            .map(|field| field.get())
+        let field = self.settings.expected_instance.as_ref();
+        field.map(HeaderField::get)
     }
 
     /// The header that tells a backend server the client account.
     #[must_use]
     pub fn account(&self) -> Option<HeaderName> {
-        self.settings.account.as_ref().map(|field| field.get())
+        self.settings.account.as_ref().map(HeaderField::get)
     }
 
     /// The header that tells a backend server the service beside the ingress.
     #[must_use]
     pub fn caller(&self) -> Option<HeaderName> {
-        self.settings.caller.as_ref().map(|field| field.get())
+        self.settings.caller.as_ref().map(HeaderField::get)
     }
 
     /// Whether an answer with `headers` and `status` says that the request was not run.
@@ -101,7 +100,7 @@
         let Some(field) = &self.settings.not_run else {
             return false;
         };
-        status == MISDIRECTED || headers.contains_key(field.get())
+        status == StatusCode::MISDIRECTED_REQUEST.as_u16() || headers.contains_key(field.get())
     }
 
     /// The headers of a caller's request that may cross to a backend server.
@@ -143,9 +142,6 @@
     }
 }
 
-/// HTTP's status for a request that reached the wrong server.
-const MISDIRECTED: u16 = 421;
-
 /// Whether `bytes` hold the secret, plainly or percent-encoded.
 #[must_use]
 pub fn contains(bytes: &[u8], secret: &str) -> bool {
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -69,7 +69,7 @@
             self.log_attempt(record, &history, &end);
             match end {
                 AttemptEnd::Whole { head, body, load } => {
-                    self.note_answer(&record.instance, load);
+                    self.note_load(&record.instance, Some(load));
                     if !self.is_worth_repeating(&head)
                         || !self.may_retry(&history, Verdict::MayHaveRun, false)
                     {
@@ -80,13 +80,13 @@
                     held = Some((head, body));
                 }
                 AttemptEnd::Long(long) => {
-                    self.note_answer(&record.instance, long.head.load);
+                    self.note_load(&record.instance, Some(long.head.load));
                     self.complete(&long.head);
                     let clock = self.ingress.sources.clock;
                     return Ok(long_response(long, self.deadline, clock, count));
                 }
                 AttemptEnd::Failed { failure, load } => {
-                    self.note_failure(&record.instance, load);
+                    self.note_load(&record.instance, load);
                     history.fail(failure);
                     if !self.may_retry(&history, failure.verdict, failure.is_unreached()) {
                         break;
@@ -251,14 +251,8 @@
         );
     }
 
-    fn note_answer(&self, instance: &InstanceId, load: LoadFigure) {
-        let now = self.ingress.sources.clock.now();
-        self.ingress.with_picker(&self.plan.service, |picker, _| {
-            picker.answered(instance, load, now)
-        });
-    }
-
-    fn note_failure(&self, instance: &InstanceId, load: Option<LoadFigure>) {
+    /// Learns how busy the instance is; nothing but a failed path tells no load.
+    fn note_load(&self, instance: &InstanceId, load: Option<LoadFigure>) {
         let now = self.ingress.sources.clock.now();
         self.ingress
             .with_picker(&self.plan.service, |picker, _| match load {
--- a/src/ingress/request_plan.rs
+++ b/src/ingress/request_plan.rs
@@ -90,8 +90,10 @@
             .unwrap_or_else(|| AccountId::fixed(PUBLIC_ACCOUNT));
         let rules = catalog.account(&account);
         Ok(Self {
-            is_unlimited: is_public || rules.unlimited,
-            priority: rules.priority.unwrap_or(route.rules.priority),
+            is_unlimited: is_public || rules.is_some_and(|rules| rules.unlimited),
+            priority: rules
+                .and_then(|rules| rules.priority)
+                .unwrap_or(route.rules.priority),
             holder,
             account,
             route: route.id.clone(),
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -18,7 +18,7 @@
 use crate::limits::{Admission, AdmittedToken, RateRefusal};
 use crate::logs::part;
 use crate::resource::KeyHash;
-use crate::time::{Deadline, MonoTime};
+use crate::time::Deadline;
 use crate::verdict::Verdict;
 
 /// Answers one request; one whose caller has left is given up at once, and its attempt with it.
@@ -32,12 +32,12 @@
     let name = name_of(ingress, id, request.headers());
     let begin = ingress.sources.clock.now();
     let result = serve_watched(ingress, id, &name, &mut request, count).await;
+    let held = ingress.sources.clock.now().since(begin);
     let (verdict, mut response) = match result {
         Ok(response) => (Verdict::Ran, response),
-        Err(refusal) => (refusal.verdict(), refused(ingress, &name, &refusal, begin)),
+        Err(refusal) => (refusal.verdict(), refused(ingress, &name, &refusal, held)),
     };
     ingress.state.borrow_mut().totals.answered(verdict);
-    let held = ingress.sources.clock.now().since(begin);
     ingress.sources.durations.record_request(verdict, held);
     if let Ok(value) = HeaderValue::from_str(&name) {
         let header = ingress.sources.headers.request();
@@ -76,9 +76,8 @@
     ingress: &IngressHandle,
     name: &str,
     refusal: &RequestRefusal,
-    begin: MonoTime,
+    held: Duration,
 ) -> Response<BoxBody> {
-    let now = ingress.sources.clock.now();
     if matches!(refusal, RequestRefusal::OverRate(..)) {
         ingress.state.borrow_mut().totals.over_rate += 1;
     }
@@ -88,7 +87,7 @@
         verdict:% = refusal.verdict(),
         status = refusal.status().as_u16(),
         retry_after_ms:? = refusal.retry_after().map(|span| span.as_millis()),
-        held_ms = now.since(begin).as_millis(),
+        held_ms = held.as_millis(),
         inputs:? = refusal.inputs(),
         cause:% = refusal;
         "Request refused."
--- a/src/limits/grant_purse.rs
+++ b/src/limits/grant_purse.rs
@@ -5,10 +5,9 @@
 
 use crate::hash::FastMap;
 use crate::ids::{AccountId, BootId, DaemonId};
-use crate::limits::grant_target::GrantTarget;
 use crate::limits::{
-    AccountPurse, AccountSplit, AdmittedToken, HomeCandidate, HomeMap, HomeRole, PoolCell,
-    RateRefusal, WaitingRequest, clock_margin,
+    AccountPurse, AccountSplit, AdmittedToken, GrantTarget, HomeMap, PoolCell, RateRefusal,
+    WaitingRequest, clock_margin,
 };
 use crate::resource::RateLimit;
 use crate::time::{Deadline, MonoTime};
@@ -67,12 +66,8 @@
 /// An ask to be sent to a home.
 #[derive(Debug, Clone)]
 pub struct PlannedGrant {
-    /// The daemon to ask.
-    pub home: HomeCandidate,
-    /// What it is to the accounts' cells.
-    pub role: HomeRole,
-    /// Whether there is no other daemon to ask instead.
-    pub is_last: bool,
+    /// Whom to ask.
+    pub target: GrantTarget,
     /// When it is sent; the grants count from here.
     pub sent: MonoTime,
     /// The ask.
@@ -186,9 +181,7 @@
         let planned = planned.into_iter();
         planned
             .map(|(target, ask)| PlannedGrant {
-                home: target.home,
-                role: target.role,
-                is_last: target.is_last,
+                target,
                 sent: now,
                 ask,
             })
@@ -202,8 +195,9 @@
         answer: &GrantAnswer,
         now: MonoTime,
     ) -> Vec<WaitEnd> {
-        self.boots.insert(planned.home.daemon.clone(), answer.home);
-        self.silent.remove(&planned.home.daemon);
+        self.boots
+            .insert(planned.target.home.daemon.clone(), answer.home);
+        self.silent.remove(&planned.target.home.daemon);
         let mut ends = Vec::new();
         let gives = answer.gives.iter().map(Some).chain(std::iter::repeat(None));
         for (want, give) in planned.ask.wants.iter().zip(gives) {
@@ -222,11 +216,11 @@
 
     /// Notes that `planned` failed.
     pub fn fail(&mut self, planned: &PlannedGrant, now: MonoTime) {
-        let daemon = planned.home.daemon.clone();
+        let daemon = planned.target.home.daemon.clone();
         self.silent.insert(daemon, now.after(SILENT_HOME_WAIT));
         for want in &planned.ask.wants {
             if let Some(purse) = self.purses.get_mut(&want.account) {
-                purse.lanes[usize::from(want.half & 1)].failed(planned.is_last, now);
+                purse.lanes[usize::from(want.half & 1)].failed(planned.target.is_last, now);
                 self.due.insert(want.account.clone());
             }
         }
@@ -277,10 +271,10 @@
 ) {
     let state = &mut purse.lanes[usize::from(lane & 1)];
     let Some(give) = give.filter(|give| **give != GrantGive::NotHome) else {
-        state.not_home(planned.role, now);
+        state.not_home(planned.target.role, now);
         return;
     };
-    state.answered(planned.role, now);
+    state.answered(planned.target.role, now);
     match give {
         GrantGive::Tokens(grant) => {
             let life = Duration::from_micros(u64::from(grant.life_micros));
--- a/src/limits/grant_target.rs
+++ b/src/limits/grant_target.rs
@@ -4,14 +4,14 @@
 use crate::limits::{HomeCandidate, HomeMap, HomeRole, PoolCell};
 
 /// A daemon to ask; ordered, so that asks to one daemon are sent together.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct GrantTarget {
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GrantTarget {
     /// The daemon.
-    pub(super) home: HomeCandidate,
+    pub home: HomeCandidate,
     /// What it is to the cell.
-    pub(super) role: HomeRole,
+    pub role: HomeRole,
     /// Whether there is no other daemon to ask instead.
-    pub(super) is_last: bool,
+    pub is_last: bool,
 }
 
 impl GrantTarget {
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -151,7 +151,9 @@
 
 async fn send_grant(core: Rc<LimitsCore>, planned: PlannedGrant) {
     let call = LimitsCall::Grant(planned.ask.clone());
-    let reply = core.call(planned.home.address, call, GRANT_TIMEOUT).await;
+    let reply = core
+        .call(planned.target.home.address, call, GRANT_TIMEOUT)
+        .await;
     let now = core.now();
     let ends = match reply {
         Ok(LimitsReply::Grants(answer)) => core.purse.borrow_mut().answer(&planned, &answer, now),
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -41,6 +41,7 @@
 pub use demand_rate::DemandRate;
 pub use grant_lane::GrantLane;
 pub use grant_purse::{AdmitStep, GrantPurse, PlannedGrant, WaitEnd};
+pub use grant_target::GrantTarget;
 pub use home_map::{HomeCandidate, HomeMap, HomeRole};
 pub use lease_holder::{LeaseChange, LeaseHolder, LeaseIdentity};
 pub use lease_plan::LeasePlan;
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -3,17 +3,15 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use awc::error::SendRequestError;
 use awc::http::{Method, StatusCode};
 use awc::{Client, Connector};
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::http::never_sent;
 use crate::platform::{
-    CommitOutcome, PlatformError, PlatformService, ReadAnswer, ReadQuestion, RowKey, ScanQuestion,
-    TableRow, Transaction,
+    CallEffect, CommitOutcome, PlatformError, PlatformService, ReadAnswer, ReadQuestion, RowKey,
+    ScanQuestion, TableRow, Transaction, object_of,
 };
 use crate::settings::PlatformSettings;
 
@@ -26,13 +24,6 @@
     base: String,
 }
 
-/// Whether a call changes anything at the platform.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CallEffect {
-    Read,
-    Write,
-}
-
 impl HttpPlatform {
     /// Opens a client; connections are made on demand.
     #[must_use]
@@ -58,9 +49,9 @@
             .map_err(|cause| PlatformError::Unavailable(cause.to_string()))?;
         let (status, answer) = self.send(Method::POST, path, body, effect).await?;
         if status != StatusCode::OK {
-            return Err(refused(status, effect));
+            return Err(effect.refused(status));
         }
-        serde_json::from_slice(&answer).map_err(|cause| lost(effect, &cause.to_string()))
+        serde_json::from_slice(&answer).map_err(|cause| effect.lost(&cause.to_string()))
     }
 
     async fn send(
@@ -77,38 +68,16 @@
             .content_type("application/json")
             .send_body(body)
             .await
-            .map_err(|cause| failed(effect, &cause))?;
+            .map_err(|cause| effect.failed(&cause))?;
         let answer = response
             .body()
             .limit(MAX_ANSWER_BYTES)
             .await
-            .map_err(|cause| lost(effect, &cause.to_string()))?;
+            .map_err(|cause| effect.lost(&cause.to_string()))?;
         Ok((response.status(), answer))
     }
 }
 
-fn failed(effect: CallEffect, cause: &SendRequestError) -> PlatformError {
-    if never_sent(cause) {
-        return PlatformError::Unavailable(cause.to_string());
-    }
-    lost(effect, &cause.to_string())
-}
-
-fn lost(effect: CallEffect, cause: &str) -> PlatformError {
-    match effect {
-        CallEffect::Read => PlatformError::Unavailable(cause.to_owned()),
-        CallEffect::Write => PlatformError::Unknown(cause.to_owned()),
-    }
-}
-
-/// The service answers 503 and 4xx only when it did nothing; other errors say nothing.
-fn refused(status: StatusCode, effect: CallEffect) -> PlatformError {
-    if status == StatusCode::SERVICE_UNAVAILABLE || status.is_client_error() {
-        return PlatformError::Unavailable(format!("status {status}"));
-    }
-    lost(effect, &format!("status {status}"))
-}
-
 #[async_trait(?Send)]
 impl PlatformService for HttpPlatform {
     async fn read(&self, keys: &[RowKey]) -> Result<Vec<Option<TableRow>>, PlatformError> {
@@ -144,11 +113,8 @@
     async fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
         let path = format!("/objects/{name}");
         let call = self.send(Method::GET, &path, Vec::new(), CallEffect::Read);
-        match call.await? {
-            (StatusCode::OK, bytes) => Ok(Some(bytes.to_vec())),
-            (StatusCode::NOT_FOUND, _) => Ok(None),
-            (status, _) => Err(refused(status, CallEffect::Read)),
-        }
+        let (status, bytes) = call.await?;
+        object_of(status, &bytes)
     }
 
     async fn put_object(&self, name: &str, bytes: &[u8]) -> Result<(), PlatformError> {
@@ -156,7 +122,7 @@
         let call = self.send(Method::PUT, &path, bytes.to_vec(), CallEffect::Write);
         match call.await? {
             (StatusCode::OK | StatusCode::NO_CONTENT, _) => Ok(()),
-            (status, _) => Err(refused(status, CallEffect::Write)),
+            (status, _) => Err(CallEffect::Write.refused(status)),
         }
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's transactional table and object store, as the daemon needs them.
 
+mod call_effect;
 mod commit_outcome;
 mod http_platform;
 mod platform_error;
@@ -11,6 +12,7 @@
 mod timed_platform;
 mod transaction;
 
+pub use call_effect::{CallEffect, object_of};
 pub use commit_outcome::CommitOutcome;
 pub use http_platform::HttpPlatform;
 pub use platform_error::PlatformError;
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -81,80 +81,30 @@
     /// The names of the parts in which `other` differs, the log level left out.
     #[must_use]
     pub fn changed_fields(&self, other: &Self) -> Vec<&'static str> {
-        let parts = [
-            (
-                "daemon",
-                format!("{:?}", self.daemon),
-                format!("{:?}", other.daemon),
-            ),
-            (
-                "region",
-                format!("{:?}", self.region),
-                format!("{:?}", other.region),
-            ),
-            (
-                "zone",
-                format!("{:?}", self.zone),
-                format!("{:?}", other.zone),
-            ),
-            (
-                "service",
-                format!("{:?}", self.service),
-                format!("{:?}", other.service),
-            ),
-            (
-                "fleet_secret",
-                self.fleet_secret.clone(),
-                other.fleet_secret.clone(),
-            ),
-            (
-                "seeds",
-                format!("{:?}", self.seeds),
-                format!("{:?}", other.seeds),
-            ),
-            (
-                "listen",
-                format!("{:?}", self.listen),
-                format!("{:?}", other.listen),
-            ),
-            (
-                "platform",
-                format!("{:?}", self.platform),
-                format!("{:?}", other.platform),
-            ),
-            (
-                "operators",
-                format!("{:?}", self.operators),
-                format!("{:?}", other.operators),
-            ),
-            (
-                "headers",
-                format!("{:?}", self.headers),
-                format!("{:?}", other.headers),
-            ),
-            (
-                "proxy",
-                format!("{:?}", self.proxy),
-                format!("{:?}", other.proxy),
-            ),
-            (
-                "services",
-                format!("{:?}", self.services),
-                format!("{:?}", other.services),
-            ),
-            (
-                "limits",
-                format!("{:?}", self.limits),
-                format!("{:?}", other.limits),
-            ),
-            (
-                "baseline",
-                format!("{:?}", self.baseline),
-                format!("{:?}", other.baseline),
-            ),
-        ];
-        let changed = parts.into_iter().filter(|(_, own, its)| own != its);
-        changed.map(|(name, ..)| name).collect()
+        let pairs = self.parts().into_iter().zip(other.parts());
+        let changed = pairs.filter(|(own, its)| own != its);
+        changed.map(|((name, _), _)| name).collect()
+    }
+
+    /// Each part by name, as a text that differs when the part does.
+    fn parts(&self) -> [(&'static str, String); 14] {
+        let text = |part: &dyn std::fmt::Debug| format!("{part:?}");
+        [
+            ("daemon", text(&self.daemon)),
+            ("region", text(&self.region)),
+            ("zone", text(&self.zone)),
+            ("service", text(&self.service)),
+            ("fleet_secret", text(&self.fleet_secret)),
+            ("seeds", text(&self.seeds)),
+            ("listen", text(&self.listen)),
+            ("platform", text(&self.platform)),
+            ("operators", text(&self.operators)),
+            ("headers", text(&self.headers)),
+            ("proxy", text(&self.proxy)),
+            ("services", text(&self.services)),
+            ("limits", text(&self.limits)),
+            ("baseline", text(&self.baseline)),
+        ]
     }
 
     fn check(&self) -> Result<(), SettingsError> {
--- a/tests/backend_client.rs
+++ b/tests/backend_client.rs
@@ -1,14 +1,15 @@
 //! The client towards instances: what each broken answer proves.
 
+mod common;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use common::sample_offer;
 use wagtailtrack::egress::{BackendAnswer, BackendClient, ClientRules, SendFailure};
-use wagtailtrack::ids::{BootId, RequestId};
-use wagtailtrack::resource::RequestClass;
 use wagtailtrack::time::ProcessClock;
 use wagtailtrack::verdict::Verdict;
 use wagtailtrack::wire::{FailureCause, RequestOffer};
@@ -17,26 +18,8 @@
 
 fn offer() -> RequestOffer {
     RequestOffer {
-        boot: BootId(7),
-        request: RequestId(9),
-        instance: "desk-1".parse().unwrap(),
-        service: "desk".parse().unwrap(),
-        route: "filings".parse().unwrap(),
-        account: "crew".parse().unwrap(),
-        holder: None,
-        caller: None,
-        name: "7-9".to_owned(),
-        host: None,
-        priority: wagtailtrack::resource::Priority::default(),
-        is_forced: false,
-        class: RequestClass::Filing,
-        idempotent: false,
-        may_wait: true,
-        remaining_micros: 0,
-        method: "POST".to_owned(),
-        target: "/filings".to_owned(),
-        headers: Vec::new(),
         body: b"lane".to_vec(),
+        ..sample_offer()
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,6 +14,7 @@
 #[path = "../../standins/relay/mod.rs"]
 mod relay;
 mod resource_client;
+mod sample_offer;
 mod scratch_dir;
 mod test_fleet;
 
@@ -28,5 +29,6 @@
 pub use patience::{PATIENCE, eventually};
 pub use relay::{RelayHandle, RelayMode};
 pub use resource_client::ResourceClient;
+pub use sample_offer::sample_offer;
 pub use scratch_dir::ScratchDir;
 pub use test_fleet::{FleetPlan, TestFleet};
--- a/tests/limits_backup.rs
+++ b/tests/limits_backup.rs
@@ -64,10 +64,10 @@
     ));
     let first = purse.plan(&map, now).remove(0);
     let half = first.ask.wants[0].half;
-    assert_eq!(first.role, HomeRole::Home);
+    assert_eq!(first.target.role, HomeRole::Home);
     purse.fail(&first, now);
     let second = planned_for(&mut purse, &map, half, &mut now);
-    assert_eq!(Some(&second.home), map.backup(cell(half)));
+    assert_eq!(Some(&second.target.home), map.backup(cell(half)));
     let give = GrantGive::Tokens(TokenGrant {
         grant: 1,
         tokens: 1,
@@ -84,7 +84,7 @@
     let until = now.after(Duration::from_secs(5));
     purse.admit(&crew(), until, now);
     let third = planned_for(&mut purse, &map, half, &mut now);
-    assert_eq!(third.role, HomeRole::Home);
+    assert_eq!(third.target.role, HomeRole::Home);
 }
 
 /// The next ask for `half`, whatever is asked of the other.
--- a/tests/limits_kit/fleet_events.rs
+++ b/tests/limits_kit/fleet_events.rs
@@ -186,7 +186,7 @@
             let number = self.next_letter;
             self.next_letter += 1;
             let node = &mut self.nodes[index];
-            let home = slot_of(&planned.home.daemon);
+            let home = slot_of(&planned.target.home.daemon);
             let (boot, ask) = (node.boot, planned.ask.clone());
             node.asked.insert(number, planned);
             self.post(index, self.timeout(200), Letter::GrantLate(boot, number));
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -51,7 +51,7 @@
         catalog.rate_of(&crew).unwrap().rate.milli_per_second(),
         4_500
     );
-    assert!(catalog.account(&"free".parse().unwrap()).unlimited);
+    assert!(catalog.account(&"free".parse().unwrap()).unwrap().unlimited);
     for secret in ["k1", "k2"] {
         let known = catalog.account_of_key(&KeyHash::of_secret(secret));
         assert_eq!(known, wagtailtrack::config::KeyLookup::Known(crew.clone()));
@@ -116,9 +116,7 @@
         {"key":"c","ver":6,"deleted":true}],"truncated":false,"ver":9,"nowMs":77}"#;
     let answer: store_wire::RowsAnswer = serde_json::from_str(answer).unwrap();
     let rows = answer.rows.into_iter();
-    let rows: Vec<_> = rows
-        .filter_map(|row| row.into_table_row("members"))
-        .collect();
+    let rows: Vec<_> = rows.filter_map(|row| row.table_row("members")).collect();
     assert_eq!(rows.len(), 1);
     assert_eq!(rows[0].key.0, "members/a");
 }
--- a/tests/process_announce.rs
+++ b/tests/process_announce.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use awc::http::{Method, StatusCode};
-use common::{DeskFleet, FLEET_SECRET, FleetPlan, eventually};
+use common::{DeskFleet, FLEET_SECRET, FleetPlan, eventually, sample_offer};
 use serde_json::Value;
 use wagtailtrack::ids::{BootId, RequestId};
 use wagtailtrack::peers::{FleetKey, PeerPool};
@@ -89,23 +89,13 @@
         boot: BootId(77),
         request: RequestId(number),
         instance: "desk-2".parse().unwrap(),
-        service: "desk".parse().unwrap(),
         route: "lookups".parse().unwrap(),
-        account: "crew".parse().unwrap(),
-        holder: None,
-        caller: None,
-        name: "7-9".to_owned(),
-        host: None,
-        priority: wagtailtrack::resource::Priority::default(),
-        is_forced: false,
         class: RequestClass::Lookup,
         idempotent: number.is_multiple_of(2),
-        may_wait: true,
         remaining_micros: 5_000_000,
         method: "GET".to_owned(),
         target: "/lookups/1".to_owned(),
-        headers: Vec::new(),
-        body: Vec::new(),
+        ..sample_offer()
     };
     let egress = desk.fleet.daemons[1].peers();
     let mut stream = peers.open_stream(egress).await.unwrap();
