Failing test: an instance loses its requests when the daemon beside it begins to stop

Test: process_shutdown instance_stays_in_use fails: 1 s after SIGTERM, with the daemon still running, ten of ten filings went to the other instance.

--- a/tests/process_shutdown.rs
+++ b/tests/process_shutdown.rs
@@ -228,3 +228,27 @@
         }
     }
 }
+
+/// Guards against a sound instance that gets no requests for seconds because the daemon beside it
+/// stops, although that daemon still runs.
+#[actix_rt::test]
+async fn instance_stays_in_use() {
+    let mut desk = DeskFleet::open("stop-in-use", 2).await;
+    desk.fleet.daemons[1].process.terminate();
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    let mut served_by = Vec::new();
+    for number in 0..10 {
+        let tag = format!("filing-{number}");
+        let answer = desk.file(0, &tag).await.unwrap();
+        assert!(answer.answers(&tag, tag.as_bytes()), "{}", answer.text());
+        served_by.push(answer.header("x-instance").to_owned());
+    }
+    assert!(
+        desk.fleet.daemons[1].process.is_running(),
+        "the daemon ended before its callers could notice that it stops"
+    );
+    assert!(
+        served_by.iter().any(|instance| instance == "desk-2"),
+        "{served_by:?}"
+    );
+}
