Hold rate limit shares through a restore of the store

A store that comes back from a copy may name a former holder, or none, for a share that another daemon holds. Change: rows name the era in which they were written. One of an earlier era is claimed only after it stayed unchanged for a whole lease; a holder whose row is lost keeps its lease to its end and writes it again at once.

--- a/src/limits/lease_holder.rs
+++ b/src/limits/lease_holder.rs
@@ -1,7 +1,7 @@
 //! Leases of rate limit shares that a daemon holds in the platform's table.
 
 use crate::hash::FastMap;
-use crate::ids::Version;
+use crate::ids::{StoreEra, Version};
 use crate::limits::seen_row::{SeenRow, claim_wait};
 use crate::limits::{LeaseChange, LeaseIdentity, LeasePlan, LeaseRow, ShareSet, clock_margin};
 use crate::platform::TableRow;
@@ -15,6 +15,10 @@
     lease: TimeSpan,
     total: u32,
     nonce: u64,
+    /// Era of the store; none before the first scan.
+    era: Option<StoreEra>,
+    /// When the store was found to have come back from a copy; none before.
+    restored_at: Option<MonoTime>,
     seen: FastMap<u8, SeenRow>,
     held: FastMap<u8, HeldLease>,
     /// A plan whose commit got no answer.
@@ -25,6 +29,8 @@
 struct HeldLease {
     version: Version,
     until: Deadline,
+    /// Era of the store in which the row was written.
+    era: StoreEra,
 }
 
 impl LeaseHolder {
@@ -37,6 +43,8 @@
             lease,
             total,
             nonce: 0,
+            era: None,
+            restored_at: None,
             seen: FastMap::default(),
             held: FastMap::default(),
             pending: None,
@@ -55,6 +63,22 @@
         self.held.values().map(|lease| lease.until).min()
     }
 
+    /// Records the era that the store names. A store that came back from a copy has lost the newest
+    /// rows, so that each row must stay unchanged for a whole lease before it is trusted again.
+    pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) {
+        let known = self.era.replace(era);
+        if known.is_some_and(|known| known != era) {
+            self.restored_at = Some(now);
+            self.seen.values_mut().for_each(|seen| seen.since = now);
+        }
+    }
+
+    /// Whether a held lease must be written again, since the store has lost its row.
+    #[must_use]
+    pub fn has_lost_row(&self) -> bool {
+        self.held.values().any(|lease| lease.era != self.era())
+    }
+
     /// Records the rows of a scan whose answer arrived at `now`.
     ///
     /// Resolves a commit whose answer was lost: the rows show whether it took effect.
@@ -97,7 +121,7 @@
             .filter(|(share, _)| !self.held.contains_key(share));
         let lapses = others.filter_map(|(_, seen)| {
             let row = seen.row.as_ref()?;
-            Some(seen.since.after(claim_wait(row)))
+            Some(seen.since.after(claim_wait(row.lease.get())))
         });
         lapses.filter(|lapse| !lapse.has_passed(now)).min()
     }
@@ -200,10 +224,14 @@
             return;
         }
         let is_this_run = self.is_this_run(share);
+        let is_older_row = self.seen_row(share).is_none_or(|row| row.era != self.era());
+        let era = self.era();
         let Some(lease) = self.held.get_mut(&share) else {
             return;
         };
-        if is_this_run {
+        // Nobody claims a share by a row of an earlier era, so the lease holds until its expiry.
+        let is_row_lost = lease.era != era && is_older_row;
+        if is_this_run || is_row_lost {
             // A write of this run took effect late. When it was sent is unknown, so it does not
             // extend the lease.
             lease.version = version;
@@ -224,7 +252,13 @@
             return;
         }
         let until = plan.sent.after(clock_margin::shortened(self.lease.get()));
-        self.held.insert(share, HeldLease { version, until });
+        let era = plan.row.era;
+        let lease = HeldLease {
+            version,
+            until,
+            era,
+        };
+        self.held.insert(share, lease);
         changes.push(LeaseChange::Held(share, until, plan.origin(share)));
     }
 
@@ -251,6 +285,7 @@
             nonce: self.nonce,
             lease: self.lease,
             released,
+            era: self.era(),
         };
         let versions = shares.iter().map(|share| (share, self.version(share)));
         let boot = self.identity.boot;
@@ -262,6 +297,10 @@
         Some(plan.with_earlier_run(earlier_run))
     }
 
+    fn era(&self) -> StoreEra {
+        self.era.unwrap_or_default()
+    }
+
     fn version(&self, share: u8) -> Version {
         let held = self.held.get(&share).map(|lease| lease.version);
         let seen = self.seen.get(&share).map(|seen| seen.version);
@@ -288,9 +327,15 @@
 
     fn is_claimable(&self, seen: &SeenRow, now: MonoTime) -> bool {
         let Some(row) = &seen.row else {
-            return seen.version == Version(0);
+            let wait = claim_wait(self.lease.get());
+            let is_lost = |at| now.since(at) < wait;
+            return seen.version == Version(0) && !self.restored_at.is_some_and(is_lost);
         };
+        let has_waited = now.since(seen.since) >= claim_wait(row.lease.get());
+        if row.era != self.era() {
+            return has_waited;
+        }
         let is_own = row.daemon == self.identity.daemon && row.address == self.identity.address;
-        row.released || is_own || now.since(seen.since) >= claim_wait(row)
+        row.released || is_own || has_waited
     }
 }
--- a/src/limits/lease_row.rs
+++ b/src/limits/lease_row.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BootId, DaemonId};
+use crate::ids::{BootId, DaemonId, StoreEra};
 use crate::platform::RowKey;
 use crate::units::TimeSpan;
 
@@ -26,6 +26,9 @@
     pub lease: TimeSpan,
     /// Whether the holder has released the lease.
     pub released: bool,
+    /// Era of the store in which the row was written. A later era may have lost later rows.
+    #[serde(default)]
+    pub era: StoreEra,
 }
 
 impl LeaseRow {
--- a/src/limits/lease_task.rs
+++ b/src/limits/lease_task.rs
@@ -168,7 +168,11 @@
             }
         };
         let now = core.now();
-        let changes = core.holder.borrow_mut().observe(&rows, now);
+        let changes = {
+            let mut holder = core.holder.borrow_mut();
+            holder.enter_era(platform.era(), now);
+            holder.observe(&rows, now)
+        };
         core.apply_lease_changes(changes);
         self.expire(core);
         let interval = core.sources.settings.renew.get() * SCAN_RENEWALS;
@@ -199,7 +203,8 @@
             true => settings.shares,
             false => holder.target_count(members, settings.shares_per_daemon),
         };
-        let renews = self.renews(core, now) && !held.is_empty();
+        let is_renewal_due = self.renews(core, now) || holder.has_lost_row();
+        let renews = is_renewal_due && !held.is_empty();
         let claim_at = *self
             .claim_at
             .get_or_insert_with(|| now.after(FIRST_CLAIM_SPREAD.mul_f64(fastrand::f64())));
--- a/src/limits/seen_row.rs
+++ b/src/limits/seen_row.rs
@@ -18,7 +18,8 @@
     pub(super) row: Option<LeaseRow>,
 }
 
-/// How long the row must stay unchanged before another daemon may claim the share.
-pub(super) fn claim_wait(row: &LeaseRow) -> Duration {
-    clock_margin::lengthened(row.lease.get()) + CLAIM_MARGIN
+/// How long the row of a lease of duration `lease` must stay unchanged before another daemon may claim
+/// the share.
+pub(super) fn claim_wait(lease: Duration) -> Duration {
+    clock_margin::lengthened(lease) + CLAIM_MARGIN
 }
--- a/src/platform/platform_service.rs
+++ b/src/platform/platform_service.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 
+use crate::ids::StoreEra;
 use crate::platform::{CommitOutcome, PlatformError, RowKey, TableRow, Transaction};
 
 /// A transactional table and an object store.
@@ -29,6 +30,12 @@
     /// Reads an object, or returns `None` when it does not exist.
     async fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError>;
 
+    /// The era that the platform named last, for the versions of rows. A platform that never comes back
+    /// from a copy has one era.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Writes an object, replacing an existing one of that name.
     async fn put_object(&self, name: &str, bytes: &[u8]) -> Result<(), PlatformError>;
 }
--- a/src/platform/timed_platform.rs
+++ b/src/platform/timed_platform.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 
+use crate::ids::StoreEra;
 use crate::metrics::DurationMetrics;
 use crate::platform::{
     CommitOutcome, PlatformError, PlatformService, RowKey, TableRow, Transaction,
@@ -73,6 +74,10 @@
         result
     }
 
+    fn era(&self) -> StoreEra {
+        self.inner.era()
+    }
+
     async fn put_object(&self, name: &str, bytes: &[u8]) -> Result<(), PlatformError> {
         let begin = self.clock.now();
         let result = self.inner.put_object(name, bytes).await;
--- a/tests/limits_kit/event_handlers.rs
+++ b/tests/limits_kit/event_handlers.rs
@@ -324,6 +324,7 @@
             nonce: 0,
             lease: node.settings.lease,
             released: false,
+            era: Default::default(),
         };
         let now = node.clock.at(self.now);
         LeasePlan::new(row, Vec::new(), Default::default(), now)
--- a/tests/limits_kit/memory_table.rs
+++ b/tests/limits_kit/memory_table.rs
@@ -34,6 +34,12 @@
         }
     }
 
+    /// Replaces all rows by those of an earlier [`Self::rows`], as a table that comes back from a copy.
+    pub fn restore(&self, rows: Vec<TableRow>) {
+        let rows = rows.into_iter().map(|row| (row.key.0.clone(), row));
+        self.rows.replace(rows.collect());
+    }
+
     pub fn rows(&self, prefix: &str) -> Vec<TableRow> {
         let rows = self.rows.borrow();
         let found = rows.values().filter(|row| row.key.0.starts_with(prefix));
