Failing test: an instance gets more requests than the limit in its responses

Evidence: the rates before and after the limit are alike, and nothing in the sources reads such a header. Test: process_limits limit_of_instance fails: 110 requests in 4 s where 17 are allowed. The stand-in of the backend server names a limit on demand; limit_ends passes and stays.

--- a/standins/backend/control_request.rs
+++ b/standins/backend/control_request.rs
@@ -18,4 +18,6 @@
     /// Whether `/health` reports the instance as unhealthy, whatever its fault.
     #[serde(rename = "feign_sick")]
     pub report_unhealthy: Option<bool>,
+    /// Requests per second that every response names as the most to be sent; 0 ends it.
+    pub limit: Option<f64>,
 }
--- a/standins/backend/instance_handler.rs
+++ b/standins/backend/instance_handler.rs
@@ -99,6 +99,7 @@
         instance: state.spec.instance.as_str(),
         service_time: started.elapsed(),
         min_bytes: requested_bytes(request),
+        limit: state.named_limit(),
     };
     builder.build(effect)
 }
--- a/standins/backend/instance_state.rs
+++ b/standins/backend/instance_state.rs
@@ -40,6 +40,7 @@
     load: CachedLoad,
     hides_load: Cell<bool>,
     reports_unhealthy: Cell<bool>,
+    limit: Cell<f64>,
 }
 
 impl InstanceState {
@@ -61,6 +62,7 @@
             load: CachedLoad::default(),
             hides_load: Cell::default(),
             reports_unhealthy: Cell::default(),
+            limit: Cell::default(),
             spec,
         })
     }
@@ -85,6 +87,11 @@
         !self.reports_unhealthy.get()
     }
 
+    /// The requests per second that responses name as the most to be sent; none while there is no limit.
+    pub fn named_limit(&self) -> Option<f64> {
+        Some(self.limit.get()).filter(|limit| *limit > 0.0)
+    }
+
     /// The load to report at `/load`, up to two seconds old; zero while it is hidden.
     pub fn reported_load(&self) -> LoadReport {
         if self.hides_load.get() {
@@ -110,6 +117,9 @@
         if let Some(reports_unhealthy) = request.report_unhealthy {
             self.reports_unhealthy.set(reports_unhealthy);
         }
+        if let Some(limit) = request.limit {
+            self.limit.set(limit);
+        }
     }
 
     /// Announces a drain, waits up to 30 s for running and queued requests, then announces that the
--- a/standins/backend/response_builder.rs
+++ b/standins/backend/response_builder.rs
@@ -16,6 +16,7 @@
 const REQUEST_ID: &str = "x-request-id";
 const CHECKSUM: &str = "x-checksum";
 const INSTANCE: &str = "x-instance";
+const LIMIT: &str = "x-instance-limit";
 const SERVICE_MICROS: &str = "x-service-micros";
 const MISMATCHED_TAG: &str = "not-yours";
 const MISMATCHED_BODY: &[u8] = b"\x00garbage\xff";
@@ -33,6 +34,8 @@
     pub service_time: Duration,
     /// Minimum length of the response body, in bytes; a shorter one is padded.
     pub min_bytes: usize,
+    /// Limit in requests per second, sent in `x-instance-limit`; none is not sent.
+    pub limit: Option<f64>,
 }
 
 impl ResponseBuilder<'_> {
@@ -83,6 +86,9 @@
         let micros = self.service_time.as_micros().to_string();
         insert(headers, SERVICE_MICROS, &micros);
         insert(headers, "content-type", "application/octet-stream");
+        if let Some(limit) = self.limit {
+            insert(headers, LIMIT, &limit.to_string());
+        }
         if let Some(id) = self.headers.get(REQUEST_ID) {
             headers.insert(name(REQUEST_ID), id.clone());
         }
