Keep to the limit that an instance states in its responses

Cause: nothing read the header; it was passed on to callers like any other. Change: the egress, which every request to the instance passes, keeps to the limit with a token bucket. Further offers are refused as LimitReached, provably not run, each with the time at which its turn comes; the ingress avoids the instance until then. A limit ends with a response without one to a request that was sent after it was stated. Messages between daemons have a new reason of refusal. Why it works: one bucket sees the requests of the whole fleet.

--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -7,7 +7,7 @@
 use crate::hash::FastMap;
 use crate::health::{AdmittedInstance, capacity_floor};
 use crate::ids::{InstanceId, ZoneId};
-use crate::time::MonoTime;
+use crate::time::{Deadline, MonoTime};
 use crate::units::{Percent, ZoneCost};
 use crate::wire::{InstanceLoad, InstancePhase, InstanceRecord};
 
@@ -148,6 +148,12 @@
         self.stats_mut(instance).avoid_until = now.after(UNHEALTHY_AVOIDANCE);
     }
 
+    /// Notes that the egress refused a request because the instance has got as many as it takes, and
+    /// may take one again at `until`.
+    pub fn on_limit_reached(&mut self, instance: &InstanceId, until: Deadline) {
+        self.stats_mut(instance).avoid_until = until;
+    }
+
     /// Notes that a request failed on the path to the instance's egress, without a response.
     pub fn on_unreachable(&mut self, instance: &InstanceId, now: MonoTime) {
         let stats = self.stats_mut(instance);
--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -1,11 +1,12 @@
 //! HTTP response of a backend server, with its body as a stream.
 
-use actix_http::ResponseHead;
 use actix_http::header::CONTENT_LENGTH;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 
 use crate::egress::backend_client::ClientOptions;
 use crate::egress::backend_connection::{BackendBody, BackendConnection, is_bodiless, is_framed};
+use crate::units::Rate;
 use crate::wire::{BackendHead, FailureCause, InstanceLoad, RequestOffer};
 
 /// Whether the response names another request than `name` in its request ID header, because it
@@ -21,6 +22,8 @@
     pub head: BackendHead,
     /// Whether the backend server states that it did not execute the request.
     pub is_not_run: bool,
+    /// Requests per second that the backend server states as its limit.
+    pub limit: Option<Rate>,
     body: BackendBody,
     received_bytes: u64,
 }
@@ -44,6 +47,7 @@
             return Err(FailureCause::BadResponse);
         }
         let is_not_run = options.headers.says_not_run(head.status.as_u16(), headers);
+        let limit = options.headers.stated_limit(headers);
         let named = headers.get(CONTENT_LENGTH);
         let length = match body {
             BackendBody::Empty(_) => Some(0),
@@ -58,11 +62,18 @@
         Ok(Self {
             head,
             is_not_run,
+            limit,
             body,
             received_bytes: 0,
         })
     }
 
+    /// Whether another instance than the expected one has the address.
+    #[must_use]
+    pub fn is_from_other_instance(&self) -> bool {
+        self.is_not_run && self.head.status == StatusCode::MISDIRECTED_REQUEST.as_u16()
+    }
+
     /// Waits for the next bytes of the body; none at its end.
     ///
     /// # Errors
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -3,7 +3,6 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use actix_http::StatusCode;
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 
@@ -16,6 +15,7 @@
 use crate::logs::log_target;
 use crate::peers::{PeerError, PeerReceiver, PeerSender};
 use crate::time::{Deadline, MonoTime, ProcessClock};
+use crate::units::Rate;
 use crate::wire::{EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer};
 
 /// A request that holds a slot of its instance and may run.
@@ -35,7 +35,11 @@
     /// An idempotent request is cancelled when the stream from the ingress ends.
     pub(crate) async fn run(mut self, guard: SlotGuard) -> Result<(), PeerError> {
         let start = guard.sent_at().unwrap_or_else(|| self.clock.now());
-        match self.send_to_instance().await {
+        let result = self.send_to_instance().await;
+        if let Some(Ok(response)) = &result {
+            self.observe_limit(response, start);
+        }
+        match result {
             None => Ok(()),
             Some(Ok(response)) if response.is_not_run => self.refuse_not_run(response, guard).await,
             Some(Ok(response)) => self.forward(response, start, guard).await,
@@ -59,13 +63,31 @@
         }
     }
 
+    /// Takes in the limit that the response states, unless another instance sent it.
+    fn observe_limit(&self, response: &BackendResponse, sent: MonoTime) {
+        if response.is_from_other_instance() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        if dispatcher.observe_limit(response.limit, sent, now) {
+            log::info!(
+                target: log_target::EGRESS,
+                request = self.offer.request_name,
+                instance:% = self.offer.instance,
+                requests_per_second:? = response.limit.map(Rate::events_per_second);
+                "Instance states another limit."
+            );
+        }
+    }
+
     /// Refuses the offer after the instance stated that it did not execute the request.
     async fn refuse_not_run(
         &mut self,
         mut response: BackendResponse,
         guard: SlotGuard,
     ) -> Result<(), PeerError> {
-        let reason = match response.head.status == StatusCode::MISDIRECTED_REQUEST.as_u16() {
+        let reason = match response.is_from_other_instance() {
             true => RefusalReason::WrongInstance,
             false => RefusalReason::Shed,
         };
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 
-use crate::egress::HealthPublication;
+use crate::egress::{HealthPublication, StatedLimit};
 use crate::hash::FastMap;
 use crate::health::{HealthChange, ServiceBaseline};
 use crate::health::{InstanceHealth, ServiceSample};
@@ -13,6 +13,7 @@
 use crate::queue::{EnqueueOutcome, InstanceQueue, QueueAction, QueuedRequest, RequestKey};
 use crate::resource::ServiceSpec;
 use crate::time::MonoTime;
+use crate::units::Rate;
 use crate::wire::{HealthState, InstanceLoad, InstancePhase};
 
 /// Retry-after time of requests that were waiting for an instance that stops taking work.
@@ -46,6 +47,7 @@
     publication: HealthPublication,
     /// Trial request in flight to a suspect instance; at most one at a time.
     trial: Option<RequestKey>,
+    limit: StatedLimit,
     waiting: FastMap<RequestKey, oneshot::Sender<SlotDecision>>,
     /// Requests sent to the instance, with the time of sending.
     running: FastMap<RequestKey, MonoTime>,
@@ -67,6 +69,7 @@
             logged: HealthState::Healthy,
             publication: HealthPublication::open(),
             trial: None,
+            limit: StatedLimit::default(),
             local,
             waiting: FastMap::default(),
             running: FastMap::default(),
@@ -111,6 +114,26 @@
         is_forced || (health.accepts(idempotent) && has_room)
     }
 
+    /// Takes a request from the limit that the instance states.
+    ///
+    /// # Errors
+    /// The time after which to offer the request again.
+    pub fn take_limit(&mut self, now: MonoTime) -> Result<(), Duration> {
+        self.limit.take(now)
+    }
+
+    /// Takes in the limit that a response to a request sent at `sent` states. Returns whether the
+    /// limit has changed. When one begins, the waiting requests are refused so that they can go to
+    /// other instances.
+    pub fn observe_limit(&mut self, stated: Option<Rate>, sent: MonoTime, now: MonoTime) -> bool {
+        let was_limited = self.limit.rate().is_some();
+        let has_changed = self.limit.observe(stated, sent, now);
+        if !was_limited && self.limit.rate().is_some() {
+            self.refuse_waiting();
+        }
+        has_changed
+    }
+
     /// Makes the request the trial of a suspect instance, unless there is one already.
     pub fn begin_trial(&mut self, key: RequestKey) {
         if self.health.published_state() == HealthState::Suspect && self.trial.is_none() {
@@ -170,6 +193,7 @@
 
     /// Frees the slot or queue place of a request that was not sent.
     pub fn cancel(&mut self, key: RequestKey, now: MonoTime) {
+        self.limit.give_back();
         self.end_trial(key);
         self.waiting.remove(&key);
         let actions = self.queue.cancel(key, now);
@@ -231,6 +255,7 @@
             "instance": self.local.instance,
             "phase": self.local.phase,
             "running": self.running.len(),
+            "limit": self.limit,
             "queue": self.queue.dump(),
             "health": self.health.dump(),
         })
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -13,6 +13,7 @@
 mod probe_task;
 mod slot_guard;
 mod start_machine;
+mod stated_limit;
 
 pub use backend_client::{BackendClient, ClientOptions, SendFailure};
 pub use backend_response::BackendResponse;
@@ -22,3 +23,4 @@
 pub use offered_body::OfferedBody;
 pub use slot_guard::SlotGuard;
 pub use start_machine::{StartAction, StartEvent, StartMachine, StartState};
+pub use stated_limit::StatedLimit;
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -66,10 +66,20 @@
             .await
         }
         Some(dispatcher) => {
-            let body = OfferedBody::open(body_bytes);
-            OfferTask::open(egress, offer, body, dispatcher, sender, receiver)
-                .run()
-                .await
+            let now = egress.sources.clock.now();
+            let limit = dispatcher.borrow_mut().take_limit(now);
+            match limit {
+                Ok(()) => {
+                    let body = OfferedBody::open(body_bytes);
+                    OfferTask::open(egress, offer, body, dispatcher, sender, receiver)
+                        .run()
+                        .await
+                }
+                Err(retry_after) => {
+                    let load = dispatcher.borrow().load();
+                    refuse(&mut sender, RefusalReason::LimitReached, retry_after, load).await
+                }
+            }
         }
     };
     if let Err(cause) = result {
--- a/src/http/header_rules.rs
+++ b/src/http/header_rules.rs
@@ -6,6 +6,7 @@
 
 use crate::execution_verdict::VERDICT_HEADER;
 use crate::settings::{HeaderField, HeaderSettings};
+use crate::units::Rate;
 
 /// Headers that a proxy must not forward: the hop-by-hop headers of HTTP, and those that the next
 /// hop sets for itself.
@@ -23,6 +24,9 @@
     "host",
 ];
 
+/// Lowest limit that is kept, in requests per second.
+const MIN_STATED_LIMIT: f64 = 0.25;
+
 /// Header names and values as daemons send them to each other.
 pub type HeaderList = Vec<(String, Vec<u8>)>;
 
@@ -108,6 +112,16 @@
         status == StatusCode::MISDIRECTED_REQUEST.as_u16() || headers.contains_key(field.get())
     }
 
+    /// Returns the limit that a backend server's response states; none when it states none or one that
+    /// cannot be read. A limit of zero counts as the lowest one, so that its end is noticed.
+    #[must_use]
+    pub fn stated_limit(&self, headers: &HeaderMap) -> Option<Rate> {
+        let field = self.settings.limit.as_ref()?;
+        let text = headers.get(field.get())?.to_str().ok()?;
+        let per_second: f64 = text.trim().parse().ok()?;
+        Rate::from_events_per_second(per_second.max(MIN_STATED_LIMIT))
+    }
+
     /// Returns the headers of a caller's request to forward to a backend server: those of
     /// `forwardable` without credentials and without any header that contains `secret`.
     #[must_use]
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -18,7 +18,7 @@
 use crate::resource::RequestClass;
 use crate::retry::RetryBudget;
 use crate::time::{Deadline, MonoTime};
-use crate::wire::{BackendHead, InstanceRecord, RefusalReason, RequestOffer};
+use crate::wire::{BackendHead, InstanceRecord, RequestOffer};
 
 /// Shortest timeout of an attempt that can be retried at another instance.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -84,9 +84,7 @@
                 }
                 AttemptOutcome::Failed { failure, load } => {
                     self.update_load(&record.instance, load);
-                    if failure.reason == Some(RefusalReason::Unhealthy) {
-                        self.avoid(&record.instance);
-                    }
+                    self.avoid_refusing(&record.instance, &failure);
                     history.record_failure(failure);
                     if !self.may_retry(&history, failure.verdict, failure.is_unreached()) {
                         break;
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -2,10 +2,10 @@
 
 use crate::balance::PickCriteria;
 use crate::ids::InstanceId;
-use crate::ingress::AttemptHistory;
 use crate::ingress::caller_request::CallerRequest;
+use crate::ingress::{AttemptFailure, AttemptHistory};
 use crate::retry::RetryBudget;
-use crate::wire::{InstanceLoad, InstanceRecord};
+use crate::wire::{InstanceLoad, InstanceRecord, RefusalReason};
 
 /// An instance chosen for an attempt.
 pub(crate) struct ChosenInstance {
@@ -91,12 +91,16 @@
             });
     }
 
-    /// Avoids an instance whose egress refused the request for its health.
-    pub(crate) fn avoid(&self, instance: &InstanceId) {
+    /// Avoids an instance whose egress refused the request for its health or its limit.
+    pub(crate) fn avoid_refusing(&self, instance: &InstanceId, failure: &AttemptFailure) {
         let now = self.ingress.sources.clock.now();
-        self.ingress.with_picker(&self.plan.service, |picker, _| {
-            picker.on_unhealthy(instance, now)
-        });
+        let until = now.after(failure.retry_after);
+        self.ingress
+            .with_picker(&self.plan.service, |picker, _| match failure.reason {
+                Some(RefusalReason::Unhealthy) => picker.on_unhealthy(instance, now),
+                Some(RefusalReason::LimitReached) => picker.on_limit_reached(instance, until),
+                _ => {}
+            });
     }
 }
 
--- a/src/settings/header_settings.rs
+++ b/src/settings/header_settings.rs
@@ -81,6 +81,9 @@
     /// Response header with which a backend server marks a request that it did not run. If absent,
     /// status 421 does not count as such a mark either.
     pub not_run: Option<HeaderField>,
+    /// Response header in which a backend server states how many requests per second it takes from all
+    /// daemons together.
+    pub limit: Option<HeaderField>,
     /// Headers that may carry a credential and are never forwarded, in addition to `authorization`.
     pub credentials: Vec<HeaderField>,
 }
@@ -103,6 +106,7 @@
             account: None,
             caller: None,
             not_run: None,
+            limit: Some(HeaderField::from_static("x-instance-limit")),
             credentials: credentials
                 .into_iter()
                 .map(HeaderField::from_static)
--- a/src/units/rate.rs
+++ b/src/units/rate.rs
@@ -45,6 +45,19 @@
         })
     }
 
+    /// Creates a rate of `events` per second, rounded to thousandths.
+    ///
+    /// Returns `None` when the rate is not a number, rounds to 0 or is above 10,000,000 per second.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "casts saturate, and the result is checked"
+    )]
+    pub fn from_events_per_second(events: f64) -> Option<Self> {
+        Self::from_milli_per_second((events * MILLIS_PER_EVENT as f64).round() as u64)
+    }
+
     /// Returns the rate in thousandths of an event per second.
     #[must_use]
     pub const fn milli_per_second(self) -> u64 {
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -83,6 +83,8 @@
     Shed,
     /// Another instance responded at the address, and did not execute the request.
     WrongInstance,
+    /// The instance has got as many requests as it says it takes.
+    LimitReached,
 }
 
 impl RefusalReason {
@@ -106,6 +108,7 @@
             Self::Unhealthy => "the instance is thought sick",
             Self::Shed => "the backend server has no room",
             Self::WrongInstance => "another instance has the address",
+            Self::LimitReached => "the instance takes no more requests a second",
         })
     }
 }
