--- a/standins/backend/control_request.rs
+++ b/standins/backend/control_request.rs
@@ -20,4 +20,6 @@
     pub report_unhealthy: Option<bool>,
     /// Requests per second that every response names as the most to be sent; 0 ends it.
     pub limit: Option<f64>,
+    /// Whether every response says that the instance leaves.
+    pub leaving: Option<bool>,
 }
--- a/standins/backend/instance_handler.rs
+++ b/standins/backend/instance_handler.rs
@@ -100,6 +100,7 @@
         service_time: started.elapsed(),
         min_bytes: requested_bytes(request),
         limit: state.named_limit(),
+        says_leaving: state.says_leaving(),
     };
     builder.build(effect)
 }
--- a/standins/backend/instance_state.rs
+++ b/standins/backend/instance_state.rs
@@ -41,6 +41,7 @@
     hides_load: Cell<bool>,
     reports_unhealthy: Cell<bool>,
     limit: Cell<f64>,
+    is_leaving: Cell<bool>,
 }
 
 impl InstanceState {
@@ -63,6 +64,7 @@
             hides_load: Cell::default(),
             reports_unhealthy: Cell::default(),
             limit: Cell::default(),
+            is_leaving: Cell::default(),
             spec,
         })
     }
@@ -92,6 +94,11 @@
         Some(self.limit.get()).filter(|limit| *limit > 0.0)
     }
 
+    /// Whether responses say that the instance leaves.
+    pub fn says_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
     /// The load to report at `/load`, up to two seconds old; zero while it is hidden.
     pub fn reported_load(&self) -> LoadReport {
         if self.hides_load.get() {
@@ -120,6 +127,9 @@
         if let Some(limit) = request.limit {
             self.limit.set(limit);
         }
+        if let Some(is_leaving) = request.leaving {
+            self.is_leaving.set(is_leaving);
+        }
     }
 
     /// Announces a drain, waits up to 30 s for running and queued requests, then announces that the
--- a/standins/backend/response_builder.rs
+++ b/standins/backend/response_builder.rs
@@ -17,6 +17,7 @@
 const CHECKSUM: &str = "x-checksum";
 const INSTANCE: &str = "x-instance";
 const LIMIT: &str = "x-instance-limit";
+const LEAVING: &str = "x-instance-leaving";
 const SERVICE_MICROS: &str = "x-service-micros";
 const MISMATCHED_TAG: &str = "not-yours";
 const MISMATCHED_BODY: &[u8] = b"\x00garbage\xff";
@@ -36,6 +37,8 @@
     pub min_bytes: usize,
     /// Limit in requests per second, sent in `x-instance-limit`; none is not sent.
     pub limit: Option<f64>,
+    /// Whether `x-instance-leaving` is sent.
+    pub says_leaving: bool,
 }
 
 impl ResponseBuilder<'_> {
@@ -86,6 +89,9 @@
         let micros = self.service_time.as_micros().to_string();
         insert(headers, SERVICE_MICROS, &micros);
         insert(headers, "content-type", "application/octet-stream");
+        if self.says_leaving {
+            insert(headers, LEAVING, "1");
+        }
         if let Some(limit) = self.limit {
             insert(headers, LIMIT, &limit.to_string());
         }
