--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -159,7 +159,7 @@
         let config = config.clone();
         let records = members.clone();
         let counted = members.clone();
-        let announce = Rc::clone(&self.announce);
+        let (announce, announced) = (Rc::clone(&self.announce), Rc::clone(&self.announce));
         let publisher = RecordPublisher {
             settings: settings.clone(),
             members: members.clone(),
@@ -177,6 +177,11 @@
                     .get()
                     .is_some_and(|server| server.accepts_work(instance))
             }),
+            on_leaving: Rc::new(move |instance| {
+                if let Some(server) = announced.get() {
+                    server.drain_leaving(instance);
+                }
+            }),
             publish: Rc::new(move |local, state, median| {
                 let record = publisher.record(local, state, median);
                 publisher.members.publish(record);
--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -24,6 +24,8 @@
     pub is_not_run: bool,
     /// Requests per second that the backend server states as its limit.
     pub limit: Option<Rate>,
+    /// Whether the backend server says that it leaves.
+    pub is_leaving: bool,
     body: BackendBody,
     received_bytes: u64,
 }
@@ -63,6 +65,7 @@
             head,
             is_not_run,
             limit,
+            is_leaving: options.headers.says_leaving(headers),
             body,
             received_bytes: 0,
         })
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -51,6 +51,8 @@
     pub member_count: Rc<dyn Fn() -> usize>,
     /// Whether an instance's lease is valid and the instance accepts work at the time of the call.
     pub accepts_work: Rc<dyn Fn(&InstanceId) -> bool>,
+    /// Drains an instance whose response says that it leaves.
+    pub on_leaving: Rc<dyn Fn(&InstanceId)>,
     /// Publishes the state of a local instance.
     pub publish: StatePublisher,
 }
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -37,7 +37,7 @@
         let start = guard.sent_at().unwrap_or_else(|| self.clock.now());
         let result = self.send_to_instance().await;
         if let Some(Ok(response)) = &result {
-            self.observe_limit(response, start);
+            self.observe_statements(response, start);
         }
         match result {
             None => Ok(()),
@@ -63,11 +63,14 @@
         }
     }
 
-    /// Takes in the limit that the response states, unless another instance sent it.
-    fn observe_limit(&self, response: &BackendResponse, sent: MonoTime) {
+    /// Takes in what the response states of the instance: that it leaves, and its limit.
+    fn observe_statements(&self, response: &BackendResponse, sent: MonoTime) {
         if response.is_from_other_instance() {
             return;
         }
+        if response.is_leaving {
+            (self.egress.sources.on_leaving)(&self.offer.instance);
+        }
         let now = self.clock.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
         if dispatcher.observe_limit(response.limit, sent, now) {
--- a/src/http/header_rules.rs
+++ b/src/http/header_rules.rs
@@ -122,6 +122,13 @@
         Rate::from_events_per_second(per_second.max(MIN_STATED_LIMIT))
     }
 
+    /// Returns whether a backend server's response says that it leaves.
+    #[must_use]
+    pub fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        let field = self.settings.leaving.as_ref();
+        field.is_some_and(|field| headers.contains_key(field.get()))
+    }
+
     /// Returns the headers of a caller's request to forward to a backend server: those of
     /// `forwardable` without credentials and without any header that contains `secret`.
     #[must_use]
--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -82,6 +82,15 @@
         self.state.table.borrow().accepts_work(instance, now)
     }
 
+    /// Drains `instance`, which said in a response that it leaves; its next announcement may be late.
+    pub fn drain_leaving(&self, instance: &InstanceId) {
+        let drained = self.state.table.borrow_mut().drain_leaving(instance);
+        if let Some(local) = drained {
+            log::info!(target: log_target::INSTANCES, instance:%, service:% = local.service, phase:? = local.phase; "Instance says in a response that it leaves.");
+            (self.state.sources.on_change)(local);
+        }
+    }
+
     /// The registered instances as JSON, for the operators' dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
--- a/src/instances/announce_table.rs
+++ b/src/instances/announce_table.rs
@@ -105,6 +105,18 @@
         replaced
     }
 
+    /// Turns an instance that leaves to draining and returns it; `None` if it already drains, is gone or is
+    /// unknown. Its lease goes on.
+    pub fn drain_leaving(&mut self, instance: &InstanceId) -> Option<LocalInstance> {
+        let leased = self.instances.get_mut(instance)?;
+        leased.is_leaving = true;
+        if leased.local.phase != InstancePhase::Ready {
+            return None;
+        }
+        leased.local.phase = InstancePhase::Draining;
+        Some(leased.local.clone())
+    }
+
     /// Marks `instance` as gone and returns it; `None` if it is unknown.
     pub fn remove(&mut self, instance: &InstanceId, now: MonoTime) -> Option<LocalInstance> {
         let leased = self.instances.get_mut(instance)?;
--- a/src/settings/header_settings.rs
+++ b/src/settings/header_settings.rs
@@ -84,6 +84,8 @@
     /// Response header in which a backend server states how many requests per second it takes from all
     /// daemons together.
     pub limit: Option<HeaderField>,
+    /// Response header with which a backend server says that it leaves and takes no new requests.
+    pub leaving: Option<HeaderField>,
     /// Headers that may carry a credential and are never forwarded, in addition to `authorization`.
     pub credentials: Vec<HeaderField>,
 }
@@ -107,6 +109,7 @@
             caller: None,
             not_run: None,
             limit: Some(HeaderField::from_static("x-instance-limit")),
+            leaving: Some(HeaderField::from_static("x-instance-leaving")),
             credentials: credentials
                 .into_iter()
                 .map(HeaderField::from_static)
