--- a/src/limits/lease_holder.rs
+++ b/src/limits/lease_holder.rs
@@ -2,6 +2,7 @@
 
 use crate::hash::FastMap;
 use crate::ids::{StoreEra, Version};
+use crate::limits::held_lease::HeldLease;
 use crate::limits::seen_row::{SeenRow, claim_wait};
 use crate::limits::{LeaseChange, LeaseIdentity, LeasePlan, LeaseRow, ShareSet, clock_margin};
 use crate::platform::TableRow;
@@ -25,14 +26,6 @@
     pending: Option<LeasePlan>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct HeldLease {
-    version: Version,
-    until: Deadline,
-    /// Era of the store in which the row was written.
-    era: StoreEra,
-}
-
 impl LeaseHolder {
     /// Creates a holder without leases. `lease` is the duration of a lease and `total` the number
     /// of shares.
@@ -324,9 +317,8 @@
 
     /// Whether the row names this daemon and its address, in this run or an earlier one.
     fn is_own(&self, share: u8) -> bool {
-        self.seen_row(share).is_some_and(|row| {
-            row.daemon == self.identity.daemon && row.address == self.identity.address
-        })
+        self.seen_row(share)
+            .is_some_and(|row| self.identity.wrote(row))
     }
 
     fn is_this_run(&self, share: u8) -> bool {
@@ -342,11 +334,8 @@
             let is_lost = |at| now.since(at) < wait;
             return seen.version == Version(0) && !self.restored_at.is_some_and(is_lost);
         };
-        let has_waited = now.since(seen.since) >= claim_wait(row.lease.get());
-        if row.era != self.era() {
-            return has_waited;
-        }
-        let is_own = row.daemon == self.identity.daemon && row.address == self.identity.address;
-        row.released || is_own || has_waited
+        let is_free = row.released || self.identity.wrote(row);
+        let is_trusted = row.era == self.era();
+        (is_free && is_trusted) || now.since(seen.since) >= claim_wait(row.lease.get())
     }
 }
--- a/src/limits/lease_identity.rs
+++ b/src/limits/lease_identity.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::ids::{BootId, DaemonId};
+use crate::limits::LeaseRow;
 
 /// Identity of the daemon, written to its lease rows.
 #[derive(Debug, Clone)]
@@ -14,3 +15,11 @@
     /// Boot id of the process.
     pub boot: BootId,
 }
+
+impl LeaseIdentity {
+    /// Whether `row` names this daemon and its address, in this run or an earlier one.
+    #[must_use]
+    pub fn wrote(&self, row: &LeaseRow) -> bool {
+        row.daemon == self.daemon && row.address == self.address
+    }
+}
--- a/src/limits/lease_task.rs
+++ b/src/limits/lease_task.rs
@@ -6,7 +6,7 @@
 use futures_util::future::{Either, select};
 
 use crate::limits::limits_core::LimitsCore;
-use crate::limits::{LeasePlan, SHARE_PREFIX, ShareSet, limits_tasks};
+use crate::limits::{LeasePlan, SHARE_PREFIX, lease_release, limits_tasks};
 use crate::logs::log_target;
 use crate::platform::{CommitOutcome, PlatformError};
 use crate::time::{Deadline, MonoTime};
@@ -41,7 +41,7 @@
 /// Shares that stay claimable for this long are claimed even beyond the daemon's usual number.
 const SPARE_AFTER: Duration = Duration::from_secs(5);
 /// Most rows read in one scan. There are at most `MAX_SHARES`.
-const MAX_ROWS: usize = 1024;
+pub(super) const MAX_ROWS: usize = 1024;
 
 /// Claims and renews leases until the handle is dropped or the daemon shuts down.
 pub(crate) async fn run(core: Weak<LimitsCore>) {
@@ -63,59 +63,6 @@
     }
 }
 
-/// Releases all leases. Returns the shares whose release was committed.
-pub(crate) async fn release(core: &Rc<LimitsCore>) -> ShareSet {
-    let now = core.now();
-    let plan = core.holder.borrow_mut().release(now);
-    let Some(plan) = plan else {
-        return ShareSet::EMPTY;
-    };
-    for share in plan.shares().iter() {
-        core.lender.borrow_mut().remove_share(share);
-    }
-    let shares = plan.shares();
-    let released = match commit_release(core, &plan).await {
-        Ok(CommitOutcome::Committed) => Ok(shares),
-        Ok(CommitOutcome::Conflict(_)) => release_again(core, shares).await,
-        Err(cause) => Err(cause),
-    };
-    released.unwrap_or_else(|cause| {
-        log::warn!(target: log_target::LIMITS, shares:%, cause:%; "Lease release failed; the shares cannot be used until the leases expire.");
-        ShareSet::EMPTY
-    })
-}
-
-/// Reads the rows and releases the leases that the daemon still holds by them. The platform gives the rows
-/// new versions at each renewal, which are not known until the rows are read.
-async fn release_again(core: &Rc<LimitsCore>, shares: ShareSet) -> Result<ShareSet, PlatformError> {
-    let platform = &core.sources.platform;
-    let rows = platform.scan(SHARE_PREFIX, None, MAX_ROWS).await?;
-    let plan = {
-        let now = core.now();
-        let mut holder = core.holder.borrow_mut();
-        // The lender has removed these shares already, so the changes have no effect on it.
-        holder.observe(&rows, now);
-        holder.release_again(shares, now)
-    };
-    let Some(plan) = plan else {
-        return Ok(ShareSet::EMPTY);
-    };
-    match commit_release(core, &plan).await? {
-        CommitOutcome::Committed => Ok(plan.shares()),
-        CommitOutcome::Conflict(row) => {
-            log::info!(target: log_target::LIMITS, shares:%, row:%; "Leases not released: another daemon has changed their rows.");
-            Ok(ShareSet::EMPTY)
-        }
-    }
-}
-
-async fn commit_release(
-    core: &LimitsCore,
-    plan: &LeasePlan,
-) -> Result<CommitOutcome, PlatformError> {
-    core.sources.platform.commit(&plan.transaction()).await
-}
-
 /// State of the periodic scan and commit.
 #[derive(Default)]
 struct LeaseCycle {
@@ -169,7 +116,7 @@
         if now.since(demoted_since) < DEMOTION_WAIT {
             return None;
         }
-        let released = release(core).await;
+        let released = lease_release::release(core).await;
         log::info!(target: log_target::LIMITS, released:%; "Leases released to the daemons that may lease shares now.");
         limits_tasks::notify_released(core, released).await;
         Some(STANDBY_WAIT)
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -11,7 +11,7 @@
 use crate::limits::limits_core::LimitsCore;
 use crate::limits::{
     Admission, AdmitOutcome, GrantCall, HomeMap, HomeRole, LoanCall, PoolKey, RateRefusal,
-    ShareSet, lease_task,
+    ShareSet, lease_release,
 };
 use crate::logs::log_target;
 use crate::resource::RateLimit;
@@ -275,7 +275,7 @@
             .borrow_mut()
             .update_pools(&map, Vec::new(), now);
     }
-    let released = lease_task::release(core).await;
+    let released = lease_release::release(core).await;
     notify_released(core, released).await;
     while !close_foreign_pools(core) && !end.has_passed(core.now()) {
         actix_rt::time::sleep(TICK).await;
