Failing test: a change is late where the store turns a zone's watcher away

Hypotheses: alternates of the same zone depend on the same watcher, and after three of them the daemon rests for 5 s; or a parent that does not watch the store does not tell its children that the store is lost above it.

--- a/tests/watch_fleet.rs
+++ b/tests/watch_fleet.rs
@@ -176,3 +176,20 @@
         }
     }
 }
+
+/// For seconds the store turns a third of a small fleet away, the daemon that watches it for a zone among
+/// them, and then changes. All daemons learn of the change within two seconds.
+#[test]
+fn zone_loses_store() {
+    for seed in 0..400 {
+        let mut fleet = settled(21, seed);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let lost = fleet.roots()[rng.usize(0..3)];
+        let turned_away: Vec<usize> = (0..21).filter(|_| rng.u8(0..3) == 0).collect();
+        fleet.turn_away(|index| index == lost || turned_away.contains(&index));
+        fleet.run(rng.u64(300..9_000));
+        fleet.publish();
+        fleet.run(2_000);
+        assert!(fleet.all_current(), "seed {seed}: {:?}", fleet.behind());
+    }
+}
