Ask daemons of other zones while the own zone has lost the store

Cause: the peers that stand in for a parent were drawn from the whole fleet, so that in a small one many belonged to the same zone and depended on the same watcher, turned away by the store. Children stayed with a parent that had said so until their confirmations were 2 s old, and two daemons could ask each other. Change: daemons of other zones come first; a parent that has lost the store is left at once; an alternate with nothing new at the end of the wait is left for the next. Why it works: another zone has a watcher of its own. Ruled out: resting after three fruitless questions (four and six changed nothing).

--- a/src/config/peer_watcher.rs
+++ b/src/config/peer_watcher.rs
@@ -54,7 +54,8 @@
     session: Option<PeerSession>,
     /// Questions in a row that were not answered.
     failures: u32,
-    /// Questions in a row that brought nothing new although the last confirmation is old.
+    /// Questions in a row that brought nothing new although the last confirmation is old, or the peer has
+    /// lost the store.
     fruitless: u32,
     /// Position of the present peer among the choices; the parent is the first.
     position: u32,
@@ -158,11 +159,14 @@
         });
         let is_new = update.is_some_and(|update| update.confirmed_at > confirmed_at);
         let is_old = confirmed_at.is_none_or(|time| now.since(time) >= self.old_age);
-        if is_new || !is_old {
+        if is_new {
             self.fruitless = 0;
-        } else {
+        } else if is_old || reply.store_lost {
             self.fruitless += 1;
             self.turn_to_next(self.fruitless, now);
+        } else if self.position != 0 {
+            // The peer may itself hear of the document from this daemon alone.
+            self.turn_to_next(0, now);
         }
         update
     }
--- a/src/config/watch_tree.rs
+++ b/src/config/watch_tree.rs
@@ -56,14 +56,17 @@
             true => None,
             false => ranked[(position - roots) / FANOUT].1,
         };
-        let mut alternates: Vec<_> = members
-            .iter()
-            .filter(is_other)
-            .map(|member| member.address)
-            .filter(|address| Some(*address) != parent)
-            .collect();
+        let others = members.iter().filter(is_other);
+        let others = others.filter(|member| Some(member.address) != parent);
+        let mut alternates: Vec<_> = others.collect();
         rng.shuffle(&mut alternates);
+        // The daemons of the own zone depend on the same root and lose the store with it.
+        alternates.sort_by_key(|member| member.zone == *zone);
         alternates.truncate(MAX_ALTERNATES as usize);
+        let alternates = alternates
+            .into_iter()
+            .map(|member| member.address)
+            .collect();
         Self {
             is_root: position < roots,
             parent,
--- a/tests/watch_fleet.rs
+++ b/tests/watch_fleet.rs
@@ -177,19 +177,36 @@
     }
 }
 
-/// For seconds the store turns a third of a small fleet away, the daemon that watches it for a zone among
-/// them, and then changes. All daemons learn of the change within two seconds.
-#[test]
-fn zone_loses_store() {
-    for seed in 0..400 {
+/// For seconds the store turns a third of a small fleet away, among them the daemons that watch it for one
+/// zone, two, or all. All daemons learn of a change within two seconds.
+fn change_reaches_all(seeds: std::ops::Range<u64>, zones_lost: usize) {
+    for seed in seeds {
         let mut fleet = settled(21, seed);
         let mut rng = fastrand::Rng::with_seed(seed);
-        let lost = fleet.roots()[rng.usize(0..3)];
-        let turned_away: Vec<usize> = (0..21).filter(|_| rng.u8(0..3) == 0).collect();
-        fleet.turn_away(|index| index == lost || turned_away.contains(&index));
+        let roots = fleet.roots();
+        let lost = rng.choose_multiple(roots.clone(), zones_lost);
+        let is_drawn: Vec<bool> = (0..21).map(|_| rng.u8(0..3) == 0).collect();
+        fleet.turn_away(|index| match roots.contains(&index) {
+            true => lost.contains(&index),
+            false => is_drawn[index],
+        });
         fleet.run(rng.u64(300..9_000));
         fleet.publish();
         fleet.run(2_000);
         assert!(fleet.all_current(), "seed {seed}: {:?}", fleet.behind());
     }
 }
+
+/// Guards against daemons that learn late of a change because they ask daemons which depend on the same
+/// watcher, turned away by the store.
+#[test]
+fn zone_loses_store() {
+    change_reaches_all(0..400, 1);
+    change_reaches_all(0..400, 2);
+}
+
+/// The same where no watcher is left.
+#[test]
+fn all_zones_lose_store() {
+    change_reaches_all(0..400, 3);
+}
