One way to avoid an instance in the picker

on_unhealthy and on_limit_reached did the same with another time. The time is chosen where the reason of the refusal is read.

--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -1,7 +1,5 @@
 //! Load balancer of one service at one ingress.
 
-use std::time::Duration;
-
 use crate::balance::PickCriteria;
 use crate::balance::instance_stats::InstanceStats;
 use crate::hash::FastMap;
@@ -22,9 +20,6 @@
 /// Load per slot from which instances count as equally busy. A long queue of one account or
 /// class says nothing of the wait of another.
 const SATURATED_LOAD: f64 = 2.0;
-/// How long an instance is avoided after its egress refused a request for its health. About the time
-/// in which a failing instance shows that it has recovered.
-const UNHEALTHY_AVOIDANCE: Duration = Duration::from_millis(500);
 /// Factor on the zone penalty for bulk requests, whose bytes between availability zones cost more
 /// than an uneven load.
 const BULK_ZONE_FACTOR: f64 = 5.0;
@@ -142,15 +137,9 @@
         stats.path.on_response();
     }
 
-    /// Notes that the egress refused a request because the instance is unhealthy. The fleet may not
-    /// know it yet.
-    pub fn on_unhealthy(&mut self, instance: &InstanceId, now: MonoTime) {
-        self.stats_mut(instance).avoid_until = now.after(UNHEALTHY_AVOIDANCE);
-    }
-
-    /// Notes that the egress refused a request because the instance has got as many as it takes, and
-    /// may take one again at `until`.
-    pub fn on_limit_reached(&mut self, instance: &InstanceId, until: Deadline) {
+    /// Avoids an instance until `until`, because its egress refused a request for its health or its
+    /// limit. The fleet may not know of either.
+    pub fn avoid(&mut self, instance: &InstanceId, until: Deadline) {
         self.stats_mut(instance).avoid_until = until;
     }
 
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -1,5 +1,7 @@
 //! Choice of the instance for the next attempt at a request.
 
+use std::time::Duration;
+
 use crate::balance::PickCriteria;
 use crate::ids::InstanceId;
 use crate::ingress::caller_request::CallerRequest;
@@ -7,6 +9,10 @@
 use crate::retry::RetryBudget;
 use crate::wire::{InstanceLoad, InstanceRecord, RefusalReason};
 
+/// How long an instance is avoided after its egress refused a request for its health. About the time
+/// in which a failing instance shows that it has recovered.
+const UNHEALTHY_AVOIDANCE: Duration = Duration::from_millis(500);
+
 /// An instance chosen for an attempt.
 pub(crate) struct ChosenInstance {
     pub(crate) record: InstanceRecord,
@@ -93,14 +99,15 @@
 
     /// Avoids an instance whose egress refused the request for its health or its limit.
     pub(crate) fn avoid_refusing(&self, instance: &InstanceId, failure: &AttemptFailure) {
-        let now = self.ingress.sources.clock.now();
-        let until = now.after(failure.retry_after);
-        self.ingress
-            .with_picker(&self.plan.service, |picker, _| match failure.reason {
-                Some(RefusalReason::Unhealthy) => picker.on_unhealthy(instance, now),
-                Some(RefusalReason::LimitReached) => picker.on_limit_reached(instance, until),
-                _ => {}
-            });
+        let span = match failure.reason {
+            Some(RefusalReason::Unhealthy) => UNHEALTHY_AVOIDANCE,
+            Some(RefusalReason::LimitReached) => failure.retry_after,
+            _ => return,
+        };
+        let until = self.ingress.sources.clock.now().after(span);
+        self.ingress.with_picker(&self.plan.service, |picker, _| {
+            picker.avoid(instance, until)
+        });
     }
 }
 
