Keep requests away from evacuated availability zones

Cause: an operator has no way to take an availability zone out of service.

Change: the evacuated zones are read with the configuration document (rows 'evacuate/ZONE' beside it, in the same call) or are resources of the product's own configuration. They are ordered by era and version of the store, travel with watches and the answers of peers, and count as news there. Ingresses leave the zones' instances out; the egress refuses offers and waiting requests as 'Evacuated', sends no probes, and holds the instances at the begin of their ramp until the zone is back.

--- a/src/admin/api_path.rs
+++ b/src/admin/api_path.rs
@@ -57,6 +57,7 @@
         ResourceKind::Key => "key",
         ResourceKind::Route => "route",
         ResourceKind::Service => "service",
+        ResourceKind::Evacuation => "availability zone",
     };
     crate::ids::validate_name(label, id)?;
     Ok(ResourceName {
--- a/src/admin/resource_api.rs
+++ b/src/admin/resource_api.rs
@@ -205,6 +205,7 @@
         ConfigResource::Rate(rate) => serde_json::to_value(rate),
         ConfigResource::Route(route) => serde_json::to_value(route),
         ConfigResource::Service(service) => serde_json::to_value(service),
+        ConfigResource::Evacuation(evacuation) => serde_json::to_value(evacuation),
     };
     value.unwrap_or_default()
 }
@@ -246,6 +247,7 @@
         ResourceKind::Rate => ConfigResource::Rate(from_value(value)?),
         ResourceKind::Route => ConfigResource::Route(from_value(value)?),
         ResourceKind::Service => ConfigResource::Service(from_value(value)?),
+        ResourceKind::Evacuation => ConfigResource::Evacuation(from_value(value)?),
     };
     Ok(resource)
 }
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -3,6 +3,7 @@
 use crate::config::{
     AccountTable, CatalogError, ConfigAction, ConfigChange, KeyLookup, KeyTable, RouteTable,
 };
+use crate::evacuation::EvacuatedZones;
 use crate::hash::FastMap;
 use crate::ids::{AccountId, HostName, Revision, RouteId, ServiceId};
 use crate::resource::{
@@ -34,6 +35,7 @@
     keys: KeyTable,
     routes: RouteTable,
     services: FastMap<ServiceId, ServiceSpec>,
+    evacuated_zones: EvacuatedZones,
 }
 
 impl Catalog {
@@ -135,6 +137,12 @@
         self.routes.iter()
     }
 
+    /// The availability zones that operators took out of service.
+    #[must_use]
+    pub const fn evacuated_zones(&self) -> &EvacuatedZones {
+        &self.evacuated_zones
+    }
+
     /// The route with exactly this host and prefix.
     #[must_use]
     pub fn route_with_prefix(
@@ -184,6 +192,9 @@
     pub fn insert_item(&mut self, item: SnapshotItem) {
         match item {
             SnapshotItem::Service(service) => self.put(ConfigResource::Service(service)),
+            SnapshotItem::Evacuation(evacuation) => {
+                self.put(ConfigResource::Evacuation(evacuation));
+            }
             SnapshotItem::Route(route) => self.put(ConfigResource::Route(route)),
             SnapshotItem::Account(account, rate) => {
                 self.put(ConfigResource::Account(account));
@@ -228,6 +239,7 @@
             ConfigResource::Service(service) => {
                 self.services.insert(service.id.clone(), service);
             }
+            ConfigResource::Evacuation(evacuation) => self.evacuated_zones.insert(evacuation.id),
         }
     }
 
@@ -243,6 +255,7 @@
             ConfigResource::Service(service) => {
                 self.services.remove(&service.id);
             }
+            ConfigResource::Evacuation(evacuation) => self.evacuated_zones.remove(&evacuation.id),
         }
     }
 }
--- a/src/config/catalog_pages.rs
+++ b/src/config/catalog_pages.rs
@@ -1,7 +1,7 @@
 //! Splits a catalog into pages of a snapshot for a peer.
 
 use crate::config::Catalog;
-use crate::resource::ClientAccount;
+use crate::resource::{ClientAccount, ZoneEvacuation};
 use crate::wire::{SnapshotCursor, SnapshotItem, SnapshotKey};
 
 /// Route slots per page.
@@ -21,8 +21,11 @@
 ) -> (Vec<SnapshotItem>, Option<SnapshotCursor>) {
     match part {
         SnapshotCursor::Services => {
-            let items = catalog.services().cloned().map(SnapshotItem::Service);
-            (items.collect(), Some(SnapshotCursor::Routes(0)))
+            let services = catalog.services().cloned().map(SnapshotItem::Service);
+            let zones = catalog.evacuated_zones().iter().cloned();
+            let evacuations = zones.map(|id| SnapshotItem::Evacuation(ZoneEvacuation { id }));
+            let items = services.chain(evacuations).collect();
+            (items, Some(SnapshotCursor::Routes(0)))
         }
         SnapshotCursor::Routes(start) => routes(catalog, start),
         SnapshotCursor::Accounts(start) => accounts(catalog, start),
--- a/src/config/change_planner.rs
+++ b/src/config/change_planner.rs
@@ -154,7 +154,10 @@
         ConfigResource::Key(key) if !key.withdrawn => {
             return Err(ChangeRefusal::KeyActive(name.clone()));
         }
-        ConfigResource::Key(_) | ConfigResource::Rate(_) | ConfigResource::Route(_) => Vec::new(),
+        ConfigResource::Key(_)
+        | ConfigResource::Rate(_)
+        | ConfigResource::Route(_)
+        | ConfigResource::Evacuation(_) => Vec::new(),
     };
     if referrers.is_empty() {
         return Ok(());
--- a/src/config/config_driver.rs
+++ b/src/config/config_driver.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Notify;
 
+use crate::config::evacuation_follower::{EvacuationFollower, EvacuationInputs};
 use crate::config::{
     Catalog, ConfigChange, ConfigFollower, ConfigSources, ConfigStore, FollowerAction,
     SnapshotSource,
@@ -14,6 +15,7 @@
 use crate::ids::Revision;
 use crate::logs::log_target;
 use crate::platform::PlatformError;
+use crate::time::MonoTime;
 use crate::wire::{
     ConfigCall, ConfigReply, ConfigState, PeerCall, PeerReply, SnapshotCursor, SnapshotPage,
 };
@@ -37,6 +39,8 @@
     pub(super) document_warnings: Cell<u64>,
     /// Whether this daemon watches the store of the document and its calls fail.
     pub(super) store_lost: Cell<bool>,
+    /// The evacuated zones that the store of the document reports, and what was logged of them.
+    pub(super) evacuations: EvacuationFollower,
     /// Notified when a document comes into force or is confirmed.
     pub(super) changed: Notify,
 }
@@ -50,10 +54,32 @@
             let now = self.sources.clock.now();
             let actions = self.follower.borrow_mut().tick(now, &live, &mut rng);
             self.spawn_actions(actions);
+            self.log_evacuations(now);
             actix_rt::time::sleep(TICK_INTERVAL).await;
         }
     }
 
+    /// Logs the evacuations among the resources.
+    fn log_evacuations(&self, now: MonoTime) {
+        let follower = self.follower.borrow();
+        let age = follower.lease().confirmation_age(now);
+        let catalog = follower.catalog();
+        let inputs = EvacuationInputs {
+            source: "resources",
+            version: catalog.revision().0,
+            era: 0,
+            age,
+        };
+        self.evacuations
+            .log_changes(catalog.evacuated_zones(), &inputs);
+        self.evacuations.log_age(
+            catalog.evacuated_zones(),
+            &inputs,
+            follower.lease_duration(),
+            now,
+        );
+    }
+
     /// Spawns a task for each of `actions`.
     pub(super) fn spawn_actions(self: &Rc<Self>, actions: Vec<FollowerAction>) {
         for action in actions {
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -8,12 +8,14 @@
 use tokio::sync::Notify;
 
 use crate::config::config_driver::ConfigDriver;
+use crate::config::evacuation_follower::EvacuationFollower;
 use crate::config::{
     Catalog, ChangeOutcome, ChangeRequest, ChangeSubmission, ConfigChange, ConfigFollower,
     ConfigStore, DocumentPeers, DocumentSource, FollowerRules, HistoryError, MAX_ANSWERED_CHANGES,
     PropagationReport, SubmissionAction, document_task, propagation_report, watch_service,
 };
-use crate::ids::{BootId, DaemonId, Revision};
+use crate::evacuation::{EvacuatedZones, ZoneGate};
+use crate::ids::{BootId, DaemonId, Revision, ZoneId};
 use crate::logs::log_target;
 use crate::peers::PeerPool;
 use crate::platform::PlatformService;
@@ -74,13 +76,15 @@
     }
 
     fn driver(sources: ConfigSources, rules: FollowerRules) -> Rc<ConfigDriver> {
-        let follower = ConfigFollower::open(rules, fastrand::u64(..), sources.clock.now());
+        let now = sources.clock.now();
+        let follower = ConfigFollower::open(rules, fastrand::u64(..), now);
         Rc::new(ConfigDriver {
             store: ConfigStore::open(Rc::clone(&sources.platform)),
             sources,
             follower: RefCell::new(follower),
             document_warnings: Cell::new(0),
             store_lost: Cell::new(false),
+            evacuations: EvacuationFollower::open(now),
             changed: Notify::new(),
         })
     }
@@ -97,10 +101,45 @@
         self.catalog().revision()
     }
 
-    /// Whether a first snapshot has been loaded.
+    /// Whether a first snapshot has been loaded and the evacuated zones are known.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
-        self.driver.follower.borrow().is_loaded()
+        let follower = self.driver.follower.borrow();
+        let is_known = !follower.follows_document() || self.driver.evacuations.is_known();
+        follower.is_loaded() && is_known
+    }
+
+    /// The evacuated zones. The borrow must not be held across an await.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> Ref<'_, EvacuatedZones> {
+        let follower = self.driver.follower.borrow();
+        match follower.follows_document() {
+            true => self.driver.evacuations.zones(),
+            false => Ref::map(follower, |follower| follower.catalog().evacuated_zones()),
+        }
+    }
+
+    /// Time since the evacuated zones were confirmed by the store; none before they are known.
+    #[must_use]
+    pub fn evacuation_age(&self) -> Option<Duration> {
+        let now = self.driver.sources.clock.now();
+        let follower = self.driver.follower.borrow();
+        match follower.follows_document() {
+            true => self.driver.evacuations.age(now),
+            false => follower.lease().confirmation_age(now),
+        }
+    }
+
+    /// Whether requests may be sent to the instances of `zone`.
+    #[must_use]
+    pub fn zone_gate(&self, zone: &ZoneId) -> ZoneGate {
+        if !self.is_loaded() {
+            return ZoneGate::Unknown;
+        }
+        match self.evacuated_zones().contains(zone) {
+            true => ZoneGate::Evacuated,
+            false => ZoneGate::Open,
+        }
     }
 
     /// Whether the catalog is fresh enough to admit requests by it.
@@ -175,6 +214,9 @@
             "keys": keys,
             "routes": routes,
             "services": services,
+            "evacuated_zones": *self.evacuated_zones(),
+            "evacuations_at": self.driver.evacuations.mark(),
+            "evacuations_millis_ago": self.evacuation_age().map(|age| age.as_millis()),
         })
     }
 
--- a/src/config/document_source.rs
+++ b/src/config/document_source.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 
 use crate::config::ConfigDocument;
+use crate::evacuation::EvacuationUpdate;
 use crate::ids::{StoreEra, Version};
 use crate::platform::PlatformError;
 
@@ -13,6 +14,8 @@
 pub struct DocumentReading {
     /// Whether the response carries a new document.
     pub document: DocumentUpdate,
+    /// What the response says of the evacuated zones, also while the document is invalid.
+    pub evacuations: EvacuationUpdate,
     /// Era of the store, in which `position` is valid.
     pub era: StoreEra,
     /// Position after this reading, from which the next watch continues.
--- a/src/config/document_task.rs
+++ b/src/config/document_task.rs
@@ -15,7 +15,7 @@
 use crate::members::LiveMember;
 use crate::platform::PlatformError;
 use crate::time::MonoTime;
-use crate::wire::{ConfigCall, ConfigReply};
+use crate::wire::{ConfigCall, ConfigReply, WatchRequest};
 
 /// Interval at which a daemon that need not ask its peers checks whether it must.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -67,6 +67,8 @@
         loop {
             let status = self.status();
             let sent = self.driver.sources.clock.now();
+            let lease = self.driver.follower.borrow().lease_duration();
+            self.driver.evacuations.log_own_age(lease, sent);
             match schedule.next_step(&status, sent, &mut rng) {
                 StoreStep::Wait(span) => {
                     actix_rt::time::sleep(span).await;
@@ -128,7 +130,10 @@
                     continue;
                 }
             };
-            let call = ConfigCall::Watch(request);
+            let call = ConfigCall::Watch(WatchRequest {
+                evacuations: self.driver.evacuations.digest(),
+                ..request
+            });
             let reply = match self.driver.call(peer, call, timeout).await {
                 Some(ConfigReply::Watched(reply)) => Some(reply),
                 _ => {
@@ -138,10 +143,18 @@
             };
             let now = self.driver.sources.clock.now();
             let known = self.driver.follower.borrow().lease().confirmed_at();
+            let report = reply.as_ref().and_then(|reply| reply.evacuations.clone());
             let update = {
                 let mut watcher = self.peer_watcher.borrow_mut();
                 watcher.answered(peer, sent, now, reply, known)
             };
+            if let Some(report) = report {
+                let confirmed_at = update.and_then(|update| update.confirmed_at);
+                let evacuations = &self.driver.evacuations;
+                if evacuations.merge_report(&report, sent, confirmed_at, now) {
+                    self.driver.changed.notify_waiters();
+                }
+            }
             if let Some(update) = update {
                 self.apply_peer_update(peer, update).await;
             }
@@ -160,7 +173,7 @@
             is_root: tree.1.is_root(),
             has_peers: tree.1.peer_at(0).is_some(),
             is_unheard: self.peer_watcher.borrow().is_unheard(),
-            age: age.filter(|_| follower.is_loaded()),
+            age: age.filter(|_| follower.is_loaded() && self.driver.evacuations.is_known()),
         }
     }
 
@@ -193,6 +206,8 @@
     }
 
     fn apply_store_update(&self, update: WatcherUpdate, now: MonoTime) {
+        // Before the document, so that no document is in force without the evacuated zones.
+        self.driver.evacuations.apply_update(&update, now);
         if let Some(cause) = update.invalid {
             log::error!(target: log_target::CONFIG, cause; "New configuration document is invalid, the previous one stays in force.");
         }
--- a/src/config/document_watcher.rs
+++ b/src/config/document_watcher.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::config::{ConfigDocument, DocumentReading, DocumentUpdate, StoreClock, WatchResponse};
+use crate::evacuation::{EvacuationMark, EvacuationUpdate};
 use crate::ids::{StoreEra, Version};
 use crate::logs::log_target;
 use crate::platform::PlatformError;
@@ -40,6 +41,12 @@
     pub confirmed_at: Option<MonoTime>,
     /// Why the newest document is invalid.
     pub invalid: Option<String>,
+    /// What the response says of the evacuated zones.
+    pub evacuations: EvacuationUpdate,
+    /// The state of the store that the response belongs to.
+    pub mark: EvacuationMark,
+    /// A time at which the store was in this state.
+    pub answered_at: MonoTime,
 }
 
 /// Decides when to read and watch the document, without I/O of its own; its driver makes the calls.
@@ -164,6 +171,12 @@
             (None, None) => self.is_invalid,
         };
         WatcherUpdate {
+            evacuations: reading.evacuations,
+            mark: EvacuationMark {
+                era: reading.era,
+                version: reading.position,
+            },
+            answered_at,
             document,
             confirmed_at: (!self.is_invalid).then_some(answered_at),
             invalid,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -20,6 +20,7 @@
 mod document_task;
 mod document_warning;
 mod document_watcher;
+mod evacuation_follower;
 mod follower_action;
 mod follower_receive;
 mod follower_rules;
--- a/src/config/peer_watcher.rs
+++ b/src/config/peer_watcher.rs
@@ -127,6 +127,7 @@
             boot: session.map_or(BootId(0), |session| session.boot),
             confirmed_micros: session.and_then(|session| session.confirmed_micros),
             store_lost: self.position == 0 && self.has_parent_lost_store,
+            evacuations: None,
             wait_micros: u64::try_from(self.wait.as_micros()).unwrap_or(0),
         };
         PeerStep::Ask(peer, request, self.wait + ANSWER_TIMEOUT)
--- a/src/config/plan_rows.rs
+++ b/src/config/plan_rows.rs
@@ -94,7 +94,9 @@
     };
     let account = |id: &crate::ids::AccountId| name_of(ResourceKind::Account, id.as_str());
     match resource {
-        ConfigResource::Account(_) | ConfigResource::Service(_) => Vec::new(),
+        ConfigResource::Account(_) | ConfigResource::Service(_) | ConfigResource::Evacuation(_) => {
+            Vec::new()
+        }
         ConfigResource::Key(key) => vec![("account", account(&key.account))],
         ConfigResource::Rate(rate) => vec![("account", account(&rate.account))],
         ConfigResource::Route(route) => {
--- a/src/config/resource_rules.rs
+++ b/src/config/resource_rules.rs
@@ -17,7 +17,8 @@
         ConfigResource::Account(_)
         | ConfigResource::Key(_)
         | ConfigResource::Rate(_)
-        | ConfigResource::Service(_) => Ok(()),
+        | ConfigResource::Service(_)
+        | ConfigResource::Evacuation(_) => Ok(()),
     }
 }
 
--- a/src/config/watch_service.rs
+++ b/src/config/watch_service.rs
@@ -33,6 +33,7 @@
         revision: follower.is_loaded().then(|| follower.catalog().revision()),
         age_micros: age.and_then(|age| u64::try_from(age.as_micros()).ok()),
         store_lost: driver.store_lost.get(),
+        evacuations: driver.evacuations.report(now),
     }
 }
 
@@ -40,6 +41,11 @@
     if reply.revision > request.have || (reply.store_lost && !request.store_lost) {
         return true;
     }
+    if let Some(evacuations) = &reply.evacuations
+        && evacuations.is_news_to(request.evacuations)
+    {
+        return true;
+    }
     let confirmed = reply.age_micros.map(|age| reply.clock_micros - age);
     match request.boot == reply.boot {
         true => confirmed > request.confirmed_micros,
--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -1,6 +1,6 @@
 //! Starts the components of a daemon in order and passes each the dependencies that it needs.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,6 +11,7 @@
 use crate::daemon::daemon_view::DaemonView;
 use crate::daemon::record_publisher::RecordPublisher;
 use crate::egress::{ClientOptions, EgressHandle, EgressSources};
+use crate::evacuation::RecordFilter;
 use crate::http::HeaderRules;
 use crate::ids::BootId;
 use crate::ingress::{IngressHandle, IngressSources};
@@ -156,6 +157,10 @@
         config: &ConfigHandle,
         members: &MembersHandle,
     ) -> EgressHandle {
+        let gate = config.clone();
+        let evacuations = config.clone();
+        let own_zone = settings.zone.clone();
+        let record_filter = RefCell::new(RecordFilter::default());
         let config = config.clone();
         let records = members.clone();
         let counted = members.clone();
@@ -170,7 +175,12 @@
             slot_hold: settings.proxy.slot_hold.get(),
             durations: self.metrics.durations(),
             spec_of: Rc::new(move |service| config.catalog().service(service).cloned()),
-            records_of: Rc::new(move |service| records.instances_of(service)),
+            records_of: Rc::new(move |service| {
+                let all = records.instances_of(service);
+                let zones = evacuations.evacuated_zones();
+                record_filter.borrow_mut().usable(service, all, &zones)
+            }),
+            zone_gate: Rc::new(move || gate.zone_gate(&own_zone)),
             member_count: Rc::new(move || counted.live_count()),
             accepts_work: Rc::new(move |instance| {
                 announce
--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -55,6 +55,9 @@
             members: self.members.live().len() as u64,
             revision: self.config.revision().0,
             document_warnings: self.config.document_warnings(),
+            evacuation_refusals: self.egress.evacuation_refusals(),
+            evacuated_zones: self.config.evacuated_zones().len() as u64,
+            evacuation_age: self.config.evacuation_age().unwrap_or_default(),
             refused_messages: self.listener.refused_messages(),
         }
     }
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -6,9 +6,11 @@
 
 use serde_json::json;
 
+use crate::egress::evacuation_gate::EvacuationGate;
 use crate::egress::{
     BackendClient, ClientOptions, HealthPublication, InstanceDispatcher, offer_task, probe_task,
 };
+use crate::evacuation::ZoneGate;
 use crate::hash::FastMap;
 use crate::health::{HealthChange, ServiceBaseline, ServiceSample};
 use crate::ids::{InstanceId, ServiceId};
@@ -55,6 +57,8 @@
     pub on_leaving: Rc<dyn Fn(&InstanceId)>,
     /// Publishes the state of a local instance.
     pub publish: StatePublisher,
+    /// Whether the availability zone of the instances is in service.
+    pub zone_gate: Rc<dyn Fn() -> ZoneGate>,
 }
 
 pub(crate) type SharedDispatcher = Rc<RefCell<InstanceDispatcher>>;
@@ -69,6 +73,7 @@
     unconfigured: Rc<RefCell<FastMap<InstanceId, LocalInstance>>>,
     stopping: Rc<Cell<bool>>,
     in_flight: Rc<Cell<usize>>,
+    pub(crate) gate: EvacuationGate,
 }
 
 impl EgressHandle {
@@ -77,6 +82,7 @@
     pub fn spawn(sources: EgressSources) -> Self {
         let handle = Self {
             client: BackendClient::open_with(sources.clock, sources.client_options.clone()),
+            gate: EvacuationGate::open(Rc::clone(&sources.zone_gate)),
             sources,
             dispatchers: Rc::default(),
             unconfigured: Rc::default(),
@@ -144,6 +150,12 @@
         self.in_flight.get()
     }
 
+    /// Number of offers and waiting requests refused because of an evacuation.
+    #[must_use]
+    pub fn evacuation_refusals(&self) -> u64 {
+        self.gate.refusals()
+    }
+
     /// State for the diagnostic dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -153,7 +165,12 @@
             .values()
             .map(|dispatcher| dispatcher.borrow().dump())
             .collect();
-        json!({ "under_way": self.in_flight.get(), "instances": instances })
+        json!({
+            "under_way": self.in_flight.get(),
+            "zone_gate": self.gate.state(),
+            "evacuation_refusals": self.gate.refusals(),
+            "instances": instances,
+        })
     }
 
     pub(crate) fn dispatcher(&self, instance: &InstanceId) -> Option<SharedDispatcher> {
@@ -213,7 +230,11 @@
                 .borrow_mut()
                 .apply_announcement(local.clone(), spec),
             None => {
-                let dispatcher = InstanceDispatcher::open(local.clone(), spec, fastrand::u64(..));
+                let mut dispatcher =
+                    InstanceDispatcher::open(local.clone(), spec, fastrand::u64(..));
+                if self.gate.is_evacuated() {
+                    dispatcher.zone_evacuated(self.sources.clock.now());
+                }
                 dispatchers.insert(local.instance.clone(), Rc::new(RefCell::new(dispatcher)));
             }
         }
@@ -240,7 +261,7 @@
         ServiceBaseline::from_records(&(self.sources.records_of)(service))
     }
 
-    fn all_dispatchers(&self) -> Vec<SharedDispatcher> {
+    pub(crate) fn all_dispatchers(&self) -> Vec<SharedDispatcher> {
         self.dispatchers.borrow().values().map(Rc::clone).collect()
     }
 
@@ -263,6 +284,7 @@
             actix_rt::time::sleep(TICK_INTERVAL).await;
             self.retry_unconfigured();
             self.client.close_idle();
+            self.gate.advance(&self);
             for dispatcher in self.all_dispatchers() {
                 self.tick(&dispatcher);
             }
@@ -280,6 +302,7 @@
             self.publish_dispatcher(dispatcher);
         }
         if self.accepts_requests(dispatcher)
+            && self.gate.refusal().is_none()
             && dispatcher.borrow_mut().health_mut().begin_probe(now)
         {
             actix_rt::spawn(probe_task::run(self.clone(), Rc::clone(dispatcher)));
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -97,6 +97,19 @@
         }
     }
 
+    /// Called once when the availability zone is evacuated. The waiting requests are refused so that
+    /// they can go to other zones; running ones end.
+    pub fn zone_evacuated(&mut self, now: MonoTime) -> Option<HealthChange> {
+        self.refuse_waiting();
+        self.health.on_zone_evacuated(now)
+    }
+
+    /// Called once when the evacuation of the availability zone ends. The instance takes its full load
+    /// again by the stages of the ramp.
+    pub fn zone_returned(&mut self, now: MonoTime) -> Option<HealthChange> {
+        self.health.on_zone_returned(now)
+    }
+
     /// Whether the instance's announced phase allows new requests.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -5,6 +5,7 @@
 mod backend_connection;
 mod backend_response;
 mod egress_handle;
+mod evacuation_gate;
 mod execution_task;
 mod health_publication;
 mod instance_dispatcher;
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -27,6 +27,9 @@
 /// Retry-after time when all slots are in use and the request must not wait.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-after time while the availability zone is evacuated. Other zones serve the request meanwhile.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Serves `offer` until its stream ends.
 pub(crate) async fn run(
     egress: &EgressHandle,
@@ -48,6 +51,7 @@
                     .await
             }
             Err((reason, retry_after)) => {
+                egress.gate.count_refusal(reason);
                 let load = dispatcher.borrow().load();
                 refuse(&mut sender, reason, retry_after, load).await
             }
@@ -58,13 +62,16 @@
     }
 }
 
-/// Checks that the instance takes work, that its health admits the request and that its limit is not
+/// Checks that the zone is in service, that the instance takes work, that its health admits the request and that its limit is not
 /// reached, of which the request takes a part.
 fn admit(
     egress: &EgressHandle,
     dispatcher: &SharedDispatcher,
     offer: &RequestOffer,
 ) -> Result<(), (RefusalReason, Duration)> {
+    if let Some(reason) = egress.gate.refusal() {
+        return Err((reason, zone_retry_after(reason)));
+    }
     if !egress.accepts_requests(dispatcher) {
         return Err((RefusalReason::NotReady, NOT_READY_RETRY_AFTER));
     }
@@ -77,6 +84,14 @@
     limit.map_err(|retry_after| (RefusalReason::LimitReached, retry_after))
 }
 
+/// Retry-after time of a request that the gate of the availability zone refuses.
+const fn zone_retry_after(reason: RefusalReason) -> Duration {
+    match reason {
+        RefusalReason::Evacuated => EVACUATED_RETRY_AFTER,
+        _ => NOT_READY_RETRY_AFTER,
+    }
+}
+
 /// Tells the ingress that the request was not run and never will be, and ends the stream.
 pub(crate) async fn refuse(
     sender: &mut PeerSender,
@@ -140,10 +155,12 @@
         if self.offer.idempotent {
             self.dispatcher.borrow_mut().begin_trial(key);
         }
-        match self.start(key).await? {
+        let outcome = self.start(key).await?;
+        match self.pass_zone_gate(outcome) {
             StartOutcome::Run => {}
             StartOutcome::Refused(reason, retry_after) => {
                 drop(guard);
+                self.egress.gate.count_refusal(reason);
                 let load = self.dispatcher.borrow().load();
                 return refuse(&mut self.sender, reason, retry_after, load).await;
             }
@@ -153,6 +170,19 @@
         self.into_execution().run(guard).await
     }
 
+    /// Refuses a request that would run now, or that left the queue, if the zone has been evacuated
+    /// since the offer. No request passes to the instance after this.
+    fn pass_zone_gate(&self, outcome: StartOutcome) -> StartOutcome {
+        let has_left_queue = matches!(
+            outcome,
+            StartOutcome::Run | StartOutcome::Refused(RefusalReason::Overloaded, _)
+        );
+        match self.egress.gate.refusal().filter(|_| has_left_queue) {
+            Some(reason) => StartOutcome::Refused(reason, zone_retry_after(reason)),
+            None => outcome,
+        }
+    }
+
     fn into_execution(self) -> ExecutionTask<'a> {
         ExecutionTask {
             egress: self.egress,
--- a/src/health/health_cause.rs
+++ b/src/health/health_cause.rs
@@ -22,6 +22,10 @@
     Tried,
     /// It completed a stage of its ramp.
     Ramped,
+    /// Its availability zone is evacuated.
+    Evacuated,
+    /// The evacuation of its availability zone is over.
+    Returned,
 }
 
 impl fmt::Display for HealthCause {
@@ -34,6 +38,8 @@
             Self::Recovered => "recovered",
             Self::Tried => "tried",
             Self::Ramped => "ramped",
+            Self::Evacuated => "evacuated",
+            Self::Returned => "returned",
         })
     }
 }
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -51,6 +51,8 @@
     progress: RecoveryProgress,
     recovery: RecoveryRule,
     breaker: CircuitBreaker,
+    /// Whether the availability zone is evacuated, which holds the ramp.
+    is_zone_out: bool,
 }
 
 impl InstanceHealth {
@@ -70,6 +72,7 @@
             progress: RecoveryProgress::open(),
             recovery: RecoveryRule::default(),
             breaker: CircuitBreaker::default(),
+            is_zone_out: false,
         }
     }
 
@@ -173,6 +176,19 @@
         self.begin_ramp(now)
     }
 
+    /// Puts an instance whose zone is evacuated at the begin of the ramp and holds it there, so that the
+    /// fleet knows of the ramp before the zone returns. An ejected instance stays ejected.
+    pub fn on_zone_evacuated(&mut self, now: MonoTime) -> Option<HealthChange> {
+        self.is_zone_out = true;
+        self.restart_ramp(HealthCause::Evacuated, now)
+    }
+
+    /// Lets an instance whose zone is back in service advance from the begin of the ramp.
+    pub fn on_zone_returned(&mut self, now: MonoTime) -> Option<HealthChange> {
+        self.is_zone_out = false;
+        self.restart_ramp(HealthCause::Returned, now)
+    }
+
     /// The present state; the circuit breaker is left out.
     #[must_use]
     pub const fn state(&self) -> HealthState {
@@ -309,6 +325,9 @@
         if self.failing.sum().max(self.slowness.detector().sum()) >= RELAPSE_SUM {
             return self.eject(HealthCause::Relapsed, now);
         }
+        if self.is_zone_out {
+            return None;
+        }
         let state = self.progress.advance(now)?;
         self.transition(state, HealthCause::Ramped)
     }
@@ -334,6 +353,17 @@
         self.transition(state, HealthCause::Recovered)
     }
 
+    /// Begins the ramp of an instance that is not ejected.
+    fn restart_ramp(&mut self, cause: HealthCause, now: MonoTime) -> Option<HealthChange> {
+        if self.state == HealthState::Ejected {
+            return None;
+        }
+        let before = self.state;
+        let state = self.progress.begin_ramp(now);
+        let change = self.transition(state, cause);
+        change.filter(|_| before != state)
+    }
+
     /// Enters a state and discards the evidence collected in the one before.
     fn transition(&mut self, to: HealthState, cause: HealthCause) -> Option<HealthChange> {
         self.slowness.detector_mut().reset();
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -18,7 +18,7 @@
 use crate::resource::RequestClass;
 use crate::retry::RetryBudget;
 use crate::time::{Deadline, MonoTime};
-use crate::wire::{BackendHead, InstanceRecord, RequestOffer};
+use crate::wire::{BackendHead, InstanceRecord, RefusalReason, RequestOffer};
 
 /// Shortest timeout of an attempt that can be retried at another instance.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -84,7 +84,7 @@
                 }
                 AttemptOutcome::Failed { failure, load } => {
                     self.update_load(&record.instance, load);
-                    self.avoid_refusing(&record.instance, &failure);
+                    self.avoid_refusing(record, &failure);
                     history.record_failure(failure);
                     if !self.may_retry(&history, failure.verdict, failure.is_unreached()) {
                         break;
@@ -112,6 +112,9 @@
         match history.refusal(self.deadline_passed()) {
             refusal if refusal.verdict() != ExecutionVerdict::NotRun => refusal,
             _ if self.is_cut_off() => RequestRefusal::Stopping,
+            RequestRefusal::NoCapacity(None, span) if self.is_evacuated() => {
+                RequestRefusal::NoCapacity(Some(RefusalReason::Evacuated), span)
+            }
             refusal => refusal,
         }
     }
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -10,6 +10,7 @@
 use crate::balance::{InstancePicker, TrafficSplitter};
 use crate::baseline::{RoundRobin, StaticLimiter};
 use crate::config::ConfigHandle;
+use crate::evacuation::{AvoidedZones, RecordFilter};
 use crate::hash::FastMap;
 use crate::http::{HeaderRules, HttpHandler, HttpServer, HttpTimeouts};
 use crate::ids::{BootId, RequestId, RouteId, ServiceId, ZoneId};
@@ -63,6 +64,8 @@
     pub(crate) traffic_splitters: FastMap<RouteId, TrafficSplitter>,
     pub(crate) credits: CreditLedger,
     pub(crate) totals: RequestTotals,
+    pub(crate) avoided_zones: AvoidedZones,
+    pub(crate) record_filter: RecordFilter,
     pub(crate) rng: fastrand::Rng,
     /// ID of the next request.
     next_id: RequestId,
@@ -97,6 +100,8 @@
             traffic_splitters: FastMap::default(),
             credits: CreditLedger::default(),
             totals: RequestTotals::default(),
+            avoided_zones: AvoidedZones::default(),
+            record_filter: RecordFilter::default(),
             rng: fastrand::Rng::new(),
             next_id: RequestId(1),
         };
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -1,13 +1,15 @@
 //! Choice of the instance for the next attempt at a request.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::balance::PickCriteria;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, ZoneId};
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::{AttemptFailure, AttemptHistory};
+use crate::logs::log_target;
 use crate::retry::RetryBudget;
-use crate::wire::{InstanceLoad, InstanceRecord, RefusalReason};
+use crate::wire::{InstanceLoad, InstancePhase, InstanceRecord, RefusalReason};
 
 /// How long an instance is avoided after its egress refused a request for its health. About the time
 /// in which a failing instance shows that it has recovered.
@@ -34,11 +36,7 @@
 
     fn pick_instance(&self, history: &AttemptHistory) -> Option<ChosenInstance> {
         let tried = history.tried();
-        let records = self
-            .ingress
-            .sources
-            .members
-            .instances_of(&self.plan.service);
+        let records = self.usable_instances();
         if self.ingress.sources.baseline.round_robin {
             return self.pick_round_robin(&records, tried);
         }
@@ -68,6 +66,46 @@
         })
     }
 
+    /// The records whose instances may get requests: without those in evacuated zones and in zones that
+    /// refused a request because of an evacuation. Records of other regions are added when no ready
+    /// instance of this region is left.
+    fn usable_instances(&self) -> Rc<[InstanceRecord]> {
+        let (sources, service) = (&self.ingress.sources, &self.plan.service);
+        let known = sources.config.evacuated_zones();
+        let records = sources.members.instances_of(service);
+        let mut state = self.ingress.state.borrow_mut();
+        let closed = state
+            .avoided_zones
+            .closed_zones(&known, sources.clock.now());
+        let zones = closed.as_ref().unwrap_or(&known);
+        let usable = state.record_filter.usable(service, records, zones);
+        let is_ready = |record: &InstanceRecord| record.phase == InstancePhase::Ready;
+        if zones.is_empty() || usable.iter().any(is_ready) {
+            return usable;
+        }
+        let records = sources.members.instances_of_regions(service);
+        state.record_filter.usable(service, records, zones)
+    }
+
+    /// Whether the service has instances, but none outside of evacuated zones.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        let members = &self.ingress.sources.members;
+        let has_instances = !members.instances_of(&self.plan.service).is_empty();
+        has_instances && self.usable_instances().is_empty()
+    }
+
+    /// Avoids the zone of an instance whose egress refused a request because of an evacuation.
+    fn avoid_zone(&self, zone: &ZoneId) {
+        let sources = &self.ingress.sources;
+        let known = sources.config.evacuated_zones();
+        let known_age_ms = sources.config.evacuation_age().map(|age| age.as_millis());
+        let now = sources.clock.now();
+        let mut state = self.ingress.state.borrow_mut();
+        if state.avoided_zones.avoid(zone.clone(), &known, now) {
+            log::info!(target: log_target::INGRESS, zone:%, known:% = *known, known_age_ms:?; "Zone is avoided: its egress refused a request because of an evacuation.");
+        }
+    }
+
     fn pick_round_robin(
         &self,
         records: &[InstanceRecord],
@@ -97,16 +135,18 @@
             });
     }
 
-    /// Avoids an instance whose egress refused the request for its health or its limit.
-    pub(crate) fn avoid_refusing(&self, instance: &InstanceId, failure: &AttemptFailure) {
+    /// Avoids an instance whose egress refused the request for its health or its limit, or the whole
+    /// zone of one whose egress refused it because of an evacuation.
+    pub(crate) fn avoid_refusing(&self, record: &InstanceRecord, failure: &AttemptFailure) {
         let span = match failure.reason {
             Some(RefusalReason::Unhealthy) => UNHEALTHY_AVOIDANCE,
             Some(RefusalReason::LimitReached) => failure.retry_after,
+            Some(RefusalReason::Evacuated) => return self.avoid_zone(&record.zone),
             _ => return,
         };
         let until = self.ingress.sources.clock.now().after(span);
         self.ingress.with_picker(&self.plan.service, |picker, _| {
-            picker.avoid(instance, until)
+            picker.avoid(&record.instance, until)
         });
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod daemon;
 pub mod egress;
+pub mod evacuation;
 pub mod execution_verdict;
 pub mod exit;
 pub mod hash;
--- a/src/members/gossip_core.rs
+++ b/src/members/gossip_core.rs
@@ -191,6 +191,17 @@
         if local.iter().any(is_ready) {
             return local;
         }
+        self.instances_of_regions(service, now)
+    }
+
+    /// Returns the records of `service` whose daemons are live, with those of other regions, which
+    /// `tick` keeps refreshing.
+    pub fn instances_of_regions(
+        &mut self,
+        service: &ServiceId,
+        now: MonoTime,
+    ) -> Rc<[InstanceRecord]> {
+        let local = self.view.instances_of(service);
         let remote = self.remote_services.lookup(service, now);
         let remote = remote
             .iter()
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -86,6 +86,14 @@
         self.state.core.borrow_mut().instances_of(service, now)
     }
 
+    /// Returns the records of `service` whose daemons are live, in all regions.
+    #[must_use]
+    pub fn instances_of_regions(&self, service: &ServiceId) -> Rc<[InstanceRecord]> {
+        let now = self.state.sources.clock.now();
+        let mut core = self.state.core.borrow_mut();
+        core.instances_of_regions(service, now)
+    }
+
     /// Publishes the record of a local instance under a higher incarnation, if it has changed.
     pub fn publish(&self, record: InstanceRecord) {
         let actions = self.with_core(|core, rng, now| core.publish(&record, now, rng));
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Meter, MeterProvider as _};
@@ -27,6 +28,13 @@
     /// Parts of configuration documents that could not be used as they stood, since the daemon
     /// started.
     pub document_warnings: u64,
+    /// Offers and waiting requests that the egress refused because of an evacuation, since the daemon
+    /// started.
+    pub evacuation_refusals: u64,
+    /// Number of evacuated zones.
+    pub evacuated_zones: u64,
+    /// Time since the evacuated zones were confirmed.
+    pub evacuation_age: Duration,
     /// Messages of other daemons that were refused, since the daemon started.
     pub refused_messages: u64,
 }
@@ -116,6 +124,15 @@
     register_counter(meter, latest, "configuration_warnings", |snapshot| {
         snapshot.document_warnings
     });
+    register_counter(meter, latest, "requests_evacuated", |snapshot| {
+        snapshot.evacuation_refusals
+    });
+    register_gauge(meter, latest, "zones_evacuated", |snapshot| {
+        snapshot.evacuated_zones
+    });
+    register_gauge(meter, latest, "evacuation_age_seconds", |snapshot| {
+        snapshot.evacuation_age.as_secs()
+    });
     register_counter(meter, latest, "log_lines_dropped", |_| {
         crate::logs::dropped_lines()
     });
--- a/src/resource/config_resource.rs
+++ b/src/resource/config_resource.rs
@@ -1,10 +1,11 @@
-//! A configuration resource of any kind: client account, key, rate limit, route or service.
+//! A configuration resource of any kind: client account, key, rate limit, route, service or evacuation.
 
 use bincode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
 use crate::resource::{
     ClientAccount, ClientKey, RateLimit, ResourceKind, ResourceName, ServiceRoute, ServiceSpec,
+    ZoneEvacuation,
 };
 
 /// A configuration resource.
@@ -21,6 +22,8 @@
     Route(ServiceRoute),
     /// A service, which is a group of backend servers.
     Service(ServiceSpec),
+    /// An availability zone that is out of service.
+    Evacuation(ZoneEvacuation),
 }
 
 impl ConfigResource {
@@ -33,6 +36,7 @@
             Self::Rate(_) => ResourceKind::Rate,
             Self::Route(_) => ResourceKind::Route,
             Self::Service(_) => ResourceKind::Service,
+            Self::Evacuation(_) => ResourceKind::Evacuation,
         }
     }
 
@@ -45,6 +49,7 @@
             Self::Rate(rate) => rate.account.to_string(),
             Self::Route(route) => route.id.to_string(),
             Self::Service(service) => service.id.to_string(),
+            Self::Evacuation(evacuation) => evacuation.id.to_string(),
         };
         ResourceName {
             kind: self.kind(),
--- a/src/resource/mod.rs
+++ b/src/resource/mod.rs
@@ -1,4 +1,4 @@
-//! Configuration resources: client accounts, keys, rate limits, routes and services.
+//! Configuration resources: client accounts, keys, rate limits, routes, services and evacuations.
 
 mod client_account;
 mod client_key;
@@ -15,6 +15,7 @@
 mod route_rules;
 mod service_route;
 mod service_spec;
+mod zone_evacuation;
 
 pub use client_account::ClientAccount;
 pub use client_key::ClientKey;
@@ -31,3 +32,4 @@
 pub use route_rules::{RouteRules, WeightedService};
 pub use service_route::ServiceRoute;
 pub use service_spec::ServiceSpec;
+pub use zone_evacuation::ZoneEvacuation;
--- a/src/resource/resource_kind.rs
+++ b/src/resource/resource_kind.rs
@@ -24,16 +24,19 @@
     Route,
     /// Services.
     Service,
+    /// Evacuations of availability zones.
+    Evacuation,
 }
 
 impl ResourceKind {
     /// All kinds.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Account,
         Self::Key,
         Self::Rate,
         Self::Route,
         Self::Service,
+        Self::Evacuation,
     ];
 }
 
@@ -45,6 +48,7 @@
             Self::Rate => "rate",
             Self::Route => "route",
             Self::Service => "service",
+            Self::Evacuation => "evacuation",
         })
     }
 }
--- a/src/wire/config_call.rs
+++ b/src/wire/config_call.rs
@@ -3,8 +3,11 @@
 use bincode::{Decode, Encode};
 
 use crate::config::ConfigChange;
+use crate::evacuation::{EvacuationDigest, EvacuationReport};
 use crate::ids::{AccountId, BootId, Revision};
-use crate::resource::{ClientAccount, KeyHash, RateLimit, ServiceRoute, ServiceSpec};
+use crate::resource::{
+    ClientAccount, KeyHash, RateLimit, ServiceRoute, ServiceSpec, ZoneEvacuation,
+};
 
 /// A request to another daemon about the configuration.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -32,12 +35,14 @@
     pub confirmed_micros: Option<u64>,
     /// Whether the caller knows that the peer's calls to the store fail.
     pub store_lost: bool,
+    /// What the caller knows of the evacuated zones; `None` before the first reading.
+    pub evacuations: Option<EvacuationDigest>,
     /// How long the peer may hold its reply back.
     pub wait_micros: u64,
 }
 
 /// What a daemon knows of the configuration. All times are by its own clock.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct WatchReply {
     /// The run of the replying process.
     pub boot: BootId,
@@ -49,6 +54,8 @@
     pub age_micros: Option<u64>,
     /// Whether the replying daemon watches the store and its calls fail.
     pub store_lost: bool,
+    /// The evacuated zones; `None` before the first reading.
+    pub evacuations: Option<EvacuationReport>,
 }
 
 /// The reply to a [`ConfigCall`].
@@ -83,7 +90,7 @@
 /// Position in a snapshot, which is requested page by page.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 pub enum SnapshotCursor {
-    /// All services, on one page.
+    /// All services and evacuations, on one page.
     Services,
     /// Routes, from this slot index on.
     Routes(u32),
@@ -119,6 +126,8 @@
     Account(ClientAccount, Option<RateLimit>),
     /// An API key.
     Key(SnapshotKey),
+    /// An evacuation of an availability zone.
+    Evacuation(ZoneEvacuation),
 }
 
 /// An API key without its name.
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -85,6 +85,8 @@
     WrongInstance,
     /// The instance has got as many requests as it says it takes.
     LimitReached,
+    /// The availability zone of the instance is evacuated.
+    Evacuated,
 }
 
 impl RefusalReason {
@@ -109,6 +111,7 @@
             Self::Shed => "the backend server has no room",
             Self::WrongInstance => "another instance has the address",
             Self::LimitReached => "the instance takes no more requests a second",
+            Self::Evacuated => "the availability zone is evacuated",
         })
     }
 }
--- a/tests/document_follow.rs
+++ b/tests/document_follow.rs
@@ -6,6 +6,7 @@
 use wagtailtrack::config::{
     ConfigDocument, DocumentReading, DocumentUpdate, DocumentWatcher, WatchResponse, WatcherStep,
 };
+use wagtailtrack::evacuation::EvacuationUpdate;
 use wagtailtrack::ids::{Revision, StoreEra, Version};
 use wagtailtrack::platform::PlatformError;
 use wagtailtrack::time::MonoTime;
@@ -19,6 +20,7 @@
 fn reading(document: DocumentUpdate, position: u64, store_millis: u64) -> WatchResponse {
     WatchResponse::Reading(DocumentReading {
         document,
+        evacuations: EvacuationUpdate::unchanged(),
         era: StoreEra(1),
         position: Version(position),
         store_millis,
--- a/tests/watch_kit/event_handlers.rs
+++ b/tests/watch_kit/event_handlers.rs
@@ -3,6 +3,7 @@
 use wagtailtrack::config::{
     DocumentReading, DocumentUpdate, PeerStep, StoreStep, WatchResponse, WatcherStep,
 };
+use wagtailtrack::evacuation::EvacuationUpdate;
 use wagtailtrack::ids::{BootId, Revision, StoreEra, Version};
 use wagtailtrack::platform::PlatformError;
 use wagtailtrack::time::MonoTime;
@@ -83,6 +84,7 @@
                     true => DocumentUpdate::Unchanged,
                     false => DocumentUpdate::New(document(revision)),
                 },
+                evacuations: EvacuationUpdate::unchanged(),
                 era: StoreEra(1),
                 position: Version(revision),
                 store_millis,
@@ -169,6 +171,7 @@
             revision: parts.1.map(Revision),
             age_micros: parts.2,
             store_lost: parts.3,
+            evacuations: None,
         };
         self.end_question(from, to, number, Some(reply));
     }
