Take zones out of service by the API and the command line

'wagtailtrack zone evacuate ZONE', 'zone restore ZONE' and 'zone list', and the resource 'evacuation' in the API. A zone that does not exist gives 400 with the list of the existing ones.

--- a/src/admin/admin_server.rs
+++ b/src/admin/admin_server.rs
@@ -1,5 +1,6 @@
 //! HTTP listener for operators: readiness, metrics, state dump and the resource API.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 use crate::admin::{ApiError, ApiPath, ChangeHeaders, change_event};
 use crate::config::ConfigHandle;
 use crate::http::{HttpServer, json_response, read_body, text_response};
-use crate::ids::Revision;
+use crate::ids::{Revision, ZoneId};
 use crate::resource::KeyHash;
 use crate::units::ByteSize;
 
@@ -30,6 +31,8 @@
     pub token_hash: KeyHash,
     /// Configuration that the resource API reads and changes.
     pub config: ConfigHandle,
+    /// Returns the availability zones that exist, in service or not.
+    pub zones: Rc<dyn Fn() -> BTreeSet<ZoneId>>,
     /// Whether the daemon accepts requests from callers; decides the status of `/readyz`.
     pub is_ready: Rc<dyn Fn() -> bool>,
     /// Returns the daemon's state as JSON, for `/dump`.
@@ -55,7 +58,7 @@
     /// The I/O error when the address cannot be bound.
     pub async fn bind(sources: AdminSources) -> io::Result<Self> {
         let address = sources.address;
-        let api = ResourceApi::open(sources.config.clone());
+        let api = ResourceApi::open(sources.config.clone(), Rc::clone(&sources.zones));
         let state = Rc::new(AdminState { sources, api });
         let handler = move |request| -> LocalBoxFuture<'static, Response<BoxBody>> {
             let state = Rc::clone(&state);
--- a/src/admin/api_error.rs
+++ b/src/admin/api_error.rs
@@ -23,7 +23,7 @@
         }
         /// The path does not exist.
         UnknownPath(path: String) {
-            display("path '{path}' is unknown; see /v1/accounts, /v1/keys, /v1/rates, /v1/routes, /v1/services, /v1/operations and /v1/watch")
+            display("path '{path}' is unknown; see /v1/accounts, /v1/keys, /v1/rates, /v1/routes, /v1/services, /v1/evacuations, /v1/operations and /v1/watch")
         }
         /// The path does not support the method; holds the method and the supported ones.
         MethodNotAllowed(method: String, allowed: &'static str) {
@@ -34,6 +34,10 @@
             display("{cause}")
             from()
         }
+        /// No availability zone has this name; holds the name and the existing zones.
+        UnknownZone(name: String, existing: String) {
+            display("availability zone '{name}' does not exist; the existing zones are: {existing}")
+        }
         /// A header has an invalid value; holds the header, the value and the remedy.
         InvalidHeader(name: &'static str, value: String, remedy: &'static str) {
             display("header '{name}' has value '{value}'; {remedy}")
@@ -111,6 +115,7 @@
             }
             Self::MethodNotAllowed(..) => StatusCode::METHOD_NOT_ALLOWED,
             Self::InvalidName(_)
+            | Self::UnknownZone(..)
             | Self::InvalidHeader(..)
             | Self::InvalidParameter(..)
             | Self::InvalidJson(_) => StatusCode::BAD_REQUEST,
@@ -133,6 +138,7 @@
             Self::UnknownPath(_) => "path",
             Self::MethodNotAllowed(..) => "method",
             Self::InvalidName(_) => "name",
+            Self::UnknownZone(..) => "zone",
             Self::InvalidHeader(..) => "header",
             Self::InvalidParameter(..) => "parameter",
             Self::MissingPrecondition => "precondition",
--- a/src/admin/api_path.rs
+++ b/src/admin/api_path.rs
@@ -57,11 +57,16 @@
         ResourceKind::Key => "key",
         ResourceKind::Route => "route",
         ResourceKind::Service => "service",
-        ResourceKind::Evacuation => "availability zone",
+        // The resource API tells whether such a zone exists, and names those that do.
+        ResourceKind::Evacuation => return Ok(unchecked_name(kind, id)),
     };
     crate::ids::validate_name(label, id)?;
-    Ok(ResourceName {
+    Ok(unchecked_name(kind, id))
+}
+
+fn unchecked_name(kind: ResourceKind, id: &str) -> ResourceName {
+    ResourceName {
         kind,
         id: id.to_owned(),
-    })
+    }
 }
--- a/src/admin/resource_api.rs
+++ b/src/admin/resource_api.rs
@@ -1,5 +1,7 @@
 //! Handlers of the resource API: list, read, create, replace, delete, and withdraw keys.
 
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
@@ -15,7 +17,7 @@
     ChangeOutcome, ChangeRequest, ConfigHandle, ResourceEdit, StoredResource, VersionCondition,
 };
 use crate::http::json_response;
-use crate::ids::{AccountId, KeyId, OperationId};
+use crate::ids::{AccountId, KeyId, OperationId, ZoneId};
 use crate::platform::PlatformError;
 use crate::resource::{ClientKey, ConfigResource, KeyHash, ResourceKind, ResourceName};
 
@@ -24,6 +26,7 @@
 /// Handles requests to read and change the resources of the configuration.
 pub(super) struct ResourceApi {
     config: ConfigHandle,
+    zones: Rc<dyn Fn() -> BTreeSet<ZoneId>>,
 }
 
 /// Request body for issuing a key.
@@ -36,8 +39,9 @@
 
 impl ResourceApi {
     /// Creates the API; reads go to the store of `config`, and changes are submitted to `config`.
-    pub(super) const fn open(config: ConfigHandle) -> Self {
-        Self { config }
+    /// `zones` returns the availability zones that exist.
+    pub(super) fn open(config: ConfigHandle, zones: Rc<dyn Fn() -> BTreeSet<ZoneId>>) -> Self {
+        Self { config, zones }
     }
 
     /// Returns a page of the resources of `kind` whose names sort after `after`.
@@ -55,6 +59,7 @@
 
     /// Returns one resource, with its version as the `ETag`.
     pub(super) async fn get(&self, name: &ResourceName) -> ApiResult {
+        self.check_zone(name.kind, &name.id)?;
         let stored = self.config.store().resource(name).await;
         let stored = stored
             .map_err(unreadable)?
@@ -94,7 +99,7 @@
     ) -> ApiResult {
         let (resource, secret) = match kind {
             ResourceKind::Key => issue_key(body)?,
-            _ => (parse_resource(kind, None, body)?, None),
+            _ => (self.parse_resource(kind, None, body)?, None),
         };
         let request = ChangeRequest {
             operation: headers.operation,
@@ -119,7 +124,7 @@
                 "POST /v1/keys to issue and POST /v1/keys/ID/withdraw to withdraw",
             ));
         }
-        let resource = parse_resource(name.kind, Some(&name.id), body)?;
+        let resource = self.parse_resource(name.kind, Some(&name.id), body)?;
         let condition = headers.require_condition()?;
         let request = ChangeRequest {
             operation: headers.operation,
@@ -133,6 +138,7 @@
 
     /// Deletes a resource whose version matches the condition.
     pub(super) async fn delete(&self, name: ResourceName, headers: ChangeHeaders) -> ApiResult {
+        self.check_zone(name.kind, &name.id)?;
         let condition = headers.require_condition()?;
         let request = ChangeRequest {
             operation: headers.operation,
@@ -156,6 +162,35 @@
             .await
     }
 
+    /// Checks that the zone of an evacuation exists or is out of service.
+    fn check_zone(&self, kind: ResourceKind, id: &str) -> Result<(), ApiError> {
+        if kind != ResourceKind::Evacuation {
+            return Ok(());
+        }
+        let mut zones = (self.zones)();
+        zones.extend(self.config.evacuated_zones().iter().cloned());
+        if zones.iter().any(|zone| zone.as_str() == id) {
+            return Ok(());
+        }
+        let names: Vec<&str> = zones.iter().map(ZoneId::as_str).collect();
+        Err(ApiError::UnknownZone(id.to_owned(), names.join(", ")))
+    }
+
+    /// Parses a resource. A body without a name gets the name from the path; a different name is an
+    /// error.
+    fn parse_resource(
+        &self,
+        kind: ResourceKind,
+        id: Option<&str>,
+        body: &Bytes,
+    ) -> Result<ConfigResource, ApiError> {
+        let value = named_value(kind, id, body)?;
+        if let Some(zone) = value.get("id").and_then(Value::as_str) {
+            self.check_zone(kind, zone)?;
+        }
+        resource_from_value(kind, value)
+    }
+
     async fn submit(
         &self,
         request: ChangeRequest,
@@ -222,13 +257,8 @@
     Ok((ConfigResource::Key(key), Some(secret)))
 }
 
-/// Parses a resource. A body without a name gets the name from the path; a different name is an
-/// error.
-fn parse_resource(
-    kind: ResourceKind,
-    id: Option<&str>,
-    body: &Bytes,
-) -> Result<ConfigResource, ApiError> {
+/// Parses the fields of a resource, with the name from the path if they lack it.
+fn named_value(kind: ResourceKind, id: Option<&str>, body: &Bytes) -> Result<Value, ApiError> {
     let mut value: Value = parse_json(body)?;
     let field = match kind {
         ResourceKind::Rate => "account",
@@ -241,6 +271,10 @@
             return Err(ApiError::InvalidJson(cause));
         }
     }
+    Ok(value)
+}
+
+fn resource_from_value(kind: ResourceKind, value: Value) -> Result<ConfigResource, ApiError> {
     let resource = match kind {
         ResourceKind::Account => ConfigResource::Account(from_value(value)?),
         ResourceKind::Key => ConfigResource::Key(from_value(value)?),
--- a/src/client/command_line.rs
+++ b/src/client/command_line.rs
@@ -65,6 +65,8 @@
     Delete(DeleteCommand),
     /// Issues and withdraws keys.
     Key(KeyCommand),
+    /// Takes availability zones out of service and puts them back.
+    Zone(ZoneCommand),
     /// Prints configuration changes as they are committed.
     Watch(WatchCommand),
     /// Shows the state of the daemon.
@@ -81,7 +83,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "create")]
 pub struct CreateCommand {
-    /// account, rate, route or service
+    /// account, rate, route, service or evacuation
     #[argh(positional)]
     pub kind: ResourceKind,
     /// name; for a rate the name of its account
@@ -96,7 +98,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "get")]
 pub struct GetCommand {
-    /// account, key, rate, route or service
+    /// account, key, rate, route, service or evacuation
     #[argh(positional)]
     pub kind: ResourceKind,
     /// name
@@ -108,7 +110,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "list")]
 pub struct ListCommand {
-    /// account, key, rate, route or service
+    /// account, key, rate, route, service or evacuation
     #[argh(positional)]
     pub kind: ResourceKind,
 }
@@ -138,7 +140,7 @@
     /// version that the resource must have, by default the current one
     #[argh(option)]
     pub version: Option<Version>,
-    /// account, key, rate, route or service
+    /// account, key, rate, route, service or evacuation
     #[argh(positional)]
     pub kind: ResourceKind,
     /// name
@@ -186,6 +188,50 @@
     pub id: KeyId,
 }
 
+/// Take an availability zone out of service, put it back, or list those that are out.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "zone")]
+pub struct ZoneCommand {
+    /// action on the zone
+    #[argh(subcommand)]
+    pub action: ZoneAction,
+}
+
+/// An action on an availability zone.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum ZoneAction {
+    /// Takes a zone out of service.
+    Evacuate(EvacuateCommand),
+    /// Puts a zone back into service.
+    Restore(RestoreCommand),
+    /// Lists the zones that are out of service.
+    List(ListZonesCommand),
+}
+
+/// Take a zone out of service: its instances get no further requests.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "evacuate")]
+pub struct EvacuateCommand {
+    /// name of the zone
+    #[argh(positional)]
+    pub zone: String,
+}
+
+/// Put a zone back into service; its instances ramp up.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "restore")]
+pub struct RestoreCommand {
+    /// name of the zone
+    #[argh(positional)]
+    pub zone: String,
+}
+
+/// List the zones that are out of service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListZonesCommand {}
+
 /// Print changes until interrupted.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "watch")]
--- a/src/client/command_runner.rs
+++ b/src/client/command_runner.rs
@@ -9,7 +9,7 @@
 };
 use crate::client::api_client::resource_path;
 use crate::client::command_line::{
-    CheckCommand, CreateCommand, DeleteCommand, IssueCommand, KeyAction, UpdateCommand,
+    CheckCommand, CreateCommand, DeleteCommand, IssueCommand, KeyAction, UpdateCommand, ZoneAction,
 };
 use crate::client::{
     ApiClient, ChangeWatcher, ClientChange, ClientCommand, ClientError, CommandLine, TextTable,
@@ -89,6 +89,26 @@
                     self.send(change, &format!("{name} withdrawn")).await
                 }
             },
+            ClientCommand::Zone(command) => match &command.action {
+                ZoneAction::Evacuate(command) => {
+                    let path = ApiPath::collection_path(ResourceKind::Evacuation);
+                    let mut change = self.new_change(Method::POST, path)?;
+                    change.body = Some(json!({ "id": command.zone }));
+                    let summary = format!("zone {} taken out of service", command.zone);
+                    self.send(change, &summary).await
+                }
+                ZoneAction::Restore(command) => {
+                    let name = resource_name(ResourceKind::Evacuation, &command.zone);
+                    let mut change = self.new_change(Method::DELETE, resource_path(&name))?;
+                    change.version = Some(self.current_version(&name).await?);
+                    let summary = format!("zone {} put back into service", command.zone);
+                    self.send(change, &summary).await
+                }
+                ZoneAction::List(_) => {
+                    let items = self.client.resources(ResourceKind::Evacuation).await?;
+                    Ok(self.format_resources(&items, &items))
+                }
+            },
             ClientCommand::Dump(_) => {
                 let dump: Value = self.client.get("/dump").await?;
                 Ok(format_json(&dump))
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -14,8 +14,7 @@
     ConfigStore, DocumentPeers, DocumentSource, FollowerRules, HistoryError, MAX_ANSWERED_CHANGES,
     PropagationReport, SubmissionAction, document_task, propagation_report, watch_service,
 };
-use crate::evacuation::{EvacuatedZones, ZoneGate};
-use crate::ids::{BootId, DaemonId, Revision, ZoneId};
+use crate::ids::{BootId, DaemonId, Revision};
 use crate::logs::log_target;
 use crate::peers::PeerPool;
 use crate::platform::PlatformService;
@@ -49,7 +48,7 @@
 /// Handle of the running configuration service; clones share it.
 #[derive(Clone)]
 pub struct ConfigHandle {
-    driver: Rc<ConfigDriver>,
+    pub(super) driver: Rc<ConfigDriver>,
 }
 
 impl ConfigHandle {
@@ -109,39 +108,6 @@
         follower.is_loaded() && is_known
     }
 
-    /// The evacuated zones. The borrow must not be held across an await.
-    #[must_use]
-    pub fn evacuated_zones(&self) -> Ref<'_, EvacuatedZones> {
-        let follower = self.driver.follower.borrow();
-        match follower.follows_document() {
-            true => self.driver.evacuations.zones(),
-            false => Ref::map(follower, |follower| follower.catalog().evacuated_zones()),
-        }
-    }
-
-    /// Time since the evacuated zones were confirmed by the store; none before they are known.
-    #[must_use]
-    pub fn evacuation_age(&self) -> Option<Duration> {
-        let now = self.driver.sources.clock.now();
-        let follower = self.driver.follower.borrow();
-        match follower.follows_document() {
-            true => self.driver.evacuations.age(now),
-            false => follower.lease().confirmation_age(now),
-        }
-    }
-
-    /// Whether requests may be sent to the instances of `zone`.
-    #[must_use]
-    pub fn zone_gate(&self, zone: &ZoneId) -> ZoneGate {
-        if !self.is_loaded() {
-            return ZoneGate::Unknown;
-        }
-        match self.evacuated_zones().contains(zone) {
-            true => ZoneGate::Evacuated,
-            false => ZoneGate::Open,
-        }
-    }
-
     /// Whether the catalog is fresh enough to admit requests by it.
     #[must_use]
     pub fn is_fresh(&self, now: MonoTime) -> bool {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -21,6 +21,7 @@
 mod document_warning;
 mod document_watcher;
 mod evacuation_follower;
+mod evacuation_queries;
 mod follower_action;
 mod follower_receive;
 mod follower_rules;
--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -261,10 +261,12 @@
         let export = Rc::clone(&self.metrics);
         let stopping = Rc::clone(&self.stopping);
         let loaded = view.config.clone();
+        let members = view.members.clone();
         AdminServer::bind(AdminSources {
             address,
             token_hash: settings.operators.token_hash,
             config: view.config.clone(),
+            zones: Rc::new(move || members.zones()),
             is_ready: Rc::new(move || loaded.is_loaded() && !stopping.get()),
             dump: Rc::new(move || shown.dump()),
             metrics: Rc::new(move || export.text(measured.metrics())),
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -150,12 +150,6 @@
         self.in_flight.get()
     }
 
-    /// Number of offers and waiting requests refused because of an evacuation.
-    #[must_use]
-    pub fn evacuation_refusals(&self) -> u64 {
-        self.gate.refusals()
-    }
-
     /// State for the diagnostic dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -232,9 +226,7 @@
             None => {
                 let mut dispatcher =
                     InstanceDispatcher::open(local.clone(), spec, fastrand::u64(..));
-                if self.gate.is_evacuated() {
-                    dispatcher.zone_evacuated(self.sources.clock.now());
-                }
+                self.gate.prepare(&mut dispatcher, self.sources.clock.now());
                 dispatchers.insert(local.instance.clone(), Rc::new(RefCell::new(dispatcher)));
             }
         }
--- a/src/egress/evacuation_gate.rs
+++ b/src/egress/evacuation_gate.rs
@@ -3,9 +3,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use crate::egress::EgressHandle;
+use crate::egress::{EgressHandle, InstanceDispatcher};
 use crate::evacuation::ZoneGate;
 use crate::logs::log_target;
+use crate::time::MonoTime;
 use crate::wire::RefusalReason;
 
 /// Refuses requests while the zone of the egress is evacuated; clones share the state.
@@ -32,9 +33,11 @@
         (self.source)()
     }
 
-    /// Whether the dispatchers were told that the zone is evacuated.
-    pub(crate) fn is_evacuated(&self) -> bool {
-        self.applied.get() == ZoneGate::Evacuated
+    /// Tells a new dispatcher if the zone is evacuated.
+    pub(crate) fn prepare(&self, dispatcher: &mut InstanceDispatcher, now: MonoTime) {
+        if self.applied.get() == ZoneGate::Evacuated {
+            dispatcher.zone_evacuated(now);
+        }
     }
 
     /// Why no request may be sent now; none while the zone is in service.
@@ -82,3 +85,11 @@
         }
     }
 }
+
+impl EgressHandle {
+    /// Number of offers and waiting requests refused because of an evacuation.
+    #[must_use]
+    pub fn evacuation_refusals(&self) -> u64 {
+        self.gate.refusals()
+    }
+}
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -1,6 +1,7 @@
 //! Handle of the running membership: socket, background tasks and queries.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -8,7 +9,7 @@
 use actix_rt::net::UdpSocket;
 use serde_json::json;
 
-use crate::ids::{Incarnation, InstanceId, ServiceId};
+use crate::ids::{Incarnation, InstanceId, ServiceId, ZoneId};
 use crate::members::{
     DatagramCodec, GossipAction, GossipCore, LiveMember, MemberDirectory, MemberSources,
 };
@@ -65,6 +66,18 @@
         self.state.core.borrow().live()
     }
 
+    /// Returns the availability zones of all known members, live or not.
+    #[must_use]
+    pub fn zones(&self) -> BTreeSet<ZoneId> {
+        let core = self.state.core.borrow();
+        let view = core.view();
+        let others = view.members().entries().map(|entry| &entry.record);
+        std::iter::once(view.own())
+            .chain(others)
+            .map(|record| record.zone.clone())
+            .collect()
+    }
+
     /// Returns a number that changes whenever a daemon joins, moves or stops being live.
     #[must_use]
     pub fn liveness_version(&self) -> u64 {
--- a/tests/config_api.rs
+++ b/tests/config_api.rs
@@ -9,6 +9,7 @@
 use common::{MemoryMode, MemoryPlatform};
 use wagtailtrack::admin::{AdminServer, AdminSources, ErrorBody};
 use wagtailtrack::config::{ConfigHandle, ConfigSources};
+use wagtailtrack::evacuation::ZoneGate;
 use wagtailtrack::peers::{FleetKey, PeerPool};
 use wagtailtrack::resource::KeyHash;
 use wagtailtrack::settings::PlatformSettings;
@@ -40,6 +41,7 @@
             address: "127.0.0.1:0".parse().unwrap(),
             token_hash: KeyHash::hash_secret(TOKEN),
             config: config.clone(),
+            zones: Rc::new(|| ["z1", "z2"].map(|zone| zone.parse().unwrap()).into()),
             is_ready: Rc::new(|| false),
             dump: Rc::new(|| serde_json::json!({})),
             metrics: Rc::new(String::new),
@@ -286,3 +288,48 @@
     )
     .await;
 }
+
+/// A zone that does not exist must not be taken out of service: the operator would believe that another
+/// one is. The error names the zones that exist.
+#[actix_rt::test]
+async fn unknown_zone() {
+    let api = ApiServer::open().await;
+    let (none, any) = (("x-none", "x"), ("if-match", "*"));
+    let existing = (400, "'z9' does not exist; the existing zones are: z1, z2");
+    let body = r#"{"id":"z9"}"#;
+    api.assert_rejected(Method::POST, "/v1/evacuations", none, body, existing)
+        .await;
+    let path = "/v1/evacuations/z9";
+    api.assert_rejected(Method::PUT, path, any, "{}", existing)
+        .await;
+    api.assert_rejected(Method::DELETE, path, any, "", existing)
+        .await;
+    let unnamed = (400, "the existing zones are: z1, z2");
+    let body = r#"{"id":"Zone 1"}"#;
+    api.assert_rejected(Method::POST, "/v1/evacuations", none, body, unnamed)
+        .await;
+    let path = "/v1/evacuations/z1";
+    api.assert_rejected(Method::DELETE, path, any, "", (404, "evacuation/z1"))
+        .await;
+}
+
+/// An evacuation is a resource: it is created, listed and deleted, and in force with its revision.
+#[actix_rt::test]
+async fn evacuation_resource() {
+    let api = ApiServer::open().await;
+    let token = ("authorization", "Bearer operators-token");
+    let body = r#"{"id":"z1"}"#;
+    let (status, text) = api
+        .send(Method::POST, "/v1/evacuations", &[token], body)
+        .await;
+    assert_eq!(status, StatusCode::CREATED, "{text}");
+    let zone = "z1".parse().unwrap();
+    assert_eq!(api.config.zone_gate(&zone), ZoneGate::Evacuated);
+    let (_, text) = api.send(Method::GET, "/v1/evacuations", &[token], "").await;
+    assert!(text.contains(r#""id":"z1""#), "{text}");
+    let exists = ("if-match", "*");
+    let path = "/v1/evacuations/z1";
+    let (status, text) = api.send(Method::DELETE, path, &[token, exists], "").await;
+    assert_eq!(status, StatusCode::OK, "{text}");
+    assert_eq!(api.config.zone_gate(&zone), ZoneGate::Open);
+}
--- a/tests/evacuation_rows.rs
+++ b/tests/evacuation_rows.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use common::{MemoryPlatform, eventually};
+use common::{MemoryPlatform, PATIENCE, eventually};
 use document_store::DocumentStore;
 use store_client::StoreClient;
 use store_rows::StoreRows;
@@ -32,14 +32,16 @@
     ConfigHandle, ConfigSources, DocumentPeers, DocumentReading, DocumentSource, DocumentUpdate,
     WatchResponse,
 };
-use wagtailtrack::evacuation::{EvacuationUpdate, ZoneChange, ZoneGate};
-use wagtailtrack::ids::{BootId, Version, ZoneId};
+use wagtailtrack::evacuation::{
+    EvacuationDigest, EvacuationMark, EvacuationUpdate, ZoneChange, ZoneGate,
+};
+use wagtailtrack::ids::{BootId, Revision, StoreEra, Version, ZoneId};
 use wagtailtrack::members::LiveMember;
 use wagtailtrack::peers::{FleetKey, PeerHandler, PeerListener, PeerPool};
 use wagtailtrack::platform::PlatformError;
 use wagtailtrack::settings::{PlatformSettings, ServiceSettings};
 use wagtailtrack::time::ProcessClock;
-use wagtailtrack::wire::{PeerCall, PeerOpening, PeerReply};
+use wagtailtrack::wire::{ConfigCall, ConfigReply, PeerCall, PeerOpening, PeerReply, WatchRequest};
 
 fn settings(address: SocketAddr) -> PlatformSettings {
     toml::from_str(&format!("address = \"{address}\"")).unwrap()
@@ -254,6 +256,45 @@
     .await;
 }
 
+/// A peer waits for news and knows all but an evacuation. Guards against an evacuation that it hears of
+/// only at the end of its wait.
+#[actix_rt::test]
+async fn waiting_peer_told_at_once() {
+    let store = StoreRows::bind().await;
+    store.put_document(7);
+    let daemon = Follower::open(1, Rc::new(source(store.address)), &[]).await;
+    eventually("the first document", async || daemon.config.is_loaded()).await;
+    let request = WatchRequest {
+        have: Some(Revision(7)),
+        boot: BootId(1),
+        confirmed_micros: Some(u64::MAX),
+        store_lost: false,
+        evacuations: Some(EvacuationDigest {
+            mark: EvacuationMark {
+                era: StoreEra(1),
+                version: Version(1),
+            },
+            digest: 0,
+        }),
+        wait_micros: 600_000_000,
+    };
+    let question = daemon.config.serve(ConfigCall::Watch(request));
+    let change = async {
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        store.put("other", "{}");
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        store.put("evacuate/z1", "{}");
+    };
+    let both = futures_util::future::join(question, change);
+    let (reply, ()) = actix_rt::time::timeout(PATIENCE, both).await.unwrap();
+    let ConfigReply::Watched(reply) = reply else {
+        panic!("not the reply to a watch");
+    };
+    let report = reply.evacuations.unwrap();
+    assert!(report.zones.contains(&zone("z1")));
+    assert_eq!(report.mark.version, Version(3));
+}
+
 /// The store comes back from a copy that was made before the zone was put back, and issues versions
 /// again. Guards against a daemon that keeps to the lost state by its higher version.
 #[actix_rt::test]
--- a/tests/process_client.rs
+++ b/tests/process_client.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Output, Stdio};
@@ -79,6 +80,7 @@
             address: "127.0.0.1:0".parse().unwrap(),
             token_hash: KeyHash::hash_secret(TOKEN),
             config: config.clone(),
+            zones: Rc::new(BTreeSet::new),
             is_ready: Rc::new(|| true),
             dump: Rc::new(move || dumped.dump()),
             metrics: Rc::new(|| "up 1".to_owned()),
--- a/tests/store_rows/mod.rs
+++ b/tests/store_rows/mod.rs
@@ -176,12 +176,12 @@
     }
     let polls = number("waitMs") / POLL_INTERVAL.as_millis() as u64;
     let era = state.borrow().era;
+    let has_news =
+        |state: &StoreState| !state.changes(after).is_empty() || state.era != era || state.is_down;
     for _ in 0..polls {
-        let state = state.borrow();
-        if !state.changes(after).is_empty() || state.era != era || state.is_down {
+        if has_news(&state.borrow()) {
             break;
         }
-        drop(state);
         actix_rt::time::sleep(POLL_INTERVAL).await;
     }
     let state = state.borrow();
