--- a/tests/process_evacuation.rs
+++ b/tests/process_evacuation.rs
@@ -38,6 +38,13 @@
     desk.fleet.backends[index].ran().await.len()
 }
 
+/// Offers that the egress of the first daemon refused because of an evacuation.
+async fn refused_offers(desk: &DeskFleet) -> u64 {
+    let dump = desk.fleet.daemons[0].operator().get("/dump").await.unwrap();
+    let dump: serde_json::Value = serde_json::from_slice(&dump.body).unwrap();
+    dump["egress"]["evacuation_refusals"].as_u64().unwrap()
+}
+
 /// Sends lookups and filings through every daemon; all must be served.
 async fn serve_round(desk: &DeskFleet) {
     for index in 0..ZONES {
@@ -63,6 +70,11 @@
     let before = ran(&desk, 0).await;
     serve_round(&desk).await;
     assert_eq!(ran(&desk, 0).await, before);
+    assert_eq!(
+        refused_offers(&desk).await,
+        0,
+        "ingresses offer to the zone"
+    );
     let ready = desk.fleet.daemons[0].operator().get("/readyz").await;
     assert!(ready.unwrap().status.is_success(), "the daemon stays ready");
     let metrics = desk.fleet.daemons[0].operator().get("/metrics").await;
@@ -79,6 +91,12 @@
         instances.len() == 1
     })
     .await;
+    // A daemon that has just started refuses requests until its configuration is confirmed.
+    eventually("the configuration confirmed", async || {
+        let answer = desk.caller(0).get("/lookups/1").await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    })
+    .await;
     serve_round(&desk).await;
     desk.fleet.platform_mode("\"down\"").await;
     serve_round(&desk).await;
