--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use crate::config::config_driver::ConfigDriver;
+use crate::config::evacuation_follower::EvacuationFollower;
 use crate::config::{
     Catalog, ChangeOutcome, ChangeRequest, ChangeSubmission, ConfigChange, ConfigFollower,
     ConfigStore, DocumentPeers, DocumentSource, FollowerRules, HistoryError, MAX_ANSWERED_CHANGES,
@@ -47,7 +48,7 @@
 /// Handle of the running configuration service; clones share it.
 #[derive(Clone)]
 pub struct ConfigHandle {
-    driver: Rc<ConfigDriver>,
+    pub(super) driver: Rc<ConfigDriver>,
 }
 
 impl ConfigHandle {
@@ -74,13 +75,15 @@
     }
 
     fn driver(sources: ConfigSources, rules: FollowerRules) -> Rc<ConfigDriver> {
-        let follower = ConfigFollower::open(rules, fastrand::u64(..), sources.clock.now());
+        let now = sources.clock.now();
+        let follower = ConfigFollower::open(rules, fastrand::u64(..), now);
         Rc::new(ConfigDriver {
             store: ConfigStore::open(Rc::clone(&sources.platform)),
             sources,
             follower: RefCell::new(follower),
             document_warnings: Cell::new(0),
             store_lost: Cell::new(false),
+            evacuations: EvacuationFollower::open(now),
             changed: Notify::new(),
         })
     }
@@ -97,10 +100,12 @@
         self.catalog().revision()
     }
 
-    /// Whether a first snapshot has been loaded.
+    /// Whether a first snapshot has been loaded and the evacuated zones are known.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
-        self.driver.follower.borrow().is_loaded()
+        let follower = self.driver.follower.borrow();
+        let is_known = !follower.follows_document() || self.driver.evacuations.is_known();
+        follower.is_loaded() && is_known
     }
 
     /// Whether the catalog is fresh enough to admit requests by it.
@@ -175,6 +180,9 @@
             "keys": keys,
             "routes": routes,
             "services": services,
+            "evacuated_zones": *self.evacuated_zones(),
+            "evacuations_at": self.driver.evacuations.mark(),
+            "evacuations_millis_ago": self.evacuation_age().map(|age| age.as_millis()),
         })
     }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -20,6 +20,8 @@
 mod document_task;
 mod document_warning;
 mod document_watcher;
+mod evacuation_follower;
+mod evacuation_queries;
 mod follower_action;
 mod follower_receive;
 mod follower_rules;
