Limit the requests to cold instances

An instance that has just started, or has become cold unnoticed, crashes well above the rate that its service names. The egress beside it now lets requests through at that rate while the instance is cold or its state is unknown, and refuses the others unsent, as Cold. Statements in announcements and responses end the unknown state if they were made after the event that caused it. Ingresses learn the time of the next token with each reply and the rate with the record, and draw cold instances by the share of their slots that the rate keeps busy.

--- a/examples/catalog_size.rs
+++ b/examples/catalog_size.rs
@@ -59,6 +59,8 @@
             retry_budget: Percent::new(10)?,
             recovery: wagtailtrack::resource::RecoveryRule::default(),
             reserves_check_slot: true,
+            cold_rate: None,
+            health_path: None,
         }));
     }
     for number in 0..routes {
--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -1,5 +1,7 @@
 //! Load balancer of one service at one ingress.
 
+use std::time::Duration;
+
 use crate::balance::PickCriteria;
 use crate::balance::instance_stats::InstanceStats;
 use crate::hash::FastMap;
@@ -33,7 +35,7 @@
     zone: ZoneId,
     /// Penalty for an instance in another zone, in load per slot.
     zone_cost: f64,
-    stats: FastMap<InstanceId, InstanceStats>,
+    pub(super) stats: FastMap<InstanceId, InstanceStats>,
 }
 
 impl InstancePicker {
@@ -133,6 +135,7 @@
     /// Takes in the load that the instance's egress reported with a response.
     pub fn on_response(&mut self, instance: &InstanceId, load: InstanceLoad, now: MonoTime) {
         let stats = self.stats_mut(instance);
+        stats.cold_until = now.after(Duration::from_micros(u64::from(load.cold_wait_micros)));
         stats.load.on_report(load, now);
         stats.path.on_response();
     }
@@ -172,7 +175,7 @@
     }
 
     /// The admitted instances that were not tried; those behind blocked paths only if there are no
-    /// others.
+    /// others. A cold instance that takes no request now is none, since its egress would refuse it.
     fn candidates(
         &self,
         records: &[InstanceRecord],
@@ -186,7 +189,9 @@
         });
         list.retain(is_untried);
         if list.is_empty() {
-            list = capacity_floor::admitted_instances(records, floor, |_| true);
+            list = capacity_floor::admitted_instances(records, floor, |record| {
+                !self.waits_for_token(record, now)
+            });
             list.retain(is_untried);
         }
         list
@@ -244,9 +249,10 @@
     fn is_reachable(&self, record: &InstanceRecord, now: MonoTime) -> bool {
         let stats = self.stats.get(&record.instance);
         !stats.is_some_and(|stats| stats.path.is_blocked(now) || !stats.avoid_until.has_passed(now))
+            && !self.waits_for_token(record, now)
     }
 
-    fn stats_mut(&mut self, instance: &InstanceId) -> &mut InstanceStats {
+    pub(super) fn stats_mut(&mut self, instance: &InstanceId) -> &mut InstanceStats {
         let stats = self.stats.entry(instance.clone());
         stats.or_insert_with(InstanceStats::open)
     }
@@ -264,9 +270,9 @@
     healthy.map(slots).sum::<u64>() * SCARCE_RATIO < all
 }
 
-/// Whether the instance is healthy and takes its full share without being forced.
+/// Whether the instance is healthy and takes all that it can without being forced.
 fn is_fully_healthy(entry: &AdmittedInstance) -> bool {
-    entry.share == Percent::FULL && !entry.is_forced && entry.is_healthy
+    (entry.share == Percent::FULL || entry.is_cold) && !entry.is_forced && entry.is_healthy
 }
 
 /// Draws a random candidate, weighted by slots and share, so that ramping instances get their share.
--- a/src/balance/instance_stats.rs
+++ b/src/balance/instance_stats.rs
@@ -18,6 +18,8 @@
     pub(super) path: PathBackoff,
     /// Until when it is avoided because its egress refused a request for its health.
     pub(super) avoid_until: Deadline,
+    /// Until when it is not offered anything because it is cold and takes no request before.
+    pub(super) cold_until: Deadline,
     /// Picks as of `counted_at`; decays exponentially.
     #[serde(rename = "choices")]
     picks: f64,
@@ -31,6 +33,7 @@
             load: LoadEstimate::default(),
             path: PathBackoff::open(),
             avoid_until: Deadline::at(MonoTime::ZERO),
+            cold_until: Deadline::at(MonoTime::ZERO),
             picks: 0.0,
             counted_at: MonoTime::ZERO,
         }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,5 +1,6 @@
 //! Load balancing: picks an instance for each request and splits routes by weight.
 
+mod cold_wait;
 mod instance_picker;
 mod instance_stats;
 mod load_estimate;
--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -182,8 +182,8 @@
                     server.drain_leaving(instance);
                 }
             }),
-            publish: Rc::new(move |local, state, median| {
-                let record = publisher.record(local, state, median);
+            publish: Rc::new(move |local, state, median, cold_rate| {
+                let record = publisher.record(local, state, median, cold_rate);
                 publisher.members.publish(record);
             }),
         })
@@ -195,13 +195,16 @@
         egress: &EgressHandle,
     ) -> io::Result<Rc<AnnounceServer>> {
         let address = settings.listen.announce;
-        let egress = egress.clone();
+        let (egress, observer) = (egress.clone(), egress.clone());
         let stopping = Rc::clone(&self.stopping);
         let server = AnnounceServer::bind(AnnounceSources {
             address,
             reader: Rc::clone(&self.adapters.announcements),
             clock: self.clock,
             on_change: Rc::new(move |local| egress.apply_announcement(&local)),
+            on_announcement: Rc::new(move |instance, announcement| {
+                observer.observe_cold_announcement(instance, announcement);
+            }),
             is_stopping: Rc::new(move || stopping.get()),
         });
         let server = server
--- a/src/daemon/record_publisher.rs
+++ b/src/daemon/record_publisher.rs
@@ -4,6 +4,7 @@
 use crate::instances::LocalInstance;
 use crate::members::MembersHandle;
 use crate::settings::DaemonSettings;
+use crate::units::Rate;
 use crate::wire::{HealthState, InstanceRecord};
 
 /// Publishes the records of this VM's instances to the membership.
@@ -19,6 +20,7 @@
         local: &LocalInstance,
         health: HealthState,
         median: Option<std::time::Duration>,
+        cold_rate: Option<Rate>,
     ) -> InstanceRecord {
         let settings = &self.settings;
         let health = if settings.baseline.no_ejection {
@@ -40,6 +42,7 @@
             median_micros: median.map_or(0, |median| {
                 u32::try_from(median.as_micros()).unwrap_or(u32::MAX)
             }),
+            cold_rate,
         }
     }
 }
--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -1,5 +1,7 @@
 //! HTTP response of a backend server, with its body as a stream.
 
+use std::time::Duration;
+
 use actix_http::header::CONTENT_LENGTH;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
@@ -24,6 +26,9 @@
     pub is_not_run: bool,
     /// Requests per second that the backend server states as its limit.
     pub limit: Option<Rate>,
+    /// How long the backend server says that it stays cold, zero while it is warm; none if it does
+    /// not say.
+    pub cold: Option<Duration>,
     /// Whether the backend server says that it leaves.
     pub is_leaving: bool,
     body: BackendBody,
@@ -65,6 +70,7 @@
             head,
             is_not_run,
             limit,
+            cold: options.headers.stated_coldness(headers),
             is_leaving: options.headers.says_leaving(headers),
             body,
             received_bytes: 0,
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -7,7 +7,8 @@
 use serde_json::json;
 
 use crate::egress::{
-    BackendClient, ClientOptions, HealthPublication, InstanceDispatcher, offer_task, probe_task,
+    BackendClient, ClientOptions, ColdWatch, HealthPublication, InstanceDispatcher, offer_task,
+    probe_task,
 };
 use crate::hash::FastMap;
 use crate::health::{HealthChange, ServiceBaseline, ServiceSample};
@@ -18,6 +19,7 @@
 use crate::peers::PeerStream;
 use crate::resource::ServiceSpec;
 use crate::time::ProcessClock;
+use crate::units::Rate;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord, RequestOffer};
 
 /// Interval of the periodic update of queues, health and pooled connections.
@@ -29,8 +31,9 @@
 /// Returns the records that the fleet's daemons published for a service's instances.
 pub type RecordSource = Rc<dyn Fn(&ServiceId) -> Rc<[InstanceRecord]>>;
 
-/// Publishes an instance's health and its median service time, where that is known, to the fleet.
-pub type StatePublisher = Rc<dyn Fn(&LocalInstance, HealthState, Option<Duration>)>;
+/// Publishes an instance's health, its median service time, where that is known, and the rate at which
+/// it takes requests while it is cold to the fleet.
+pub type StatePublisher = Rc<dyn Fn(&LocalInstance, HealthState, Option<Duration>, Option<Rate>)>;
 
 /// Configuration and callbacks that the egress gets from the rest of the daemon.
 #[derive(Clone)]
@@ -67,6 +70,7 @@
     dispatchers: Rc<RefCell<FastMap<InstanceId, SharedDispatcher>>>,
     /// Announced instances whose service is not configured yet.
     unconfigured: Rc<RefCell<FastMap<InstanceId, LocalInstance>>>,
+    pub(super) cold_watch: Rc<RefCell<ColdWatch>>,
     stopping: Rc<Cell<bool>>,
     in_flight: Rc<Cell<usize>>,
 }
@@ -80,6 +84,7 @@
             sources,
             dispatchers: Rc::default(),
             unconfigured: Rc::default(),
+            cold_watch: Rc::default(),
             stopping: Rc::default(),
             in_flight: Rc::default(),
         };
@@ -102,6 +107,7 @@
         self.unconfigured.borrow_mut().remove(&local.instance);
         if local.phase == InstancePhase::Gone {
             self.dispatchers.borrow_mut().remove(&local.instance);
+            self.end_cold_watch(&local.instance);
         } else {
             self.update_dispatcher(local, &spec);
         }
@@ -179,7 +185,7 @@
     ) -> bool {
         let unlogged = dispatcher.borrow_mut().take_unlogged_health();
         if let Some((before, after)) = unlogged {
-            let load = dispatcher.borrow().load();
+            let load = dispatcher.borrow().load(self.sources.clock.now());
             log::info!(
                 target: log_target::HEALTH,
                 instance:% = dispatcher.borrow().local().instance,
@@ -207,13 +213,17 @@
     }
 
     fn update_dispatcher(&self, local: &LocalInstance, spec: &ServiceSpec) {
+        let now = self.sources.clock.now();
         let mut dispatchers = self.dispatchers.borrow_mut();
         match dispatchers.get(&local.instance) {
-            Some(dispatcher) => dispatcher
-                .borrow_mut()
-                .apply_announcement(local.clone(), spec),
+            Some(dispatcher) => {
+                dispatcher
+                    .borrow_mut()
+                    .apply_announcement(local.clone(), spec, now)
+            }
             None => {
-                let dispatcher = InstanceDispatcher::open(local.clone(), spec, fastrand::u64(..));
+                let seed = fastrand::u64(..);
+                let dispatcher = InstanceDispatcher::open(local.clone(), spec, seed, now);
                 dispatchers.insert(local.instance.clone(), Rc::new(RefCell::new(dispatcher)));
             }
         }
@@ -221,26 +231,28 @@
 
     /// Publishes the state of an instance, which counts as draining once the egress stops.
     fn publish(&self, local: &LocalInstance) {
-        let (state, median) = match self.dispatcher(&local.instance) {
+        let now = self.sources.clock.now();
+        let (state, median, cold_rate) = match self.dispatcher(&local.instance) {
             Some(dispatcher) => {
                 let mut dispatcher = dispatcher.borrow_mut();
                 let state = dispatcher.fleet_health();
-                (state, dispatcher.health_mut().median())
+                let median = dispatcher.health_mut().median();
+                (state, median, dispatcher.cold().rate(now))
             }
-            None => (HealthState::Healthy, None),
+            None => (HealthState::Healthy, None, None),
         };
         let mut local = local.clone();
         if self.is_stopping() && local.phase != InstancePhase::Gone {
             local.phase = InstancePhase::Draining;
         }
-        (self.sources.publish)(&local, state, median);
+        (self.sources.publish)(&local, state, median, cold_rate);
     }
 
     fn baseline(&self, service: &ServiceId) -> ServiceBaseline {
         ServiceBaseline::from_records(&(self.sources.records_of)(service))
     }
 
-    fn all_dispatchers(&self) -> Vec<SharedDispatcher> {
+    pub(super) fn all_dispatchers(&self) -> Vec<SharedDispatcher> {
         self.dispatchers.borrow().values().map(Rc::clone).collect()
     }
 
@@ -276,13 +288,12 @@
         // Other egresses compare their instances with the published medians, so a median that
         // has moved is published even when the health has not changed.
         let has_moved = dispatcher.borrow_mut().health_mut().should_publish_median();
-        if !self.publish_health_change(dispatcher, change, "none") && has_moved {
+        let has_turned = self.log_coldness(dispatcher);
+        if !self.publish_health_change(dispatcher, change, "none") && (has_moved || has_turned) {
             self.publish_dispatcher(dispatcher);
         }
-        if self.accepts_requests(dispatcher)
-            && dispatcher.borrow_mut().health_mut().begin_probe(now)
-        {
-            actix_rt::spawn(probe_task::run(self.clone(), Rc::clone(dispatcher)));
+        if self.accepts_requests(dispatcher) {
+            probe_task::spawn_due(self, dispatcher, now);
         }
     }
 }
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -63,7 +63,8 @@
         }
     }
 
-    /// Takes in what the response states of the instance: that it leaves, and its limit.
+    /// Takes in what the response states of the instance: that it leaves, its limit, and how long it
+    /// stays cold.
     fn observe_statements(&self, response: &BackendResponse, sent: MonoTime) {
         if response.is_from_other_instance() {
             return;
@@ -72,6 +73,10 @@
             (self.egress.sources.on_leaving)(&self.offer.instance);
         }
         let now = self.clock.now();
+        if let Some(left) = response.cold {
+            self.egress
+                .observe_cold_response(&self.dispatcher, left, sent);
+        }
         let mut dispatcher = self.dispatcher.borrow_mut();
         if dispatcher.observe_limit(response.limit, sent, now) {
             log::info!(
@@ -99,7 +104,7 @@
         drop(guard);
         let address = self.dispatcher.borrow().local().address;
         self.egress.client.release(address, response);
-        let load = self.dispatcher.borrow().load();
+        let load = self.dispatcher.borrow().load(self.clock.now());
         refuse(&mut self.sender, reason, NOT_READY_RETRY_AFTER, load).await
     }
 
@@ -112,7 +117,7 @@
         guard: SlotGuard,
     ) -> Result<(), PeerError> {
         let mut blocked = Duration::ZERO;
-        response.head.load = self.dispatcher.borrow().load();
+        response.head.load = self.dispatcher.borrow().load(self.clock.now());
         self.sender
             .send(&EgressMessage::Head(response.head.clone()))
             .await?;
@@ -134,7 +139,7 @@
         let total_bytes = response.received_bytes();
         let address = self.dispatcher.borrow().local().address;
         self.egress.client.release(address, response);
-        let load = self.dispatcher.borrow().load();
+        let load = self.dispatcher.borrow().load(self.clock.now());
         self.sender
             .send(&EgressMessage::End { total_bytes, load })
             .await?;
@@ -167,7 +172,7 @@
     }
 
     async fn report_failure(&mut self, failure: SendFailure) -> Result<(), PeerError> {
-        let load = self.dispatcher.borrow().load();
+        let load = self.dispatcher.borrow().load(self.clock.now());
         if failure.verdict == ExecutionVerdict::NotRun {
             return refuse(
                 &mut self.sender,
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 
-use crate::egress::{HealthPublication, StatedLimit};
+use crate::egress::{ColdGate, HealthPublication, StatedLimit};
 use crate::hash::FastMap;
 use crate::health::{HealthChange, ServiceBaseline};
 use crate::health::{InstanceHealth, ServiceSample};
@@ -40,14 +40,15 @@
 /// Decides which requests are sent to one local instance, and when.
 pub struct InstanceDispatcher {
     local: LocalInstance,
-    queue: InstanceQueue,
-    health: InstanceHealth,
+    pub(super) queue: InstanceQueue,
+    pub(super) health: InstanceHealth,
     /// Health state that was logged last.
     logged: HealthState,
     publication: HealthPublication,
     /// Trial request in flight to a suspect instance; at most one at a time.
     trial: Option<RequestKey>,
-    limit: StatedLimit,
+    pub(super) limit: StatedLimit,
+    pub(super) cold: ColdGate,
     waiting: FastMap<RequestKey, oneshot::Sender<SlotDecision>>,
     /// Requests sent to the instance, with the time of sending.
     running: FastMap<RequestKey, MonoTime>,
@@ -55,10 +56,10 @@
 }
 
 impl InstanceDispatcher {
-    /// Creates the dispatcher of a newly announced instance. `seed` is the random
-    /// seed of its health state.
+    /// Creates the dispatcher of an instance that was announced at `now` for the first time. `seed`
+    /// is the random seed of its health state.
     #[must_use]
-    pub fn open(local: LocalInstance, spec: &ServiceSpec, seed: u64) -> Self {
+    pub fn open(local: LocalInstance, spec: &ServiceSpec, seed: u64, now: MonoTime) -> Self {
         let mut health = InstanceHealth::open(seed);
         health.set_recovery(spec.recovery);
         let mut queue = InstanceQueue::open(local.slots, spec.weights);
@@ -70,6 +71,7 @@
             publication: HealthPublication::open(),
             trial: None,
             limit: StatedLimit::default(),
+            cold: ColdGate::open(spec.cold_rate, now),
             local,
             waiting: FastMap::default(),
             running: FastMap::default(),
@@ -83,15 +85,20 @@
         &self.local
     }
 
-    /// Applies a new announcement and the service's present configuration.
+    /// Applies a new announcement and the service's present configuration. An instance that announces
+    /// that it starts may be cold.
     ///
     /// If the instance takes no more work, the waiting requests are refused so that they can go
     /// to other instances.
-    pub fn apply_announcement(&mut self, local: LocalInstance, spec: &ServiceSpec) {
+    pub fn apply_announcement(&mut self, local: LocalInstance, spec: &ServiceSpec, now: MonoTime) {
+        let phase = std::mem::replace(&mut self.local, local).phase;
+        if phase != self.local.phase && self.local.phase == InstancePhase::Starting {
+            self.cold.forget(now);
+        }
+        let local = &self.local;
         self.queue.resize(local.slots, spec.weights);
         self.queue.reserve_check_slot(spec.reserves_check_slot);
         self.health.set_recovery(spec.recovery);
-        self.local = local;
         if !self.is_ready() {
             self.refuse_waiting();
         }
@@ -194,6 +201,7 @@
     /// Frees the slot or queue place of a request that was not sent.
     pub fn cancel(&mut self, key: RequestKey, now: MonoTime) {
         self.limit.give_back();
+        self.cold.release(key);
         self.end_trial(key);
         self.waiting.remove(&key);
         let actions = self.queue.cancel(key, now);
@@ -236,12 +244,6 @@
         self.probe_target.as_deref().unwrap_or("/")
     }
 
-    /// Number of running and waiting requests.
-    #[must_use]
-    pub fn load(&self) -> InstanceLoad {
-        self.queue.load()
-    }
-
     /// Whether no request is waiting or running.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -256,6 +258,7 @@
             "phase": self.local.phase,
             "running": self.running.len(),
             "limit": self.limit,
+            "cold": self.cold,
             "queue": self.queue.dump(),
             "health": self.health.dump(),
         })
@@ -269,7 +272,7 @@
 
     /// Refuses all waiting requests. The [`SlotGuard`](crate::egress::SlotGuard) of each then
     /// removes it from the queue.
-    fn refuse_waiting(&mut self) {
+    pub(super) fn refuse_waiting(&mut self) {
         for (_, sender) in self.waiting.drain() {
             let _ = sender.send(SlotDecision::Refused(DRAINING_RETRY_AFTER));
         }
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -48,7 +48,7 @@
                     .await
             }
             Err((reason, retry_after)) => {
-                let load = dispatcher.borrow().load();
+                let load = dispatcher.borrow().load(egress.sources.clock.now());
                 refuse(&mut sender, reason, retry_after, load).await
             }
         },
@@ -58,8 +58,8 @@
     }
 }
 
-/// Checks that the instance takes work, that its health admits the request and that its limit is not
-/// reached, of which the request takes a part.
+/// Checks that the instance takes work, that its health admits the request, and that neither its limit
+/// nor what it takes while it is cold is reached, of which the request takes a part.
 fn admit(
     egress: &EgressHandle,
     dispatcher: &SharedDispatcher,
@@ -74,7 +74,16 @@
         return Err((RefusalReason::Unhealthy, UNHEALTHY_RETRY_AFTER));
     }
     let limit = dispatcher.take_limit(now);
-    limit.map_err(|retry_after| (RefusalReason::LimitReached, retry_after))
+    limit.map_err(|retry_after| (RefusalReason::LimitReached, retry_after))?;
+    let claimed = dispatcher.claim_cold(request_key(offer), now);
+    claimed.map_err(|retry_after| (RefusalReason::Cold, retry_after))
+}
+
+const fn request_key(offer: &RequestOffer) -> RequestKey {
+    RequestKey {
+        boot: offer.boot,
+        request: offer.request,
+    }
 }
 
 /// Tells the ingress that the request was not run and never will be, and ends the stream.
@@ -132,19 +141,20 @@
     }
 
     async fn run(mut self) -> Result<(), PeerError> {
-        let key = RequestKey {
-            boot: self.offer.boot,
-            request: self.offer.request,
-        };
+        let key = request_key(&self.offer);
         let mut guard = SlotGuard::open(self.dispatcher.clone(), key, self.clock);
         if self.offer.idempotent {
             self.dispatcher.borrow_mut().begin_trial(key);
         }
-        match self.start(key).await? {
+        let outcome = match self.start(key).await? {
+            StartOutcome::Run => self.pass_cold(key),
+            outcome => outcome,
+        };
+        match outcome {
             StartOutcome::Run => {}
             StartOutcome::Refused(reason, retry_after) => {
                 drop(guard);
-                let load = self.dispatcher.borrow().load();
+                let load = self.dispatcher.borrow().load(self.clock.now());
                 return refuse(&mut self.sender, reason, retry_after, load).await;
             }
             StartOutcome::Abandoned => return Ok(()),
@@ -153,6 +163,19 @@
         self.into_execution().run(guard).await
     }
 
+    /// Lets the request, which may run, through the cold gate, or refuses it: the instance may have
+    /// become cold while the request waited.
+    fn pass_cold(&self, key: RequestKey) -> StartOutcome {
+        let passed = self
+            .dispatcher
+            .borrow_mut()
+            .pass_cold(key, self.clock.now());
+        match passed {
+            Ok(()) => StartOutcome::Run,
+            Err(retry_after) => StartOutcome::Refused(RefusalReason::Cold, retry_after),
+        }
+    }
+
     fn into_execution(self) -> ExecutionTask<'a> {
         ExecutionTask {
             egress: self.egress,
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -7,17 +7,27 @@
 use crate::health::SampleOutcome;
 use crate::ids::{AccountId, BootId, RequestId, RouteId};
 use crate::resource::{Priority, RequestClass};
+use crate::time::MonoTime;
 use crate::wire::{FailureCause, RequestOffer};
 
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Route, account and request name prefix of probes.
 const PROBE_NAME: &str = "probe";
 
+/// Starts the probes of an instance that are due at `now`.
+pub(super) fn spawn_due(egress: &EgressHandle, dispatcher: &SharedDispatcher, now: MonoTime) {
+    egress.probe_coldness(dispatcher, now);
+    if dispatcher.borrow_mut().begin_probe(now) {
+        actix_rt::spawn(run(egress.clone(), SharedDispatcher::clone(dispatcher)));
+    }
+}
+
 /// Sends one probe and updates the instance's health with its outcome.
 ///
 /// The probe repeats an idempotent request that the instance answered successfully before.
-pub(crate) async fn run(egress: EgressHandle, dispatcher: SharedDispatcher) {
-    let Some(offer) = probe_offer(&dispatcher) else {
+async fn run(egress: EgressHandle, dispatcher: SharedDispatcher) {
+    let target = dispatcher.borrow().probe_target().to_owned();
+    let Some(offer) = probe_offer(&dispatcher, &target) else {
         return;
     };
     let address = dispatcher.borrow().local().address;
@@ -27,6 +37,9 @@
             .client
             .send(address, &offer, start.after(PROBE_TIMEOUT))
             .await?;
+        if let Some(left) = response.cold {
+            egress.observe_cold_response(&dispatcher, left, start);
+        }
         read_to_end(response).await
     };
     let outcome = match actix_rt::time::timeout(PROBE_TIMEOUT, sending).await {
@@ -61,7 +74,7 @@
 }
 
 /// Discards the body and returns the status.
-async fn read_to_end(mut response: BackendResponse) -> Result<u16, SendFailure> {
+pub(super) async fn read_to_end(mut response: BackendResponse) -> Result<u16, SendFailure> {
     loop {
         match response.next_chunk().await {
             Ok(Some(_)) => {}
@@ -73,7 +86,8 @@
     }
 }
 
-fn probe_offer(dispatcher: &SharedDispatcher) -> Option<RequestOffer> {
+/// A probe that gets `target`.
+pub(super) fn probe_offer(dispatcher: &SharedDispatcher, target: &str) -> Option<RequestOffer> {
     let dispatcher = dispatcher.borrow();
     Some(RequestOffer {
         boot: BootId(0),
@@ -93,7 +107,7 @@
         may_wait: false,
         remaining_micros: 0,
         method: "GET".to_owned(),
-        target: dispatcher.probe_target().to_owned(),
+        target: target.to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
     })
--- a/src/egress/stated_limit.rs
+++ b/src/egress/stated_limit.rs
@@ -4,13 +4,12 @@
 
 use serde::Serialize;
 
+use crate::egress::request_bucket::RequestBucket;
 use crate::time::MonoTime;
 use crate::units::Rate;
 
 /// Time in which an unused limit adds up.
 const BURST_TIME: Duration = Duration::from_secs(1);
-/// Longest time after which a refused request may be offered again.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 /// Keeps the requests to an instance to the limit that its responses state, as a token bucket.
 ///
@@ -23,21 +22,17 @@
 
 #[derive(Debug, Clone, Copy, Serialize)]
 struct LimitBucket {
-    rate: Rate,
+    #[serde(flatten)]
+    bucket: RequestBucket,
     /// When the limit was stated last.
     stated_at: MonoTime,
-    /// Requests that may be sent, as of `updated_at`.
-    tokens: f64,
-    updated_at: MonoTime,
-    /// Requests refused since the last one that was sent.
-    refused: u32,
 }
 
 impl StatedLimit {
     /// The limit in force; none while the instance states none.
     #[must_use]
     pub fn rate(&self) -> Option<Rate> {
-        self.bucket.map(|bucket| bucket.rate)
+        self.bucket.map(|limit| limit.bucket.rate())
     }
 
     /// Takes in the limit that a response to a request sent at `sent` states. Returns whether the
@@ -48,14 +43,12 @@
     pub fn observe(&mut self, stated: Option<Rate>, sent: MonoTime, now: MonoTime) -> bool {
         let before = self.rate();
         match (stated, &mut self.bucket) {
-            (Some(rate), Some(bucket)) => {
-                bucket.advance(now);
-                bucket.rate = rate;
-                bucket.stated_at = now;
-                bucket.tokens = bucket.tokens.min(bucket.capacity());
+            (Some(rate), Some(limit)) => {
+                limit.bucket.set_rate(rate, capacity(rate), now);
+                limit.stated_at = now;
             }
             (Some(rate), None) => self.bucket = Some(LimitBucket::open(rate, now)),
-            (None, Some(bucket)) if sent >= bucket.stated_at => self.bucket = None,
+            (None, Some(limit)) if sent >= limit.stated_at => self.bucket = None,
             (None, _) => {}
         }
         before != self.rate()
@@ -67,48 +60,30 @@
     /// The time after which to offer the request again. Requests that are refused one after the other
     /// are told to come back one after the other, at the limit.
     pub fn take(&mut self, now: MonoTime) -> Result<(), Duration> {
-        let Some(bucket) = &mut self.bucket else {
-            return Ok(());
-        };
-        bucket.advance(now);
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
-            bucket.refused = 0;
-            return Ok(());
+        match &mut self.bucket {
+            Some(limit) => limit.bucket.take(0, now),
+            None => Ok(()),
         }
-        bucket.refused = bucket.refused.saturating_add(1);
-        let missing = f64::from(bucket.refused) - bucket.tokens;
-        let wait = missing / bucket.rate.events_per_second();
-        Err(Duration::from_secs_f64(wait).min(MAX_RETRY_AFTER))
     }
 
     /// Gives back the token of a request that was not sent.
     pub fn give_back(&mut self) {
-        if let Some(bucket) = &mut self.bucket {
-            bucket.tokens = (bucket.tokens + 1.0).min(bucket.capacity());
+        if let Some(limit) = &mut self.bucket {
+            limit.bucket.give_back();
         }
     }
 }
 
 impl LimitBucket {
-    const fn open(rate: Rate, now: MonoTime) -> Self {
+    fn open(rate: Rate, now: MonoTime) -> Self {
         Self {
-            rate,
+            bucket: RequestBucket::open(rate, capacity(rate), now),
             stated_at: now,
-            tokens: 0.0,
-            updated_at: now,
-            refused: 0,
         }
     }
+}
 
-    /// At least one, so that a low limit lets single requests through.
-    fn capacity(&self) -> f64 {
-        self.rate.over_span(BURST_TIME).max(1.0)
-    }
-
-    fn advance(&mut self, now: MonoTime) {
-        let gained = self.rate.over_span(now.since(self.updated_at));
-        self.tokens = (self.tokens + gained).min(self.capacity());
-        self.updated_at = now;
-    }
+/// Most tokens that an unused limit adds up to.
+fn capacity(rate: Rate) -> f64 {
+    rate.over_span(BURST_TIME)
 }
--- a/src/health/admitted_instance.rs
+++ b/src/health/admitted_instance.rs
@@ -9,6 +9,8 @@
     pub index: usize,
     /// Share of its full load that it may take.
     pub share: Percent,
+    /// Whether the share is limited because it is cold, or may be.
+    pub is_cold: bool,
     /// Whether it is ejected and admitted only to keep to the floor.
     pub is_forced: bool,
     /// Whether a limit of its health state is lifted for lack of healthy capacity: the share of
--- a/src/health/capacity_floor.rs
+++ b/src/health/capacity_floor.rs
@@ -4,9 +4,12 @@
 //! give equal results and no daemon has to ask another. Capacity is counted in slots. Where
 //! ejected, draining, starting and unreachable instances together would take the slots in use
 //! below the floor, ejected instances are admitted again, those in the lowest band of medians
-//! first.
+//! first. A cold instance counts with the share of its slots that the requests it takes keep busy.
+
+use std::time::Duration;
 
 use crate::health::AdmittedInstance;
+use crate::health::cold_share::{cold_share, typical_time};
 use crate::ids::InstanceId;
 use crate::units::Percent;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord};
@@ -48,6 +51,8 @@
 /// One computation of the admitted instances; slots are counted in hundredths.
 struct CapacityFloor<'a> {
     records: &'a [InstanceRecord],
+    /// Service time by which the shares of cold instances are computed.
+    typical_time: Duration,
     /// Indices of the ready and reachable instances.
     usable: Vec<usize>,
     /// Hundredths of slots that the floor requires.
@@ -73,6 +78,7 @@
             .collect();
         Self {
             records,
+            typical_time: typical_time(records),
             usable,
             needed: floor.ceil_of(total).max(1),
             present: 0,
@@ -112,9 +118,13 @@
             };
             if self.present < self.needed && entry.share < Percent::FULL {
                 let full = hundredths(&self.records[index]);
-                self.present += full - portion_of(full, entry.share);
-                entry.share = Percent::FULL;
-                entry.is_limit_lifted = true;
+                let share = cold_share(&self.records[index], self.typical_time);
+                let share = share.unwrap_or(Percent::FULL);
+                if share > entry.share {
+                    self.present += portion_of(full, share) - portion_of(full, entry.share);
+                    entry.share = share;
+                    entry.is_limit_lifted = true;
+                }
             }
         }
     }
@@ -130,10 +140,13 @@
     }
 
     fn admit(&mut self, index: usize, share: Percent, is_forced: bool) {
+        let cold_share = cold_share(&self.records[index], self.typical_time);
+        let share = cold_share.map_or(share, |cold_share| share.min(cold_share));
         self.present += portion_of(hundredths(&self.records[index]), share);
         self.admitted.push(AdmittedInstance {
             index,
             share,
+            is_cold: cold_share.is_some(),
             is_forced,
             is_limit_lifted: false,
             is_healthy: self.records[index].health.accepts(false),
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -7,6 +7,7 @@
 pub mod capacity_floor;
 mod circuit_breaker;
 mod class_normalizer;
+mod cold_share;
 mod cusum_detector;
 mod ejection_backoff;
 mod health_cause;
--- a/src/http/header_rules.rs
+++ b/src/http/header_rules.rs
@@ -1,5 +1,7 @@
 //! Which headers the fleet forwards, sets or removes, and detection of client keys in a request.
 
+use std::time::Duration;
+
 use actix_http::StatusCode;
 use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName};
 use memchr::{memchr, memmem};
@@ -129,6 +131,16 @@
         field.is_some_and(|field| headers.contains_key(field.get()))
     }
 
+    /// Returns how long a backend server's response says that it stays cold, zero while it is warm;
+    /// none when the response does not say or cannot be read.
+    #[must_use]
+    pub fn stated_coldness(&self, headers: &HeaderMap) -> Option<Duration> {
+        let field = self.settings.cold.as_ref()?;
+        let text = headers.get(field.get())?.to_str().ok()?;
+        let millis: f64 = text.trim().parse().ok()?;
+        Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    }
+
     /// Returns the headers of a caller's request to forward to a backend server: those of
     /// `forwardable` without credentials and without any header that contains `secret`.
     #[must_use]
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -112,7 +112,7 @@
         match history.refusal(self.deadline_passed()) {
             refusal if refusal.verdict() != ExecutionVerdict::NotRun => refusal,
             _ if self.is_cut_off() => RequestRefusal::Stopping,
-            refusal => refusal,
+            refusal => self.cold_refusal(refusal),
         }
     }
 
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -5,7 +5,7 @@
 use crate::balance::PickCriteria;
 use crate::ids::InstanceId;
 use crate::ingress::caller_request::CallerRequest;
-use crate::ingress::{AttemptFailure, AttemptHistory};
+use crate::ingress::{AttemptFailure, AttemptHistory, RequestRefusal};
 use crate::retry::RetryBudget;
 use crate::wire::{InstanceLoad, InstanceRecord, RefusalReason};
 
@@ -13,6 +13,9 @@
 /// in which a failing instance shows that it has recovered.
 const UNHEALTHY_AVOIDANCE: Duration = Duration::from_millis(500);
 
+/// Time over which the callers that are refused because all instances are cold are told to come back.
+const COLD_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
 /// An instance chosen for an attempt.
 pub(crate) struct ChosenInstance {
     pub(crate) record: InstanceRecord,
@@ -97,17 +100,44 @@
             });
     }
 
-    /// Avoids an instance whose egress refused the request for its health or its limit.
+    /// Avoids an instance whose egress refused the request for its health or its limit, or because it
+    /// is cold.
     pub(crate) fn avoid_refusing(&self, instance: &InstanceId, failure: &AttemptFailure) {
         let span = match failure.reason {
             Some(RefusalReason::Unhealthy) => UNHEALTHY_AVOIDANCE,
-            Some(RefusalReason::LimitReached) => failure.retry_after,
+            Some(RefusalReason::LimitReached | RefusalReason::Cold) => failure.retry_after,
             _ => return,
         };
+        let is_cold = failure.reason == Some(RefusalReason::Cold);
         let until = self.ingress.sources.clock.now().after(span);
-        self.ingress.with_picker(&self.plan.service, |picker, _| {
-            picker.avoid(instance, until)
+        self.ingress
+            .with_picker(&self.plan.service, |picker, _| match is_cold {
+                true => picker.wait_for_token(instance, until),
+                false => picker.avoid(instance, until),
+            });
+    }
+
+    /// The refusal to use instead of `refusal` if no instance was left because those that may take the
+    /// request are cold: it tells when one takes requests again, spread so that the callers do not
+    /// come back together.
+    pub(crate) fn cold_refusal(&self, refusal: RequestRefusal) -> RequestRefusal {
+        let (None | Some(RefusalReason::Cold)) = (match &refusal {
+            RequestRefusal::NoCapacity(reason, _) => *reason,
+            _ => return refusal,
+        }) else {
+            return refusal;
+        };
+        let sources = &self.ingress.sources;
+        let records = sources.members.instances_of(&self.plan.service);
+        let now = sources.clock.now();
+        let retry_after = self.ingress.with_picker(&self.plan.service, |picker, rng| {
+            let wait = picker.cold_wait(&records, now)?;
+            Some(wait + COLD_RETURN_SPREAD.mul_f64(rng.f64()))
         });
+        match retry_after {
+            Some(retry_after) => RequestRefusal::NoCapacity(Some(RefusalReason::Cold), retry_after),
+            None => refusal,
+        }
     }
 }
 
--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -183,6 +183,9 @@
             log::info!(target: log_target::INSTANCES, instance:%, service:% = local.service, phase:? = local.phase, address:% = local.address; "Instance registered or changed.");
             (self.sources.on_change)(local.clone());
         }
+        if self.table.borrow().is_newest(instance, announcement) {
+            (self.sources.on_announcement)(instance, announcement);
+        }
         Ok(local)
     }
 
--- a/src/instances/announce_sources.rs
+++ b/src/instances/announce_sources.rs
@@ -3,12 +3,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::ids::InstanceId;
 use crate::instances::{AnnounceError, Announcement, LocalInstance};
 use crate::time::ProcessClock;
 
 /// Parses the body of an HTTP request into an announcement.
 pub type AnnounceReader = Rc<dyn Fn(&[u8]) -> Result<Announcement, AnnounceError>>;
 
+/// Takes in an announcement of an instance.
+pub type AnnounceObserver = Rc<dyn Fn(&InstanceId, &Announcement)>;
+
 /// The address that [`AnnounceServer`](crate::instances::AnnounceServer) binds, and what it depends
 /// on.
 #[derive(Clone)]
@@ -22,6 +26,8 @@
     /// Called at once with each instance that changed. A renewal that changes nothing but the lease
     /// is not reported.
     pub on_change: Rc<dyn Fn(LocalInstance)>,
+    /// Called with each announcement that took effect, after `on_change`.
+    pub on_announcement: AnnounceObserver,
     /// Whether the daemon is shutting down. It then accepts renewals but no new instance.
     pub is_stopping: Rc<dyn Fn() -> bool>,
 }
--- a/src/instances/announce_table.rs
+++ b/src/instances/announce_table.rs
@@ -157,6 +157,13 @@
         is_present(&leased.local).then_some(&leased.local)
     }
 
+    /// Whether no newer announcement of `instance` than this one has arrived.
+    #[must_use]
+    pub fn is_newest(&self, instance: &InstanceId, announcement: &Announcement) -> bool {
+        let leased = self.instances.get(instance);
+        leased.is_some_and(|leased| !leased.is_newer_than(announcement))
+    }
+
     /// Whether `instance` may start a new request at `now`: it is ready and its lease has not
     /// expired.
     ///
--- a/src/instances/announcement.rs
+++ b/src/instances/announcement.rs
@@ -32,6 +32,10 @@
     /// announcements take effect in the order in which they arrive.
     #[serde(default)]
     pub order: Option<AnnounceOrder>,
+    /// How long the instance stays cold, zero while it is warm. Optional: an instance that does not
+    /// report it counts as warm some time after its start.
+    #[serde(default)]
+    pub cold: Option<TimeSpan>,
 }
 
 /// Position in the announcements of one backend server, across its restarts.
--- a/src/instances/mod.rs
+++ b/src/instances/mod.rs
@@ -10,7 +10,7 @@
 
 pub use announce_error::AnnounceError;
 pub use announce_server::AnnounceServer;
-pub use announce_sources::{AnnounceReader, AnnounceSources};
+pub use announce_sources::{AnnounceObserver, AnnounceReader, AnnounceSources};
 pub use announce_table::AnnounceTable;
 pub use announcement::{AnnounceOrder, Announcement, MAX_LEASE, MIN_LEASE};
 pub use local_instance::LocalInstance;
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -20,6 +20,10 @@
     pub credits: Vec<CreditLine>,
     /// Requests in flight at the egress.
     pub egress_in_flight: u64,
+    /// Offers that the egress refused because the instance was cold, since the daemon started.
+    pub cold_refusals: u64,
+    /// Local instances that are cold, or may be, and take fewer requests for it.
+    pub cold_instances: u64,
     /// Number of live members, including this daemon.
     pub members: u64,
     /// Revision of the loaded configuration.
@@ -122,6 +126,12 @@
     register_gauge(meter, latest, "egress_under_way", |snapshot| {
         snapshot.egress_in_flight
     });
+    register_counter(meter, latest, "offers_refused_cold", |snapshot| {
+        snapshot.cold_refusals
+    });
+    register_gauge(meter, latest, "instances_cold", |snapshot| {
+        snapshot.cold_instances
+    });
     register_gauge(meter, latest, "members_live", |snapshot| snapshot.members);
     register_gauge(meter, latest, "configuration_revision", |snapshot| {
         snapshot.revision
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -157,6 +157,7 @@
         InstanceLoad {
             in_use: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            cold_wait_micros: 0,
         }
     }
 
--- a/src/resource/service_spec.rs
+++ b/src/resource/service_spec.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::ServiceId;
 use crate::resource::{ClassWeights, RecoveryRule};
-use crate::units::{Percent, Slots};
+use crate::units::{Percent, Rate, Slots};
 
 /// Settings for the backend servers of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
@@ -29,6 +29,13 @@
     /// long requests then leave that slot free.
     #[serde(rename = "check-slot", default = "default_check_slot")]
     pub reserves_check_slot: bool,
+    /// Requests per second that one instance takes while it is cold; none if there is no bound.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<Rate>,
+    /// Path of the instances' health responses, which state how long the instance stays cold. None if
+    /// they are not to be asked.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
 }
 
 const fn default_check_slot() -> bool {
--- a/src/settings/header_settings.rs
+++ b/src/settings/header_settings.rs
@@ -86,6 +86,9 @@
     pub limit: Option<HeaderField>,
     /// Response header with which a backend server says that it leaves and takes no new requests.
     pub leaving: Option<HeaderField>,
+    /// Response header in which a backend server states for how many milliseconds it stays cold; 0
+    /// while it is warm.
+    pub cold: Option<HeaderField>,
     /// Headers that may carry a credential and are never forwarded, in addition to `authorization`.
     pub credentials: Vec<HeaderField>,
 }
@@ -110,6 +113,7 @@
             not_run: None,
             limit: Some(HeaderField::from_static("x-instance-limit")),
             leaving: Some(HeaderField::from_static("x-instance-leaving")),
+            cold: Some(HeaderField::from_static("x-instance-cold-ms")),
             credentials: credentials
                 .into_iter()
                 .map(HeaderField::from_static)
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -85,6 +85,8 @@
     WrongInstance,
     /// The instance has got as many requests as it says it takes.
     LimitReached,
+    /// The instance is cold, or may be, and has got as many requests as it takes then.
+    Cold,
 }
 
 impl RefusalReason {
@@ -109,6 +111,7 @@
             Self::Shed => "the backend server has no room",
             Self::WrongInstance => "another instance has the address",
             Self::LimitReached => "the instance takes no more requests a second",
+            Self::Cold => "the instance is cold and takes few requests",
         })
     }
 }
--- a/src/wire/instance_load.rs
+++ b/src/wire/instance_load.rs
@@ -10,4 +10,7 @@
     pub in_use: u32,
     /// Number of requests in the instance's queue.
     pub queued: u32,
+    /// Time until the instance takes another request, in microseconds, while it is cold; 0 if it
+    /// takes one now.
+    pub cold_wait_micros: u32,
 }
--- a/src/wire/instance_record.rs
+++ b/src/wire/instance_record.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::ids::{DaemonId, Incarnation, InstanceId, RegionId, ServiceId, ZoneId};
-use crate::units::{Percent, Slots};
+use crate::units::{Percent, Rate, Slots};
 
 /// Lifecycle phase that an instance announces.
 #[derive(
@@ -66,6 +66,9 @@
     /// Median service time of the instance, excluding the time in the queue, in microseconds; 0 if
     /// unknown.
     pub median_micros: u32,
+    /// Requests per second that the instance takes while it is cold, or may be; none while it is
+    /// warm or its service bounds no cold instance.
+    pub cold_rate: Option<Rate>,
 }
 
 impl HealthState {
--- a/standins/backend/announcer.rs
+++ b/standins/backend/announcer.rs
@@ -25,6 +25,7 @@
     phase: InstancePhase,
     slots: Slots,
     lease: TimeSpan,
+    cold: TimeSpan,
 }
 
 /// Starts a task that announces `state`, reachable at `address`, to `daemon`.
@@ -64,6 +65,7 @@
         phase,
         slots: state.spec.slots,
         lease: LEASE,
+        cold: state.cold_left(),
     };
     let request = client.put(url).timeout(CALL_TIMEOUT).send_json(&body);
     match request.await {
--- a/standins/backend/control_request.rs
+++ b/standins/backend/control_request.rs
@@ -1,6 +1,7 @@
 //! JSON body of `POST /control`.
 
 use serde::Deserialize;
+use wagtailtrack::units::TimeSpan;
 use wagtailtrack::wire::InstancePhase;
 
 use crate::server_fault::ServerFault;
@@ -20,6 +21,8 @@
     pub report_unhealthy: Option<bool>,
     /// Requests per second that every response names as the most to be sent; 0 ends it.
     pub limit: Option<f64>,
+    /// How long the instance reports to be cold, from now on.
+    pub cold: Option<TimeSpan>,
     /// Whether every response says that the instance leaves.
     pub leaving: Option<bool>,
 }
--- a/standins/backend/instance_handler.rs
+++ b/standins/backend/instance_handler.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::header::{HeaderValue, RETRY_AFTER};
+use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{HttpMessage, Request, Response, StatusCode};
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
@@ -20,6 +20,8 @@
 const MAX_BODY: ByteSize = ByteSize::from_kib(64 * 1024);
 /// Request header with the time left until the deadline, in milliseconds.
 const DEADLINE: &str = "x-deadline-ms";
+/// Response header with the time that the instance stays cold, in milliseconds.
+const COLD: HeaderName = HeaderName::from_static("x-instance-cold-ms");
 /// Longest wait for a slot of a request without a deadline.
 const MAX_WAIT: Duration = Duration::from_secs(3600);
 /// Upper bound of `bytes=N`, in bytes.
@@ -57,10 +59,15 @@
     if state.injector.effect(request.peer_addr()) == FaultEffect::Hang {
         return pending().await;
     }
-    match state.reports_healthy() {
+    let mut response = match state.reports_healthy() {
         true => text_response(StatusCode::OK, "healthy"),
         false => text_response(StatusCode::SERVICE_UNAVAILABLE, "sick"),
+    };
+    let cold_millis = state.cold_left().get().as_millis();
+    if let Ok(value) = HeaderValue::from_str(&cold_millis.to_string()) {
+        response.headers_mut().insert(COLD, value);
     }
+    response
 }
 
 /// Simulates the work of a request: waits for a slot, then for the sampled service time.
--- a/standins/backend/instance_state.rs
+++ b/standins/backend/instance_state.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
+use wagtailtrack::units::TimeSpan;
 use wagtailtrack::wire::InstancePhase;
 
 use crate::control_request::ControlRequest;
@@ -42,6 +43,7 @@
     reports_unhealthy: Cell<bool>,
     limit: Cell<f64>,
     is_leaving: Cell<bool>,
+    cold_until: Cell<Instant>,
 }
 
 impl InstanceState {
@@ -65,6 +67,7 @@
             reports_unhealthy: Cell::default(),
             limit: Cell::default(),
             is_leaving: Cell::default(),
+            cold_until: Cell::new(Instant::now() + spec.starting + spec.warm_up),
             spec,
         })
     }
@@ -99,6 +102,15 @@
         self.is_leaving.get()
     }
 
+    /// How long the instance reports to be cold.
+    pub fn cold_left(&self) -> TimeSpan {
+        let left = self
+            .cold_until
+            .get()
+            .saturating_duration_since(Instant::now());
+        TimeSpan::from_millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// The load to report at `/load`, up to two seconds old; zero while it is hidden.
     pub fn reported_load(&self) -> LoadReport {
         if self.hides_load.get() {
@@ -127,6 +139,10 @@
         if let Some(limit) = request.limit {
             self.limit.set(limit);
         }
+        if let Some(cold) = request.cold {
+            self.cold_until.set(Instant::now() + cold.get());
+            self.announce_now.notify_one();
+        }
         if let Some(is_leaving) = request.leaving {
             self.is_leaving.set(is_leaving);
         }
--- a/tests/announce_order.rs
+++ b/tests/announce_order.rs
@@ -21,6 +21,7 @@
             started_millis,
             sequence,
         }),
+        cold: None,
     }
 }
 
--- a/tests/backend_client.rs
+++ b/tests/backend_client.rs
@@ -118,6 +118,28 @@
     assert_eq!(failure.cause, FailureCause::BadResponse);
 }
 
+/// The header in which an instance states its coldness is read, and one that cannot be read states
+/// nothing.
+#[actix_rt::test]
+async fn stated_coldness() {
+    for (value, expected) in [
+        ("0", Some(0)),
+        ("2500", Some(2_500)),
+        ("-1", None),
+        ("x", None),
+    ] {
+        let head = format!("{HEAD}x-instance-cold-ms: {value}\r\ncontent-length: 0\r\n\r\n");
+        let instance = RawInstance::open(head, true);
+        let client = BackendClient::open(ProcessClock::open());
+        let response = send(&client, instance.address).await.ok().unwrap();
+        assert_eq!(
+            response.cold,
+            expected.map(Duration::from_millis),
+            "{value}"
+        );
+    }
+}
+
 /// With `accept_unframed`, a response without a length is complete when its connection closes in
 /// order, and bytes that were read along with the head are part of its body.
 #[actix_rt::test]
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -97,6 +97,7 @@
         health: HealthState::Healthy,
         slots: Slots::new(3).unwrap(),
         median_micros: 25_000,
+        cold_rate: None,
     }
 }
 
--- a/tests/host_routes.rs
+++ b/tests/host_routes.rs
@@ -33,6 +33,8 @@
         retry_budget: Percent::ZERO,
         recovery: RecoveryRule::Requests,
         reserves_check_slot: false,
+        cold_rate: None,
+        health_path: None,
     });
     let account = ConfigResource::Account(ClientAccount {
         id: "crew".parse().unwrap(),
--- a/tests/instances_http.rs
+++ b/tests/instances_http.rs
@@ -30,6 +30,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             clock: ProcessClock::open(),
             on_change: Rc::new(move |local| reported.borrow_mut().push(local)),
+            on_announcement: Rc::new(|_, _| {}),
             is_stopping: Rc::new(move || *is_stopping.borrow()),
         })
         .await
--- a/tests/members_sockets.rs
+++ b/tests/members_sockets.rs
@@ -130,6 +130,7 @@
             health: HealthState::Healthy,
             slots: Slots::new(3).unwrap(),
             median_micros: 0,
+            cold_rate: None,
         };
         third.handle.publish(record.clone());
         let sees = |one: &&RunningMember| one.handle.instances_of(&record.service).len() == 1;
--- a/tests/models/service_records.rs
+++ b/tests/models/service_records.rs
@@ -20,6 +20,7 @@
         health: HealthState::Healthy,
         slots: Slots::new(slots).unwrap(),
         median_micros: 20_000,
+        cold_rate: None,
     }
 }
 
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -107,6 +107,35 @@
     }
 }
 
+/// Guards against coldness and the rate of cold instances that are read wrongly, and against
+/// heartbeats and clusters without them that are refused.
+#[test]
+fn cold_fields() {
+    let parse = |field: &str| {
+        let heartbeat = format!(
+            r#"{{"service":"desk","addr":"10.1.0.9:8080","slots":3,"state":"ready"{field},"seq":4}}"#
+        );
+        let announcement = heartbeat_wire::parse_announcement(heartbeat.as_bytes()).unwrap();
+        announcement.cold.map(|left| left.get().as_millis())
+    };
+    assert_eq!(parse(""), None);
+    assert_eq!(parse(r#","coldLeftMs":0"#), Some(0));
+    assert_eq!(parse(r#","coldLeftMs":1500"#), Some(1_500));
+    assert_eq!(parse(r#","coldLeftMs":1499.5"#), Some(1_500));
+    let document = r#"{"version":1,"listeners":[],"clusters":[{"name":"none"},
+        {"name":"zero","coldPerS":0},{"name":"desk","coldPerS":6.25,"healthPath":"/healthz"}]}"#;
+    let document =
+        config_wire::parse_document(document.as_bytes(), &ServiceSettings::default()).unwrap();
+    assert!(document.warnings.is_empty());
+    let catalog = Catalog::from_resources(document.revision, document.resources);
+    let service = |name: &str| catalog.service(&name.parse().unwrap()).unwrap().clone();
+    assert_eq!(service("none").cold_rate, None);
+    assert_eq!(service("zero").cold_rate, None);
+    let desk = service("desk");
+    assert_eq!(desk.cold_rate.unwrap().milli_per_second(), 6_250);
+    assert_eq!(desk.health_path.unwrap(), "/healthz");
+}
+
 /// Row keys are split at the first slash into table and key. Rows that are deleted or whose value is
 /// not base64 are skipped.
 #[test]
