Cut off answers of instances without end

A faulty instance could send informational responses, chunk extensions, trailers or a body without end, and the egress read them until the request's deadline; skipped responses and those of requests that were not run were drained without bound. All are now bounded by size, a body by proxy.max_answer (256 MiB), and fail as a bad response that may have run.

A connection whose body was not read to its end went back to the pool after a drain that timed out, and the next request on it panicked in debug builds. It is closed now.

--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -17,6 +17,7 @@
 use crate::logs::log_target;
 use crate::settings::ProxySettings;
 use crate::time::{Deadline, ProcessClock};
+use crate::units::ByteSize;
 use crate::wire::{FailureCause, RequestOffer};
 
 /// How long an idle connection is kept when the instance sends no `Keep-Alive` timeout. Below the
@@ -29,17 +30,27 @@
 const MAX_IDLE_PER_INSTANCE: usize = 16;
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: usize = 4;
+/// Maximum size of the body of a skipped response, in bytes.
+const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 
 type IdleConnections = FastMap<SocketAddr, Vec<(BackendConnection, Deadline)>>;
 
 /// Options of the client: header names and the responses to accept.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ClientOptions {
     /// Names of the headers that are set, read and forwarded.
     pub headers: Rc<HeaderRules>,
     /// Whether the end of the connection may mark the end of a response that has neither a
     /// `Content-Length` nor a `Transfer-Encoding`.
     pub accept_unframed: bool,
+    /// Largest body of a response.
+    pub max_answer: ByteSize,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self::open(Rc::default(), &ProxySettings::default())
+    }
 }
 
 impl ClientOptions {
@@ -49,6 +60,7 @@
         Self {
             headers,
             accept_unframed: proxy.accept_unframed,
+            max_answer: proxy.max_answer,
         }
     }
 }
@@ -248,12 +260,19 @@
     Err(FailureCause::BadResponse)
 }
 
-/// Reads and discards a response body, so that the next response on the connection can be read.
+/// Reads and discards a response body of at most `MAX_SKIPPED_BYTES`, so that the next response on the
+/// connection can be read.
 async fn drain_body(body: BackendBody) -> Result<BackendConnection, FailureCause> {
     let connection = match body {
         BackendBody::Empty(connection) => connection,
         BackendBody::Streaming(mut body) => {
-            while body.next_chunk().await?.is_some() {}
+            let mut skipped = 0;
+            while let Some(chunk) = body.next_chunk().await? {
+                skipped += chunk.len();
+                if skipped > MAX_SKIPPED_BYTES {
+                    return Err(FailureCause::BadResponse);
+                }
+            }
             body.into_connection()
         }
     };
--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -20,6 +20,11 @@
 use crate::wire::FailureCause;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum size of a response's head, in bytes, with the informational responses before it.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes between two parts of a body: size, extension and end of a chunk, or the
+/// trailers.
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
 
 /// A connection on which a request can be sent or a response head received.
 pub(crate) struct BackendConnection {
@@ -40,6 +45,8 @@
     keep_alive: Option<Duration>,
     /// Whether the end of the connection marks the end of the body.
     ends_with_connection: bool,
+    /// Whether the body was read to its end.
+    is_complete: bool,
 }
 
 /// What follows the head of a response.
@@ -86,14 +93,17 @@
         self.socket.write_all(&bytes).await
     }
 
-    /// Receives a response head, skipping informational (1xx) responses.
+    /// Receives a response head, skipping informational (1xx) responses. Fails if it is larger than
+    /// `MAX_HEAD_BYTES`.
     pub(crate) async fn receive(mut self) -> Result<(ResponseHead, BackendBody), FailureCause> {
+        let mut received = self.buffer.len();
         let head = loop {
             let decoded = self.codec.decode(&mut self.buffer);
             match decoded.map_err(|_| FailureCause::BadResponse)? {
                 Some(head) if head.status.is_informational() => {}
                 Some(head) => break head,
-                None => read_more(&mut self.socket, &mut self.buffer).await?,
+                None if received > MAX_HEAD_BYTES => return Err(FailureCause::BadResponse),
+                None => received += read_more(&mut self.socket, &mut self.buffer).await?,
             }
         };
         self.keep_alive = keep_alive_of(&head);
@@ -118,6 +128,7 @@
             codec: self.codec.into_payload_codec(),
             keep_alive: self.keep_alive,
             ends_with_connection,
+            is_complete: false,
         }
     }
 
@@ -137,11 +148,16 @@
         if self.ends_with_connection {
             return self.next_unframed().await;
         }
+        let mut received = 0;
         loop {
             let decoded = self.codec.decode(&mut self.buffer);
             match decoded.map_err(|_| FailureCause::BadResponse)? {
-                Some(item) => return Ok(item),
-                None => read_more(&mut self.socket, &mut self.buffer).await?,
+                Some(item) => {
+                    self.is_complete = item.is_none();
+                    return Ok(item);
+                }
+                None if received > MAX_FRAMING_BYTES => return Err(FailureCause::BadResponse),
+                None => received += read_more(&mut self.socket, &mut self.buffer).await?,
             }
         }
     }
@@ -158,9 +174,9 @@
     }
 
     /// The connection after the end of the body, even if surplus bytes follow; none if the body
-    /// ended with the connection.
+    /// ended with the connection or was not read to its end.
     pub(crate) fn into_connection(self) -> Option<BackendConnection> {
-        if self.ends_with_connection {
+        if self.ends_with_connection || !self.is_complete {
             return None;
         }
         Some(BackendConnection {
@@ -199,9 +215,10 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
-async fn read_more(socket: &mut TcpStream, buffer: &mut BytesMut) -> Result<(), FailureCause> {
+/// Reads more bytes into `buffer` and returns their number.
+async fn read_more(socket: &mut TcpStream, buffer: &mut BytesMut) -> Result<usize, FailureCause> {
     match socket.read_buf(buffer).await {
         Ok(0) | Err(_) => Err(FailureCause::ConnectionLost),
-        Ok(_) => Ok(()),
+        Ok(count) => Ok(count),
     }
 }
--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -33,6 +33,7 @@
     pub is_leaving: bool,
     body: BackendBody,
     received_bytes: u64,
+    max_bytes: u64,
 }
 
 impl BackendResponse {
@@ -41,7 +42,7 @@
     /// # Errors
     /// `FailureCause::BadResponse` if nothing but the end of the connection marks the end of the
     /// response and the options do not accept that: such a response looks the same as a
-    /// truncated one.
+    /// truncated one. Also if it declares a larger body than the options allow.
     pub(crate) fn open(
         head: &ResponseHead,
         body: BackendBody,
@@ -60,6 +61,10 @@
             BackendBody::Empty(_) => Some(0),
             BackendBody::Streaming(_) => named.and_then(|value| value.to_str().ok()?.parse().ok()),
         };
+        let max_bytes = options.max_answer.bytes();
+        if length.is_some_and(|length| length > max_bytes) {
+            return Err(FailureCause::BadResponse);
+        }
         let head = BackendHead {
             status: head.status.as_u16(),
             headers: options.headers.forwardable(headers),
@@ -74,6 +79,7 @@
             is_leaving: options.headers.says_leaving(headers),
             body,
             received_bytes: 0,
+            max_bytes,
         })
     }
 
@@ -86,13 +92,16 @@
     /// Waits for the next bytes of the body; none at its end.
     ///
     /// # Errors
-    /// `FailureCause` if the body is truncated or malformed.
+    /// `FailureCause` if the body is truncated, malformed or larger than the options allow.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, FailureCause> {
         let BackendBody::Streaming(body) = &mut self.body else {
             return Ok(None);
         };
         let chunk = body.next_chunk().await?;
         self.received_bytes += chunk.as_ref().map_or(0, |chunk| chunk.len() as u64);
+        if self.received_bytes > self.max_bytes {
+            return Err(FailureCause::BadResponse);
+        }
         Ok(chunk)
     }
 
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -18,6 +18,12 @@
 use crate::units::Rate;
 use crate::wire::{EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer};
 
+/// Maximum size of the body that is read of a response that says that the request was not run, in
+/// bytes.
+const MAX_NOT_RUN_BYTES: u64 = 64 * 1024;
+/// Longest time that such a body is read. The request waits for it to go to another instance.
+const NOT_RUN_BODY_TIME: Duration = Duration::from_millis(100);
+
 /// A request that holds a slot of its instance and may run.
 pub(crate) struct ExecutionTask<'a> {
     pub(crate) egress: &'a EgressHandle,
@@ -100,10 +106,13 @@
             false => RefusalReason::Shed,
         };
         self.observe(SampleOutcome::Shed, self.clock.now(), Duration::ZERO);
-        while let Ok(Some(_)) = self.next_chunk(&mut response).await {}
+        let reading = discard_body(&mut response);
+        let is_read = actix_rt::time::timeout(NOT_RUN_BODY_TIME, reading).await;
         drop(guard);
-        let address = self.dispatcher.borrow().local().address;
-        self.egress.client.release(address, response);
+        if is_read.unwrap_or(false) {
+            let address = self.dispatcher.borrow().local().address;
+            self.egress.client.release(address, response);
+        }
         let load = self.dispatcher.borrow().load(self.clock.now());
         refuse(&mut self.sender, reason, NOT_READY_RETRY_AFTER, load).await
     }
@@ -225,6 +234,19 @@
     }
 }
 
+/// Reads the body of a response that counts for nothing, up to `MAX_NOT_RUN_BYTES`. Returns whether it
+/// was read to its end, so that the connection can be used again.
+async fn discard_body(response: &mut BackendResponse) -> bool {
+    while response.received_bytes() <= MAX_NOT_RUN_BYTES {
+        match response.next_chunk().await {
+            Ok(Some(_)) => {}
+            Ok(None) => return true,
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
 /// Waits until the stream from the ingress has ended.
 async fn wait_stream_end(receiver: &mut PeerReceiver) {
     while let Ok(Some(_)) = receiver.receive::<IngressMessage>().await {}
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -18,6 +18,8 @@
     /// Responses up to this size are buffered until complete, so that the request can be retried if one
     /// is truncated.
     pub buffer_answer: ByteSize,
+    /// Maximum size of a response body. A longer one is cut off.
+    pub max_answer: ByteSize,
     /// Deadline of a request that sets none; at most `max_deadline`.
     pub default_deadline: TimeSpan,
     /// Longest deadline that a caller may ask for.
@@ -54,6 +56,7 @@
             body_memory: ByteSize::from_kib(32 * 1024),
             body_progress: TimeSpan::from_secs(10),
             buffer_answer: ByteSize::from_kib(256),
+            max_answer: ByteSize::from_kib(256 * 1024),
             default_deadline: TimeSpan::from_secs(10),
             max_deadline: TimeSpan::from_secs(60),
             slot_hold: TimeSpan::from_millis(500),
