Bound the answers held for callers that read slowly

A daemon held up to 256 KiB and four chunks of each answer for as long as its caller kept the connection open without reading. Answers now share proxy.answer_memory (32 MiB): what exceeds it is passed on chunk by chunk. A connection whose client takes no bytes for proxy.answer_progress (30 s) is closed. The gauge answer_bytes_held counts what is held.

--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -52,6 +52,7 @@
             totals: self.ingress.totals(),
             credits: self.ingress.credits(),
             egress_in_flight: self.egress.in_flight() as u64,
+            answer_bytes: self.ingress.answer_bytes() as u64,
             cold_refusals: self.egress.cold_refusals(),
             cold_instances: self.egress.cold_instances(),
             members: self.members.live().len() as u64,
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -30,14 +30,18 @@
     pub keep_alive: Duration,
     /// Longest time that the client may take to send a request's head.
     pub request_head: Duration,
+    /// Longest time that the client may take no bytes of a response.
+    pub write_progress: Duration,
 }
 
 impl Default for HttpTimeouts {
-    /// Returns values that are usual for HTTP servers: 30 s keep-alive and 10 s for a request's head.
+    /// Returns values that are usual for HTTP servers: 30 s keep-alive, 10 s for a request's head and
+    /// 30 s for a response that makes no progress.
     fn default() -> Self {
         Self {
             keep_alive: Duration::from_secs(30),
             request_head: Duration::from_secs(10),
+            write_progress: Duration::from_secs(30),
         }
     }
 }
@@ -132,7 +136,9 @@
         let service = Rc::clone(&service);
         actix_rt::spawn(async move {
             let peer = socket.peer_addr().ok();
-            let _ = service.call((SignalingStream::open(socket), peer)).await;
+            let _ = service
+                .call((SignalingStream::open(socket, timeouts.write_progress), peer))
+                .await;
         });
     };
     {
--- a/src/http/signaling_stream.rs
+++ b/src/http/signaling_stream.rs
@@ -1,29 +1,60 @@
-//! TCP stream that detects the client's disconnect while a request is being served.
+//! TCP stream that detects a client that disconnects or reads nothing while it is being served.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_rt::time::Sleep;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::http::DisconnectSignal;
+use crate::logs::log_target;
 
-/// A TCP stream that sets a `DisconnectSignal` at the end of its input or on a read error.
+/// A TCP stream that sets a `DisconnectSignal` at the end of its input or on a read error, and fails
+/// when the client takes no bytes of the response for too long.
 #[derive(Debug)]
 pub(crate) struct SignalingStream {
     socket: TcpStream,
     disconnect_signal: DisconnectSignal,
+    /// Longest time that the client may take no bytes.
+    write_progress: Duration,
+    /// Ends when the client has taken no bytes for `write_progress`; none while it takes them.
+    stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl SignalingStream {
-    pub(crate) fn open(socket: TcpStream) -> Self {
+    pub(crate) fn open(socket: TcpStream, write_progress: Duration) -> Self {
         Self {
             socket,
             disconnect_signal: DisconnectSignal::default(),
+            write_progress,
+            stalled: None,
         }
     }
 
+    /// Passes on the result of a write, or an error if the client has taken no bytes for too long.
+    fn check_progress(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let span = self.write_progress;
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(actix_rt::time::sleep(span)));
+        ready!(stalled.as_mut().poll(context));
+        let peer = self.socket.peer_addr().ok();
+        log::info!(target: log_target::INGRESS, peer:?, span_ms = span.as_millis(); "Connection closed: the client takes no bytes of its response.");
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     pub(crate) fn disconnect_signal(&self) -> DisconnectSignal {
         self.disconnect_signal.clone()
     }
@@ -52,7 +83,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        let written = Pin::new(&mut self.socket).poll_write(context, bytes);
+        self.check_progress(written, context)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -68,7 +100,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.socket).poll_write_vectored(context, slices);
+        self.check_progress(written, context)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -9,8 +9,11 @@
 use futures_util::future::{Either, select};
 
 use crate::execution_verdict::ExecutionVerdict;
+use crate::ingress::held_body::HeldBody;
 use crate::ingress::shutdown_signal::ShutdownSignal;
-use crate::ingress::{AttemptAction, AttemptEvent, AttemptFailure, AttemptMachine};
+use crate::ingress::{
+    AttemptAction, AttemptEvent, AttemptFailure, AttemptMachine, BodyBudget, BodyReservation,
+};
 use crate::logs::log_target;
 use crate::peers::{PeerError, PeerPool, PeerReceiver, PeerSender};
 use crate::time::{Deadline, ProcessClock};
@@ -32,10 +35,10 @@
     /// The complete response was received.
     Complete {
         head: BackendHead,
-        body: Vec<u8>,
+        body: HeldBody,
         load: InstanceLoad,
     },
-    /// The response exceeds the buffer; the rest of its body is still to be received.
+    /// The response exceeds the buffer, or the memory for all; the rest of its body is still to be received.
     Streaming(StreamingResponse),
     /// There is no response.
     Failed {
@@ -50,6 +53,8 @@
     pub(crate) head: BackendHead,
     /// Body chunks received so far.
     pub(crate) chunks: VecDeque<Bytes>,
+    /// The memory of `chunks`.
+    pub(crate) reservation: BodyReservation,
     /// Keeps the stream open; dropping it cancels the request at the egress.
     pub(crate) _sender: PeerSender,
     pub(crate) receiver: PeerReceiver,
@@ -66,6 +71,8 @@
     pub(crate) deadline: Deadline,
     /// Largest response body that is buffered until complete, in bytes.
     pub(crate) buffer_bytes: usize,
+    /// Memory for the responses to all callers.
+    pub(crate) answer_budget: &'a BodyBudget,
 }
 
 impl AttemptTask<'_> {
@@ -153,17 +160,20 @@
     ) -> Result<AttemptOutcome, PeerError> {
         let mut chunks = VecDeque::new();
         let mut received_bytes = 0;
-        while received_bytes <= self.buffer_bytes {
+        let mut reservation = self.answer_budget.reserve();
+        let mut has_memory = true;
+        while has_memory && received_bytes <= self.buffer_bytes {
             match receiver.receive_required().await? {
                 EgressMessage::Chunk(bytes) => {
                     received_bytes += bytes.len();
+                    has_memory = reservation.grow(bytes.len());
                     chunks.push_back(Bytes::from(bytes));
                 }
                 EgressMessage::End { total_bytes, load }
                     if total_bytes == received_bytes as u64 =>
                 {
                     machine.handle_event(AttemptEvent::Answered);
-                    let body = chunks.into_iter().flatten().collect();
+                    let body = HeldBody::open(chunks, reservation);
                     return Ok(AttemptOutcome::Complete { head, body, load });
                 }
                 EgressMessage::Failed {
@@ -180,6 +190,7 @@
         Ok(AttemptOutcome::Streaming(StreamingResponse {
             head,
             chunks,
+            reservation,
             _sender: sender,
             receiver,
         }))
--- a/src/ingress/body_budget.rs
+++ b/src/ingress/body_budget.rs
@@ -1,18 +1,18 @@
-//! Limit on the memory that the request bodies of all callers take together.
+//! Limit on the memory that the bodies of all requests, or of all responses, take together.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
 use crate::units::ByteSize;
 
-/// Counts the bytes of all request bodies that the ingress holds.
+/// Counts the bytes of all request bodies, or response bodies, that the ingress holds.
 #[derive(Debug, Clone)]
 pub struct BodyBudget {
     limit: usize,
     used: Rc<Cell<usize>>,
 }
 
-/// The part of the budget that one request body takes; freed when dropped.
+/// The part of the budget that one body takes; freed when dropped.
 #[derive(Debug)]
 pub struct BodyReservation {
     budget: BodyBudget,
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -80,7 +80,14 @@
                     self.update_load(&record.instance, Some(response.head.load));
                     self.record_completed(&response.head);
                     let clock = self.ingress.sources.clock;
-                    return Ok(streaming_response(response, self.deadline, clock, guard));
+                    let budget = &self.ingress.answer_budget;
+                    return Ok(streaming_response(
+                        response,
+                        self.deadline,
+                        clock,
+                        guard,
+                        budget,
+                    ));
                 }
                 AttemptOutcome::Failed { failure, load } => {
                     self.update_load(&record.instance, load);
@@ -132,6 +139,7 @@
             address: record.egress,
             deadline,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
+            answer_budget: &self.ingress.answer_budget,
         };
         let offer = self.offer(chosen, deadline, may_wait);
         task.run(offer, self.body.clone()).await
--- a/src/ingress/caller_response.rs
+++ b/src/ingress/caller_response.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 
 use crate::execution_verdict::ExecutionVerdict;
+use crate::ingress::BodyBudget;
 use crate::ingress::attempt_task::StreamingResponse;
+use crate::ingress::held_body::HeldBody;
 use crate::ingress::ingress_handle::InFlightGuard;
 use crate::ingress::response_body::ResponseBody;
 use crate::ingress::verdict_header;
@@ -38,7 +40,7 @@
 }
 
 /// Builds the response for a body that was received completely.
-pub(crate) fn complete_response(head: &BackendHead, body: Vec<u8>) -> Response<BoxBody> {
+pub(crate) fn complete_response(head: &BackendHead, body: HeldBody) -> Response<BoxBody> {
     build_response(head, BoxBody::new(body))
 }
 
@@ -48,9 +50,10 @@
     deadline: Deadline,
     clock: ProcessClock,
     guard: InFlightGuard,
+    budget: &BodyBudget,
 ) -> Response<BoxBody> {
     let head = response.head.clone();
-    let body = ResponseBody::spawn(response, deadline, clock);
+    let body = ResponseBody::spawn(response, deadline, clock, budget);
     build_response(
         &head,
         BoxBody::new(TrackedBody {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -81,6 +81,8 @@
     in_flight: Rc<Cell<usize>>,
     pub(crate) shutdown: ShutdownSignal,
     pub(crate) body_budget: BodyBudget,
+    /// Memory for the responses that are held for callers.
+    pub(crate) answer_budget: BodyBudget,
 }
 
 impl IngressHandle {
@@ -107,10 +109,12 @@
             in_flight: Rc::default(),
             shutdown: ShutdownSignal::default(),
             body_budget: BodyBudget::open(sources.proxy.body_memory),
+            answer_budget: BodyBudget::open(sources.proxy.answer_memory),
             sources: Rc::new(sources),
         };
         let timeouts = HttpTimeouts {
             keep_alive: handle.sources.proxy.keep_alive.get(),
+            write_progress: handle.sources.proxy.answer_progress.get(),
             ..HttpTimeouts::default()
         };
         let handler = handle.clone().handler();
@@ -150,6 +154,12 @@
         self.state.borrow().totals
     }
 
+    /// Returns the bytes of responses that are held for callers.
+    #[must_use]
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_budget.used()
+    }
+
     /// Returns completed requests and credit by client account and class.
     #[must_use]
     pub fn credits(&self) -> Vec<crate::ingress::CreditLine> {
@@ -168,6 +178,7 @@
         json!({
             "under_way": self.in_flight.get(),
             "body_bytes": self.body_budget.used(),
+            "answer_bytes": self.answer_budget.used(),
             "totals": state.totals,
             "credits": state.credits.lines(),
             "pickers": pickers,
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -9,6 +9,7 @@
 mod caller_request;
 mod caller_response;
 mod credit_ledger;
+mod held_body;
 mod ingress_handle;
 mod instance_choice;
 mod request_plan;
--- a/src/ingress/response_body.rs
+++ b/src/ingress/response_body.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::ingress::attempt_task::StreamingResponse;
+use crate::ingress::{BodyBudget, BodyReservation};
 use crate::time::{Deadline, ProcessClock};
 use crate::wire::EgressMessage;
 
@@ -29,7 +30,11 @@
 
 /// An item that `forward_chunks` sends to the body.
 enum BodyPart {
-    Chunk(Bytes),
+    Chunk {
+        bytes: Bytes,
+        /// The memory that the bytes take.
+        _reservation: BodyReservation,
+    },
     /// The egress has reported that the response is complete.
     End,
 }
@@ -51,13 +56,16 @@
         response: StreamingResponse,
         deadline: Deadline,
         clock: ProcessClock,
+        budget: &BodyBudget,
     ) -> Self {
         let length = response.head.length;
         let (sender, parts) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+        let budget = budget.clone();
         actix_rt::spawn(async move {
             let remaining = deadline.remaining(clock.now());
             // At the deadline the sender is dropped, which the body reports as truncation.
-            let _ = actix_rt::time::timeout(remaining, forward_chunks(response, sender)).await;
+            let _ =
+                actix_rt::time::timeout(remaining, forward_chunks(response, sender, budget)).await;
         });
         Self { length, parts }
     }
@@ -75,7 +83,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
         Poll::Ready(match ready!(self.parts.poll_recv(context)) {
-            Some(BodyPart::Chunk(bytes)) => Some(Ok(bytes)),
+            Some(BodyPart::Chunk { bytes, .. }) => Some(Ok(bytes)),
             Some(BodyPart::End) => None,
             None => Some(Err(TruncationError::MissingEnd.into())),
         })
@@ -85,26 +93,44 @@
 /// Forwards chunks until the response is complete or truncated, or the caller is gone.
 ///
 /// Dropping the stream on return cancels a request that still runs.
-async fn forward_chunks(mut response: StreamingResponse, sender: mpsc::Sender<BodyPart>) {
+///
+/// A chunk for which the budget has no memory is passed on when the caller has taken all others.
+async fn forward_chunks(
+    mut response: StreamingResponse,
+    sender: mpsc::Sender<BodyPart>,
+    budget: BodyBudget,
+) {
     let mut forwarded_bytes = 0;
     for chunk in std::mem::take(&mut response.chunks) {
         forwarded_bytes += chunk.len() as u64;
-        if sender.send(BodyPart::Chunk(chunk)).await.is_err() {
+        let part = BodyPart::Chunk {
+            bytes: chunk,
+            _reservation: budget.reserve(),
+        };
+        if sender.send(part).await.is_err() {
             return;
         }
     }
+    drop(response.reservation);
     loop {
-        let part = match response.receiver.receive::<EgressMessage>().await {
-            Ok(Some(EgressMessage::Chunk(bytes))) => BodyPart::Chunk(Bytes::from(bytes)),
+        let bytes = match response.receiver.receive::<EgressMessage>().await {
+            Ok(Some(EgressMessage::Chunk(bytes))) => Bytes::from(bytes),
             Ok(Some(EgressMessage::End { total_bytes, .. })) if total_bytes == forwarded_bytes => {
                 let _ = sender.send(BodyPart::End).await;
                 return;
             }
             _ => return,
         };
-        if let BodyPart::Chunk(bytes) = &part {
-            forwarded_bytes += bytes.len() as u64;
+        forwarded_bytes += bytes.len() as u64;
+        let mut reservation = budget.reserve();
+        if !reservation.grow(bytes.len()) && sender.reserve_many(MAX_BUFFERED_CHUNKS).await.is_err()
+        {
+            return;
         }
+        let part = BodyPart::Chunk {
+            bytes,
+            _reservation: reservation,
+        };
         if sender.send(part).await.is_err() {
             return;
         }
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -20,6 +20,8 @@
     pub credits: Vec<CreditLine>,
     /// Requests in flight at the egress.
     pub egress_in_flight: u64,
+    /// Bytes of responses that the ingress holds for callers.
+    pub answer_bytes: u64,
     /// Offers that the egress refused because the instance was cold, since the daemon started.
     pub cold_refusals: u64,
     /// Local instances that are cold, or may be, and take fewer requests for it.
@@ -129,6 +131,9 @@
     register_counter(meter, latest, "offers_refused_cold", |snapshot| {
         snapshot.cold_refusals
     });
+    register_gauge(meter, latest, "answer_bytes_held", |snapshot| {
+        snapshot.answer_bytes
+    });
     register_gauge(meter, latest, "instances_cold", |snapshot| {
         snapshot.cold_instances
     });
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -20,6 +20,11 @@
     pub buffer_answer: ByteSize,
     /// Maximum size of a response body. A longer one is cut off.
     pub max_answer: ByteSize,
+    /// Memory for the responses that callers are slow to read and those that are buffered, all
+    /// together. What exceeds it is passed on without buffering.
+    pub answer_memory: ByteSize,
+    /// Longest time that a caller may take no bytes of its response.
+    pub answer_progress: TimeSpan,
     /// Deadline of a request that sets none; at most `max_deadline`.
     pub default_deadline: TimeSpan,
     /// Longest deadline that a caller may ask for.
@@ -57,6 +62,8 @@
             body_progress: TimeSpan::from_secs(10),
             buffer_answer: ByteSize::from_kib(256),
             max_answer: ByteSize::from_kib(256 * 1024),
+            answer_memory: ByteSize::from_kib(32 * 1024),
+            answer_progress: TimeSpan::from_secs(30),
             default_deadline: TimeSpan::from_secs(10),
             max_deadline: TimeSpan::from_secs(60),
             slot_hold: TimeSpan::from_millis(500),
