--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -1,5 +1,7 @@
 //! HTTP response of a backend server, with its body as a stream.
 
+use std::time::Duration;
+
 use actix_http::header::CONTENT_LENGTH;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
@@ -24,10 +26,14 @@
     pub is_not_run: bool,
     /// Requests per second that the backend server states as its limit.
     pub limit: Option<Rate>,
+    /// How long the backend server says that it stays cold, zero while it is warm; none if it does
+    /// not say.
+    pub cold: Option<Duration>,
     /// Whether the backend server says that it leaves.
     pub is_leaving: bool,
     body: BackendBody,
     received_bytes: u64,
+    max_bytes: u64,
 }
 
 impl BackendResponse {
@@ -36,7 +42,7 @@
     /// # Errors
     /// `FailureCause::BadResponse` if nothing but the end of the connection marks the end of the
     /// response and the options do not accept that: such a response looks the same as a
-    /// truncated one.
+    /// truncated one. Also if it declares a larger body than the options allow.
     pub(crate) fn open(
         head: &ResponseHead,
         body: BackendBody,
@@ -55,6 +61,10 @@
             BackendBody::Empty(_) => Some(0),
             BackendBody::Streaming(_) => named.and_then(|value| value.to_str().ok()?.parse().ok()),
         };
+        let max_bytes = options.max_answer.bytes();
+        if length.is_some_and(|length| length > max_bytes) {
+            return Err(FailureCause::BadResponse);
+        }
         let head = BackendHead {
             status: head.status.as_u16(),
             headers: options.headers.forwardable(headers),
@@ -65,9 +75,11 @@
             head,
             is_not_run,
             limit,
+            cold: options.headers.stated_coldness(headers),
             is_leaving: options.headers.says_leaving(headers),
             body,
             received_bytes: 0,
+            max_bytes,
         })
     }
 
@@ -80,13 +92,16 @@
     /// Waits for the next bytes of the body; none at its end.
     ///
     /// # Errors
-    /// `FailureCause` if the body is truncated or malformed.
+    /// `FailureCause` if the body is truncated, malformed or larger than the options allow.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, FailureCause> {
         let BackendBody::Streaming(body) = &mut self.body else {
             return Ok(None);
         };
         let chunk = body.next_chunk().await?;
         self.received_bytes += chunk.as_ref().map_or(0, |chunk| chunk.len() as u64);
+        if self.received_bytes > self.max_bytes {
+            return Err(FailureCause::BadResponse);
+        }
         Ok(chunk)
     }
 
--- a/src/egress/evacuation_gate.rs
+++ b/src/egress/evacuation_gate.rs
@@ -70,7 +70,7 @@
         }
         let dispatchers = egress.all_dispatchers();
         let (running, waiting) = dispatchers.iter().fold((0, 0), |sum, dispatcher| {
-            let load = dispatcher.borrow().load();
+            let load = dispatcher.borrow().load(egress.sources.clock.now());
             (sum.0 + load.in_use, sum.1 + load.queued)
         });
         log::info!(target: log_target::EGRESS, before:?, after:?, instances = dispatchers.len(), running, waiting; "Gate of the availability zone changed.");
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -52,7 +52,7 @@
             }
             Err((reason, retry_after)) => {
                 egress.gate.count_refusal(reason);
-                let load = dispatcher.borrow().load();
+                let load = dispatcher.borrow().load(egress.sources.clock.now());
                 refuse(&mut sender, reason, retry_after, load).await
             }
         },
@@ -62,8 +62,9 @@
     }
 }
 
-/// Checks that the zone is in service, that the instance takes work, that its health admits the request and that its limit is not
-/// reached, of which the request takes a part.
+/// Checks that the zone is in service, that the instance takes work, that its health admits the request,
+/// and that neither its limit nor what it takes while it is cold is reached, of which the request takes
+/// a part.
 fn admit(
     egress: &EgressHandle,
     dispatcher: &SharedDispatcher,
@@ -81,7 +82,16 @@
         return Err((RefusalReason::Unhealthy, UNHEALTHY_RETRY_AFTER));
     }
     let limit = dispatcher.take_limit(now);
-    limit.map_err(|retry_after| (RefusalReason::LimitReached, retry_after))
+    limit.map_err(|retry_after| (RefusalReason::LimitReached, retry_after))?;
+    let claimed = dispatcher.claim_cold(request_key(offer), now);
+    claimed.map_err(|retry_after| (RefusalReason::Cold, retry_after))
+}
+
+const fn request_key(offer: &RequestOffer) -> RequestKey {
+    RequestKey {
+        boot: offer.boot,
+        request: offer.request,
+    }
 }
 
 /// Retry-after time of a request that the gate of the availability zone refuses.
@@ -147,21 +157,18 @@
     }
 
     async fn run(mut self) -> Result<(), PeerError> {
-        let key = RequestKey {
-            boot: self.offer.boot,
-            request: self.offer.request,
-        };
+        let key = request_key(&self.offer);
         let mut guard = SlotGuard::open(self.dispatcher.clone(), key, self.clock);
         if self.offer.idempotent {
             self.dispatcher.borrow_mut().begin_trial(key);
         }
         let outcome = self.start(key).await?;
-        match self.pass_zone_gate(outcome) {
+        match self.pass_gates(outcome, key) {
             StartOutcome::Run => {}
             StartOutcome::Refused(reason, retry_after) => {
                 drop(guard);
                 self.egress.gate.count_refusal(reason);
-                let load = self.dispatcher.borrow().load();
+                let load = self.dispatcher.borrow().load(self.clock.now());
                 return refuse(&mut self.sender, reason, retry_after, load).await;
             }
             StartOutcome::Abandoned => return Ok(()),
@@ -170,8 +177,17 @@
         self.into_execution().run(guard).await
     }
 
+    /// Lets a request that may run through the gates of the zone and of a cold instance, which may have
+    /// closed while it waited. No request passes to the instance after this.
+    fn pass_gates(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
+        match self.pass_zone_gate(outcome) {
+            StartOutcome::Run => self.pass_cold(key),
+            outcome => outcome,
+        }
+    }
+
     /// Refuses a request that would run now, or that left the queue, if the zone has been evacuated
-    /// since the offer. No request passes to the instance after this.
+    /// since the offer.
     fn pass_zone_gate(&self, outcome: StartOutcome) -> StartOutcome {
         let has_left_queue = matches!(
             outcome,
@@ -183,6 +199,18 @@
         }
     }
 
+    /// Takes a token for the request if the instance is cold, or refuses it.
+    fn pass_cold(&self, key: RequestKey) -> StartOutcome {
+        let passed = self
+            .dispatcher
+            .borrow_mut()
+            .pass_cold(key, self.clock.now());
+        match passed {
+            Ok(()) => StartOutcome::Run,
+            Err(retry_after) => StartOutcome::Refused(RefusalReason::Cold, retry_after),
+        }
+    }
+
     fn into_execution(self) -> ExecutionTask<'a> {
         ExecutionTask {
             egress: self.egress,
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -183,6 +183,12 @@
         self.restart_ramp(HealthCause::Evacuated, now)
     }
 
+    /// Whether the instance is held at the begin of the ramp because its zone is evacuated.
+    #[must_use]
+    pub const fn is_zone_out(&self) -> bool {
+        self.is_zone_out
+    }
+
     /// Lets an instance whose zone is back in service advance from the begin of the ramp.
     pub fn on_zone_returned(&mut self, now: MonoTime) -> Option<HealthChange> {
         self.is_zone_out = false;
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -80,7 +80,14 @@
                     self.update_load(&record.instance, Some(response.head.load));
                     self.record_completed(&response.head);
                     let clock = self.ingress.sources.clock;
-                    return Ok(streaming_response(response, self.deadline, clock, guard));
+                    let budget = &self.ingress.answer_budget;
+                    return Ok(streaming_response(
+                        response,
+                        self.deadline,
+                        clock,
+                        guard,
+                        budget,
+                    ));
                 }
                 AttemptOutcome::Failed { failure, load } => {
                     self.update_load(&record.instance, load);
@@ -115,7 +122,7 @@
             RequestRefusal::NoCapacity(None, span) if self.is_evacuated() => {
                 RequestRefusal::NoCapacity(Some(RefusalReason::Evacuated), span)
             }
-            refusal => refusal,
+            refusal => self.cold_refusal(refusal),
         }
     }
 
@@ -135,6 +142,7 @@
             address: record.egress,
             deadline,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
+            answer_budget: &self.ingress.answer_budget,
         };
         let offer = self.offer(chosen, deadline, may_wait);
         task.run(offer, self.body.clone()).await
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -87,6 +87,8 @@
     LimitReached,
     /// The availability zone of the instance is evacuated.
     Evacuated,
+    /// The instance is cold, or may be, and has got as many requests as it takes then.
+    Cold,
 }
 
 impl RefusalReason {
@@ -112,6 +114,7 @@
             Self::WrongInstance => "another instance has the address",
             Self::LimitReached => "the instance takes no more requests a second",
             Self::Evacuated => "the availability zone is evacuated",
+            Self::Cold => "the instance is cold and takes few requests",
         })
     }
 }
--- a/tests/evacuation_gate.rs
+++ b/tests/evacuation_gate.rs
@@ -77,7 +77,7 @@
             member_count: Rc::new(|| 1),
             accepts_work: Rc::new(|_| true),
             on_leaving: Rc::new(|_| {}),
-            publish: Rc::new(move |_, state, _| published.set(state)),
+            publish: Rc::new(move |_, state, _, _| published.set(state)),
             zone_gate: Rc::new(move || source.get()),
         });
         egress.apply_announcement(&LocalInstance {
@@ -145,6 +145,8 @@
         retry_budget: Percent::new(20).unwrap(),
         recovery: RecoveryRule::Probes,
         reserves_check_slot: false,
+        cold_rate: None,
+        health_path: None,
     }
 }
 
