--- a/tests/watch_kit/event_handlers.rs
+++ b/tests/watch_kit/event_handlers.rs
@@ -3,13 +3,13 @@
 use wagtailtrack::config::{
     DocumentReading, DocumentUpdate, PeerStep, StoreStep, WatchResponse, WatcherStep,
 };
-use wagtailtrack::evacuation::EvacuationUpdate;
+use wagtailtrack::evacuation::{EvacuationReport, EvacuationUpdate};
 use wagtailtrack::ids::{BootId, Revision, StoreEra, Version};
 use wagtailtrack::platform::PlatformError;
 use wagtailtrack::time::MonoTime;
-use wagtailtrack::wire::WatchReply;
+use wagtailtrack::wire::{WatchReply, WatchRequest};
 
-use super::{AnswerParts, Event, STORE_TIMEOUT, WatchFleet, document, member_index, micros};
+use super::{AnswerParts, Event, STORE_TIMEOUT, WatchFleet, document, mark, member_index, micros};
 
 impl WatchFleet {
     pub(super) fn store_turn(&mut self, index: usize) {
@@ -40,7 +40,7 @@
     }
 
     pub(super) fn store_call(&mut self, index: usize, sent: u64, position: Option<u64>, wait: u64) {
-        let newest = self.published.len() as u64;
+        let newest = self.version();
         if position == Some(newest) && !self.nodes[index].is_away {
             self.store_waits.push((index, sent));
             self.schedule(self.now + wait, Event::StoreWaitEnd(index, sent));
@@ -69,26 +69,34 @@
                 let end = self.now + STORE_TIMEOUT;
                 return self.schedule(end, Event::StoreAnswer(index, sent, None));
             }
-            false => Some((newest, self.now / 1_000)),
+            false => Some((newest, self.now / 1_000, self.version())),
         };
         self.schedule(at, Event::StoreAnswer(index, sent, answer));
     }
 
-    pub(super) fn store_answer(&mut self, index: usize, sent: u64, answer: Option<(u64, u64)>) {
+    pub(super) fn store_answer(
+        &mut self,
+        index: usize,
+        sent: u64,
+        answer: Option<(u64, u64, u64)>,
+    ) {
         let now = self.now;
+        let zones = answer.map(|(_, _, version)| self.zones_at(version));
         let node = &mut self.nodes[index];
         let response = match answer {
             None => Err(PlatformError::Unavailable("refused".to_owned())),
-            Some((revision, store_millis)) => Ok(WatchResponse::Reading(DocumentReading {
-                document: match node.revision == Some(Revision(revision)) {
-                    true => DocumentUpdate::Unchanged,
-                    false => DocumentUpdate::New(document(revision)),
-                },
-                evacuations: EvacuationUpdate::unchanged(),
-                era: StoreEra(1),
-                position: Version(revision),
-                store_millis,
-            })),
+            Some((revision, store_millis, version)) => {
+                Ok(WatchResponse::Reading(DocumentReading {
+                    document: match node.revision == Some(Revision(revision)) {
+                        true => DocumentUpdate::Unchanged,
+                        false => DocumentUpdate::New(document(revision)),
+                    },
+                    evacuations: EvacuationUpdate::Whole(zones.unwrap_or_default()),
+                    era: StoreEra(1),
+                    position: Version(version),
+                    store_millis,
+                }))
+            }
         };
         let (sent, local) = (node.local(sent), node.local(now));
         let update = node
@@ -96,6 +104,8 @@
             .answered(sent, local, response, &mut node.rng);
         let kept = node.kept.clone();
         if let Some(update) = update {
+            node.evacuations
+                .apply_reading(update.mark, &update.evacuations, update.answered_at);
             if let Some(document) = update.document {
                 node.revision = node.revision.max(Some(document.revision));
             }
@@ -124,6 +134,10 @@
                 self.schedule(wake, Event::PeerTurn(index));
             }
             PeerStep::Ask(peer, request, timeout) => {
+                let request = WatchRequest {
+                    evacuations: node.evacuations.digest(),
+                    ..request
+                };
                 let to = member_index(peer);
                 node.asked += 1;
                 let number = node.asked;
@@ -171,7 +185,11 @@
             revision: parts.1.map(Revision),
             age_micros: parts.2,
             store_lost: parts.3,
-            evacuations: None,
+            evacuations: parts.4.map(|version| EvacuationReport {
+                mark: mark(version),
+                zones: self.zones_at(version),
+                age_micros: 0,
+            }),
         };
         self.end_question(from, to, number, Some(reply));
     }
@@ -187,6 +205,9 @@
             return;
         };
         let (sent, local) = (node.local(sent), node.local(now));
+        if let Some(report) = reply.as_ref().and_then(|reply| reply.evacuations.as_ref()) {
+            node.evacuations.merge_report(report, sent);
+        }
         let peer = self.members[to].address;
         let update = node
             .peer_watcher
--- a/tests/watch_kit/mod.rs
+++ b/tests/watch_kit/mod.rs
@@ -1,5 +1,7 @@
 //! Daemons that follow a document, their store and the messages between them, in virtual time.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 mod event_handlers;
 mod watch_node;
 
@@ -9,7 +11,8 @@
 use std::time::Duration;
 
 use wagtailtrack::config::ConfigDocument;
-use wagtailtrack::ids::{BootId, Revision};
+use wagtailtrack::evacuation::{EvacuatedZones, EvacuationMark};
+use wagtailtrack::ids::{BootId, Revision, StoreEra, Version};
 use wagtailtrack::members::LiveMember;
 use wagtailtrack::wire::WatchRequest;
 
@@ -31,8 +34,8 @@
     StoreCall(usize, u64, Option<u64>, u64),
     /// The end of a wait at the store: node and time of sending.
     StoreWaitEnd(usize, u64),
-    /// The store's answer arrives: node, time of sending, revision and the store's time.
-    StoreAnswer(usize, u64, Option<(u64, u64)>),
+    /// The store's answer arrives: node, time of sending, revision, the store's time and its version.
+    StoreAnswer(usize, u64, Option<(u64, u64, u64)>),
     /// A question arrives: asking node, asked node, number.
     Question(usize, usize, u64),
     /// The end of a wait at the asked node.
@@ -43,8 +46,9 @@
     GiveUp(usize, usize, u64),
 }
 
-/// Clock, revision and age of an answer, and whether the node has lost the store.
-type AnswerParts = (u64, Option<u64>, Option<u64>, bool);
+/// Clock, revision and age of an answer, whether the node has lost the store, and the newest version
+/// of the store of which it knows the evacuations.
+type AnswerParts = (u64, Option<u64>, Option<u64>, bool, Option<u64>);
 
 /// The fleet and its store.
 pub struct WatchFleet {
@@ -56,6 +60,8 @@
     rng: fastrand::Rng,
     /// Times at which each revision was published, the first at 0.
     published: Vec<u64>,
+    /// Versions of the store at which the zone was taken out or put back, by turns.
+    zone_changes: Vec<u64>,
     /// Calls that wait at the store for a change: node and time of sending.
     store_waits: Vec<(usize, u64)>,
     store_calls: u64,
@@ -78,6 +84,7 @@
             sequence: 0,
             rng,
             published: vec![0],
+            zone_changes: Vec::new(),
             store_waits: Vec::new(),
             store_calls: 0,
         };
@@ -106,6 +113,43 @@
     /// Publishes a new revision.
     pub fn publish(&mut self) {
         self.published.push(self.now);
+        self.answer_waits();
+    }
+
+    /// Takes a zone out of service, or puts it back.
+    pub fn change_zone(&mut self) {
+        self.zone_changes.push(self.version() + 1);
+        self.answer_waits();
+    }
+
+    /// Nodes that do not know the present evacuation.
+    pub fn uninformed(&self) -> Vec<usize> {
+        let newest = self.zones_at(self.version());
+        let nodes = self.nodes.iter().enumerate();
+        let uninformed = nodes.filter(|(_, node)| {
+            !node.evacuations.is_known() || *node.evacuations.zones() != newest
+        });
+        uninformed.map(|(index, _)| index).collect()
+    }
+
+    /// Version of the store, which rises with each document and each change of the zone.
+    fn version(&self) -> u64 {
+        (self.published.len() + self.zone_changes.len()) as u64
+    }
+
+    /// The evacuated zones at a version of the store.
+    fn zones_at(&self, version: u64) -> EvacuatedZones {
+        let changes = self
+            .zone_changes
+            .iter()
+            .filter(|change| **change <= version);
+        match changes.count() % 2 {
+            0 => EvacuatedZones::default(),
+            _ => ["zone-0".parse().unwrap()].into_iter().collect(),
+        }
+    }
+
+    fn answer_waits(&mut self) {
         for (node, sent) in std::mem::take(&mut self.store_waits) {
             self.answer_store_call(node, sent);
         }
@@ -209,6 +253,13 @@
     }
 }
 
+fn mark(version: u64) -> EvacuationMark {
+    EvacuationMark {
+        era: StoreEra(1),
+        version: Version(version),
+    }
+}
+
 fn document(revision: u64) -> ConfigDocument {
     ConfigDocument {
         revision: Revision(revision),
--- a/tests/watch_kit/watch_node.rs
+++ b/tests/watch_kit/watch_node.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use wagtailtrack::config::{DocumentWatcher, PeerWatcher, StoreSchedule, WatchStatus, WatchTree};
+use wagtailtrack::evacuation::EvacuationState;
 use wagtailtrack::ids::Revision;
 use wagtailtrack::members::LiveMember;
 use wagtailtrack::time::MonoTime;
@@ -19,6 +20,7 @@
     /// How far its clock is ahead of the fleet's time, in microseconds.
     pub offset: u64,
     pub revision: Option<Revision>,
+    pub evacuations: EvacuationState,
     pub confirmed_at: Option<MonoTime>,
     pub is_away: bool,
     pub is_silent: bool,
@@ -41,6 +43,7 @@
             rng: rng.fork(),
             offset,
             revision: None,
+            evacuations: EvacuationState::default(),
             confirmed_at: None,
             is_away: false,
             is_silent: false,
@@ -75,14 +78,18 @@
             .map(|age| u64::try_from(age.as_micros()).unwrap());
         let revision = self.revision.map(|revision| revision.0);
         let store_lost = self.tree.is_root() && self.store_watcher.failures() > 0;
-        (self.local(now).micros(), revision, age, store_lost)
+        let known = self.evacuations.mark().map(|mark| mark.version.0);
+        (self.local(now).micros(), revision, age, store_lost, known)
     }
 
     /// Whether it knows more than the asking daemon.
     pub fn has_news(&self, request: &WatchRequest, now: u64) -> bool {
-        let (clock, revision, age, store_lost) = self.answer(now);
+        let (clock, revision, age, store_lost, _) = self.answer(now);
+        let report = self.evacuations.report(self.local(now));
+        let tells_zones = report.is_some_and(|report| report.is_news_to(request.evacuations));
         let confirmed = age.map(|age| clock - age);
         (store_lost && !request.store_lost)
+            || tells_zones
             || revision.map(Revision) > request.have
             || match request.confirmed_micros {
                 Some(known) => confirmed > Some(known),
