Order an instance's queue by urgency and admit by a service's pressure

Cause: two routes of one class with different priorities and goals shared one queue, one estimate and one weight; the priority in an offer was not read. Change: services.order = "urgency" serves the most urgent rank first, with a guaranteed part for the others, fair among accounts by their rates and by goal within one. Service times are estimated by route. Reports of closed priorities let an ingress refuse what a service has no room for.

--- a/bench/scaling/codec_scaling.rs
+++ b/bench/scaling/codec_scaling.rs
@@ -54,6 +54,8 @@
         idempotent: true,
         may_wait: true,
         remaining_micros: 1_000_000,
+        goal_micros: None,
+        account_weight: 1,
         method: "GET".to_owned(),
         target: "/lookups?road=a1&from=12".to_owned(),
         headers: headers
--- a/examples/catalog_size.rs
+++ b/examples/catalog_size.rs
@@ -59,6 +59,7 @@
             retry_budget: Percent::new(10)?,
             recovery: wagtailtrack::resource::RecoveryRule::default(),
             reserves_check_slot: true,
+            order: wagtailtrack::resource::QueueOrder::Classes,
         }));
     }
     for number in 0..routes {
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::health::{HealthChange, ServiceBaseline};
 use crate::health::{InstanceHealth, ServiceSample};
 use crate::instances::LocalInstance;
-use crate::queue::{EnqueueOutcome, InstanceQueue, QueueAction, QueuedRequest, RequestKey};
+use crate::queue::{EnqueueOutcome, QueueAction, RequestKey, SlotQueue, UrgentRequest};
 use crate::resource::ServiceSpec;
 use crate::time::MonoTime;
 use crate::units::Rate;
@@ -40,7 +40,7 @@
 /// Decides which requests are sent to one local instance, and when.
 pub struct InstanceDispatcher {
     local: LocalInstance,
-    queue: InstanceQueue,
+    queue: SlotQueue,
     health: InstanceHealth,
     /// Health state that was logged last.
     logged: HealthState,
@@ -61,10 +61,8 @@
     pub fn open(local: LocalInstance, spec: &ServiceSpec, seed: u64) -> Self {
         let mut health = InstanceHealth::open(seed);
         health.set_recovery(spec.recovery);
-        let mut queue = InstanceQueue::open(local.slots, spec.weights);
-        queue.reserve_check_slot(spec.reserves_check_slot);
         Self {
-            queue,
+            queue: SlotQueue::open(local.slots, spec),
             health,
             logged: HealthState::Healthy,
             publication: HealthPublication::open(),
@@ -88,8 +86,7 @@
     /// If the instance takes no more work, the waiting requests are refused so that they can go
     /// to other instances.
     pub fn apply_announcement(&mut self, local: LocalInstance, spec: &ServiceSpec) {
-        self.queue.resize(local.slots, spec.weights);
-        self.queue.reserve_check_slot(spec.reserves_check_slot);
+        self.queue.configure(local.slots, spec);
         self.health.set_recovery(spec.recovery);
         self.local = local;
         if !self.is_ready() {
@@ -163,9 +160,11 @@
     }
 
     /// Asks for a slot for a request.
-    pub fn request_slot(&mut self, request: QueuedRequest, now: MonoTime) -> SlotResponse {
-        let key = request.key;
-        match self.queue.enqueue(request, now) {
+    pub fn request_slot(&mut self, request: UrgentRequest, now: MonoTime) -> SlotResponse {
+        let key = request.request.key;
+        let (outcome, displaced) = self.queue.enqueue(request, now);
+        self.apply_actions(displaced);
+        match outcome {
             EnqueueOutcome::Start => SlotResponse::Immediate(SlotDecision::Granted),
             EnqueueOutcome::Refuse { retry_after } => {
                 SlotResponse::Immediate(SlotDecision::Refused(retry_after))
@@ -245,7 +244,8 @@
     /// Whether no request is waiting or running.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.queue.load() == InstanceLoad::default()
+        let load = self.queue.load();
+        load.in_use == 0 && load.queued == 0
     }
 
     /// State for the diagnostic dump.
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -13,7 +13,7 @@
     StartMachine,
 };
 use crate::peers::{PeerError, PeerReceiver, PeerSender, PeerStream};
-use crate::queue::{QueuedRequest, RequestKey};
+use crate::queue::{QueuedRequest, RequestKey, UrgentRequest};
 use crate::time::{Deadline, ProcessClock};
 use crate::wire::{EgressMessage, IngressMessage, InstanceLoad, RefusalReason, RequestOffer};
 
@@ -206,9 +206,16 @@
             class: self.offer.class,
             deadline: self.deadline,
         };
-        self.dispatcher
-            .borrow_mut()
-            .request_slot(request, self.clock.now())
+        let now = self.clock.now();
+        let goal = self.offer.goal_micros.map(Duration::from_micros);
+        let request = UrgentRequest {
+            request,
+            route: self.offer.route.clone(),
+            priority: self.offer.priority,
+            goal: goal.map_or(self.deadline, |goal| now.after(goal)),
+            weight: self.offer.account_weight,
+        };
+        self.dispatcher.borrow_mut().request_slot(request, now)
     }
 
     /// Waits for the slot decision, a message from the ingress or `wake_at`. Stores what arrives of
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -76,6 +76,8 @@
 fn probe_offer(dispatcher: &SharedDispatcher) -> Option<RequestOffer> {
     let dispatcher = dispatcher.borrow();
     Some(RequestOffer {
+        goal_micros: None,
+        account_weight: 1,
         boot: BootId(0),
         request: RequestId(fastrand::u64(..)),
         instance: dispatcher.local().instance.clone(),
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -35,6 +35,8 @@
     pub(crate) host: Option<String>,
     pub(crate) plan: RequestPlan,
     pub(crate) deadline: Deadline,
+    /// Until when a response is of full use to the caller; none if the route has no goal.
+    pub(crate) goal: Option<Deadline>,
     pub(crate) method: String,
     /// Path and query.
     pub(crate) target: String,
@@ -56,6 +58,7 @@
             None => AttemptHistory::default(),
         }
         .with_no_wait_offers(self.ingress.sources.proxy.no_wait_offers as usize);
+        self.check_pressure()?;
         let mut last_response = None;
         self.with_budget(|budget, now| budget.record_attempt(now));
         while let Some(chosen) = self.next_instance(&mut history) {
@@ -98,6 +101,23 @@
         }
     }
 
+    /// Refuses a request that its service has no room for in time. Requests that a running request
+    /// waits for are always offered: refusing one would waste the work on the request that made it.
+    fn check_pressure(&self) -> Result<(), RequestRefusal> {
+        let (service, priority) = (&self.plan.service, self.plan.priority);
+        let mut state = self.ingress.state.borrow_mut();
+        let Some(pressure) = state.pressures.get_mut(service) else {
+            return Ok(());
+        };
+        if self.plan.class == RequestClass::InternalCheck {
+            return Ok(());
+        }
+        let instances = self.ingress.sources.members.instances_of(service).len();
+        let now = self.ingress.sources.clock.now();
+        let admitted = pressure.admit(priority, instances, now);
+        admitted.map_err(|retry_after| RequestRefusal::ServiceFull(priority, retry_after))
+    }
+
     fn deadline_passed(&self) -> bool {
         self.deadline.has_passed(self.ingress.sources.clock.now())
     }
@@ -157,7 +177,9 @@
     fn offer(&self, chosen: &ChosenInstance, deadline: Deadline, may_wait: bool) -> RequestOffer {
         let record = &chosen.record;
         let sources = &self.ingress.sources;
-        let remaining = deadline.remaining(sources.clock.now());
+        let now = sources.clock.now();
+        let remaining = deadline.remaining(now);
+        let goal = self.goal.map(|goal| goal.remaining(now));
         RequestOffer {
             boot: sources.boot,
             request: self.id,
@@ -175,6 +197,8 @@
             idempotent: self.plan.idempotent,
             may_wait,
             remaining_micros: u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX),
+            goal_micros: goal.and_then(|goal| u64::try_from(goal.as_micros()).ok()),
+            account_weight: self.plan.account_weight,
             method: self.method.clone(),
             target: self.target.clone(),
             headers: self.headers.clone(),
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -19,6 +19,7 @@
 use crate::members::MembersHandle;
 use crate::metrics::DurationMetrics;
 use crate::peers::PeerPool;
+use crate::pressure::ServicePressure;
 use crate::resource::ServiceRoute;
 use crate::retry::RetryBudget;
 use crate::settings::{BaselineSettings, ProxySettings};
@@ -58,6 +59,7 @@
 pub(crate) struct IngressState {
     pub(crate) pickers: FastMap<ServiceId, InstancePicker>,
     pub(crate) budgets: FastMap<ServiceId, RetryBudget>,
+    pub(crate) pressures: FastMap<ServiceId, ServicePressure>,
     pub(crate) round_robins: FastMap<ServiceId, RoundRobin>,
     pub(crate) static_limiter: StaticLimiter,
     pub(crate) traffic_splitters: FastMap<RouteId, TrafficSplitter>,
@@ -92,6 +94,7 @@
         let state = IngressState {
             pickers: FastMap::default(),
             budgets: FastMap::default(),
+            pressures: FastMap::default(),
             round_robins: FastMap::default(),
             static_limiter: StaticLimiter::default(),
             traffic_splitters: FastMap::default(),
@@ -165,12 +168,17 @@
             .iter()
             .map(|(service, picker)| (service.to_string(), picker.dump()))
             .collect();
+        let pressures = state.pressures.iter();
+        let pressures: FastMap<String, serde_json::Value> = pressures
+            .map(|(service, pressure)| (service.to_string(), pressure.dump()))
+            .collect();
         json!({
             "under_way": self.in_flight.get(),
             "body_bytes": self.body_budget.used(),
             "totals": state.totals,
             "credits": state.credits.lines(),
             "pickers": pickers,
+            "pressures": pressures,
         })
     }
 
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -6,7 +6,9 @@
 use crate::ids::InstanceId;
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::{AttemptFailure, AttemptHistory};
+use crate::pressure::ServicePressure;
 use crate::retry::RetryBudget;
+use crate::time::MonoTime;
 use crate::wire::{InstanceLoad, InstanceRecord, RefusalReason};
 
 /// How long an instance is avoided after its egress refused a request for its health. About the time
@@ -90,6 +92,9 @@
     /// as unreachable.
     pub(crate) fn update_load(&self, instance: &InstanceId, load: Option<InstanceLoad>) {
         let now = self.ingress.sources.clock.now();
+        if let Some(load) = load {
+            self.record_pressure(instance, load, now);
+        }
         self.ingress
             .with_picker(&self.plan.service, |picker, _| match load {
                 Some(load) => picker.on_response(instance, load, now),
@@ -97,6 +102,18 @@
             });
     }
 
+    fn record_pressure(&self, instance: &InstanceId, load: InstanceLoad, now: MonoTime) {
+        let mut state = self.ingress.state.borrow_mut();
+        let service = &self.plan.service;
+        if load.closed_priorities > 0 && !state.pressures.contains_key(service) {
+            let pressure = ServicePressure::default();
+            state.pressures.insert(service.clone(), pressure);
+        }
+        if let Some(pressure) = state.pressures.get_mut(service) {
+            pressure.record(instance, load.closed_priorities, now);
+        }
+    }
+
     /// Avoids an instance whose egress refused the request for its health or its limit.
     pub(crate) fn avoid_refusing(&self, instance: &InstanceId, failure: &AttemptFailure) {
         let span = match failure.reason {
--- a/src/ingress/request_plan.rs
+++ b/src/ingress/request_plan.rs
@@ -49,6 +49,10 @@
     pub idempotent: bool,
     /// Timeout of the route; none when the route sets none.
     pub timeout: Option<Duration>,
+    /// Time within which a response is of full use to the caller; none when the route sets none.
+    pub goal: Option<Duration>,
+    /// Weight of the account in the queues: its rate in requests a second, or 1 without one.
+    pub account_weight: u32,
     /// Most instances that the request may reach; none when the route sets no bound.
     pub max_attempts: Option<usize>,
     /// Share of the service's capacity that ejections, drains and cold starts must leave in use.
@@ -95,6 +99,7 @@
                 .and_then(|rules| rules.priority)
                 .unwrap_or(route.rules.priority),
             key_account,
+            account_weight: account_weight(catalog, &account),
             account,
             route: route.id.clone(),
             service: id,
@@ -103,6 +108,7 @@
             idempotent: route.class.is_repeatable()
                 && route.idempotency.is_idempotent(facts.method),
             timeout: route.rules.timeout.map(|span| span.get()),
+            goal: route.rules.goal.map(|span| span.get()),
             max_attempts: route.rules.attempts.map(|bound| bound.get() as usize),
             floor: service.floor,
             retry_budget: service.retry_budget,
@@ -110,6 +116,19 @@
     }
 }
 
+/// Returns the account's rate in whole requests a second, at least 1.
+fn account_weight(catalog: &Catalog, account: &AccountId) -> u32 {
+    let limit = catalog.rate_limit(account);
+    let per_second = limit.map_or(1.0, |limit| limit.rate.events_per_second());
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast saturates, and a rate is not negative"
+    )]
+    let weight = per_second as u32;
+    weight.max(1)
+}
+
 /// Returns the client account of the key. A catalog that may be outdated cannot authenticate one:
 /// the key may have been created or withdrawn since.
 fn authenticated_account(
--- a/src/ingress/request_refusal.rs
+++ b/src/ingress/request_refusal.rs
@@ -11,6 +11,7 @@
 use crate::http::{self, BodyError};
 use crate::ingress::verdict_header;
 use crate::limits::RateRefusal;
+use crate::resource::Priority;
 use crate::wire::{FailureCause, RefusalReason};
 
 /// The reason why a request gets no response from a backend server.
@@ -42,6 +43,8 @@
     Stopping,
     /// No instance accepted the request; holds the last refusal's reason, if any, and when to retry.
     NoCapacity(Option<RefusalReason>, Duration),
+    /// The service has no room in time for requests of this priority; holds when to retry.
+    ServiceFull(Priority, Duration),
     /// The deadline passed before an instance ran the request.
     DeadlinePassed,
     /// The caller closed its connection before the response was ready.
@@ -66,9 +69,11 @@
             Self::RateLimited(..) => StatusCode::TOO_MANY_REQUESTS,
             // A passed deadline too is a promise that nothing has run: the caller may send the request
             // again, which it may not after 504.
-            Self::NotConfigured | Self::Stopping | Self::NoCapacity(..) | Self::DeadlinePassed => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotConfigured
+            | Self::Stopping
+            | Self::NoCapacity(..)
+            | Self::ServiceFull(..)
+            | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseLost(Some(FailureCause::Timeout)) => StatusCode::GATEWAY_TIMEOUT,
             Self::CallerDisconnected | Self::ResponseLost(_) => StatusCode::BAD_GATEWAY,
         }
@@ -89,7 +94,7 @@
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::RateLimited(refusal) => Some(refusal.retry_after),
-            Self::NoCapacity(_, span) => Some(*span),
+            Self::NoCapacity(_, span) | Self::ServiceFull(_, span) => Some(*span),
             Self::NotConfigured
             | Self::Stopping
             | Self::BadBody(BodyError::NoMemory)
@@ -184,6 +189,9 @@
             Self::NoCapacity(None, _) => {
                 formatter.write_str("no instance of the service is available")
             }
+            Self::ServiceFull(priority, _) => {
+                write!(formatter, "the service has no room in time for priority {priority}")
+            }
             Self::DeadlinePassed => {
                 formatter.write_str("the deadline passed before the request was started")
             }
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -87,6 +87,9 @@
     if matches!(refusal, RequestRefusal::RateLimited(..)) {
         ingress.state.borrow_mut().totals.over_rate += 1;
     }
+    if matches!(refusal, RequestRefusal::ServiceFull(..)) {
+        ingress.state.borrow_mut().totals.service_full += 1;
+    }
     log::info!(
         target: log_target::INGRESS,
         request = name,
@@ -116,6 +119,7 @@
     request: &mut Request,
     guard: InFlightGuard,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
+    let begin = ingress.sources.clock.now();
     let rules = Rc::clone(&ingress.sources.headers);
     if ingress.shutdown.refuses(ingress.sources.clock.now()) {
         return Err(RequestRefusal::Stopping);
@@ -136,6 +140,7 @@
         id,
         name: instance_name(ingress, id, name),
         host: host_header(request).map(str::to_owned),
+        goal: plan.goal.map(|span| begin.after(span)),
         plan,
         deadline,
         method: request.method().as_str().to_owned(),
--- a/src/ingress/request_totals.rs
+++ b/src/ingress/request_totals.rs
@@ -17,6 +17,8 @@
     pub may_have_run: u64,
     /// Requests refused because their client account exceeded its rate limit.
     pub over_rate: u64,
+    /// Requests refused before an offer because their service had no room for their priority.
+    pub service_full: u64,
     /// Attempts after the first of a request, without those that follow an offer refused as busy.
     pub retries: u64,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod platform;
+pub mod pressure;
 pub mod queue;
 pub mod resource;
 pub mod retry;
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -107,6 +107,9 @@
     register_counter(meter, latest, "requests_over_rate", |snapshot| {
         snapshot.totals.over_rate
     });
+    register_counter(meter, latest, "requests_service_full", |snapshot| {
+        snapshot.totals.service_full
+    });
     register_counter(meter, latest, "request_retries", |snapshot| {
         snapshot.totals.retries
     });
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -157,6 +157,7 @@
         InstanceLoad {
             in_use: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            closed_priorities: 0,
         }
     }
 
@@ -168,7 +169,7 @@
     #[must_use]
     pub fn oldest_running_age(&self, now: MonoTime) -> Option<Duration> {
         self.running
-            .max_scaled_age(now, |request| self.scheduler.age_scale(request.class))
+            .max_scaled_age(now, |_, request| self.scheduler.age_scale(request.class))
     }
 
     /// State for the diagnostic dump.
--- a/src/queue/running_set.rs
+++ b/src/queue/running_set.rs
@@ -24,6 +24,11 @@
         self.requests.contains_key(&key)
     }
 
+    /// How long the request has held its slot; none when it is not running.
+    pub(super) fn age(&self, key: RequestKey, now: MonoTime) -> Option<Duration> {
+        self.requests.get(&key).map(|request| request.age(now))
+    }
+
     /// Adds a request that has started.
     pub(super) fn insert(&mut self, key: RequestKey, request: RunningRequest) {
         self.requests.insert(key, request);
@@ -47,10 +52,10 @@
     pub(super) fn max_scaled_age(
         &self,
         now: MonoTime,
-        scale: impl Fn(&RunningRequest) -> f64,
+        scale: impl Fn(RequestKey, &RunningRequest) -> f64,
     ) -> Option<Duration> {
-        let requests = self.requests.values();
-        let ages = requests.map(|request| request.age(now).mul_f64(scale(request)));
+        let requests = self.requests.iter();
+        let ages = requests.map(|(key, request)| request.age(now).mul_f64(scale(*key, request)));
         ages.max()
     }
 }
--- a/src/resource/service_spec.rs
+++ b/src/resource/service_spec.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ServiceId;
-use crate::resource::{ClassWeights, RecoveryRule};
+use crate::resource::{ClassWeights, QueueOrder, RecoveryRule};
 use crate::units::{Percent, Slots};
 
 /// Settings for the backend servers of a service.
@@ -29,6 +29,9 @@
     /// long requests then leave that slot free.
     #[serde(rename = "check-slot", default = "default_check_slot")]
     pub reserves_check_slot: bool,
+    /// What decides which waiting request gets the next free slot.
+    #[serde(default)]
+    pub order: QueueOrder,
 }
 
 const fn default_check_slot() -> bool {
--- a/src/settings/service_settings.rs
+++ b/src/settings/service_settings.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-use crate::resource::{ClassWeights, RecoveryRule};
+use crate::resource::{ClassWeights, QueueOrder, RecoveryRule};
 use crate::units::{Percent, Slots};
 
 /// Default rules of a service.
@@ -21,6 +21,8 @@
     pub recovery: RecoveryRule,
     /// Whether long request classes leave one slot of each instance free while internal checks arrive.
     pub check_slot: bool,
+    /// Order in which waiting requests get the slots of an instance.
+    pub order: QueueOrder,
 }
 
 impl Default for ServiceSettings {
@@ -32,6 +34,7 @@
             retry_budget: Percent::ZERO,
             recovery: RecoveryRule::Probes,
             check_slot: true,
+            order: QueueOrder::Classes,
         }
     }
 }
--- a/src/wire/instance_load.rs
+++ b/src/wire/instance_load.rs
@@ -10,4 +10,7 @@
     pub in_use: u32,
     /// Number of requests in the instance's queue.
     pub queued: u32,
+    /// How many of the 256 priorities, from the least urgent on, would not get a slot in time for the
+    /// goal of their requests.
+    pub closed_priorities: u16,
 }
--- a/src/wire/request_offer.rs
+++ b/src/wire/request_offer.rs
@@ -43,6 +43,10 @@
     pub may_wait: bool,
     /// Time left until the caller's deadline, in microseconds.
     pub remaining_micros: u64,
+    /// Time left until the route's goal, in microseconds; `None` if the route has none.
+    pub goal_micros: Option<u64>,
+    /// Weight of the account in the queue, relative to the others: its rate, if it has one.
+    pub account_weight: u32,
     /// HTTP method.
     pub method: String,
     /// Path and query.
--- a/tests/common/sample_offer.rs
+++ b/tests/common/sample_offer.rs
@@ -23,6 +23,8 @@
         idempotent: false,
         may_wait: true,
         remaining_micros: 0,
+        goal_micros: None,
+        account_weight: 1,
         method: "POST".to_owned(),
         target: "/filings".to_owned(),
         headers: Vec::new(),
--- a/tests/host_routes.rs
+++ b/tests/host_routes.rs
@@ -5,7 +5,7 @@
 use wagtailtrack::ingress::{RequestFacts, RequestPlan, RequestRefusal};
 use wagtailtrack::resource::{
     ClassWeights, ClientAccount, ClientKey, ConfigResource, IdempotencyRule, KeyHash, Priority,
-    RecoveryRule, RequestClass, RouteAccess, RouteRules, ServiceRoute, ServiceSpec,
+    QueueOrder, RecoveryRule, RequestClass, RouteAccess, RouteRules, ServiceRoute, ServiceSpec,
 };
 use wagtailtrack::units::{Percent, Slots};
 
@@ -33,6 +33,7 @@
         retry_budget: Percent::ZERO,
         recovery: RecoveryRule::Requests,
         reserves_check_slot: false,
+        order: QueueOrder::Classes,
     });
     let account = ConfigResource::Account(ClientAccount {
         id: "crew".parse().unwrap(),
--- a/tests/picking.rs
+++ b/tests/picking.rs
@@ -40,6 +40,7 @@
     let load = InstanceLoad {
         in_use: 3,
         queued: 5,
+        closed_priorities: 0,
     };
     picker.on_start(&busy, MonoTime::ZERO);
     picker.on_response(&busy, load, MonoTime::ZERO);
--- a/tests/process_announce.rs
+++ b/tests/process_announce.rs
@@ -100,6 +100,8 @@
         class: RequestClass::Lookup,
         idempotent: number.is_multiple_of(2),
         remaining_micros: 5_000_000,
+        goal_micros: None,
+        account_weight: 1,
         method: "GET".to_owned(),
         target: "/lookups/1".to_owned(),
         ..sample_offer()
