--- a/tests/urgency_order.rs
+++ b/tests/urgency_order.rs
@@ -102,7 +102,7 @@
             }
             actions.extend(queue.finish(ended, service, now));
         }
-        if now.micros() % 20_000 == 0 {
+        if now.micros().is_multiple_of(20_000) {
             actions.extend(queue.tick(now));
         }
         for (index, kind) in kinds.iter().enumerate() {
