--- a/examples/catalog_size.rs
+++ b/examples/catalog_size.rs
@@ -61,6 +61,7 @@
             reserves_check_slot: true,
             cold_rate: None,
             health_path: None,
+            order: wagtailtrack::resource::QueueOrder::Classes,
         }));
     }
     for number in 0..routes {
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -158,6 +158,7 @@
             in_use: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             cold_wait_micros: 0,
+            closed_priorities: 0,
         }
     }
 
@@ -169,7 +170,7 @@
     #[must_use]
     pub fn oldest_running_age(&self, now: MonoTime) -> Option<Duration> {
         self.running
-            .max_scaled_age(now, |request| self.scheduler.age_scale(request.class))
+            .max_scaled_age(now, |_, request| self.scheduler.age_scale(request.class))
     }
 
     /// State for the diagnostic dump.
--- a/src/resource/service_spec.rs
+++ b/src/resource/service_spec.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ServiceId;
-use crate::resource::{ClassWeights, RecoveryRule};
+use crate::resource::{ClassWeights, QueueOrder, RecoveryRule};
 use crate::units::{Percent, Rate, Slots};
 
 /// Settings for the backend servers of a service.
@@ -36,6 +36,9 @@
     /// they are not to be asked.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub health_path: Option<String>,
+    /// What decides which waiting request gets the next free slot.
+    #[serde(default)]
+    pub order: QueueOrder,
 }
 
 const fn default_check_slot() -> bool {
--- a/src/wire/instance_load.rs
+++ b/src/wire/instance_load.rs
@@ -13,4 +13,7 @@
     /// Time until the instance takes another request, in microseconds, while it is cold; 0 if it
     /// takes one now.
     pub cold_wait_micros: u32,
+    /// How many of the 256 priorities, from the least urgent on, would not get a slot in time for the
+    /// goal of their requests.
+    pub closed_priorities: u16,
 }
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -13,8 +13,10 @@
 use wagtailtrack::health::capacity_floor::admitted_instances;
 use wagtailtrack::ids::{BootId, RequestId};
 use wagtailtrack::instances::{AnnounceOrder, LocalInstance};
-use wagtailtrack::queue::{QueuedRequest, RequestKey};
-use wagtailtrack::resource::{ClassWeights, RecoveryRule, RequestClass, ServiceSpec};
+use wagtailtrack::queue::{QueuedRequest, RequestKey, UrgentRequest};
+use wagtailtrack::resource::{
+    ClassWeights, Priority, QueueOrder, RecoveryRule, RequestClass, ServiceSpec,
+};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::{Percent, Rate, Slots};
 use wagtailtrack::wire::{HealthState, InstanceLoad, InstancePhase, InstanceRecord};
@@ -271,6 +273,7 @@
         reserves_check_slot: false,
         cold_rate,
         health_path: None,
+        order: QueueOrder::Classes,
     }
 }
 
@@ -285,12 +288,19 @@
     InstanceDispatcher::open(local, &spec(Some(rate(4.0))), 1, now)
 }
 
-fn queued(number: u64, now: MonoTime) -> QueuedRequest {
-    QueuedRequest {
+fn queued(number: u64, now: MonoTime) -> UrgentRequest {
+    let request = QueuedRequest {
         key: key(number),
         account: "crew".parse().unwrap(),
         class: RequestClass::Lookup,
         deadline: now.after(Duration::from_secs(10)),
+    };
+    UrgentRequest {
+        route: "lookups".parse().unwrap(),
+        priority: Priority::DEFAULT,
+        goal: request.deadline,
+        weight: 1,
+        request,
     }
 }
 
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -19,8 +19,10 @@
 use wagtailtrack::health::{SampleOutcome, ServiceBaseline, ServiceSample, admitted_ids};
 use wagtailtrack::ids::{BootId, RequestId, Revision, StoreEra, Version, ZoneId};
 use wagtailtrack::instances::LocalInstance;
-use wagtailtrack::queue::{QueuedRequest, RequestKey};
-use wagtailtrack::resource::{ClassWeights, RecoveryRule, RequestClass, ServiceSpec};
+use wagtailtrack::queue::{QueuedRequest, RequestKey, UrgentRequest};
+use wagtailtrack::resource::{
+    ClassWeights, Priority, QueueOrder, RecoveryRule, RequestClass, ServiceSpec,
+};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::{Percent, Slots, Weight};
 use wagtailtrack::wire::{self, HealthState, InstancePhase, InstanceRecord, RefusalReason};
@@ -280,6 +282,9 @@
         retry_budget: Percent::new(20).unwrap(),
         recovery: RecoveryRule::Probes,
         reserves_check_slot: false,
+        cold_rate: None,
+        health_path: None,
+        order: QueueOrder::Classes,
     }
 }
 
@@ -291,15 +296,22 @@
         phase: InstancePhase::Ready,
         slots: Slots::new(1).unwrap(),
     };
-    InstanceDispatcher::open(local, &spec(), 1)
+    InstanceDispatcher::open(local, &spec(), 1, at(0))
 }
 
-fn queued(number: u64) -> QueuedRequest {
-    QueuedRequest {
+fn queued(number: u64) -> UrgentRequest {
+    let request = QueuedRequest {
         key: key(number),
         account: "crew".parse().unwrap(),
         class: RequestClass::Lookup,
         deadline: at(0).after(Duration::from_secs(60)),
+    };
+    UrgentRequest {
+        route: "lookups".parse().unwrap(),
+        priority: Priority::DEFAULT,
+        goal: request.deadline,
+        weight: 1,
+        request,
     }
 }
 
@@ -327,7 +339,7 @@
     dispatcher.zone_evacuated(at(2));
     assert!(matches!(waiting.try_recv(), Ok(SlotDecision::Refused(_))));
     dispatcher.cancel(key(2), at(3));
-    let load = dispatcher.load();
+    let load = dispatcher.load(at(0));
     assert_eq!(
         (load.in_use, load.queued),
         (1, 0),
--- a/tests/evacuation_gate.rs
+++ b/tests/evacuation_gate.rs
@@ -147,6 +147,7 @@
         reserves_check_slot: false,
         cold_rate: None,
         health_path: None,
+        order: wagtailtrack::resource::QueueOrder::Classes,
     }
 }
 
