--- a/bench/scaling/codec_scaling.rs
+++ b/bench/scaling/codec_scaling.rs
@@ -53,6 +53,7 @@
         class: RequestClass::Lookup,
         idempotent: true,
         may_wait: true,
+        max_wait_micros: u64::MAX,
         remaining_micros: 1_000_000,
         method: "GET".to_owned(),
         target: "/lookups?road=a1&from=12".to_owned(),
--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -1,7 +1,7 @@
 //! Load balancer of one service at one ingress.
 
-use crate::balance::PickCriteria;
 use crate::balance::instance_stats::InstanceStats;
+use crate::balance::{PickCriteria, PickScope};
 use crate::hash::FastMap;
 use crate::health::{AdmittedInstance, capacity_floor};
 use crate::ids::{InstanceId, ZoneId};
@@ -73,6 +73,7 @@
             allows_trial: true,
             may_wait: false,
             is_bulk: false,
+            scope: PickScope::All,
         };
         let picked = self.pick(records, &criteria, now, rng)?;
         Some(records[picked.index].instance.clone())
@@ -89,7 +90,7 @@
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Option<AdmittedInstance> {
-        let mut candidates = self.candidates(records, criteria.floor, criteria.tried, now);
+        let mut candidates = self.candidates(records, criteria, now);
         let is_scarce = is_healthy_capacity_scarce(records);
         let needs_healthy =
             !criteria.idempotent || !criteria.tried.is_empty() || !criteria.allows_trial;
@@ -171,23 +172,23 @@
         serde_json::json!({ "zone": self.zone, "instances": stats })
     }
 
-    /// The admitted instances that were not tried; those behind blocked paths only if there are no
+    /// The admitted instances in scope that were not tried; those behind blocked paths only if there are no
     /// others.
     fn candidates(
         &self,
         records: &[InstanceRecord],
-        floor: Percent,
-        tried: &[InstanceId],
+        criteria: &PickCriteria<'_>,
         now: MonoTime,
     ) -> Vec<AdmittedInstance> {
-        let is_untried = |entry: &AdmittedInstance| !tried.contains(&records[entry.index].instance);
+        let floor = criteria.floor;
+        let is_eligible = |entry: &AdmittedInstance| criteria.includes(&records[entry.index]);
         let mut list = capacity_floor::admitted_instances(records, floor, |record| {
             self.is_reachable(record, now)
         });
-        list.retain(is_untried);
-        if list.is_empty() {
+        list.retain(is_eligible);
+        if list.is_empty() && criteria.scope.includes_unreachable() {
             list = capacity_floor::admitted_instances(records, floor, |_| true);
-            list.retain(is_untried);
+            list.retain(is_eligible);
         }
         list
     }
@@ -241,7 +242,9 @@
         stats.map_or(0.0, |stats| stats.recent_picks(now)) / f64::from(record.slots.get())
     }
 
-    fn is_reachable(&self, record: &InstanceRecord, now: MonoTime) -> bool {
+    /// Whether neither the path to the instance nor its egress has failed or refused recently.
+    #[must_use]
+    pub fn is_reachable(&self, record: &InstanceRecord, now: MonoTime) -> bool {
         let stats = self.stats.get(&record.instance);
         !stats.is_some_and(|stats| stats.path.is_blocked(now) || !stats.avoid_until.has_passed(now))
     }
@@ -253,7 +256,7 @@
 }
 
 /// Whether so few slots are healthy that keeping to them would cost more than it saves.
-fn is_healthy_capacity_scarce(records: &[InstanceRecord]) -> bool {
+pub(super) fn is_healthy_capacity_scarce(records: &[InstanceRecord]) -> bool {
     let ready = || {
         let records = records.iter();
         records.filter(|record| record.phase == InstancePhase::Ready)
--- a/src/balance/pick_criteria.rs
+++ b/src/balance/pick_criteria.rs
@@ -1,7 +1,9 @@
 //! Criteria of a pick.
 
+use crate::balance::PickScope;
 use crate::ids::InstanceId;
 use crate::units::Percent;
+use crate::wire::InstanceRecord;
 
 /// The criteria by which an instance is picked for a request.
 #[derive(Debug, Clone, Copy)]
@@ -19,4 +21,14 @@
     pub may_wait: bool,
     /// Whether the request or its response is large.
     pub is_bulk: bool,
+    /// The instances that may be picked.
+    pub scope: PickScope<'a>,
+}
+
+impl PickCriteria<'_> {
+    /// Whether the instance of `record` is in scope and was not tried.
+    #[must_use]
+    pub fn includes(&self, record: &InstanceRecord) -> bool {
+        self.scope.includes(record) && !self.tried.contains(&record.instance)
+    }
 }
--- /dev/null
+++ b/src/balance/route_time.rs
@@ -0,0 +1,40 @@
+//! Estimate of how long the requests of one route take.
+
+use std::time::Duration;
+
+/// Weight of a further sample in the mean.
+const MEAN_WEIGHT: f64 = 0.125;
+/// Weight of a further sample in the deviation.
+const DEVIATION_WEIGHT: f64 = 0.25;
+/// Deviations from the mean that the estimate allows for.
+const ALLOWED_DEVIATIONS: f64 = 2.0;
+
+/// Mean and mean deviation of the times from an offer that did not wait to its whole response.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RouteTime {
+    mean_secs: f64,
+    deviation_secs: f64,
+}
+
+impl RouteTime {
+    /// Returns the estimate after the first sample.
+    pub(super) fn open(span: Duration) -> Self {
+        Self {
+            mean_secs: span.as_secs_f64(),
+            deviation_secs: span.as_secs_f64() / 2.0,
+        }
+    }
+
+    /// Adds a sample.
+    pub(super) fn observe(&mut self, span: Duration) {
+        let error = span.as_secs_f64() - self.mean_secs;
+        self.mean_secs += error * MEAN_WEIGHT;
+        self.deviation_secs += (error.abs() - self.deviation_secs) * DEVIATION_WEIGHT;
+    }
+
+    /// Returns the time that most requests do not exceed.
+    pub(super) fn expected(&self) -> Duration {
+        let secs = self.mean_secs + ALLOWED_DEVIATIONS * self.deviation_secs;
+        Duration::try_from_secs_f64(secs.max(0.0)).unwrap_or(Duration::MAX)
+    }
+}
--- /dev/null
+++ b/src/balance/service_zones.rs
@@ -0,0 +1,180 @@
+//! What an ingress knows of the zones of one service.
+
+use std::time::Duration;
+
+use crate::balance::route_time::RouteTime;
+use crate::balance::{OverflowShare, ZoneCounts, ZonePressure, ZoneRoom};
+use crate::hash::FastMap;
+use crate::ids::{RouteId, ZoneId};
+use crate::time::MonoTime;
+use crate::wire::{HealthState, InstancePhase, InstanceRecord};
+
+/// Most routes of a service whose times are estimated.
+const MAX_ROUTES: usize = 64;
+/// Part of its slots with which a zone takes part in the choice however busy it is.
+const MIN_SPARE_PART: f64 = 0.05;
+/// Change of the overflow share from which it is logged again.
+const LOGGED_CHANGE: f64 = 0.25;
+
+/// A change of the overflow share that is worth a log line.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareChange {
+    /// The share logged last.
+    pub from: f64,
+    /// The present share.
+    pub to: f64,
+    /// The pressure of the own zone.
+    pub pressure: f64,
+}
+
+/// Pressures, overflow share, route times and counts of one service.
+#[derive(Debug, Default)]
+pub struct ServiceZones {
+    home: ZonePressure,
+    others: FastMap<ZoneId, ZonePressure>,
+    share: OverflowShare,
+    logged_share: f64,
+    routes: FastMap<RouteId, RouteTime>,
+    /// Counts of the requests served.
+    pub counts: ZoneCounts,
+}
+
+impl ServiceZones {
+    /// Draws whether a request belongs to the overflow share.
+    pub fn draw_overflow(&self, now: MonoTime, rng: &mut fastrand::Rng) -> bool {
+        self.share.draw(now, rng)
+    }
+
+    /// Records that a request found a free slot in the own zone.
+    pub fn on_home_free(&mut self, now: MonoTime, rng: &mut fastrand::Rng) {
+        self.home.on_free(now);
+        self.share.adjust(self.home.level(now), false, now, rng);
+    }
+
+    /// Records that a request found no free slot in the own zone, where it expects to wait for
+    /// `wait`, of which `limit` leaves enough time.
+    pub fn on_home_busy(
+        &mut self,
+        wait: Duration,
+        limit: Duration,
+        room: &ZoneRoom,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) {
+        self.home.on_wait(wait, limit, now);
+        let pressure = self.home.level(now);
+        self.share.adjust(pressure, room.is_reduced(), now, rng);
+    }
+
+    /// Records that an instance of another zone responded, and whether it was busy.
+    pub fn on_other(&mut self, zone: &ZoneId, is_busy: bool, now: MonoTime) {
+        let pressure = self.others.entry(zone.clone()).or_default();
+        match is_busy {
+            true => pressure.on_wait(Duration::from_secs(1), Duration::from_secs(1), now),
+            false => pressure.on_free(now),
+        }
+    }
+
+    /// Records that the path to an instance of another zone failed.
+    pub fn on_other_unreachable(&mut self, zone: &ZoneId, now: MonoTime) {
+        let pressure = self.others.entry(zone.clone()).or_default();
+        pressure.on_unreachable(now);
+    }
+
+    /// Draws a zone other than `own` in proportion to the spare slots; none if no other zone has a
+    /// usable instance.
+    pub fn draw_other(
+        &self,
+        records: &[InstanceRecord],
+        own: &ZoneId,
+        is_reachable: impl Fn(&InstanceRecord) -> bool,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Option<ZoneId> {
+        let mut spare: Vec<(&ZoneId, f64)> = Vec::new();
+        for record in records {
+            let is_usable = record.zone != *own
+                && record.phase == InstancePhase::Ready
+                && record.health == HealthState::Healthy
+                && is_reachable(record);
+            if !is_usable {
+                continue;
+            }
+            let slots = f64::from(record.slots.get()) * self.spare_part(&record.zone, now);
+            match spare.iter_mut().find(|(zone, _)| **zone == record.zone) {
+                Some((_, total)) => *total += slots,
+                None => spare.push((&record.zone, slots)),
+            }
+        }
+        let total: f64 = spare.iter().map(|(_, slots)| slots).sum();
+        let mut point = rng.f64() * total;
+        let last = spare.last().map(|(zone, _)| (*zone).clone());
+        for (zone, slots) in spare {
+            if point < slots {
+                return Some(zone.clone());
+            }
+            point -= slots;
+        }
+        last
+    }
+
+    /// Adds the time of a request that did not wait for a slot.
+    pub fn observe_time(&mut self, route: &RouteId, span: Duration) {
+        if let Some(time) = self.routes.get_mut(route) {
+            time.observe(span);
+        } else if self.routes.len() < MAX_ROUTES {
+            self.routes.insert(route.clone(), RouteTime::open(span));
+        }
+    }
+
+    /// Returns how long requests of `route` take without a wait; none if unknown.
+    #[must_use]
+    pub fn expected_time(&self, route: &RouteId) -> Option<Duration> {
+        self.routes.get(route).map(RouteTime::expected)
+    }
+
+    /// Returns the present overflow share.
+    #[must_use]
+    pub fn share(&self, now: MonoTime) -> f64 {
+        self.share.value(now)
+    }
+
+    /// Returns the change of the overflow share since the last call that returned one, if it is
+    /// large or the share has become zero.
+    pub fn take_share_change(&mut self, now: MonoTime) -> Option<ShareChange> {
+        let to = self.share(now);
+        let from = self.logged_share;
+        let has_ended = to == 0.0 && from > 0.0;
+        if (to - from).abs() < LOGGED_CHANGE && !has_ended {
+            return None;
+        }
+        self.logged_share = to;
+        let pressure = self.home.level(now);
+        Some(ShareChange { from, to, pressure })
+    }
+
+    /// The internal state as JSON, for the diagnostic dump.
+    #[must_use]
+    pub fn dump(&self, now: MonoTime) -> serde_json::Value {
+        let others: serde_json::Map<_, _> = self
+            .others
+            .iter()
+            .map(|(zone, pressure)| (zone.to_string(), serde_json::json!(pressure)))
+            .collect();
+        serde_json::json!({
+            "share": self.share(now),
+            "pressure": self.home.level(now),
+            "others": others,
+            "counts": self.counts,
+        })
+    }
+
+    /// The part of the zone's slots that counts as spare.
+    fn spare_part(&self, zone: &ZoneId, now: MonoTime) -> f64 {
+        match self.others.get(zone) {
+            None => 1.0,
+            Some(pressure) if pressure.is_unreachable(now) => MIN_SPARE_PART * MIN_SPARE_PART,
+            Some(pressure) => (1.0 - pressure.level(now)).max(MIN_SPARE_PART),
+        }
+    }
+}
--- /dev/null
+++ b/src/balance/zone_choice.rs
@@ -0,0 +1,188 @@
+//! Which instances a request is offered to, one after another, to stay in its zone if it can.
+
+use std::time::Duration;
+
+use crate::balance::WaitLimits;
+use crate::ids::InstanceId;
+
+/// Offers in the own zone of a request that belongs to the overflow share.
+const PLANNED_HOME_OFFERS: usize = 2;
+/// Offers in other zones that must start without waiting.
+const AWAY_OFFERS: usize = 2;
+/// Offers that may wait, each at the instance with the shortest known wait, before the next stage.
+const WAIT_OFFERS: usize = 2;
+
+/// The next offer of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ZoneStep {
+    /// Another zone, without a wait, to learn of its instances.
+    Sample,
+    /// The own zone, without a wait.
+    Home,
+    /// Another zone, without a wait.
+    Away,
+    /// An instance that was busy, with a wait up to the bound, if there is one.
+    Wait(InstanceId, Option<Duration>),
+    /// Any instance, with any wait.
+    Anywhere,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ZoneStage {
+    Sample,
+    Home,
+    HomeWait,
+    Away,
+    TimelyWait,
+    AnyWait,
+    Anywhere,
+}
+
+/// How the choice of zones begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ZoneStart {
+    /// Whether an instance of the own zone is usable.
+    pub has_home: bool,
+    /// Whether the request belongs to the overflow share: it does not wait in its zone.
+    pub is_planned: bool,
+    /// Whether the request goes to another zone first, to learn of its instances.
+    pub is_sample: bool,
+    /// Instances of the own zone found busy before the request waits.
+    pub no_wait_offers: usize,
+}
+
+#[derive(Debug, Clone)]
+struct BusyInstance {
+    instance: InstanceId,
+    is_home: bool,
+    /// The wait that its egress expected.
+    wait: Duration,
+}
+
+/// The way of one request: free slots of the own zone, a wait there that leaves enough time, free
+/// slots of other zones, and then the shortest wait anywhere.
+#[derive(Debug, Clone)]
+pub struct ZoneChoice {
+    stage: ZoneStage,
+    start: ZoneStart,
+    busy: Vec<BusyInstance>,
+    /// Offers found busy in the present stage.
+    offers: usize,
+}
+
+impl ZoneChoice {
+    /// Returns the choice of a new request.
+    #[must_use]
+    pub const fn open(start: ZoneStart) -> Self {
+        let stage = match start {
+            ZoneStart {
+                is_sample: true, ..
+            } => ZoneStage::Sample,
+            ZoneStart { has_home: true, .. } => ZoneStage::Home,
+            _ => ZoneStage::Away,
+        };
+        Self {
+            stage,
+            start,
+            busy: Vec::new(),
+            offers: 0,
+        }
+    }
+
+    /// Returns the next offer to make.
+    pub fn next_step(&mut self, limits: &WaitLimits) -> ZoneStep {
+        loop {
+            if let Some(step) = self.step(limits) {
+                return step;
+            }
+            self.advance();
+        }
+    }
+
+    /// Records that no instance fits the last step.
+    pub fn on_none(&mut self) {
+        self.advance();
+    }
+
+    /// Records that the instance offered last was busy and that its egress expected `wait`.
+    pub fn on_busy(&mut self, instance: &InstanceId, is_home: bool, wait: Duration) {
+        self.forget(instance);
+        self.busy.push(BusyInstance {
+            instance: instance.clone(),
+            is_home,
+            wait,
+        });
+        self.offers += 1;
+    }
+
+    /// Records that the instance offered last failed in another way.
+    pub fn on_failure(&mut self, instance: &InstanceId) {
+        self.forget(instance);
+        if self.stage == ZoneStage::Sample {
+            self.advance();
+        }
+    }
+
+    /// Returns the shortest wait that the instances of the own zone expected; none if none was busy.
+    #[must_use]
+    pub fn home_wait(&self) -> Option<Duration> {
+        let home = self.busy.iter().filter(|busy| busy.is_home);
+        home.map(|busy| busy.wait).min()
+    }
+
+    /// Whether the offers in the own zone that must start without waiting are over.
+    #[must_use]
+    pub fn is_past_home_offers(&self) -> bool {
+        self.stage > ZoneStage::Home
+    }
+
+    fn step(&self, limits: &WaitLimits) -> Option<ZoneStep> {
+        let home_offers = match self.start.is_planned {
+            true => PLANNED_HOME_OFFERS.min(self.start.no_wait_offers.max(1)),
+            false => self.start.no_wait_offers.max(1),
+        };
+        match self.stage {
+            ZoneStage::Sample => (self.offers == 0).then_some(ZoneStep::Sample),
+            ZoneStage::Home => (self.offers < home_offers).then_some(ZoneStep::Home),
+            ZoneStage::HomeWait => {
+                let limit = (!self.start.is_planned).then_some(limits.home)?;
+                self.wait(|busy| busy.is_home && busy.wait <= limit, Some(limit))
+            }
+            ZoneStage::Away => (self.offers < AWAY_OFFERS).then_some(ZoneStep::Away),
+            ZoneStage::TimelyWait => {
+                self.wait(|busy| busy.wait <= limits.timely, Some(limits.timely))
+            }
+            ZoneStage::AnyWait => self.wait(|_| true, None),
+            ZoneStage::Anywhere => Some(ZoneStep::Anywhere),
+        }
+    }
+
+    /// Returns an offer to the instance with the shortest wait among those that fit; if the wait is
+    /// bounded, an instance of the own zone if one fits.
+    fn wait(
+        &self,
+        fits: impl Fn(&BusyInstance) -> bool,
+        bound: Option<Duration>,
+    ) -> Option<ZoneStep> {
+        let fitting = self.busy.iter().filter(|busy| fits(busy));
+        let is_crossing = |busy: &BusyInstance| bound.is_some() && !busy.is_home;
+        let best = fitting.min_by_key(|busy| (is_crossing(busy), busy.wait))?;
+        (self.offers < WAIT_OFFERS).then(|| ZoneStep::Wait(best.instance.clone(), bound))
+    }
+
+    fn advance(&mut self) {
+        self.offers = 0;
+        self.stage = match self.stage {
+            ZoneStage::Sample if self.start.has_home => ZoneStage::Home,
+            ZoneStage::Sample | ZoneStage::HomeWait => ZoneStage::Away,
+            ZoneStage::Home => ZoneStage::HomeWait,
+            ZoneStage::Away => ZoneStage::TimelyWait,
+            ZoneStage::TimelyWait => ZoneStage::AnyWait,
+            ZoneStage::AnyWait | ZoneStage::Anywhere => ZoneStage::Anywhere,
+        };
+    }
+
+    fn forget(&mut self, instance: &InstanceId) {
+        self.busy.retain(|busy| busy.instance != *instance);
+    }
+}
--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -56,6 +56,7 @@
             revision: self.config.revision().0,
             document_warnings: self.config.document_warnings(),
             refused_messages: self.listener.refused_messages(),
+            zones: self.ingress.zone_lines(),
         }
     }
 }
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// The requests that wait for a slot.
+    #[must_use]
+    pub const fn queue(&self) -> &InstanceQueue {
+        &self.queue
+    }
+
     /// Records that a request was sent to the instance at `now`.
     pub fn mark_sent(&mut self, key: RequestKey, now: MonoTime) {
         self.running.insert(key, now);
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -172,6 +172,9 @@
         let hold = self.egress.sources.slot_hold;
         let mut machine = StartMachine::open(needs_go, hold, self.deadline);
         let mut retry_after = NOT_READY_RETRY_AFTER;
+        if let Some(wait) = self.excessive_wait() {
+            return Ok(StartOutcome::Refused(RefusalReason::Busy, wait));
+        }
         let mut waiting = None;
         let mut event = match self.request_slot(key) {
             SlotResponse::Immediate(decision) => event_of_decision(decision, &mut retry_after),
@@ -199,6 +202,20 @@
         }
     }
 
+    /// Returns the expected wait for a slot if the offer does not permit so long a wait.
+    fn excessive_wait(&self) -> Option<Duration> {
+        if self.offer.max_wait_micros == u64::MAX {
+            return None;
+        }
+        let bound = Duration::from_micros(self.offer.max_wait_micros);
+        let dispatcher = self.dispatcher.borrow();
+        let (class, account) = (self.offer.class, &self.offer.account);
+        let wait = dispatcher
+            .queue()
+            .expected_wait(class, account, self.clock.now());
+        (wait > bound).then_some(wait)
+    }
+
     fn request_slot(&self, key: RequestKey) -> SlotResponse {
         let request = QueuedRequest {
             key,
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -91,6 +91,7 @@
         class: RequestClass::InternalCheck,
         idempotent: true,
         may_wait: false,
+        max_wait_micros: u64::MAX,
         remaining_micros: 0,
         method: "GET".to_owned(),
         target: dispatcher.probe_target().to_owned(),
--- a/src/ingress/attempt_history.rs
+++ b/src/ingress/attempt_history.rs
@@ -15,6 +15,9 @@
 pub const MAX_OFFERS: usize = 12;
 /// Instances found busy before the next offer may wait in an instance's queue.
 pub const DEFAULT_NO_WAIT_OFFERS: usize = 2;
+/// Shortest `Retry-After` when every slot is taken. The expected wait can be shorter, but other
+/// requests take the next free slots.
+const MIN_BUSY_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// `Retry-After` for a service that has no instance to try.
 const NO_INSTANCE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -136,6 +139,15 @@
         !busy.is_empty()
     }
 
+    /// Makes a busy instance eligible again.
+    pub fn retry_instance(&mut self, instance: &InstanceId) {
+        if let Some(position) = self.busy.iter().position(|busy| busy == instance) {
+            self.busy.swap_remove(position);
+            self.tried.retain(|tried| tried != instance);
+            self.unreached = self.unreached.saturating_sub(1);
+        }
+    }
+
     /// Records the start of an attempt at `instance`.
     pub fn record_attempt(&mut self, instance: InstanceId) {
         self.tried.push(instance);
@@ -172,6 +184,10 @@
         }
         match self.last {
             Some(_) if deadline_passed => RequestRefusal::DeadlinePassed,
+            Some(failure) if failure.reason == Some(RefusalReason::Busy) => {
+                let retry_after = failure.retry_after.max(MIN_BUSY_RETRY_AFTER);
+                RequestRefusal::NoCapacity(failure.reason, retry_after)
+            }
             Some(failure) => RequestRefusal::NoCapacity(failure.reason, failure.retry_after),
             None => RequestRefusal::NoCapacity(None, NO_INSTANCE_RETRY_AFTER),
         }
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -13,6 +13,7 @@
 use crate::ingress::caller_response::{complete_response, streaming_response};
 use crate::ingress::ingress_handle::InFlightGuard;
 use crate::ingress::instance_choice::ChosenInstance;
+use crate::ingress::zone_attempts::ZoneAttempts;
 use crate::ingress::{AttemptHistory, IngressHandle, RequestPlan, RequestRefusal};
 use crate::logs::log_target;
 use crate::resource::RequestClass;
@@ -35,6 +36,8 @@
     pub(crate) host: Option<String>,
     pub(crate) plan: RequestPlan,
     pub(crate) deadline: Deadline,
+    /// When the route's goal passes; none when the route sets none.
+    pub(crate) goal: Option<Deadline>,
     pub(crate) method: String,
     /// Path and query.
     pub(crate) target: String,
@@ -58,19 +61,23 @@
         .with_no_wait_offers(self.ingress.sources.proxy.no_wait_offers as usize);
         let mut last_response = None;
         self.with_budget(|budget, now| budget.record_attempt(now));
-        while let Some(chosen) = self.next_instance(&mut history) {
-            let may_wait = history.may_wait();
+        let mut zones = self.open_zone_attempts();
+        while let Some(chosen) = self.choose_instance(&mut history, zones.as_mut()) {
             let record = &chosen.record;
             history.record_attempt(record.instance.clone());
-            let outcome = self.attempt(&chosen, &history, may_wait).await;
+            let begin = self.ingress.sources.clock.now();
+            let outcome = self.attempt(&chosen, &history).await;
             self.log_attempt(record, &history, &outcome);
+            if let Some(zones) = &mut zones {
+                self.record_zone_outcome(zones, &chosen, &outcome, begin);
+            }
             match outcome {
                 AttemptOutcome::Complete { head, body, load } => {
                     self.update_load(&record.instance, Some(load));
                     if !self.is_retryable_response(&head)
                         || !self.may_retry(&history, ExecutionVerdict::MayHaveRun, false)
                     {
-                        self.record_completed(&head);
+                        self.record_completed(&head, record, zones.as_ref());
                         return Ok(complete_response(&head, body));
                     }
                     history.record_response();
@@ -78,7 +85,7 @@
                 }
                 AttemptOutcome::Streaming(response) => {
                     self.update_load(&record.instance, Some(response.head.load));
-                    self.record_completed(&response.head);
+                    self.record_completed(&response.head, record, zones.as_ref());
                     let clock = self.ingress.sources.clock;
                     return Ok(streaming_response(response, self.deadline, clock, guard));
                 }
@@ -116,15 +123,10 @@
         }
     }
 
-    async fn attempt(
-        &self,
-        chosen: &ChosenInstance,
-        history: &AttemptHistory,
-        may_wait: bool,
-    ) -> AttemptOutcome {
+    async fn attempt(&self, chosen: &ChosenInstance, history: &AttemptHistory) -> AttemptOutcome {
         let record = &chosen.record;
         let sources = &self.ingress.sources;
-        let deadline = self.attempt_deadline(record, history);
+        let deadline = self.attempt_deadline(chosen, history);
         let task = AttemptTask {
             peers: &sources.peers,
             clock: sources.clock,
@@ -133,13 +135,14 @@
             deadline,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
         };
-        let offer = self.offer(chosen, deadline, may_wait);
+        let offer = self.offer(chosen, deadline);
         task.run(offer, self.body.clone()).await
     }
 
     /// Returns the deadline of the next attempt. Unless the attempt is the last, that of an idempotent
     /// request leaves time for another one.
-    fn attempt_deadline(&self, record: &InstanceRecord, history: &AttemptHistory) -> Deadline {
+    fn attempt_deadline(&self, chosen: &ChosenInstance, history: &AttemptHistory) -> Deadline {
+        let record = &chosen.record;
         let now = self.ingress.sources.clock.now();
         let remaining = self.deadline.remaining(now);
         if !self.plan.idempotent || history.is_last() {
@@ -151,10 +154,10 @@
             _ if record.median_micros == 0 => remaining / 2,
             _ => (median * ATTEMPT_TIMEOUT_MEDIANS).max(MIN_ATTEMPT_TIMEOUT),
         };
-        now.after(timeout.min(remaining))
+        now.after(timeout.saturating_add(chosen.wait.bound()).min(remaining))
     }
 
-    fn offer(&self, chosen: &ChosenInstance, deadline: Deadline, may_wait: bool) -> RequestOffer {
+    fn offer(&self, chosen: &ChosenInstance, deadline: Deadline) -> RequestOffer {
         let record = &chosen.record;
         let sources = &self.ingress.sources;
         let remaining = deadline.remaining(sources.clock.now());
@@ -173,7 +176,8 @@
             is_forced: chosen.is_forced,
             class: self.plan.class,
             idempotent: self.plan.idempotent,
-            may_wait,
+            may_wait: chosen.wait.may_wait(),
+            max_wait_micros: chosen.wait.max_micros(),
             remaining_micros: u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX),
             method: self.method.clone(),
             target: self.target.clone(),
@@ -261,7 +265,15 @@
             .with_budget(&self.plan.service, share, |budget| act(budget, now))
     }
 
-    fn record_completed(&self, head: &BackendHead) {
+    fn record_completed(
+        &self,
+        head: &BackendHead,
+        record: &InstanceRecord,
+        zones: Option<&ZoneAttempts>,
+    ) {
+        if let Some(zones) = zones {
+            self.count_zone(zones, record);
+        }
         if head.status < 500 {
             let mut state = self.ingress.state.borrow_mut();
             state.credits.record_completed(
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -7,7 +7,7 @@
 
 use serde_json::json;
 
-use crate::balance::{InstancePicker, TrafficSplitter};
+use crate::balance::{InstancePicker, ServiceZones, TrafficSplitter, ZoneLine, ZoneRouter};
 use crate::baseline::{RoundRobin, StaticLimiter};
 use crate::config::ConfigHandle;
 use crate::hash::FastMap;
@@ -61,6 +61,7 @@
     pub(crate) round_robins: FastMap<ServiceId, RoundRobin>,
     pub(crate) static_limiter: StaticLimiter,
     pub(crate) traffic_splitters: FastMap<RouteId, TrafficSplitter>,
+    pub(crate) zones: ZoneRouter,
     pub(crate) credits: CreditLedger,
     pub(crate) totals: RequestTotals,
     pub(crate) rng: fastrand::Rng,
@@ -95,6 +96,7 @@
             round_robins: FastMap::default(),
             static_limiter: StaticLimiter::default(),
             traffic_splitters: FastMap::default(),
+            zones: ZoneRouter::default(),
             credits: CreditLedger::default(),
             totals: RequestTotals::default(),
             rng: fastrand::Rng::new(),
@@ -156,6 +158,13 @@
         self.state.borrow().credits.lines()
     }
 
+    /// Returns the requests by service and the zone that served them.
+    #[must_use]
+    pub fn zone_lines(&self) -> Vec<ZoneLine> {
+        let now = self.sources.clock.now();
+        self.state.borrow().zones.lines(now)
+    }
+
     /// Returns the state as JSON for the admin dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -171,6 +180,7 @@
             "totals": state.totals,
             "credits": state.credits.lines(),
             "pickers": pickers,
+            "zones": state.zones.dump(self.sources.clock.now()),
         })
     }
 
@@ -185,6 +195,14 @@
         &self,
         service: &ServiceId,
         act: impl FnOnce(&mut InstancePicker, &mut fastrand::Rng) -> T,
+    ) -> T {
+        self.with_zones(service, |_, picker, rng| act(picker, rng))
+    }
+
+    pub(crate) fn with_zones<T>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut ServiceZones, &mut InstancePicker, &mut fastrand::Rng) -> T,
     ) -> T {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -194,7 +212,7 @@
             .pickers
             .entry(service.clone())
             .or_insert_with(|| InstancePicker::with_zone_cost(zone.clone(), cost));
-        act(picker, &mut state.rng)
+        act(state.zones.service(service), picker, &mut state.rng)
     }
 
     pub(crate) fn with_budget<T>(
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -1,10 +1,12 @@
 //! Choice of the instance for the next attempt at a request.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use crate::balance::PickCriteria;
+use crate::balance::{PickCriteria, PickScope};
 use crate::ids::InstanceId;
 use crate::ingress::caller_request::CallerRequest;
+use crate::ingress::offer_wait::OfferWait;
 use crate::ingress::{AttemptFailure, AttemptHistory};
 use crate::retry::RetryBudget;
 use crate::wire::{InstanceLoad, InstanceRecord, RefusalReason};
@@ -18,38 +20,59 @@
     pub(crate) record: InstanceRecord,
     /// Whether the ingress sends the request although it knows that the instance's health excludes it.
     pub(crate) is_forced: bool,
+    pub(crate) wait: OfferWait,
 }
 
 impl CallerRequest<'_> {
     /// Picks the next instance; instances found busy are picked again when no other is left.
     pub(crate) fn next_instance(&self, history: &mut AttemptHistory) -> Option<ChosenInstance> {
-        if let Some(chosen) = self.pick_instance(history) {
+        if let Some(chosen) = self.pick_from_all(history) {
             return Some(chosen);
         }
         if !history.retry_busy() {
             return None;
         }
-        self.pick_instance(history)
+        self.pick_from_all(history)
     }
 
-    fn pick_instance(&self, history: &AttemptHistory) -> Option<ChosenInstance> {
+    fn pick_from_all(&self, history: &AttemptHistory) -> Option<ChosenInstance> {
+        let wait = match history.may_wait() {
+            true => OfferWait::Unbounded,
+            false => OfferWait::None,
+        };
+        let needs_healthy = !self.plan.idempotent && history.has_busy();
+        self.pick_instance(history, PickScope::All, needs_healthy, wait)
+    }
+
+    /// Returns the records of the service's instances that requests may be sent to.
+    pub(crate) fn service_records(&self) -> Rc<[InstanceRecord]> {
+        let members = &self.ingress.sources.members;
+        members.instances_of(&self.plan.service)
+    }
+
+    /// Picks an instance in `scope` for an offer that may wait as `wait` says; `needs_healthy` tells
+    /// to pick nothing rather than an instance that is not healthy where the request prefers one.
+    pub(crate) fn pick_instance(
+        &self,
+        history: &AttemptHistory,
+        scope: PickScope<'_>,
+        needs_healthy: bool,
+        wait: OfferWait,
+    ) -> Option<ChosenInstance> {
         let tried = history.tried();
-        let records = self
-            .ingress
-            .sources
-            .members
-            .instances_of(&self.plan.service);
+        let records = self.service_records();
         if self.ingress.sources.baseline.round_robin {
-            return self.pick_round_robin(&records, tried);
+            return self.pick_round_robin(&records, tried, wait);
         }
         let now = self.ingress.sources.clock.now();
         let criteria = PickCriteria {
             floor: self.plan.floor,
             tried,
             idempotent: self.plan.idempotent,
-            may_wait: !self.plan.idempotent && history.has_busy(),
+            may_wait: needs_healthy,
             allows_trial: self.with_budget(RetryBudget::allows_trial),
             is_bulk: self.plan.class.is_bulk(),
+            scope,
         };
         let chosen = self
             .ingress
@@ -65,6 +88,7 @@
                 || chosen.is_limit_lifted
                 || !record.health.accepts(self.plan.idempotent),
             record,
+            wait,
         })
     }
 
@@ -72,6 +96,7 @@
         &self,
         records: &[InstanceRecord],
         tried: &[InstanceId],
+        wait: OfferWait,
     ) -> Option<ChosenInstance> {
         let mut state = self.ingress.state.borrow_mut();
         let round_robin = state
@@ -83,6 +108,7 @@
         Some(ChosenInstance {
             record,
             is_forced: true,
+            wait,
         })
     }
 
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -11,12 +11,14 @@
 mod credit_ledger;
 mod ingress_handle;
 mod instance_choice;
+mod offer_wait;
 mod request_plan;
 mod request_refusal;
 mod request_task;
 mod request_totals;
 mod response_body;
 mod shutdown_signal;
+mod zone_attempts;
 
 pub use attempt_history::{AttemptFailure, AttemptHistory, DEFAULT_MAX_ATTEMPTS, MAX_OFFERS};
 pub use attempt_machine::{AttemptAction, AttemptEvent, AttemptMachine, AttemptState};
--- a/src/ingress/request_plan.rs
+++ b/src/ingress/request_plan.rs
@@ -49,6 +49,8 @@
     pub idempotent: bool,
     /// Timeout of the route; none when the route sets none.
     pub timeout: Option<Duration>,
+    /// Time within which a response is of full use; none when the route sets none.
+    pub goal: Option<Duration>,
     /// Most instances that the request may reach; none when the route sets no bound.
     pub max_attempts: Option<usize>,
     /// Share of the service's capacity that ejections, drains and cold starts must leave in use.
@@ -103,6 +105,7 @@
             idempotent: route.class.is_repeatable()
                 && route.idempotency.is_idempotent(facts.method),
             timeout: route.rules.timeout.map(|span| span.get()),
+            goal: route.rules.goal.map(|span| span.get()),
             max_attempts: route.rules.attempts.map(|bound| bound.get() as usize),
             floor: service.floor,
             retry_budget: service.retry_budget,
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -124,6 +124,9 @@
     let plan = plan(ingress, request, secret.as_deref())?;
     let secret = secret.ok();
     let deadline = request_deadline(ingress, &plan, request.headers())?;
+    let goal = plan
+        .goal
+        .map(|span| ingress.sources.clock.now().after(span));
     let mut reservation = ingress.body_budget.reserve();
     let body = request_body(ingress, request, &mut reservation).await?;
     if let Some(secret) = &secret {
@@ -138,6 +141,7 @@
         host: host_header(request).map(str::to_owned),
         plan,
         deadline,
+        goal,
         method: request.method().as_str().to_owned(),
         target: request_target(request),
         headers,
--- /dev/null
+++ b/src/ingress/zone_attempts.rs
@@ -0,0 +1,291 @@
+//! Zone-local routing of one request: chooses the instance of each offer and records what the offers
+//! tell of the zones.
+
+use std::time::Duration;
+
+use crate::balance::{
+    InstancePicker, PickScope, ServiceZones, WaitLimits, ZoneChoice, ZoneRoom, ZoneStart, ZoneStep,
+};
+use crate::ids::ZoneId;
+use crate::ingress::attempt_task::AttemptOutcome;
+use crate::ingress::caller_request::CallerRequest;
+use crate::ingress::instance_choice::ChosenInstance;
+use crate::ingress::offer_wait::OfferWait;
+use crate::ingress::{AttemptFailure, AttemptHistory};
+use crate::logs::log_target;
+use crate::retry::RetryBudget;
+use crate::settings::ZoneOverflow;
+use crate::time::MonoTime;
+use crate::wire::{InstanceRecord, RefusalReason};
+
+/// Only a free slot is taken; a busy instance names the expected wait.
+const NO_WAIT: OfferWait = OfferWait::AtMost(Duration::ZERO);
+
+/// The zones that one request was offered to.
+pub(crate) struct ZoneAttempts {
+    choice: ZoneChoice,
+    /// The room of the own zone when the request arrived.
+    room: ZoneRoom,
+    is_sample: bool,
+    /// Whether the request has told of the pressure of the own zone.
+    has_told: bool,
+    /// Whether the last offer found out whether the own zone has a free slot.
+    is_home_offer: bool,
+    /// Whether the request was offered to another zone.
+    has_crossed: bool,
+}
+
+impl CallerRequest<'_> {
+    /// Returns the state of zone-local routing for the request; none where it is off.
+    pub(crate) fn open_zone_attempts(&self) -> Option<ZoneAttempts> {
+        if !self.is_zone_local() {
+            return None;
+        }
+        let sources = &self.ingress.sources;
+        let records = self.service_records();
+        let allows_trial = self.with_budget(RetryBudget::allows_trial);
+        let may_be_sample = self.plan.idempotent
+            && allows_trial
+            && !self.plan.class.is_bulk()
+            && self.plan.max_attempts != Some(1)
+            && records.iter().any(|record| record.zone != sources.zone);
+        let (room, is_planned, is_sample) = self.with_zones(|zones, picker, rng, now| {
+            let room = ZoneRoom::of(&records, &sources.zone, |record| {
+                picker.is_reachable(record, now)
+            });
+            (room, zones.draw_overflow(now, rng), may_be_sample)
+        });
+        let is_sample = is_sample && self.take_sample();
+        let start = ZoneStart {
+            has_home: room.is_usable(),
+            is_planned,
+            is_sample,
+            no_wait_offers: sources.proxy.no_wait_offers as usize,
+        };
+        Some(ZoneAttempts {
+            choice: ZoneChoice::open(start),
+            room,
+            is_sample,
+            has_told: !room.is_usable(),
+            is_home_offer: false,
+            has_crossed: false,
+        })
+    }
+
+    /// Whether requests stay in the zone of the ingress while it has room in time.
+    fn is_zone_local(&self) -> bool {
+        let sources = &self.ingress.sources;
+        sources.proxy.zone_overflow == ZoneOverflow::Local && !sources.baseline.round_robin
+    }
+
+    /// Chooses the instance of the next offer, from the zones that `attempts` says.
+    pub(crate) fn choose_instance(
+        &self,
+        history: &mut AttemptHistory,
+        attempts: Option<&mut ZoneAttempts>,
+    ) -> Option<ChosenInstance> {
+        match attempts {
+            Some(attempts) => self.next_zone_instance(history, attempts),
+            None => self.next_instance(history),
+        }
+    }
+
+    /// Chooses the instance of the next offer; none when no instance may take the request.
+    fn next_zone_instance(
+        &self,
+        history: &mut AttemptHistory,
+        attempts: &mut ZoneAttempts,
+    ) -> Option<ChosenInstance> {
+        let own = &self.ingress.sources.zone;
+        let limits = self.wait_limits(&attempts.room);
+        loop {
+            let step = attempts.choice.next_step(&limits);
+            if attempts.choice.is_past_home_offers() {
+                self.tell_shortage(attempts, limits.home);
+            }
+            attempts.is_home_offer = step == ZoneStep::Home;
+            let chosen = match &step {
+                ZoneStep::Home => self.pick_without_wait(history, PickScope::Zone(own)),
+                ZoneStep::Sample | ZoneStep::Away => self
+                    .draw_other_zone()
+                    .and_then(|zone| self.pick_without_wait(history, PickScope::Zone(&zone)))
+                    .or_else(|| self.pick_without_wait(history, PickScope::OutsideZone(own))),
+                ZoneStep::Wait(instance, bound) => {
+                    history.retry_instance(instance);
+                    let wait = bound.map_or(OfferWait::Unbounded, OfferWait::AtMost);
+                    let scope = PickScope::Instance(instance);
+                    self.pick_instance(history, scope, !self.plan.idempotent, wait)
+                }
+                ZoneStep::Anywhere => return self.pick_anywhere(history),
+            };
+            if let Some(chosen) = chosen {
+                attempts.has_crossed |= chosen.record.zone != *own;
+                return Some(chosen);
+            }
+            attempts.choice.on_none();
+        }
+    }
+
+    /// Records what the outcome of an offer, begun at `begin`, tells of the zones.
+    pub(crate) fn record_zone_outcome(
+        &self,
+        attempts: &mut ZoneAttempts,
+        chosen: &ChosenInstance,
+        outcome: &AttemptOutcome,
+        begin: MonoTime,
+    ) {
+        let record = &chosen.record;
+        let is_home = record.zone == self.ingress.sources.zone;
+        match outcome {
+            AttemptOutcome::Complete { .. } | AttemptOutcome::Streaming(_) => {
+                if attempts.is_home_offer && !attempts.has_told {
+                    attempts.has_told = true;
+                    self.with_zones(|zones, _, rng, now| zones.on_home_free(now, rng));
+                }
+                if matches!(outcome, AttemptOutcome::Complete { .. }) && chosen.wait == NO_WAIT {
+                    self.with_zones(|zones, _, _, now| {
+                        zones.observe_time(&self.plan.route, now.since(begin));
+                    });
+                }
+                if !is_home {
+                    self.with_zones(|zones, _, _, now| zones.on_other(&record.zone, false, now));
+                }
+            }
+            AttemptOutcome::Failed { failure, load } => {
+                self.record_zone_failure(attempts, record, failure, load.is_some());
+            }
+        }
+        self.log_share_change(&attempts.room);
+    }
+
+    /// Counts a request whose response goes to the caller by the zone that served it.
+    pub(crate) fn count_zone(&self, attempts: &ZoneAttempts, record: &InstanceRecord) {
+        let is_home = record.zone == self.ingress.sources.zone;
+        let (is_sample, has_crossed) = (attempts.is_sample, attempts.has_crossed);
+        self.with_zones(|zones, _, _, _| {
+            let counts = &mut zones.counts;
+            counts.kept += u64::from(is_home);
+            counts.overflowed += u64::from(!is_home);
+            counts.returned += u64::from(is_home && has_crossed);
+            counts.sampled += u64::from(!is_home && is_sample);
+        });
+    }
+
+    fn record_zone_failure(
+        &self,
+        attempts: &mut ZoneAttempts,
+        record: &InstanceRecord,
+        failure: &AttemptFailure,
+        is_reached: bool,
+    ) {
+        let is_home = record.zone == self.ingress.sources.zone;
+        let is_busy = failure.reason == Some(RefusalReason::Busy);
+        match is_busy {
+            true => attempts
+                .choice
+                .on_busy(&record.instance, is_home, failure.retry_after),
+            false => attempts.choice.on_failure(&record.instance),
+        }
+        if is_home {
+            return;
+        }
+        self.with_zones(|zones, _, _, now| match is_reached {
+            true => zones.on_other(&record.zone, is_busy, now),
+            false => zones.on_other_unreachable(&record.zone, now),
+        });
+    }
+
+    /// Records, once for each request, that the own zone had no free slot.
+    fn tell_shortage(&self, attempts: &mut ZoneAttempts, limit: Duration) {
+        if std::mem::replace(&mut attempts.has_told, true) {
+            return;
+        }
+        let wait = attempts.choice.home_wait().unwrap_or(limit * 2);
+        self.with_zones(|zones, _, rng, now| {
+            zones.on_home_busy(wait, limit, &attempts.room, now, rng);
+        });
+        self.log_share_change(&attempts.room);
+    }
+
+    fn log_share_change(&self, room: &ZoneRoom) {
+        let Some(change) = self.with_zones(|zones, _, _, now| zones.take_share_change(now)) else {
+            return;
+        };
+        log::info!(
+            target: log_target::INGRESS,
+            service:% = self.plan.service,
+            zone:% = self.ingress.sources.zone,
+            from = change.from,
+            to = change.to,
+            pressure = change.pressure,
+            usable_slots = room.usable(),
+            announced_slots = room.announced();
+            "Zone overflow share changed."
+        );
+    }
+
+    fn wait_limits(&self, room: &ZoneRoom) -> WaitLimits {
+        let now = self.ingress.sources.clock.now();
+        let route = &self.plan.route;
+        let time = self.with_zones(|zones, _, _, _| zones.expected_time(route));
+        WaitLimits::open(
+            self.goal.map(|goal| goal.remaining(now)),
+            self.deadline.remaining(now),
+            time.unwrap_or(room.median()),
+            room.is_reduced(),
+        )
+    }
+
+    fn draw_other_zone(&self) -> Option<ZoneId> {
+        let records = self.service_records();
+        let own = &self.ingress.sources.zone;
+        self.with_zones(|zones, picker, rng, now| {
+            let is_reachable = |record: &InstanceRecord| picker.is_reachable(record, now);
+            zones.draw_other(&records, own, is_reachable, now, rng)
+        })
+    }
+
+    /// Picks an instance for an offer that must not wait; none rather than one that is not healthy
+    /// after the first offer.
+    fn pick_without_wait(
+        &self,
+        history: &AttemptHistory,
+        scope: PickScope<'_>,
+    ) -> Option<ChosenInstance> {
+        self.pick_instance(history, scope, true, NO_WAIT)
+    }
+
+    /// Picks any instance for an offer with any wait; instances found busy are picked again when no
+    /// other is left.
+    fn pick_anywhere(&self, history: &mut AttemptHistory) -> Option<ChosenInstance> {
+        let pick = |history: &AttemptHistory| {
+            let needs_healthy = !self.plan.idempotent && history.has_busy();
+            self.pick_instance(history, PickScope::All, needs_healthy, OfferWait::Unbounded)
+        };
+        if let Some(chosen) = pick(history) {
+            return Some(chosen);
+        }
+        if !history.retry_busy() {
+            return None;
+        }
+        pick(history)
+    }
+
+    fn take_sample(&self) -> bool {
+        let now = self.ingress.sources.clock.now();
+        let mut state = self.ingress.state.borrow_mut();
+        let state = &mut *state;
+        state.zones.take_sample(now, &mut state.rng)
+    }
+
+    fn with_zones<T>(
+        &self,
+        act: impl FnOnce(&mut ServiceZones, &InstancePicker, &mut fastrand::Rng, MonoTime) -> T,
+    ) -> T {
+        let now = self.ingress.sources.clock.now();
+        self.ingress
+            .with_zones(&self.plan.service, |zones, picker, rng| {
+                act(zones, picker, rng, now)
+            })
+    }
+}
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -8,6 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::balance::ZoneLine;
 use crate::ingress::{CreditLine, RequestTotals};
 use crate::metrics::DurationMetrics;
 
@@ -29,6 +30,8 @@
     pub document_warnings: u64,
     /// Messages of other daemons that were refused, since the daemon started.
     pub refused_messages: u64,
+    /// Requests by service and the zone that served them.
+    pub zones: Vec<ZoneLine>,
 }
 
 /// Registry of all metrics with the latest snapshot.
@@ -128,6 +131,17 @@
     });
     register_credit_counter(meter, latest, "requests_completed", |line| line.completed);
     register_credit_counter(meter, latest, "credit_earned", |line| line.credit);
+    register_zone_counter(meter, latest, "zone_requests_kept", |line| line.counts.kept);
+    register_zone_counter(meter, latest, "zone_requests_overflowed", |line| {
+        line.counts.overflowed
+    });
+    register_zone_counter(meter, latest, "zone_requests_returned", |line| {
+        line.counts.returned
+    });
+    register_zone_counter(meter, latest, "zone_requests_sampled", |line| {
+        line.counts.sampled
+    });
+    register_zone_share(meter, latest);
 }
 
 fn register_counter(
@@ -188,3 +202,42 @@
         })
         .build();
 }
+
+/// Registers a counter with one series per service.
+fn register_zone_counter(
+    meter: &Meter,
+    latest: &SharedSnapshot,
+    name: &'static str,
+    read: fn(&ZoneLine) -> u64,
+) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_counter(name)
+        .with_callback(move |instrument| observe_zones(instrument, &latest, read))
+        .build();
+}
+
+/// Registers the gauge of the overflow shares, with one series per service.
+fn register_zone_share(meter: &Meter, latest: &SharedSnapshot) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_gauge("zone_overflow_permille")
+        .with_callback(move |instrument| {
+            observe_zones(instrument, &latest, |line| line.share_permille);
+        })
+        .build();
+}
+
+fn observe_zones(
+    instrument: &dyn AsyncInstrument<u64>,
+    latest: &SharedSnapshot,
+    read: fn(&ZoneLine) -> u64,
+) {
+    let Ok(snapshot) = latest.lock() else {
+        return;
+    };
+    for line in &snapshot.zones {
+        let service = KeyValue::new("service", line.service.to_string());
+        instrument.observe(read(line), &[service]);
+    }
+}
--- a/src/queue/class_queue.rs
+++ b/src/queue/class_queue.rs
@@ -66,6 +66,24 @@
         (queue.start_tag - self.virtual_time).max(0.0) + own_secs
     }
 
+    /// Service time of the waiting requests that start before a new request of `account`, in seconds.
+    pub(super) fn secs_ahead(&self, account: &AccountId) -> f64 {
+        let mean_secs = self.estimate.mean_secs();
+        let own = self.accounts.get(account);
+        let own_waiting = own.map_or(0, |queue| queue.waiting.len());
+        let own_tag = own.map_or(self.virtual_time, |queue| {
+            queue.start_tag.max(self.virtual_time)
+        });
+        let start_tag = own_tag + secs_of(own_waiting, mean_secs);
+        let others = self.accounts.iter().filter(|(name, _)| *name != account);
+        let secs_of_others = others.map(|(_, queue)| {
+            // Each request of the account adds the mean to its start tag; equal tags go first.
+            let lead_secs = start_tag - queue.start_tag + mean_secs;
+            lead_secs.clamp(0.0, secs_of(queue.waiting.len(), mean_secs))
+        });
+        secs_of_others.sum::<f64>() + secs_of(own_waiting, mean_secs)
+    }
+
     /// Appends a request to its account's queue.
     pub(super) fn push(&mut self, account: &AccountId, key: RequestKey, deadline: Deadline) {
         let virtual_time = self.virtual_time;
--- a/src/queue/class_scheduler.rs
+++ b/src/queue/class_scheduler.rs
@@ -114,15 +114,21 @@
     /// service of one of its accounts. Assumes that the classes and accounts which now have
     /// waiting requests share `slots`.
     pub(super) fn secs_per_virtual_sec(&self, class: RequestClass, slots: u32) -> f64 {
+        let accounts = self.queue(class).backlogged_accounts().max(1);
+        let accounts = f64::from(u32::try_from(accounts).unwrap_or(u32::MAX));
+        accounts * self.secs_per_service_sec(class, slots)
+    }
+
+    /// Expected seconds per second of service of `class`. Assumes that the classes which now have
+    /// waiting requests share `slots`.
+    pub(super) fn secs_per_service_sec(&self, class: RequestClass, slots: u32) -> f64 {
         let rival_weights: f64 = RequestClass::ALL
             .into_iter()
             .filter(|other| *other != class && self.queue(*other).waiting() > 0)
             .map(|other| self.weight_of(other))
             .sum();
         let share = self.weight_of(class) / (self.weight_of(class) + rival_weights);
-        let accounts = self.queue(class).backlogged_accounts().max(1);
-        let accounts = f64::from(u32::try_from(accounts).unwrap_or(u32::MAX));
-        accounts / (f64::from(slots) * share)
+        1.0 / (f64::from(slots) * share)
     }
 
     /// Factor that makes the ages of requests of different classes comparable: the mean service
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -253,6 +253,24 @@
 
 /// Predicting how long a request waits.
 impl InstanceQueue {
+    /// Returns the expected wait of a new request before it starts, behind the waiting requests of
+    /// all accounts that go first.
+    #[must_use]
+    pub fn expected_wait(
+        &self,
+        class: RequestClass,
+        account: &AccountId,
+        now: MonoTime,
+    ) -> Duration {
+        if self.has_free_slot() && self.waiting.is_empty() {
+            return Duration::ZERO;
+        }
+        let ahead_secs = self.scheduler.queue(class).secs_ahead(account);
+        let pace = self.scheduler.secs_per_service_sec(class, self.slots);
+        let wait_secs = self.first_free_secs(now) + ahead_secs * pace;
+        Duration::try_from_secs_f64(wait_secs).unwrap_or(Duration::MAX)
+    }
+
     /// Expected wait of a new request before it starts, in seconds.
     fn expected_wait_secs(&self, class: RequestClass, account: &AccountId, now: MonoTime) -> f64 {
         if self.has_free_slot() && self.waiting.is_empty() {
--- a/src/resource/route_rules.rs
+++ b/src/resource/route_rules.rs
@@ -28,7 +28,8 @@
     pub split: Vec<WeightedService>,
     /// Maximum time that a request waits for its response; absent if only its deadline applies.
     pub timeout: Option<TimeSpan>,
-    /// Time within which a response is of full use to the caller. It is stored, but no code enforces it.
+    /// Time within which a response is of full use to the caller. It bounds the wait for a slot in the
+    /// own availability zone (`proxy.zone_overflow`); no request is refused because of it.
     pub goal: Option<TimeSpan>,
     /// Maximum number of instances that one request may be sent to, including the first.
     pub attempts: Option<AttemptLimit>,
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -3,6 +3,7 @@
 use serde::de::{Error, Unexpected};
 use serde::{Deserialize, Deserializer};
 
+use crate::settings::ZoneOverflow;
 use crate::units::{ByteSize, TimeSpan, ZoneCost};
 
 /// Sizes, deadlines, buffering and retries of proxied requests.
@@ -40,6 +41,8 @@
     pub no_wait_offers: u32,
     /// Cost that load balancing adds for an instance in another availability zone.
     pub zone_cost: ZoneCost,
+    /// Whether requests stay in the daemon's availability zone while it has room in time.
+    pub zone_overflow: ZoneOverflow,
     /// Retries that the whole fleet may make for a service within ten seconds, in addition to the
     /// share that `retry_budget` allows. A fraction is rounded down. If absent, each daemon has a small
     /// reserve of its own.
@@ -63,6 +66,7 @@
             exact_retry_after: false,
             no_wait_offers: 2,
             zone_cost: ZoneCost::default(),
+            zone_overflow: ZoneOverflow::Off,
             retry_reserve: None,
         }
     }
--- a/src/wire/request_offer.rs
+++ b/src/wire/request_offer.rs
@@ -41,6 +41,10 @@
     /// Whether the request may wait in the instance's queue. If not, it is refused while all slots
     /// are in use.
     pub may_wait: bool,
+    /// Longest expected wait, in microseconds, with which the request may wait. If the instance
+    /// expects a longer one, it refuses the request at once as `RefusalReason::Busy` and names the
+    /// expected wait. `u64::MAX` means that the wait has no bound.
+    pub max_wait_micros: u64,
     /// Time left until the caller's deadline, in microseconds.
     pub remaining_micros: u64,
     /// HTTP method.
--- a/tests/common/sample_offer.rs
+++ b/tests/common/sample_offer.rs
@@ -22,6 +22,7 @@
         class: RequestClass::Filing,
         idempotent: false,
         may_wait: true,
+        max_wait_micros: u64::MAX,
         remaining_micros: 0,
         method: "POST".to_owned(),
         target: "/filings".to_owned(),
