--- a/src/balance/wait_limits.rs
+++ b/src/balance/wait_limits.rs
@@ -6,6 +6,10 @@
 /// before long queues have built up there.
 const REDUCED_ZONE_WAIT: Duration = Duration::from_millis(150);
 
+/// Part of the time until the goal that the expected wait may take, as waits often last longer than
+/// expected.
+const USED_PART: f64 = 0.75;
+
 /// The longest waits for a slot that leave a request enough time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitLimits {
@@ -13,6 +17,8 @@
     pub home: Duration,
     /// Longest wait after which the request is still in time.
     pub timely: Duration,
+    /// Expected service time. Waits that differ by less count as equal.
+    pub service_time: Duration,
 }
 
 impl WaitLimits {
@@ -32,11 +38,15 @@
         let slack = goal_left
             .map(|left| left.min(remaining).saturating_sub(service_time))
             .filter(|slack| !slack.is_zero());
-        let timely = slack.unwrap_or(remaining / 2);
+        let timely = slack.map_or(remaining / 2, |slack| slack.mul_f64(USED_PART));
         let home = match is_reduced {
             true => timely.min(REDUCED_ZONE_WAIT),
             false => timely,
         };
-        Self { home, timely }
+        Self {
+            home,
+            timely,
+            service_time,
+        }
     }
 }
--- a/src/balance/zone_choice.rs
+++ b/src/balance/zone_choice.rs
@@ -90,9 +90,9 @@
     }
 
     /// Returns the next offer to make.
-    pub fn next_step(&mut self, limits: &WaitLimits) -> ZoneStep {
+    pub fn next_step(&mut self, limits: &WaitLimits, rng: &mut fastrand::Rng) -> ZoneStep {
         loop {
-            if let Some(step) = self.step(limits) {
+            if let Some(step) = self.step(limits, rng) {
                 return step;
             }
             self.advance();
@@ -136,7 +136,7 @@
         self.stage > ZoneStage::Home
     }
 
-    fn step(&self, limits: &WaitLimits) -> Option<ZoneStep> {
+    fn step(&self, limits: &WaitLimits, rng: &mut fastrand::Rng) -> Option<ZoneStep> {
         let home_offers = match self.start.is_planned {
             true => PLANNED_HOME_OFFERS.min(self.start.no_wait_offers.max(1)),
             false => self.start.no_wait_offers.max(1),
@@ -146,28 +146,35 @@
             ZoneStage::Home => (self.offers < home_offers).then_some(ZoneStep::Home),
             ZoneStage::HomeWait => {
                 let limit = (!self.start.is_planned).then_some(limits.home)?;
-                self.wait(|busy| busy.is_home && busy.wait <= limit, Some(limit))
+                self.wait(Some(limit), true, limits.service_time, rng)
             }
             ZoneStage::Away => (self.offers < AWAY_OFFERS).then_some(ZoneStep::Away),
-            ZoneStage::TimelyWait => {
-                self.wait(|busy| busy.wait <= limits.timely, Some(limits.timely))
-            }
-            ZoneStage::AnyWait => self.wait(|_| true, None),
+            ZoneStage::TimelyWait => self
+                .wait(Some(limits.timely), true, limits.service_time, rng)
+                .or_else(|| self.wait(Some(limits.timely), false, limits.service_time, rng)),
+            ZoneStage::AnyWait => self.wait(None, false, limits.service_time, rng),
             ZoneStage::Anywhere => Some(ZoneStep::Anywhere),
         }
     }
 
-    /// Returns an offer to the instance with the shortest wait among those that fit; if the wait is
-    /// bounded, an instance of the own zone if one fits.
+    /// Returns an offer to an instance whose wait is within `bound` and about the shortest of these,
+    /// if `is_home` only of the own zone. It is drawn at random, as the requests of a burst know
+    /// the same waits.
     fn wait(
         &self,
-        fits: impl Fn(&BusyInstance) -> bool,
         bound: Option<Duration>,
+        is_home: bool,
+        service_time: Duration,
+        rng: &mut fastrand::Rng,
     ) -> Option<ZoneStep> {
-        let fitting = self.busy.iter().filter(|busy| fits(busy));
-        let is_crossing = |busy: &BusyInstance| bound.is_some() && !busy.is_home;
-        let best = fitting.min_by_key(|busy| (is_crossing(busy), busy.wait))?;
-        (self.offers < WAIT_OFFERS).then(|| ZoneStep::Wait(best.instance.clone(), bound))
+        let fits = |busy: &&BusyInstance| {
+            (busy.is_home || !is_home) && bound.is_none_or(|bound| busy.wait <= bound)
+        };
+        let shortest = self.busy.iter().filter(fits).map(|busy| busy.wait).min()?;
+        let is_near = |busy: &&BusyInstance| busy.wait <= shortest + service_time;
+        let near: Vec<_> = self.busy.iter().filter(fits).filter(is_near).collect();
+        let drawn = near.get(rng.usize(0..near.len()))?;
+        (self.offers < WAIT_OFFERS).then(|| ZoneStep::Wait(drawn.instance.clone(), bound))
     }
 
     fn advance(&mut self) {
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -99,7 +99,7 @@
         let own = &self.ingress.sources.zone;
         let limits = self.wait_limits(&attempts.room);
         loop {
-            let step = attempts.choice.next_step(&limits);
+            let step = self.with_zones(|_, _, rng, _| attempts.choice.next_step(&limits, rng));
             if attempts.choice.is_past_home_offers() {
                 self.tell_shortage(attempts, limits.home);
             }
--- /dev/null
+++ b/tests/zone_kit/zone_request.rs
@@ -0,0 +1,292 @@
+//! The way of one request through the simulation.
+
+use std::time::Duration;
+
+use wagtailtrack::balance::{
+    PickCriteria, PickScope, WaitLimits, ZoneChoice, ZoneRoom, ZoneStart, ZoneStep,
+};
+use wagtailtrack::execution_verdict::ExecutionVerdict;
+use wagtailtrack::ids::{BootId, RequestId};
+use wagtailtrack::ingress::{AttemptFailure, AttemptHistory};
+use wagtailtrack::queue::{EnqueueOutcome, QueuedRequest, RequestKey};
+use wagtailtrack::resource::RequestClass;
+use wagtailtrack::time::{Deadline, MonoTime};
+use wagtailtrack::units::Percent;
+use wagtailtrack::wire::{InstanceRecord, RefusalReason};
+
+use super::ZoneService;
+use super::zone_service::Event;
+
+const DEADLINE: Duration = Duration::from_secs(2);
+const HOME_DELAY: Duration = Duration::from_micros(300);
+const CROSSING_DELAY: Duration = Duration::from_millis(3);
+/// Time after which an offer to an unreachable instance is given up.
+const LOST_AFTER: Duration = Duration::from_millis(250);
+const CLASS: RequestClass = RequestClass::Lookup;
+
+pub(super) struct ZoneRequest {
+    ingress: usize,
+    choice: ZoneChoice,
+    history: AttemptHistory,
+    limits: WaitLimits,
+    room: ZoneRoom,
+    has_told: bool,
+    sent: MonoTime,
+    goal: Deadline,
+    deadline: Deadline,
+    instance: usize,
+    /// Longest expected wait that the present offer permits.
+    max_wait: Option<Duration>,
+    is_home_offer: bool,
+}
+
+impl ZoneService {
+    pub(super) fn arrive(&mut self, number: usize) {
+        let now = self.now;
+        let ingress = &mut self.ingresses[number];
+        let own = ingress.picker_zone();
+        let room = ZoneRoom::of(&self.records, &own, |record| {
+            ingress.picker.is_reachable(record, now)
+        });
+        let start = ZoneStart {
+            has_home: room.is_usable(),
+            is_planned: ingress.zones.draw_overflow(now, &mut self.rng),
+            is_sample: false,
+            no_wait_offers: 4,
+        };
+        self.results[ingress.home].arrived += 1;
+        let key = RequestKey {
+            boot: BootId(1),
+            request: RequestId(self.rng.u64(..)),
+        };
+        let goal = now.after(self.goal);
+        let request = ZoneRequest {
+            ingress: number,
+            choice: ZoneChoice::open(start),
+            history: AttemptHistory::default().with_no_wait_offers(4),
+            limits: WaitLimits::open(None, DEADLINE, room.median(), false),
+            has_told: !room.is_usable(),
+            room,
+            sent: now,
+            goal,
+            deadline: now.after(DEADLINE),
+            instance: 0,
+            max_wait: None,
+            is_home_offer: false,
+        };
+        self.requests.insert(key, request);
+        self.offer(key);
+    }
+
+    /// Offers the request to the next instance.
+    fn offer(&mut self, key: RequestKey) {
+        let now = self.now;
+        let Some(mut request) = self.requests.remove(&key) else {
+            return;
+        };
+        let home = self.ingresses[request.ingress].home;
+        let left = Some(request.goal.remaining(now));
+        let remaining = request.deadline.remaining(now);
+        let (median, is_reduced) = (request.room.median(), request.room.is_reduced());
+        request.limits = WaitLimits::open(left, remaining, median, is_reduced);
+        let picked = match request.history.is_last() || remaining.is_zero() {
+            true => None,
+            false => self.pick(&mut request),
+        };
+        let Some(instance) = picked else {
+            self.results[home].refused += 1;
+            return;
+        };
+        let name = self.records[instance].instance.clone();
+        self.ingresses[request.ingress].picker.on_start(&name, now);
+        request.history.record_attempt(name);
+        request.instance = instance;
+        let is_crossing = self.instances[instance].home != home;
+        let (delay, event) = match is_crossing {
+            true if self.is_partitioned => (LOST_AFTER, Event::Refused(key, None)),
+            true => (CROSSING_DELAY, Event::Offered(key)),
+            false => (HOME_DELAY, Event::Offered(key)),
+        };
+        if is_crossing {
+            Self::count(&mut self.results[home].crossings, now);
+        }
+        self.requests.insert(key, request);
+        self.schedule(delay, event);
+    }
+
+    fn pick(&mut self, request: &mut ZoneRequest) -> Option<usize> {
+        let now = self.now;
+        loop {
+            let ingress = &mut self.ingresses[request.ingress];
+            let own = ingress.picker_zone();
+            let step = request.choice.next_step(&request.limits, &mut self.rng);
+            if request.choice.is_past_home_offers() && !request.has_told {
+                request.has_told = true;
+                let limit = request.limits.home;
+                let wait = request.choice.home_wait().unwrap_or(limit * 2);
+                let room = &request.room;
+                ingress
+                    .zones
+                    .on_home_busy(wait, limit, room, now, &mut self.rng);
+            }
+            request.is_home_offer = step == ZoneStep::Home;
+            request.max_wait = Some(Duration::ZERO);
+            let is_reachable = |record: &InstanceRecord| ingress.picker.is_reachable(record, now);
+            let zone =
+                ingress
+                    .zones
+                    .draw_other(&self.records, &own, is_reachable, now, &mut self.rng);
+            let mut may_wait = true;
+            let scope = match &step {
+                ZoneStep::Home => PickScope::Zone(&own),
+                ZoneStep::Sample | ZoneStep::Away => match &zone {
+                    Some(zone) => PickScope::Zone(zone),
+                    None => PickScope::OutsideZone(&own),
+                },
+                ZoneStep::Wait(instance, bound) => {
+                    request.history.retry_instance(instance);
+                    request.max_wait = *bound;
+                    may_wait = !self.idempotent;
+                    PickScope::Instance(instance)
+                }
+                ZoneStep::Anywhere => {
+                    request.max_wait = None;
+                    may_wait = !self.idempotent && request.history.has_busy();
+                    PickScope::All
+                }
+            };
+            let criteria = PickCriteria {
+                floor: Percent::new(50).unwrap(),
+                tried: request.history.tried(),
+                idempotent: self.idempotent,
+                may_wait,
+                allows_trial: true,
+                is_bulk: false,
+                scope,
+            };
+            let picked = ingress
+                .picker
+                .pick(&self.records, &criteria, now, &mut self.rng);
+            if let Some(picked) = picked {
+                return Some(picked.index);
+            }
+            if step == ZoneStep::Anywhere && !request.history.retry_busy() {
+                return None;
+            }
+            request.choice.on_none();
+        }
+    }
+
+    /// The egress takes the offer or refuses it.
+    pub(super) fn offered(&mut self, key: RequestKey) {
+        let now = self.now;
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let instance = request.instance;
+        let delay = self.delay(request);
+        let queue = &mut self.instances[instance].queue;
+        let account = "a".parse().unwrap();
+        let wait = queue.expected_wait(CLASS, &account, now);
+        if request.max_wait.is_some_and(|bound| wait > bound) {
+            self.schedule(delay, Event::Refused(key, Some(wait)));
+            return;
+        }
+        let queued = QueuedRequest {
+            key,
+            account,
+            class: CLASS,
+            deadline: request.deadline,
+        };
+        match queue.enqueue(queued, now) {
+            EnqueueOutcome::Start => self.start(instance, key),
+            EnqueueOutcome::Wait => {}
+            EnqueueOutcome::Refuse { retry_after } => {
+                self.schedule(delay, Event::Refused(key, Some(retry_after)));
+            }
+        }
+    }
+
+    pub(super) fn start(&mut self, instance: usize, key: RequestKey) {
+        let span = Duration::from_secs_f64(0.010 + 0.020 * self.rng.f64());
+        self.schedule(span, Event::Done(instance, key));
+    }
+
+    pub(super) fn refused(&mut self, key: RequestKey, wait: Option<Duration>) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let ingress = &mut self.ingresses[request.ingress];
+        let record = &self.records[request.instance];
+        let is_home = self.instances[request.instance].home == ingress.home;
+        request.history.record_failure(AttemptFailure {
+            verdict: ExecutionVerdict::NotRun,
+            reason: wait.map(|_| RefusalReason::Busy),
+            cause: None,
+            retry_after: wait.unwrap_or_default(),
+        });
+        match wait {
+            Some(wait) => {
+                let load = self.instances[request.instance].queue.load();
+                ingress.picker.on_response(&record.instance, load, now);
+                request.choice.on_busy(&record.instance, is_home, wait);
+                if !is_home {
+                    ingress.zones.on_other(&record.zone, true, now);
+                }
+            }
+            None => {
+                ingress.picker.on_unreachable(&record.instance, now);
+                request.choice.on_failure(&record.instance);
+                ingress.zones.on_other_unreachable(&record.zone, now);
+            }
+        }
+        self.offer(key);
+    }
+
+    pub(super) fn done(&mut self, instance: usize, key: RequestKey) {
+        let now = self.now;
+        let service_time = Duration::from_millis(20);
+        let actions = self.instances[instance]
+            .queue
+            .finish(key, service_time, now);
+        self.apply(instance, actions);
+        let Some(request) = self.requests.remove(&key) else {
+            return;
+        };
+        let delay = self.delay(&request);
+        let ingress = &mut self.ingresses[request.ingress];
+        let record = &self.records[instance];
+        let load = self.instances[instance].queue.load();
+        ingress.picker.on_response(&record.instance, load, now);
+        let is_home = self.instances[instance].home == ingress.home;
+        if request.is_home_offer && !request.has_told {
+            ingress.zones.on_home_free(now, &mut self.rng);
+        }
+        let result = &mut self.results[ingress.home];
+        match is_home {
+            true => {
+                result.kept += 1;
+                Self::count(&mut result.kept_by_slice, now);
+            }
+            false => {
+                result.crossed += 1;
+                ingress.zones.on_other(&record.zone, false, now);
+            }
+        }
+        let took = now.since(request.sent) + delay;
+        result.late += usize::from(took > self.goal);
+    }
+
+    /// The queue drops a request that cannot meet its deadline.
+    pub(super) fn give_up(&mut self, key: RequestKey) {
+        if let Some(request) = self.requests.remove(&key) {
+            self.results[self.ingresses[request.ingress].home].refused += 1;
+        }
+    }
+
+    fn delay(&self, request: &ZoneRequest) -> Duration {
+        let is_home = self.instances[request.instance].home == self.ingresses[request.ingress].home;
+        if is_home { HOME_DELAY } else { CROSSING_DELAY }
+    }
+}
