--- a/src/balance/service_zones.rs
+++ b/src/balance/service_zones.rs
@@ -81,7 +81,7 @@
         pressure.on_unreachable(now);
     }
 
-    /// Draws a zone other than `own` in proportion to the spare slots; none if no other zone has a
+    /// Draws a zone other than `own` in proportion to the spare slots; none if no reachable zone has a
     /// usable instance.
     pub fn draw_other(
         &self,
@@ -93,7 +93,9 @@
     ) -> Option<ZoneId> {
         let mut spare: Vec<(&ZoneId, f64)> = Vec::new();
         for record in records {
+            let pressure = self.others.get(&record.zone);
             let is_usable = record.zone != *own
+                && pressure.is_none_or(|pressure| !pressure.is_unreachable(now))
                 && record.phase == InstancePhase::Ready
                 && record.health == HealthState::Healthy
                 && is_reachable(record);
@@ -173,7 +175,6 @@
     fn spare_part(&self, zone: &ZoneId, now: MonoTime) -> f64 {
         match self.others.get(zone) {
             None => 1.0,
-            Some(pressure) if pressure.is_unreachable(now) => MIN_SPARE_PART * MIN_SPARE_PART,
             Some(pressure) => (1.0 - pressure.level(now)).max(MIN_SPARE_PART),
         }
     }
--- a/src/balance/zone_choice.rs
+++ b/src/balance/zone_choice.rs
@@ -7,7 +7,7 @@
 
 /// Offers in the own zone of a request that belongs to the overflow share.
 const PLANNED_HOME_OFFERS: usize = 2;
-/// Offers in other zones that must start without waiting.
+/// Offers in other zones that may hardly wait.
 const AWAY_OFFERS: usize = 2;
 /// Offers that may wait, each at the instance with the shortest known wait, before the next stage.
 const WAIT_OFFERS: usize = 2;
@@ -19,7 +19,7 @@
     Sample,
     /// The own zone, without a wait.
     Home,
-    /// Another zone, without a wait.
+    /// Another zone, with a short wait at most.
     Away,
     /// An instance that was busy, with a wait up to the bound, if there is one.
     Wait(InstanceId, Option<Duration>),
@@ -29,7 +29,6 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum ZoneStage {
-    Sample,
     Home,
     HomeWait,
     Away,
@@ -66,23 +65,25 @@
     stage: ZoneStage,
     start: ZoneStart,
     busy: Vec<BusyInstance>,
-    /// Offers found busy in the present stage.
+    /// Offers in the present stage that found no room.
     offers: usize,
+    /// Whether the sample is still to be sent.
+    is_sample_due: bool,
+    /// Whether the last step was the sample.
+    is_sampling: bool,
 }
 
 impl ZoneChoice {
     /// Returns the choice of a new request.
     #[must_use]
     pub const fn open(start: ZoneStart) -> Self {
-        let stage = match start {
-            ZoneStart {
-                is_sample: true, ..
-            } => ZoneStage::Sample,
-            ZoneStart { has_home: true, .. } => ZoneStage::Home,
-            _ => ZoneStage::Away,
-        };
         Self {
-            stage,
+            stage: match start.has_home {
+                true => ZoneStage::Home,
+                false => ZoneStage::Away,
+            },
+            is_sample_due: start.is_sample,
+            is_sampling: false,
             start,
             busy: Vec::new(),
             offers: 0,
@@ -91,6 +92,10 @@
 
     /// Returns the next offer to make.
     pub fn next_step(&mut self, limits: &WaitLimits, rng: &mut fastrand::Rng) -> ZoneStep {
+        self.is_sampling = std::mem::take(&mut self.is_sample_due);
+        if self.is_sampling {
+            return ZoneStep::Sample;
+        }
         loop {
             if let Some(step) = self.step(limits, rng) {
                 return step;
@@ -101,7 +106,9 @@
 
     /// Records that no instance fits the last step.
     pub fn on_none(&mut self) {
-        self.advance();
+        if !self.is_sampling {
+            self.advance();
+        }
     }
 
     /// Records that the instance offered last was busy and that its egress expected `wait`.
@@ -112,14 +119,20 @@
             is_home,
             wait,
         });
-        self.offers += 1;
+        self.offers += usize::from(!self.is_sampling);
     }
 
     /// Records that the instance offered last failed in another way.
     pub fn on_failure(&mut self, instance: &InstanceId) {
         self.forget(instance);
-        if self.stage == ZoneStage::Sample {
-            self.advance();
+        self.offers += usize::from(self.stage >= ZoneStage::Away);
+    }
+
+    /// Leaves the own zone, where attempts have failed.
+    pub fn leave_home(&mut self) {
+        if self.stage < ZoneStage::Away {
+            self.offers = 0;
+            self.stage = ZoneStage::Away;
         }
     }
 
@@ -142,7 +155,6 @@
             false => self.start.no_wait_offers.max(1),
         };
         match self.stage {
-            ZoneStage::Sample => (self.offers == 0).then_some(ZoneStep::Sample),
             ZoneStage::Home => (self.offers < home_offers).then_some(ZoneStep::Home),
             ZoneStage::HomeWait => {
                 let limit = (!self.start.is_planned).then_some(limits.home)?;
@@ -180,9 +192,8 @@
     fn advance(&mut self) {
         self.offers = 0;
         self.stage = match self.stage {
-            ZoneStage::Sample if self.start.has_home => ZoneStage::Home,
-            ZoneStage::Sample | ZoneStage::HomeWait => ZoneStage::Away,
             ZoneStage::Home => ZoneStage::HomeWait,
+            ZoneStage::HomeWait => ZoneStage::Away,
             ZoneStage::Away => ZoneStage::TimelyWait,
             ZoneStage::TimelyWait => ZoneStage::AnyWait,
             ZoneStage::AnyWait | ZoneStage::Anywhere => ZoneStage::Anywhere,
--- a/src/balance/zone_pressure.rs
+++ b/src/balance/zone_pressure.rs
@@ -16,8 +16,11 @@
 const MAX_SAMPLE: f64 = 2.0;
 /// Shortest time that a wait is compared with.
 const MIN_LIMIT_SECS: f64 = 0.001;
-/// How long a zone is avoided after the path to one of its instances failed.
+/// How long a zone is avoided after the paths to its instances failed.
 const UNREACHABLE_AVOIDANCE: Duration = Duration::from_secs(2);
+/// Failures without a response in between from which a zone counts as unreachable. One failure may be
+/// that of a single VM.
+const UNREACHABLE_FAILURES: u32 = 2;
 
 /// The expected wait for a slot as a share of the wait that leaves enough time: 0 while slots are
 /// free, 1 or more when requests cannot be served in time.
@@ -25,6 +28,7 @@
 pub struct ZonePressure {
     level: f64,
     sampled_at: MonoTime,
+    failures: u32,
     unreachable_until: Deadline,
 }
 
@@ -33,6 +37,7 @@
         Self {
             level: 0.0,
             sampled_at: MonoTime::ZERO,
+            failures: 0,
             unreachable_until: Deadline::at(MonoTime::ZERO),
         }
     }
@@ -53,7 +58,10 @@
 
     /// Records that the path to an instance of the zone failed.
     pub fn on_unreachable(&mut self, now: MonoTime) {
-        self.unreachable_until = now.after(UNREACHABLE_AVOIDANCE);
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= UNREACHABLE_FAILURES {
+            self.unreachable_until = now.after(UNREACHABLE_AVOIDANCE);
+        }
     }
 
     /// Returns the pressure, which fades while there are no samples.
@@ -62,7 +70,7 @@
         self.level * (-self.age_secs(now) / HALF_LIFE_SECS).exp2()
     }
 
-    /// Whether the zone is to be avoided because a path to it has just failed.
+    /// Whether the zone is to be avoided because the paths to it have just failed.
     #[must_use]
     pub fn is_unreachable(&self, now: MonoTime) -> bool {
         !self.unreachable_until.has_passed(now)
@@ -73,6 +81,7 @@
         let level = self.level(now);
         self.level = level + (sample - level) * faded.max(MIN_SAMPLE_WEIGHT);
         self.sampled_at = now;
+        self.failures = 0;
     }
 
     fn age_secs(&self, now: MonoTime) -> f64 {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -196,23 +196,37 @@
         service: &ServiceId,
         act: impl FnOnce(&mut InstancePicker, &mut fastrand::Rng) -> T,
     ) -> T {
-        self.with_zones(service, |_, picker, rng| act(picker, rng))
+        let mut state = self.state.borrow_mut();
+        let IngressState { pickers, rng, .. } = &mut *state;
+        act(self.picker_of(pickers, service), rng)
     }
 
     pub(crate) fn with_zones<T>(
         &self,
         service: &ServiceId,
-        act: impl FnOnce(&mut ServiceZones, &mut InstancePicker, &mut fastrand::Rng) -> T,
+        act: impl FnOnce(&mut ServiceZones, &InstancePicker, &mut fastrand::Rng) -> T,
     ) -> T {
         let mut state = self.state.borrow_mut();
-        let state = &mut *state;
+        let IngressState {
+            pickers,
+            zones,
+            rng,
+            ..
+        } = &mut *state;
+        let picker = self.picker_of(pickers, service);
+        act(zones.service(service), picker, rng)
+    }
+
+    fn picker_of<'a>(
+        &self,
+        pickers: &'a mut FastMap<ServiceId, InstancePicker>,
+        service: &ServiceId,
+    ) -> &'a mut InstancePicker {
         let zone = &self.sources.zone;
         let cost = self.sources.proxy.zone_cost;
-        let picker = state
-            .pickers
+        pickers
             .entry(service.clone())
-            .or_insert_with(|| InstancePicker::with_zone_cost(zone.clone(), cost));
-        act(state.zones.service(service), picker, &mut state.rng)
+            .or_insert_with(|| InstancePicker::with_zone_cost(zone.clone(), cost))
     }
 
     pub(crate) fn with_budget<T>(
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -11,13 +11,15 @@
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::instance_choice::ChosenInstance;
 use crate::ingress::offer_wait::OfferWait;
-use crate::ingress::{AttemptFailure, AttemptHistory};
+use crate::ingress::{AttemptFailure, AttemptHistory, MAX_OFFERS};
 use crate::logs::log_target;
 use crate::retry::RetryBudget;
 use crate::settings::ZoneOverflow;
 use crate::time::MonoTime;
 use crate::wire::{InstanceRecord, RefusalReason};
 
+/// Attempts that reached an instance in vain before the request goes to other zones.
+const MAX_HOME_ATTEMPTS: usize = 2;
 /// Only a free slot is taken; a busy instance names the expected wait.
 const NO_WAIT: OfferWait = OfferWait::AtMost(Duration::ZERO);
 
@@ -33,6 +35,8 @@
     is_home_offer: bool,
     /// Whether the request was offered to another zone.
     has_crossed: bool,
+    /// Offers so far.
+    offers: usize,
 }
 
 impl CallerRequest<'_> {
@@ -69,6 +73,7 @@
             has_told: !room.is_usable(),
             is_home_offer: false,
             has_crossed: false,
+            offers: 0,
         })
     }
 
@@ -96,8 +101,17 @@
         history: &mut AttemptHistory,
         attempts: &mut ZoneAttempts,
     ) -> Option<ChosenInstance> {
+        if attempts.offers >= MAX_OFFERS {
+            return None;
+        }
+        attempts.offers += 1;
         let own = &self.ingress.sources.zone;
         let limits = self.wait_limits(&attempts.room);
+        // A short wait costs less than another round trip to another zone.
+        let away_wait = OfferWait::AtMost(limits.service_time.min(limits.timely));
+        if history.reached() >= MAX_HOME_ATTEMPTS {
+            attempts.choice.leave_home();
+        }
         loop {
             let step = self.with_zones(|_, _, rng, _| attempts.choice.next_step(&limits, rng));
             if attempts.choice.is_past_home_offers() {
@@ -105,11 +119,11 @@
             }
             attempts.is_home_offer = step == ZoneStep::Home;
             let chosen = match &step {
-                ZoneStep::Home => self.pick_without_wait(history, PickScope::Zone(own)),
-                ZoneStep::Sample | ZoneStep::Away => self
-                    .draw_other_zone()
-                    .and_then(|zone| self.pick_without_wait(history, PickScope::Zone(&zone)))
-                    .or_else(|| self.pick_without_wait(history, PickScope::OutsideZone(own))),
+                ZoneStep::Home => self.pick_preferring(history, PickScope::Zone(own), NO_WAIT),
+                ZoneStep::Sample | ZoneStep::Away => self.draw_other_zone().and_then(|zone| {
+                    let pick = |scope| self.pick_preferring(history, scope, away_wait);
+                    pick(PickScope::Zone(&zone)).or_else(|| pick(PickScope::OutsideZone(own)))
+                }),
                 ZoneStep::Wait(instance, bound) => {
                     history.retry_instance(instance);
                     let wait = bound.map_or(OfferWait::Unbounded, OfferWait::AtMost);
@@ -245,14 +259,15 @@
         })
     }
 
-    /// Picks an instance for an offer that must not wait; none rather than one that is not healthy
-    /// after the first offer.
-    fn pick_without_wait(
+    /// Picks an instance in `scope`; none rather than one that is not healthy where the request
+    /// prefers a healthy one.
+    fn pick_preferring(
         &self,
         history: &AttemptHistory,
         scope: PickScope<'_>,
+        wait: OfferWait,
     ) -> Option<ChosenInstance> {
-        self.pick_instance(history, scope, true, NO_WAIT)
+        self.pick_instance(history, scope, true, wait)
     }
 
     /// Picks any instance for an offer with any wait; instances found busy are picked again when no
--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -182,3 +182,35 @@
         .unwrap();
     assert!(frozen > Duration::from_millis(250), "{frozen:?}");
 }
+
+/// Guards against an expected wait that leaves out the requests of other accounts: they started to
+/// wait earlier and go first.
+#[test]
+fn expected_wait_counts_others() {
+    let mut queue = queue(1);
+    let now = MonoTime::ZERO;
+    let accounts = ["a", "b", "c", "d", "e"];
+    for (number, account) in accounts.iter().enumerate() {
+        queue.enqueue(
+            request(number as u64, account, RequestClass::Lookup, 10_000),
+            now,
+        );
+    }
+    let wait = queue.expected_wait(RequestClass::Lookup, &"z".parse().unwrap(), now);
+    // One request of 25 ms runs and four wait.
+    assert_eq!(wait, Duration::from_millis(125));
+    let free = queue_with_free_slot();
+    assert_eq!(
+        free.expected_wait(RequestClass::Lookup, &"z".parse().unwrap(), now),
+        Duration::ZERO
+    );
+}
+
+fn queue_with_free_slot() -> InstanceQueue {
+    let mut queue = queue(2);
+    queue.enqueue(
+        request(0, "a", RequestClass::Lookup, 10_000),
+        MonoTime::ZERO,
+    );
+    queue
+}
