--- a/src/balance/zone_choice.rs
+++ b/src/balance/zone_choice.rs
@@ -11,6 +11,8 @@
 const AWAY_OFFERS: usize = 2;
 /// Offers that may wait, each at the instance with the shortest known wait, before the next stage.
 const WAIT_OFFERS: usize = 2;
+/// Factor by which the known wait of an instance, with the service time, may have grown.
+const ALLOWED_GROWTH: u32 = 2;
 
 /// The next offer of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -186,6 +188,11 @@
         let is_near = |busy: &&BusyInstance| busy.wait <= shortest + service_time;
         let near: Vec<_> = self.busy.iter().filter(fits).filter(is_near).collect();
         let drawn = near.get(rng.usize(0..near.len()))?;
+        // An instance whose wait has grown further is asked again only if none is better, and one that
+        // has stopped responding is given up early. The last offer takes any wait within the bound.
+        let growth = (drawn.wait + service_time).saturating_mul(ALLOWED_GROWTH);
+        let is_last = self.offers + 1 == WAIT_OFFERS;
+        let bound = bound.map(|bound| if is_last { bound } else { bound.min(growth) });
         (self.offers < WAIT_OFFERS).then(|| ZoneStep::Wait(drawn.instance.clone(), bound))
     }
 
--- a/tests/zone_kit/zone_request.rs
+++ b/tests/zone_kit/zone_request.rs
@@ -216,7 +216,7 @@
     }
 
     pub(super) fn start(&mut self, instance: usize, key: RequestKey) {
-        let span = Duration::from_secs_f64(0.010 + 0.020 * self.rng.f64());
+        let span = self.service_time.mul_f64(0.5 + self.rng.f64());
         self.schedule(span, Event::Done(instance, key));
     }
 
@@ -254,7 +254,7 @@
 
     pub(super) fn done(&mut self, instance: usize, key: RequestKey) {
         let now = self.now;
-        let service_time = Duration::from_millis(20);
+        let service_time = self.service_time;
         let actions = self.instances[instance]
             .queue
             .finish(key, service_time, now);
--- a/tests/zone_kit/zone_service.rs
+++ b/tests/zone_kit/zone_service.rs
@@ -102,6 +102,7 @@
     pub is_partitioned: bool,
     /// Time within which a response is of full use.
     pub goal: Duration,
+    pub(super) service_time: Duration,
     /// Whether the requests are idempotent.
     pub idempotent: bool,
     pub results: [ZoneResult; ZONES],
@@ -140,6 +141,7 @@
             loads,
             is_partitioned: false,
             goal: Duration::from_millis(250),
+            service_time: Duration::from_millis(20),
             idempotent: true,
             results: Default::default(),
         };
@@ -153,6 +155,14 @@
         service
     }
 
+    /// Sets the mean service time.
+    pub fn set_service_time(&mut self, span: Duration) {
+        self.service_time = span;
+        for record in &mut self.records {
+            record.median_micros = u32::try_from(span.as_micros()).unwrap();
+        }
+    }
+
     /// Runs until `millis` after the start.
     pub fn run_until(&mut self, millis: u64) {
         let until = MonoTime::from_millis(millis);
--- a/tests/zone_overflow.rs
+++ b/tests/zone_overflow.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use wagtailtrack::balance::ZoneRouter;
+use wagtailtrack::time::MonoTime;
 use wagtailtrack::wire::HealthState;
 use zone_kit::{ZoneLoad, ZoneService};
 
@@ -59,7 +61,7 @@
         let mut service = ZoneService::open(seed, INSTANCES, INGRESSES, loads);
         service.run_until(30_000);
         let excess: f64 = (0..30_000)
-            .map(|millis| loads[0].rate_at(wagtailtrack::time::MonoTime::from_millis(millis)))
+            .map(|millis| loads[0].rate_at(MonoTime::from_millis(millis)))
             .map(|rate| (rate + 30.0 - ZONE_CAPACITY).max(0.0) / 1_000.0)
             .sum();
         let result = &service.results[0];
@@ -183,3 +185,39 @@
     assert!(result.kept as f64 > 10.0 * ZONE_CAPACITY / 6.0 * 0.5);
     assert_eq!(result.refused, 0);
 }
+
+/// Guards against overflow that needs an ingress to know the load of its zone: 34 of them with one or
+/// two requests a second each, at 50% of the room swinging by half.
+#[test]
+fn quiet_ingresses_stay_home() {
+    let mut loads = [0.5, 0.4, 0.4].map(|load| ZoneLoad::steady(load * ZONE_CAPACITY / 5.0));
+    loads[0].swing = 0.5;
+    let mut service = ZoneService::open(7, INSTANCES, 34, loads);
+    service.set_service_time(Duration::from_millis(100));
+    service.goal = Duration::from_millis(400);
+    service.run_until(60_000);
+    let result = &service.results[0];
+    println!(
+        "{} arrived, {} crossed, {} late",
+        result.arrived, result.crossed, result.late
+    );
+    assert!(result.crossed * 200 < result.arrived, "{}", result.crossed);
+    assert!(result.late * 200 < result.arrived, "{}", result.late);
+}
+
+/// Guards against records of other zones that no request tests any more, and against samples that
+/// cost much: over ten minutes a quiet and a busy ingress send two a minute, or a few more.
+#[test]
+fn samples_are_rare() {
+    for interval in [Duration::from_secs(1), Duration::from_millis(10)] {
+        let mut router = ZoneRouter::default();
+        let mut rng = fastrand::Rng::with_seed(8);
+        let mut now = MonoTime::ZERO;
+        let mut samples = 0;
+        while now < MonoTime::from_millis(600_000) {
+            samples += usize::from(router.take_sample(now, &mut rng));
+            now = now + interval;
+        }
+        assert!((15..=30).contains(&samples), "{samples}");
+    }
+}
