--- a/tests/zone_kit/zone_service.rs
+++ b/tests/zone_kit/zone_service.rs
@@ -145,9 +145,9 @@
             idempotent: true,
             results: Default::default(),
         };
-        for zone in 0..ZONES {
+        for (zone, load) in loads.iter().enumerate() {
             service.schedule(Duration::ZERO, Event::Arrive(zone));
-            if loads[zone].burst > 0 {
+            if load.burst > 0 {
                 service.schedule(Duration::from_millis(500), Event::Burst(zone));
             }
         }
