--- a/src/balance/overflow_share.rs
+++ b/src/balance/overflow_share.rs
@@ -1,4 +1,4 @@
-//! Share of a service's requests that go to another zone rather than wait in their own.
+//! Share of a service's requests that go to another zone rather than wait long in their own.
 
 use std::time::Duration;
 
--- a/src/balance/route_time.rs
+++ b/src/balance/route_time.rs
@@ -8,6 +8,8 @@
 const DEVIATION_WEIGHT: f64 = 0.25;
 /// Deviations from the mean that the estimate allows for.
 const ALLOWED_DEVIATIONS: f64 = 2.0;
+/// Largest sample as a multiple of the mean, so that a faulty instance hardly counts.
+const MAX_SAMPLE_MEANS: f64 = 3.0;
 
 /// Mean and mean deviation of the times from an offer that did not wait to its whole response.
 #[derive(Debug, Clone, Copy)]
@@ -27,7 +29,8 @@
 
     /// Adds a sample.
     pub(super) fn observe(&mut self, span: Duration) {
-        let error = span.as_secs_f64() - self.mean_secs;
+        let sample_secs = span.as_secs_f64().min(self.mean_secs * MAX_SAMPLE_MEANS);
+        let error = sample_secs - self.mean_secs;
         self.mean_secs += error * MEAN_WEIGHT;
         self.deviation_secs += (error.abs() - self.deviation_secs) * DEVIATION_WEIGHT;
     }
--- a/src/balance/wait_limits.rs
+++ b/src/balance/wait_limits.rs
@@ -26,8 +26,8 @@
     /// if it has one, and `remaining` until its deadline. `is_reduced` tells that most of the own
     /// zone's capacity is unusable.
     ///
-    /// A request without a goal, or whose goal cannot be met any more, may wait for half of the
-    /// remaining time.
+    /// A request without a goal may wait for half of the remaining time; one whose goal cannot be met
+    /// any more only for about the first free slot.
     #[must_use]
     pub fn open(
         goal_left: Option<Duration>,
@@ -35,10 +35,12 @@
         service_time: Duration,
         is_reduced: bool,
     ) -> Self {
-        let slack = goal_left
-            .map(|left| left.min(remaining).saturating_sub(service_time))
-            .filter(|slack| !slack.is_zero());
-        let timely = slack.map_or(remaining / 2, |slack| slack.mul_f64(USED_PART));
+        let slack = goal_left.map(|left| left.min(remaining).saturating_sub(service_time));
+        let timely = match slack {
+            None => remaining / 2,
+            Some(Duration::ZERO) => service_time.min(remaining / 2),
+            Some(slack) => slack.mul_f64(USED_PART),
+        };
         let home = match is_reduced {
             true => timely.min(REDUCED_ZONE_WAIT),
             false => timely,
--- a/src/balance/zone_choice.rs
+++ b/src/balance/zone_choice.rs
@@ -7,6 +7,8 @@
 
 /// Offers in the own zone of a request that belongs to the overflow share.
 const PLANNED_HOME_OFFERS: usize = 2;
+/// Part of the permitted wait in the own zone that such a request uses.
+const PLANNED_WAIT_PART: f64 = 0.3;
 /// Offers in other zones that may hardly wait.
 const AWAY_OFFERS: usize = 2;
 /// Offers that may wait, each at the instance with the shortest known wait, before the next stage.
@@ -44,7 +46,7 @@
 pub struct ZoneStart {
     /// Whether an instance of the own zone is usable.
     pub has_home: bool,
-    /// Whether the request belongs to the overflow share: it does not wait in its zone.
+    /// Whether the request belongs to the overflow share: it hardly waits in its zone.
     pub is_planned: bool,
     /// Whether the request goes to another zone first, to learn of its instances.
     pub is_sample: bool,
@@ -159,7 +161,10 @@
         match self.stage {
             ZoneStage::Home => (self.offers < home_offers).then_some(ZoneStep::Home),
             ZoneStage::HomeWait => {
-                let limit = (!self.start.is_planned).then_some(limits.home)?;
+                let limit = match self.start.is_planned {
+                    true => limits.home.mul_f64(PLANNED_WAIT_PART),
+                    false => limits.home,
+                };
                 self.wait(Some(limit), true, limits.service_time, rng)
             }
             ZoneStage::Away => (self.offers < AWAY_OFFERS).then_some(ZoneStep::Away),
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -53,16 +53,17 @@
             && !self.plan.class.is_bulk()
             && self.plan.max_attempts != Some(1)
             && records.iter().any(|record| record.zone != sources.zone);
-        let (room, is_planned, is_sample) = self.with_zones(|zones, picker, rng, now| {
+        let (room, is_planned) = self.with_zones(|zones, picker, rng, now| {
             let room = ZoneRoom::of(&records, &sources.zone, |record| {
                 picker.is_reachable(record, now)
             });
-            (room, zones.draw_overflow(now, rng), may_be_sample)
+            (room, zones.draw_overflow(now, rng))
         });
-        let is_sample = is_sample && self.take_sample();
+        let is_sample = may_be_sample && self.take_sample();
         let start = ZoneStart {
             has_home: room.is_usable(),
-            is_planned,
+            // The bytes of a bulk request cost more than its wait.
+            is_planned: is_planned && !self.plan.class.is_bulk(),
             is_sample,
             no_wait_offers: sources.proxy.no_wait_offers as usize,
         };
@@ -111,6 +112,7 @@
         let away_wait = OfferWait::AtMost(limits.service_time.min(limits.timely));
         if history.reached() >= MAX_HOME_ATTEMPTS {
             attempts.choice.leave_home();
+            attempts.has_told = true;
         }
         loop {
             let step = self.with_zones(|_, _, rng, _| attempts.choice.next_step(&limits, rng));
