--- a/src/balance/zone_choice.rs
+++ b/src/balance/zone_choice.rs
@@ -129,7 +129,7 @@
     /// Records that the instance offered last failed in another way.
     pub fn on_failure(&mut self, instance: &InstanceId) {
         self.forget(instance);
-        self.offers += usize::from(self.stage >= ZoneStage::Away);
+        self.offers += usize::from(!self.is_sampling);
     }
 
     /// Leaves the own zone, where attempts have failed.
