--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,6 +4,7 @@
 mod instance_picker;
 mod instance_stats;
 mod load_estimate;
+mod other_zone;
 mod overflow_share;
 mod path_backoff;
 mod pick_criteria;
@@ -19,6 +20,7 @@
 mod zone_router;
 
 pub use instance_picker::InstancePicker;
+pub use other_zone::OtherZone;
 pub use overflow_share::OverflowShare;
 pub use pick_criteria::PickCriteria;
 pub use pick_scope::PickScope;
--- a/src/balance/service_zones.rs
+++ b/src/balance/service_zones.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::balance::route_time::RouteTime;
-use crate::balance::{OverflowShare, ZoneCounts, ZonePressure, ZoneRoom};
+use crate::balance::{OtherZone, OverflowShare, ZoneCounts, ZonePressure, ZoneRoom};
 use crate::hash::FastMap;
 use crate::ids::{RouteId, ZoneId};
 use crate::time::MonoTime;
@@ -12,7 +12,10 @@
 /// Most routes of a service whose times are estimated.
 const MAX_ROUTES: usize = 64;
 /// Part of its slots with which a zone takes part in the choice however busy it is.
-const MIN_SPARE_PART: f64 = 0.05;
+const MIN_SPARE_PART: f64 = 0.02;
+/// Spare part of the emptiest zone below which only some requests are offered to other zones, as most
+/// would be refused there.
+const SCARCE_SPARE_PART: f64 = 0.3;
 /// Change of the overflow share from which it is logged again.
 const LOGGED_CHANGE: f64 = 0.25;
 
@@ -28,7 +31,7 @@
 }
 
 /// Pressures, overflow share, route times and counts of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServiceZones {
     home: ZonePressure,
     others: FastMap<ZoneId, ZonePressure>,
@@ -39,6 +42,19 @@
     pub counts: ZoneCounts,
 }
 
+impl Default for ServiceZones {
+    fn default() -> Self {
+        Self {
+            home: ZonePressure::home(),
+            others: FastMap::default(),
+            share: OverflowShare::default(),
+            logged_share: 0.0,
+            routes: FastMap::default(),
+            counts: ZoneCounts::default(),
+        }
+    }
+}
+
 impl ServiceZones {
     /// Draws whether a request belongs to the overflow share.
     pub fn draw_overflow(&self, now: MonoTime, rng: &mut fastrand::Rng) -> bool {
@@ -68,7 +84,7 @@
 
     /// Records that an instance of another zone responded, and whether it was busy.
     pub fn on_other(&mut self, zone: &ZoneId, is_busy: bool, now: MonoTime) {
-        let pressure = self.others.entry(zone.clone()).or_default();
+        let pressure = self.other(zone);
         match is_busy {
             true => pressure.on_wait(Duration::from_secs(1), Duration::from_secs(1), now),
             false => pressure.on_free(now),
@@ -77,12 +93,11 @@
 
     /// Records that the path to an instance of another zone failed.
     pub fn on_other_unreachable(&mut self, zone: &ZoneId, now: MonoTime) {
-        let pressure = self.others.entry(zone.clone()).or_default();
+        let pressure = self.other(zone);
         pressure.on_unreachable(now);
     }
 
-    /// Draws a zone other than `own` in proportion to the spare slots; none if no reachable zone has a
-    /// usable instance.
+    /// Draws a zone other than `own` in proportion to the spare slots.
     pub fn draw_other(
         &self,
         records: &[InstanceRecord],
@@ -90,8 +105,9 @@
         is_reachable: impl Fn(&InstanceRecord) -> bool,
         now: MonoTime,
         rng: &mut fastrand::Rng,
-    ) -> Option<ZoneId> {
+    ) -> OtherZone {
         let mut spare: Vec<(&ZoneId, f64)> = Vec::new();
+        let mut largest_part: f64 = 0.0;
         for record in records {
             let pressure = self.others.get(&record.zone);
             let is_usable = record.zone != *own
@@ -102,7 +118,9 @@
             if !is_usable {
                 continue;
             }
-            let slots = f64::from(record.slots.get()) * self.spare_part(&record.zone, now);
+            let part = self.spare_part(&record.zone, now);
+            largest_part = largest_part.max(part);
+            let slots = f64::from(record.slots.get()) * part;
             match spare.iter_mut().find(|(zone, _)| **zone == record.zone) {
                 Some((_, total)) => *total += slots,
                 None => spare.push((&record.zone, slots)),
@@ -110,14 +128,15 @@
         }
         let total: f64 = spare.iter().map(|(_, slots)| slots).sum();
         let mut point = rng.f64() * total;
-        let last = spare.last().map(|(zone, _)| (*zone).clone());
-        for (zone, slots) in spare {
-            if point < slots {
-                return Some(zone.clone());
-            }
+        let drawn = spare.iter().find(|(_, slots)| {
             point -= slots;
+            point < 0.0
+        });
+        match drawn.or(spare.last()) {
+            None => OtherZone::Missing,
+            Some(_) if rng.f64() > (largest_part / SCARCE_SPARE_PART).powi(3) => OtherZone::Full,
+            Some((zone, _)) => OtherZone::Found((*zone).clone()),
         }
-        last
     }
 
     /// Adds the time of a request that did not wait for a slot.
@@ -171,6 +190,11 @@
         })
     }
 
+    fn other(&mut self, zone: &ZoneId) -> &mut ZonePressure {
+        let pressure = self.others.entry(zone.clone());
+        pressure.or_insert_with(ZonePressure::other)
+    }
+
     /// The part of the zone's slots that counts as spare.
     fn spare_part(&self, zone: &ZoneId, now: MonoTime) -> f64 {
         match self.others.get(zone) {
--- a/src/balance/zone_choice.rs
+++ b/src/balance/zone_choice.rs
@@ -11,6 +11,8 @@
 const PLANNED_WAIT_PART: f64 = 0.3;
 /// Offers in other zones that may hardly wait.
 const AWAY_OFFERS: usize = 2;
+/// Offers in other zones of one request, unless its own zone has no usable instance.
+const MAX_AWAY_OFFERS: usize = 4;
 /// Offers that may wait, each at the instance with the shortest known wait, before the next stage.
 const WAIT_OFFERS: usize = 2;
 /// Factor by which the known wait of an instance, with the service time, may have grown.
@@ -27,6 +29,8 @@
     Away,
     /// An instance that was busy, with a wait up to the bound, if there is one.
     Wait(InstanceId, Option<Duration>),
+    /// The own zone, with any wait.
+    HomeQueue,
     /// Any instance, with any wait.
     Anywhere,
 }
@@ -38,7 +42,9 @@
     Away,
     TimelyWait,
     AnyWait,
+    HomeQueue,
     Anywhere,
+    End,
 }
 
 /// How the choice of zones begins.
@@ -71,6 +77,10 @@
     busy: Vec<BusyInstance>,
     /// Offers in the present stage that found no room.
     offers: usize,
+    /// Offers in other zones.
+    away_offers: usize,
+    /// Whether the other zones have too little room.
+    is_away_full: bool,
     /// Whether the sample is still to be sent.
     is_sample_due: bool,
     /// Whether the last step was the sample.
@@ -86,6 +96,8 @@
                 true => ZoneStage::Home,
                 false => ZoneStage::Away,
             },
+            away_offers: 0,
+            is_away_full: false,
             is_sample_due: start.is_sample,
             is_sampling: false,
             start,
@@ -94,18 +106,25 @@
         }
     }
 
-    /// Returns the next offer to make.
-    pub fn next_step(&mut self, limits: &WaitLimits, rng: &mut fastrand::Rng) -> ZoneStep {
+    /// Returns the next offer to make; none when the request is to be refused.
+    pub fn next_step(&mut self, limits: &WaitLimits, rng: &mut fastrand::Rng) -> Option<ZoneStep> {
         self.is_sampling = std::mem::take(&mut self.is_sample_due);
         if self.is_sampling {
-            return ZoneStep::Sample;
+            return Some(ZoneStep::Sample);
         }
-        loop {
+        while self.stage != ZoneStage::End {
             if let Some(step) = self.step(limits, rng) {
-                return step;
+                return Some(step);
             }
             self.advance();
         }
+        None
+    }
+
+    /// Records that the other zones have too little room for the last step.
+    pub fn on_full(&mut self) {
+        self.is_away_full = true;
+        self.on_none();
     }
 
     /// Records that no instance fits the last step.
@@ -123,13 +142,13 @@
             is_home,
             wait,
         });
-        self.offers += usize::from(!self.is_sampling);
+        self.count_offer(is_home);
     }
 
     /// Records that the instance offered last failed in another way.
-    pub fn on_failure(&mut self, instance: &InstanceId) {
+    pub fn on_failure(&mut self, instance: &InstanceId, is_home: bool) {
         self.forget(instance);
-        self.offers += usize::from(!self.is_sampling);
+        self.count_offer(is_home);
     }
 
     /// Leaves the own zone, where attempts have failed.
@@ -171,8 +190,12 @@
             ZoneStage::TimelyWait => self
                 .wait(Some(limits.timely), true, limits.service_time, rng)
                 .or_else(|| self.wait(Some(limits.timely), false, limits.service_time, rng)),
-            ZoneStage::AnyWait => self.wait(None, false, limits.service_time, rng),
-            ZoneStage::Anywhere => Some(ZoneStep::Anywhere),
+            ZoneStage::AnyWait => {
+                self.wait(None, !self.is_far_shorter_away(), limits.service_time, rng)
+            }
+            ZoneStage::HomeQueue => self.start.has_home.then_some(ZoneStep::HomeQueue),
+            ZoneStage::Anywhere => self.may_cross().then_some(ZoneStep::Anywhere),
+            ZoneStage::End => None,
         }
     }
 
@@ -208,10 +231,29 @@
             ZoneStage::HomeWait => ZoneStage::Away,
             ZoneStage::Away => ZoneStage::TimelyWait,
             ZoneStage::TimelyWait => ZoneStage::AnyWait,
-            ZoneStage::AnyWait | ZoneStage::Anywhere => ZoneStage::Anywhere,
+            ZoneStage::AnyWait => ZoneStage::HomeQueue,
+            ZoneStage::HomeQueue => ZoneStage::Anywhere,
+            ZoneStage::Anywhere | ZoneStage::End => ZoneStage::End,
         };
     }
 
+    /// Whether an instance of another zone expects less than half of the wait in the own zone.
+    fn is_far_shorter_away(&self) -> bool {
+        let mut away = self.busy.iter().filter(|busy| !busy.is_home);
+        let home_wait = self.home_wait();
+        away.any(|busy| home_wait.is_none_or(|home_wait| busy.wait * 2 < home_wait))
+    }
+
+    /// Whether a request that no instance has taken may still be offered to any zone.
+    fn may_cross(&self) -> bool {
+        !self.start.has_home || (!self.is_away_full && self.away_offers < MAX_AWAY_OFFERS)
+    }
+
+    fn count_offer(&mut self, is_home: bool) {
+        self.offers += usize::from(!self.is_sampling);
+        self.away_offers += usize::from(!is_home);
+    }
+
     fn forget(&mut self, instance: &InstanceId) {
         self.busy.retain(|busy| busy.instance != *instance);
     }
--- a/src/balance/zone_pressure.rs
+++ b/src/balance/zone_pressure.rs
@@ -6,8 +6,12 @@
 
 use crate::time::{Deadline, MonoTime};
 
-/// Time without a sample in which the pressure halves.
-const HALF_LIFE_SECS: f64 = 1.0;
+/// Time without a sample in which the pressure of the own zone halves.
+const HOME_HALF_LIFE_SECS: f64 = 1.0;
+/// The same for another zone, which has fewer samples.
+const OTHER_HALF_LIFE_SECS: f64 = 3.0;
+/// Largest weight of a sample of another zone, so that one busy instance does not stand for the zone.
+const OTHER_SAMPLE_WEIGHT: f64 = 0.4;
 /// Smallest weight of a sample.
 const MIN_SAMPLE_WEIGHT: f64 = 0.2;
 /// Age at which the samples so far count as much as the next one.
@@ -27,23 +31,39 @@
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct ZonePressure {
     level: f64,
+    #[serde(skip)]
+    half_life_secs: f64,
+    #[serde(skip)]
+    max_sample_weight: f64,
     sampled_at: MonoTime,
     failures: u32,
     unreachable_until: Deadline,
 }
 
-impl Default for ZonePressure {
-    fn default() -> Self {
+impl ZonePressure {
+    /// Returns the pressure of the own zone, without samples.
+    #[must_use]
+    pub const fn home() -> Self {
+        Self::open(HOME_HALF_LIFE_SECS, 1.0)
+    }
+
+    /// Returns the pressure of another zone, without samples.
+    #[must_use]
+    pub const fn other() -> Self {
+        Self::open(OTHER_HALF_LIFE_SECS, OTHER_SAMPLE_WEIGHT)
+    }
+
+    const fn open(half_life_secs: f64, max_sample_weight: f64) -> Self {
         Self {
             level: 0.0,
+            half_life_secs,
+            max_sample_weight,
             sampled_at: MonoTime::ZERO,
             failures: 0,
             unreachable_until: Deadline::at(MonoTime::ZERO),
         }
     }
-}
 
-impl ZonePressure {
     /// Records that an instance of the zone had a free slot.
     pub fn on_free(&mut self, now: MonoTime) {
         self.add_sample(0.0, now);
@@ -67,7 +87,7 @@
     /// Returns the pressure, which fades while there are no samples.
     #[must_use]
     pub fn level(&self, now: MonoTime) -> f64 {
-        self.level * (-self.age_secs(now) / HALF_LIFE_SECS).exp2()
+        self.level * (-self.age_secs(now) / self.half_life_secs).exp2()
     }
 
     /// Whether the zone is to be avoided because the paths to it have just failed.
@@ -79,7 +99,8 @@
     fn add_sample(&mut self, sample: f64, now: MonoTime) {
         let faded = 1.0 - (-self.age_secs(now) / SAMPLE_HALF_LIFE_SECS).exp2();
         let level = self.level(now);
-        self.level = level + (sample - level) * faded.max(MIN_SAMPLE_WEIGHT);
+        let weight = faded.clamp(MIN_SAMPLE_WEIGHT, self.max_sample_weight);
+        self.level = level + (sample - level) * weight;
         self.sampled_at = now;
         self.failures = 0;
     }
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use crate::balance::{
-    InstancePicker, PickScope, ServiceZones, WaitLimits, ZoneChoice, ZoneRoom, ZoneStart, ZoneStep,
+    InstancePicker, OtherZone, PickScope, ServiceZones, WaitLimits, ZoneChoice, ZoneRoom,
+    ZoneStart, ZoneStep,
 };
-use crate::ids::ZoneId;
 use crate::ingress::attempt_task::AttemptOutcome;
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::instance_choice::ChosenInstance;
@@ -31,8 +31,8 @@
     is_sample: bool,
     /// Whether the request has told of the pressure of the own zone.
     has_told: bool,
-    /// Whether the last offer found out whether the own zone has a free slot.
-    is_home_offer: bool,
+    /// Whether the last offer permitted hardly a wait, so that it found out whether there is room.
+    is_brief_offer: bool,
     /// Whether the request was offered to another zone.
     has_crossed: bool,
     /// Offers so far.
@@ -72,7 +72,7 @@
             room,
             is_sample,
             has_told: !room.is_usable(),
-            is_home_offer: false,
+            is_brief_offer: false,
             has_crossed: false,
             offers: 0,
         })
@@ -115,24 +115,36 @@
             attempts.has_told = true;
         }
         loop {
-            let step = self.with_zones(|_, _, rng, _| attempts.choice.next_step(&limits, rng));
+            let step = self.with_zones(|_, _, rng, _| attempts.choice.next_step(&limits, rng))?;
             if attempts.choice.is_past_home_offers() {
                 self.tell_shortage(attempts, limits.home);
             }
-            attempts.is_home_offer = step == ZoneStep::Home;
+            attempts.is_brief_offer =
+                matches!(step, ZoneStep::Home | ZoneStep::Away | ZoneStep::Sample);
             let chosen = match &step {
                 ZoneStep::Home => self.pick_preferring(history, PickScope::Zone(own), NO_WAIT),
-                ZoneStep::Sample | ZoneStep::Away => self.draw_other_zone().and_then(|zone| {
-                    let pick = |scope| self.pick_preferring(history, scope, away_wait);
-                    pick(PickScope::Zone(&zone)).or_else(|| pick(PickScope::OutsideZone(own)))
-                }),
+                ZoneStep::Sample | ZoneStep::Away => match self.draw_other_zone() {
+                    OtherZone::Found(zone) => {
+                        let pick = |scope| self.pick_preferring(history, scope, away_wait);
+                        pick(PickScope::Zone(&zone)).or_else(|| pick(PickScope::OutsideZone(own)))
+                    }
+                    OtherZone::Full => {
+                        attempts.choice.on_full();
+                        continue;
+                    }
+                    OtherZone::Missing => None,
+                },
                 ZoneStep::Wait(instance, bound) => {
                     history.retry_instance(instance);
                     let wait = bound.map_or(OfferWait::Unbounded, OfferWait::AtMost);
                     let scope = PickScope::Instance(instance);
                     self.pick_instance(history, scope, !self.plan.idempotent, wait)
                 }
-                ZoneStep::Anywhere => return self.pick_anywhere(history),
+                ZoneStep::HomeQueue => {
+                    let scope = PickScope::Zone(own);
+                    self.pick_preferring(history, scope, OfferWait::Unbounded)
+                }
+                ZoneStep::Anywhere => self.pick_anywhere(history),
             };
             if let Some(chosen) = chosen {
                 attempts.has_crossed |= chosen.record.zone != *own;
@@ -154,7 +166,7 @@
         let is_home = record.zone == self.ingress.sources.zone;
         match outcome {
             AttemptOutcome::Complete { .. } | AttemptOutcome::Streaming(_) => {
-                if attempts.is_home_offer && !attempts.has_told {
+                if is_home && attempts.is_brief_offer && !attempts.has_told {
                     attempts.has_told = true;
                     self.with_zones(|zones, _, rng, now| zones.on_home_free(now, rng));
                 }
@@ -163,7 +175,7 @@
                         zones.observe_time(&self.plan.route, now.since(begin));
                     });
                 }
-                if !is_home {
+                if !is_home && attempts.is_brief_offer {
                     self.with_zones(|zones, _, _, now| zones.on_other(&record.zone, false, now));
                 }
             }
@@ -200,13 +212,13 @@
             true => attempts
                 .choice
                 .on_busy(&record.instance, is_home, failure.retry_after),
-            false => attempts.choice.on_failure(&record.instance),
+            false => attempts.choice.on_failure(&record.instance, is_home),
         }
         if is_home {
             return;
         }
         self.with_zones(|zones, _, _, now| match is_reached {
-            true => zones.on_other(&record.zone, is_busy, now),
+            true => zones.on_other(&record.zone, is_full(failure.reason), now),
             false => zones.on_other_unreachable(&record.zone, now),
         });
     }
@@ -252,7 +264,7 @@
         )
     }
 
-    fn draw_other_zone(&self) -> Option<ZoneId> {
+    fn draw_other_zone(&self) -> OtherZone {
         let records = self.service_records();
         let own = &self.ingress.sources.zone;
         self.with_zones(|zones, picker, rng, now| {
@@ -306,3 +318,16 @@
             })
     }
 }
+
+/// Whether an instance refused for lack of room.
+const fn is_full(reason: Option<RefusalReason>) -> bool {
+    matches!(
+        reason,
+        Some(
+            RefusalReason::Busy
+                | RefusalReason::Overloaded
+                | RefusalReason::Shed
+                | RefusalReason::LimitReached
+        )
+    )
+}
