--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -62,6 +62,7 @@
             evacuated_zones: self.config.evacuated_zones().len() as u64,
             evacuation_age: self.config.evacuation_age().unwrap_or_default(),
             refused_messages: self.listener.refused_messages(),
+            zones: self.ingress.zone_lines(),
         }
     }
 }
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -230,6 +230,9 @@
         let hold = self.egress.sources.slot_hold;
         let mut machine = StartMachine::open(needs_go, hold, self.deadline);
         let mut retry_after = NOT_READY_RETRY_AFTER;
+        if let Some(wait) = self.excessive_wait(key) {
+            return Ok(StartOutcome::Refused(RefusalReason::Busy, wait));
+        }
         let mut waiting = None;
         let mut event = match self.request_slot(key) {
             SlotResponse::Immediate(decision) => event_of_decision(decision, &mut retry_after),
@@ -257,23 +260,39 @@
         }
     }
 
+    /// Returns the expected wait for a slot if the offer does not permit so long a wait.
+    fn excessive_wait(&self, key: RequestKey) -> Option<Duration> {
+        if self.offer.max_wait_micros == u64::MAX {
+            return None;
+        }
+        let bound = Duration::from_micros(self.offer.max_wait_micros);
+        let request = self.urgent_request(key);
+        let dispatcher = self.dispatcher.borrow();
+        let wait = dispatcher.queue().expected_wait(&request, self.clock.now());
+        (wait > bound).then_some(wait)
+    }
+
     fn request_slot(&self, key: RequestKey) -> SlotResponse {
-        let request = QueuedRequest {
-            key,
-            account: self.offer.account.clone(),
-            class: self.offer.class,
-            deadline: self.deadline,
-        };
-        let now = self.clock.now();
+        let request = self.urgent_request(key);
+        self.dispatcher
+            .borrow_mut()
+            .request_slot(request, self.clock.now())
+    }
+
+    fn urgent_request(&self, key: RequestKey) -> UrgentRequest {
         let goal = self.offer.goal_micros.map(Duration::from_micros);
-        let request = UrgentRequest {
-            request,
+        UrgentRequest {
+            request: QueuedRequest {
+                key,
+                account: self.offer.account.clone(),
+                class: self.offer.class,
+                deadline: self.deadline,
+            },
             route: self.offer.route.clone(),
             priority: self.offer.priority,
-            goal: goal.map_or(self.deadline, |goal| now.after(goal)),
+            goal: goal.map_or(self.deadline, |goal| self.clock.now().after(goal)),
             weight: self.offer.account_weight,
-        };
-        self.dispatcher.borrow_mut().request_slot(request, now)
+        }
     }
 
     /// Waits for the slot decision, a message from the ingress or `wake_at`. Stores what arrives of
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -107,6 +107,7 @@
         class: RequestClass::InternalCheck,
         idempotent: true,
         may_wait: false,
+        max_wait_micros: u64::MAX,
         remaining_micros: 0,
         method: "GET".to_owned(),
         target: target.to_owned(),
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -7,7 +7,7 @@
 
 use serde_json::json;
 
-use crate::balance::{InstancePicker, TrafficSplitter};
+use crate::balance::{InstancePicker, ServiceZones, TrafficSplitter, ZoneLine, ZoneRouter};
 use crate::baseline::{RoundRobin, StaticLimiter};
 use crate::config::ConfigHandle;
 use crate::evacuation::{AvoidedZones, RecordFilter};
@@ -64,6 +64,7 @@
     pub(crate) round_robins: FastMap<ServiceId, RoundRobin>,
     pub(crate) static_limiter: StaticLimiter,
     pub(crate) traffic_splitters: FastMap<RouteId, TrafficSplitter>,
+    pub(crate) zones: ZoneRouter,
     pub(crate) credits: CreditLedger,
     pub(crate) totals: RequestTotals,
     pub(crate) avoided_zones: AvoidedZones,
@@ -103,6 +104,7 @@
             round_robins: FastMap::default(),
             static_limiter: StaticLimiter::default(),
             traffic_splitters: FastMap::default(),
+            zones: ZoneRouter::default(),
             credits: CreditLedger::default(),
             totals: RequestTotals::default(),
             avoided_zones: AvoidedZones::default(),
@@ -174,6 +176,13 @@
         self.state.borrow().credits.lines()
     }
 
+    /// Returns the requests by service and the zone that served them.
+    #[must_use]
+    pub fn zone_lines(&self) -> Vec<ZoneLine> {
+        let now = self.sources.clock.now();
+        self.state.borrow().zones.lines(now)
+    }
+
     /// Returns the state as JSON for the admin dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -195,6 +204,7 @@
             "credits": state.credits.lines(),
             "pickers": pickers,
             "pressures": pressures,
+            "zones": state.zones.dump(self.sources.clock.now()),
         })
     }
 
@@ -211,14 +221,36 @@
         act: impl FnOnce(&mut InstancePicker, &mut fastrand::Rng) -> T,
     ) -> T {
         let mut state = self.state.borrow_mut();
-        let state = &mut *state;
+        let IngressState { pickers, rng, .. } = &mut *state;
+        act(self.picker_of(pickers, service), rng)
+    }
+
+    pub(crate) fn with_zones<T>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut ServiceZones, &InstancePicker, &mut fastrand::Rng) -> T,
+    ) -> T {
+        let mut state = self.state.borrow_mut();
+        let IngressState {
+            pickers,
+            zones,
+            rng,
+            ..
+        } = &mut *state;
+        let picker = self.picker_of(pickers, service);
+        act(zones.service(service), picker, rng)
+    }
+
+    fn picker_of<'a>(
+        &self,
+        pickers: &'a mut FastMap<ServiceId, InstancePicker>,
+        service: &ServiceId,
+    ) -> &'a mut InstancePicker {
         let zone = &self.sources.zone;
         let cost = self.sources.proxy.zone_cost;
-        let picker = state
-            .pickers
+        pickers
             .entry(service.clone())
-            .or_insert_with(|| InstancePicker::with_zone_cost(zone.clone(), cost));
-        act(picker, &mut state.rng)
+            .or_insert_with(|| InstancePicker::with_zone_cost(zone.clone(), cost))
     }
 
     pub(crate) fn with_budget<T>(
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -119,7 +119,6 @@
     request: &mut Request,
     guard: InFlightGuard,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
-    let begin = ingress.sources.clock.now();
     let rules = Rc::clone(&ingress.sources.headers);
     if ingress.shutdown.refuses(ingress.sources.clock.now()) {
         return Err(RequestRefusal::Stopping);
@@ -128,6 +127,9 @@
     let plan = plan(ingress, request, secret.as_deref())?;
     let secret = secret.ok();
     let deadline = request_deadline(ingress, &plan, request.headers())?;
+    let goal = plan
+        .goal
+        .map(|span| ingress.sources.clock.now().after(span));
     let mut reservation = ingress.body_budget.reserve();
     let body = request_body(ingress, request, &mut reservation).await?;
     if let Some(secret) = &secret {
@@ -140,9 +142,9 @@
         id,
         name: instance_name(ingress, id, name),
         host: host_header(request).map(str::to_owned),
-        goal: plan.goal.map(|span| begin.after(span)),
         plan,
         deadline,
+        goal,
         method: request.method().as_str().to_owned(),
         target: request_target(request),
         headers,
--- a/src/queue/slot_queue.rs
+++ b/src/queue/slot_queue.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Expected wait of a new request before it starts.
+    #[must_use]
+    pub fn expected_wait(&self, urgent: &UrgentRequest, now: MonoTime) -> Duration {
+        let request = &urgent.request;
+        match self {
+            Self::Classes(queue) => queue.expected_wait(request.class, &request.account, now),
+            Self::Urgency(queue) => queue.expected_wait(urgent, now),
+        }
+    }
+
     /// Number of slots in use and of waiting requests.
     #[must_use]
     pub fn load(&self) -> InstanceLoad {
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use models::service_of;
-use wagtailtrack::balance::{InstancePicker, PickCriteria};
+use wagtailtrack::balance::{InstancePicker, PickCriteria, PickScope};
 use wagtailtrack::egress::{ColdGate, Coldness, InstanceDispatcher, SlotDecision, SlotResponse};
 use wagtailtrack::health::capacity_floor::admitted_instances;
 use wagtailtrack::ids::{BootId, RequestId};
@@ -451,6 +451,7 @@
                 allows_trial: true,
                 may_wait: false,
                 is_bulk: false,
+                scope: PickScope::All,
             };
             let Some(picked) = picker.pick(&self.records, &criteria, now, &mut self.rng) else {
                 break;
