Count an instance as possibly cold when its process has ended

A connection that cannot be opened shows that the instance's process has ended. The next one is cold, and its first announcement may be seconds late; until then the gate was open. The state is unknown from the failure on. Coldness is logged by name with the time left, and picks compute no typical service time while no instance is cold.

--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -248,8 +248,10 @@
 
     fn is_reachable(&self, record: &InstanceRecord, now: MonoTime) -> bool {
         let stats = self.stats.get(&record.instance);
-        !stats.is_some_and(|stats| stats.path.is_blocked(now) || !stats.avoid_until.has_passed(now))
-            && !self.waits_for_token(record, now)
+        stats.is_none_or(|stats| {
+            let until = stats.avoid_until.max(stats.cold_until);
+            !stats.path.is_blocked(now) && until.has_passed(now)
+        })
     }
 
     pub(super) fn stats_mut(&mut self, instance: &InstanceId) -> &mut InstanceStats {
--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -85,7 +85,9 @@
 }
 
 impl SendFailure {
-    const fn not_run(cause: FailureCause) -> Self {
+    /// Creates the error for a failure before anything was sent.
+    #[must_use]
+    pub const fn not_run(cause: FailureCause) -> Self {
         Self {
             verdict: ExecutionVerdict::NotRun,
             cause,
--- a/src/egress/cold_gate.rs
+++ b/src/egress/cold_gate.rs
@@ -114,6 +114,14 @@
         self.advance(now);
     }
 
+    /// Takes in that the instance's process has ended: the next one may be cold.
+    pub fn observe_end(&mut self, now: MonoTime) {
+        match self.coldness(now) {
+            Coldness::Unknown => self.state.forget(now),
+            Coldness::Warm | Coldness::Cold(_) => self.forget(now),
+        }
+    }
+
     /// Claims a token for a request that is offered.
     ///
     /// # Errors
--- a/src/egress/cold_state.rs
+++ b/src/egress/cold_state.rs
@@ -1,5 +1,6 @@
 //! Whether an instance is cold, as far as its egress knows.
 
+use std::fmt;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -24,6 +25,28 @@
     Unknown,
 }
 
+impl Coldness {
+    /// Time that the instance is expected to stay cold; none if that is unknown.
+    #[must_use]
+    pub const fn left(self, now: MonoTime) -> Option<Duration> {
+        match self {
+            Self::Warm => Some(Duration::ZERO),
+            Self::Cold(until) => Some(until.remaining(now)),
+            Self::Unknown => None,
+        }
+    }
+}
+
+impl fmt::Display for Coldness {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Warm => "warm",
+            Self::Cold(_) => "cold",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
 /// Derives the coldness of an instance from its statements and from events that may make it cold.
 ///
 /// A statement ends coldness only if the instance made it after the latest evidence of coldness, as
--- a/src/egress/cold_watch.rs
+++ b/src/egress/cold_watch.rs
@@ -91,6 +91,16 @@
         dispatchers.iter().filter(is_limited).count() as u64
     }
 
+    /// Takes in that a connection to the instance could not be opened: its process has ended, and the
+    /// next one may be cold.
+    pub(crate) fn observe_cold_end(&self, dispatcher: &SharedDispatcher) {
+        let now = self.sources.clock.now();
+        dispatcher
+            .borrow_mut()
+            .change_cold(now, |cold| cold.observe_end(now));
+        self.publish_coldness(dispatcher);
+    }
+
     fn publish_coldness(&self, dispatcher: &SharedDispatcher) {
         let instance = dispatcher.borrow().local().instance.clone();
         // The last responses of an instance may arrive after it has gone.
@@ -123,8 +133,9 @@
             log::info!(
                 target: log_target::EGRESS,
                 instance:%,
-                before:? = before.map(|before| before.logged),
-                after:? = watched.logged,
+                before:? = before.map(|before| before.logged.to_string()),
+                after:% = watched.logged,
+                left_ms:? = watched.logged.left(now).map(|left| left.as_millis()),
                 requests_per_second:? = gate.rate(now).map(|rate| rate.events_per_second()),
                 refused = watched.refusals;
                 "Coldness changed."
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -50,6 +50,9 @@
             Some(Ok(response)) if response.is_not_run => self.refuse_not_run(response, guard).await,
             Some(Ok(response)) => self.forward(response, start, guard).await,
             Some(Err(failure)) => {
+                if failure == SendFailure::not_run(FailureCause::ConnectionLost) {
+                    self.egress.observe_cold_end(&self.dispatcher);
+                }
                 self.observe(outcome_of_failure(failure.cause), start, Duration::ZERO);
                 drop(guard);
                 self.report_failure(failure).await
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -37,7 +37,9 @@
             .client
             .send(address, &offer, start.after(PROBE_TIMEOUT))
             .await?;
-        if let Some(left) = response.cold {
+        if let Some(left) = response.cold
+            && !response.is_from_other_instance()
+        {
             egress.observe_cold_response(&dispatcher, left, start);
         }
         read_to_end(response).await
--- a/src/health/cold_share.rs
+++ b/src/health/cold_share.rs
@@ -9,8 +9,11 @@
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(25);
 
 /// Returns the median service time of the warm instances; of all instances if no warm one has a
-/// median.
+/// median. Not computed while no instance is cold, since it is not needed then.
 pub(super) fn typical_time(records: &[InstanceRecord]) -> Duration {
+    if records.iter().all(|record| record.cold_rate.is_none()) {
+        return DEFAULT_SERVICE_TIME;
+    }
     let median_of = |is_counted: fn(&InstanceRecord) -> bool| {
         let counted = records.iter().filter(|record| is_counted(record));
         let mut medians: Vec<u32> = counted
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -247,6 +247,25 @@
     assert!(probes(&mut ColdGate::open(None, at(LATER))).is_empty());
 }
 
+/// Guards against a new process that counts as warm because announcements of the one that ended are
+/// late, and its own too.
+#[test]
+fn crashed_instance() {
+    let mut gate = ColdGate::open(Some(rate(5.0)), at(LATER));
+    gate.observe_announcement(ZERO, order(10, 1), at(LATER));
+    gate.observe_end(at(LATER + 100));
+    assert_eq!(gate.coldness(at(LATER + 100)), Coldness::Unknown);
+    gate.observe_announcement(ZERO, order(10, 2), at(LATER + 2_000));
+    assert_eq!(gate.coldness(at(LATER + 2_000)), Coldness::Unknown);
+    // A further failure neither refills nor empties the bucket.
+    assert!(gate.next_token(at(LATER + 2_000)).is_zero());
+    gate.observe_end(at(LATER + 2_000));
+    assert!(gate.next_token(at(LATER + 2_000)).is_zero());
+    gate.observe_announcement(left(3_000), order(20, 1), at(LATER + 2_500));
+    assert!(gate.rate(at(LATER + 5_000)).is_some());
+    assert_eq!(gate.coldness(at(LATER + 5_500)), Coldness::Warm);
+}
+
 /// Guards against an instance that stays limited because its next announcements are lost, or because
 /// it reports no coldness at all.
 #[test]
