Count the bytes between zones by purpose

The cost of control traffic between availability zones was not visible. Each side of a connection now names its zone in the hello, in four bytes of the nonce, so that both count the bytes of a connection between zones even before they know each other as members. Streams count under the purpose of their first message, datagrams by the zone of the member at the address; what a connection carries beyond its messages counts as 'other'. Served as zone_bytes_sent and zone_bytes_received with the label purpose, and in the dump as zone_bytes.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -18,7 +18,7 @@
 use crate::limits::{HomeCandidate, LimitsHandle, LimitsSources, MemberSource};
 use crate::members::{MemberSources, MembersHandle};
 use crate::metrics::MetricsExport;
-use crate::peers::{FleetKey, PeerPool};
+use crate::peers::{FleetKey, PeerPool, ZoneTraffic};
 use crate::platform::{PlatformService, TimedPlatform};
 use crate::settings::DaemonSettings;
 use crate::time::ProcessClock;
@@ -30,6 +30,7 @@
     pub(crate) key: FleetKey,
     pub(crate) stopping: Rc<Cell<bool>>,
     headers: Rc<HeaderRules>,
+    pub(crate) zone_traffic: Rc<ZoneTraffic>,
     peers: PeerPool,
     platform: Rc<dyn PlatformService>,
     adapters: ProtocolAdapters,
@@ -46,10 +47,12 @@
         let clock = ProcessClock::open();
         let metrics = Rc::new(MetricsExport::open().map_err(io::Error::other)?);
         let platform = Rc::clone(&adapters.platform);
+        let zone_traffic = Rc::new(ZoneTraffic::open(&settings.zone));
         Ok(Self {
             boot: BootId(fastrand::u64(1..)),
             clock,
-            peers: PeerPool::open(key.clone()),
+            peers: PeerPool::open_counted(key.clone(), Rc::clone(&zone_traffic)),
+            zone_traffic,
             key,
             stopping: Rc::default(),
             headers: Rc::new(HeaderRules::open(&settings.headers)),
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -65,7 +65,9 @@
         let announce = builder.bind_announce(&settings, &egress).await?;
         let handler = peer_calls::handler(&config, &members, &limits, &egress);
         let peers_address = settings.listen.peers;
-        let listener = PeerListener::bind(peers_address, builder.key.clone(), handler)
+        let key = builder.key.clone();
+        let traffic = Rc::clone(&builder.zone_traffic);
+        let listener = PeerListener::bind_counted(peers_address, key, handler, traffic)
             .await
             .map_err(|cause| bind_error("listen.peers", peers_address, &cause))?;
         let listener = Rc::new(listener);
@@ -80,6 +82,7 @@
             ingress: ingress.clone(),
             announce: Rc::clone(&announce),
             listener: Rc::clone(&listener),
+            zone_traffic: Rc::clone(&builder.zone_traffic),
             settings: settings.clone(),
             boot: builder.boot,
         };
--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -12,7 +12,7 @@
 use crate::limits::LimitsHandle;
 use crate::members::MembersHandle;
 use crate::metrics::MetricsSnapshot;
-use crate::peers::PeerListener;
+use crate::peers::{PeerListener, ZoneTraffic};
 use crate::settings::DaemonSettings;
 
 /// Handles of all components, used to read their state.
@@ -24,6 +24,7 @@
     pub(crate) ingress: IngressHandle,
     pub(crate) announce: Rc<AnnounceServer>,
     pub(crate) listener: Rc<PeerListener>,
+    pub(crate) zone_traffic: Rc<ZoneTraffic>,
     pub(crate) settings: DaemonSettings,
     pub(crate) boot: BootId,
 }
@@ -43,9 +44,19 @@
             "ingress": self.ingress.dump(),
             "egress": self.egress.dump(),
             "refused_messages": self.listener.refused_messages(),
+            "zone_bytes": self.zone_bytes(),
         })
     }
 
+    fn zone_bytes(&self) -> Value {
+        let bytes = self.zone_traffic.bytes().into_iter();
+        let lines = bytes.map(|line| {
+            let counts = json!({ "sent": line.sent, "received": line.received });
+            (line.purpose.as_str().to_owned(), counts)
+        });
+        Value::Object(lines.collect())
+    }
+
     /// Reads the current values of the exported metrics.
     pub(crate) fn metrics(&self) -> MetricsSnapshot {
         MetricsSnapshot {
@@ -56,6 +67,7 @@
             revision: self.config.revision().0,
             document_warnings: self.config.document_warnings(),
             refused_messages: self.listener.refused_messages(),
+            zone_bytes: self.zone_traffic.bytes().to_vec(),
         }
     }
 }
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -12,7 +12,7 @@
 use crate::ingress::shutdown_signal::ShutdownSignal;
 use crate::ingress::{AttemptAction, AttemptEvent, AttemptFailure, AttemptMachine};
 use crate::logs::log_target;
-use crate::peers::{PeerError, PeerPool, PeerReceiver, PeerSender};
+use crate::peers::{PeerError, PeerPool, PeerReceiver, PeerSender, TrafficPurpose};
 use crate::time::{Deadline, ProcessClock};
 use crate::wire::{
     BackendHead, EgressMessage, FailureCause, IngressMessage, InstanceLoad, PeerOpening,
@@ -105,6 +105,7 @@
         machine: &mut AttemptMachine,
     ) -> Result<AttemptOutcome, PeerError> {
         let stream = self.peers.open_stream(self.address).await?;
+        stream.set_purpose(TrafficPurpose::Requests);
         let (mut sender, mut receiver) = stream.split();
         machine.handle_event(AttemptEvent::OfferSent);
         let opening = match body.len() > MAX_PART_BYTES {
--- a/src/members/members_datagrams.rs
+++ b/src/members/members_datagrams.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::ids::ZoneId;
 use crate::logs::log_target;
 use crate::members::{DatagramError, MAX_DATAGRAM_BYTES, MembersHandle};
+use crate::peers::ZoneTraffic;
 use crate::wire::GossipMessage;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -42,6 +44,9 @@
                 self.count_received(datagram.len());
                 let actions =
                     self.with_core(|core, rng, now| core.receive(&message, from, now, rng));
+                self.count_zone_datagram(from, |traffic, zone| {
+                    traffic.count_received_datagram(zone, datagram.len());
+                });
                 self.execute(actions);
             }
             Err(cause) => self.drop_datagram(&cause, from),
@@ -55,6 +60,15 @@
         counters.received_bytes += bytes as u64;
     }
 
+    /// Passes the zone of the member at `address` to `count`; a daemon that is not yet known is not
+    /// counted.
+    fn count_zone_datagram(&self, address: SocketAddr, count: impl Fn(&ZoneTraffic, &ZoneId)) {
+        let core = self.state.core.borrow();
+        if let Some(member) = core.view().members().live_by_address(address) {
+            count(self.state.sources.peers.traffic(), &member.zone);
+        }
+    }
+
     fn drop_datagram(&self, cause: &DatagramError, from: SocketAddr) {
         log::debug!(target: log_target::MEMBERS, from:%, cause:%; "Datagram dropped.");
         let mut core = self.state.core.borrow_mut();
@@ -79,6 +93,10 @@
             let counters = core.counters_mut();
             counters.sent += 1;
             counters.sent_bytes += datagram.len() as u64;
+            drop(core);
+            self.count_zone_datagram(to, |traffic, zone| {
+                traffic.count_sent_datagram(zone, datagram.len());
+            });
         }
     }
 }
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -10,6 +10,7 @@
 
 use crate::ingress::{CreditLine, RequestTotals};
 use crate::metrics::DurationMetrics;
+use crate::peers::ZoneBytes;
 
 /// Values of all exported counters and gauges at one time.
 #[derive(Debug, Clone, Default)]
@@ -29,6 +30,8 @@
     pub document_warnings: u64,
     /// Messages of other daemons that were refused, since the daemon started.
     pub refused_messages: u64,
+    /// Bytes exchanged with other zones by purpose, since the daemon started.
+    pub zone_bytes: Vec<ZoneBytes>,
 }
 
 /// Registry of all metrics with the latest snapshot.
@@ -128,6 +131,8 @@
     });
     register_credit_counter(meter, latest, "requests_completed", |line| line.completed);
     register_credit_counter(meter, latest, "credit_earned", |line| line.credit);
+    register_zone_counter(meter, latest, "zone_bytes_sent", |line| line.sent);
+    register_zone_counter(meter, latest, "zone_bytes_received", |line| line.received);
 }
 
 fn register_counter(
@@ -188,3 +193,25 @@
         })
         .build();
 }
+
+/// Registers a counter with one series per purpose of the bytes between zones.
+fn register_zone_counter(
+    meter: &Meter,
+    latest: &SharedSnapshot,
+    name: &'static str,
+    read: fn(&ZoneBytes) -> u64,
+) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_counter(name)
+        .with_callback(move |instrument| {
+            let Ok(snapshot) = latest.lock() else {
+                return;
+            };
+            for line in &snapshot.zone_bytes {
+                let purpose = KeyValue::new("purpose", line.purpose.as_str());
+                instrument.observe(read(line), &[purpose]);
+            }
+        })
+        .build();
+}
--- /dev/null
+++ b/src/peers/counted_socket.rs
@@ -0,0 +1,80 @@
+//! TCP connection between daemons whose bytes are counted if the peer is in another zone.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use actix_rt::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::peers::ZoneTraffic;
+
+/// A connection that counts its bytes; without counters it counts nothing.
+pub(crate) struct CountedSocket {
+    socket: TcpStream,
+    traffic: Option<Rc<ZoneTraffic>>,
+}
+
+impl CountedSocket {
+    pub(crate) const fn open(socket: TcpStream, traffic: Option<Rc<ZoneTraffic>>) -> Self {
+        Self { socket, traffic }
+    }
+
+    fn count(&self, sent: usize, received: usize) {
+        if let Some(traffic) = &self.traffic {
+            traffic.add_socket_bytes(sent, received);
+        }
+    }
+}
+
+impl AsyncRead for CountedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
+        self.count(0, buffer.filled().len() - before);
+        polled
+    }
+}
+
+impl AsyncWrite for CountedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.socket).poll_write(context, bytes);
+        if let Poll::Ready(Ok(written)) = polled {
+            self.count(written, 0);
+        }
+        polled
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.socket).poll_write_vectored(context, parts);
+        if let Poll::Ready(Ok(written)) = polled {
+            self.count(written, 0);
+        }
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! authentication code.
 
 mod connection_activity;
+mod counted_socket;
 mod fleet_key;
 mod frame_codec;
 mod peer_connection;
@@ -13,6 +14,9 @@
 mod peer_stream;
 mod session_key;
 mod stream_receiver;
+mod stream_traffic;
+mod traffic_purpose;
+mod zone_traffic;
 
 pub use fleet_key::{FleetKey, MAC_BYTES, Mac};
 pub use peer_connection::PeerConnection;
@@ -23,6 +27,8 @@
 pub use peer_sender::PeerSender;
 pub use peer_stream::PeerStream;
 pub use session_key::SessionKey;
+pub use traffic_purpose::TrafficPurpose;
+pub use zone_traffic::{ZoneBytes, ZoneTraffic};
 
 /// HTTP/2 flow control window of a stream, in bytes.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
--- a/src/peers/peer_connection.rs
+++ b/src/peers/peer_connection.rs
@@ -13,10 +13,13 @@
 
 use crate::logs::log_target;
 use crate::peers::connection_activity::{ConnectionActivity, OpenStream};
+use crate::peers::counted_socket::CountedSocket;
 use crate::peers::frame_codec::StreamSide;
+use crate::peers::session_key::HELLO_BYTES;
 use crate::peers::stream_receiver::StreamReceiver;
 use crate::peers::{
     CONNECTION_WINDOW_BYTES, FleetKey, PeerError, PeerStream, STREAM_WINDOW_BYTES, SessionKey,
+    ZoneTraffic,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,6 +35,8 @@
     client: SendRequest<Bytes>,
     alive: Rc<Cell<bool>>,
     activity: Rc<ConnectionActivity>,
+    /// None if the peer is in the own zone.
+    traffic: Option<Rc<ZoneTraffic>>,
 }
 
 impl PeerConnection {
@@ -40,20 +45,30 @@
     /// # Errors
     /// `PeerError::Connect` if the connection fails or takes longer than 1 s, and
     /// `PeerError::Stream` if the HTTP/2 handshake fails. No message was sent in either case.
-    pub async fn open(address: SocketAddr, key: &FleetKey) -> Result<Self, PeerError> {
-        actix_rt::time::timeout(CONNECT_TIMEOUT, Self::connect(address, key))
+    pub async fn open(
+        address: SocketAddr,
+        key: &FleetKey,
+        traffic: &Rc<ZoneTraffic>,
+    ) -> Result<Self, PeerError> {
+        actix_rt::time::timeout(CONNECT_TIMEOUT, Self::connect(address, key, traffic))
             .await
             .unwrap_or_else(|_| Err(PeerError::Connect(std::io::ErrorKind::TimedOut.into())))
     }
 
-    async fn connect(address: SocketAddr, key: &FleetKey) -> Result<Self, PeerError> {
+    async fn connect(
+        address: SocketAddr,
+        key: &FleetKey,
+        traffic: &Rc<ZoneTraffic>,
+    ) -> Result<Self, PeerError> {
         let mut socket = TcpStream::connect(address)
             .await
             .map_err(PeerError::Connect)?;
         socket.set_nodelay(true).map_err(PeerError::Connect)?;
-        let key = SessionKey::open(key, &mut socket)
+        let key = SessionKey::open(key, traffic.own_tag(), &mut socket)
             .await
             .map_err(PeerError::Connect)?;
+        let traffic = count_hello(&key, traffic);
+        let socket = CountedSocket::open(socket, traffic.clone());
         let (client, mut connection) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -69,6 +84,7 @@
             client,
             alive,
             activity,
+            traffic,
         })
     }
 
@@ -94,12 +110,25 @@
             StreamSide::Opener,
             sender,
             receiver,
-            Some(Rc::new(OpenStream::open(&self.activity))),
+            Some(OpenStream::open(&self.activity)),
+            self.traffic.as_ref(),
         ))
     }
 }
 
-type PeerSocket = Connection<TcpStream, Bytes>;
+/// Counts the hellos of a connection whose peer is in another zone; returns the counters then.
+pub(crate) fn count_hello(
+    session: &SessionKey,
+    traffic: &Rc<ZoneTraffic>,
+) -> Option<Rc<ZoneTraffic>> {
+    let is_other = traffic.is_other(session.peer_zone());
+    is_other.then(|| {
+        traffic.add_socket_bytes(HELLO_BYTES, HELLO_BYTES);
+        Rc::clone(traffic)
+    })
+}
+
+type PeerSocket = Connection<CountedSocket, Bytes>;
 
 /// Runs the connection until it ends or a ping times out. Dropping it then fails all its streams.
 async fn run_connection(
--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -12,10 +12,13 @@
 use h2::server::{Connection, SendResponse};
 
 use crate::logs::log_target;
+use crate::peers::counted_socket::CountedSocket;
 use crate::peers::frame_codec::StreamSide;
+use crate::peers::peer_connection::count_hello;
 use crate::peers::stream_receiver::StreamReceiver;
 use crate::peers::{
     CONNECTION_WINDOW_BYTES, FleetKey, PeerError, PeerStream, STREAM_WINDOW_BYTES, SessionKey,
+    TrafficPurpose, ZoneTraffic,
 };
 use crate::wire::PeerOpening;
 
@@ -41,12 +44,25 @@
         address: SocketAddr,
         key: FleetKey,
         handler: PeerHandler,
+    ) -> io::Result<Self> {
+        Self::bind_counted(address, key, handler, Rc::default()).await
+    }
+
+    /// As `bind`, and counts what goes to and comes from other zones in `traffic`.
+    ///
+    /// # Errors
+    /// As `bind`.
+    pub async fn bind_counted(
+        address: SocketAddr,
+        key: FleetKey,
+        handler: PeerHandler,
+        traffic: Rc<ZoneTraffic>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let refused_messages = Rc::new(Cell::new(0));
         let count = Rc::clone(&refused_messages);
-        let task = actix_rt::spawn(accept_connections(listener, key, handler, count));
+        let task = actix_rt::spawn(accept_connections(listener, key, handler, count, traffic));
         Ok(Self {
             address,
             refused_messages,
@@ -80,6 +96,7 @@
     key: FleetKey,
     handler: PeerHandler,
     refused_messages: Rc<Cell<u64>>,
+    traffic: Rc<ZoneTraffic>,
 ) {
     loop {
         match listener.accept().await {
@@ -89,6 +106,7 @@
                     key.clone(),
                     Rc::clone(&handler),
                     Rc::clone(&refused_messages),
+                    Rc::clone(&traffic),
                 );
                 actix_rt::spawn(async move {
                     if let Err(cause) = serving.await {
@@ -111,12 +129,15 @@
     key: FleetKey,
     handler: PeerHandler,
     refused_messages: Rc<Cell<u64>>,
+    traffic: Rc<ZoneTraffic>,
 ) -> Result<(), PeerError> {
     socket.set_nodelay(true).map_err(PeerError::Connect)?;
-    let session = SessionKey::accept(&key, &mut socket)
+    let session = SessionKey::accept(&key, traffic.own_tag(), &mut socket)
         .await
         .map_err(PeerError::Connect)?;
-    let mut connection: Connection<TcpStream, Bytes> = h2::server::Builder::new()
+    let traffic = count_hello(&session, &traffic);
+    let socket = CountedSocket::open(socket, traffic.clone());
+    let mut connection: Connection<CountedSocket, Bytes> = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
@@ -124,7 +145,7 @@
         .await?;
     while let Some(accepted) = connection.accept().await {
         let (request, respond) = accepted?;
-        let stream = open_stream(&session, request.into_body(), respond)?;
+        let stream = open_stream(&session, request.into_body(), respond, traffic.as_ref())?;
         let (handler, count) = (Rc::clone(&handler), Rc::clone(&refused_messages));
         actix_rt::spawn(serve_stream(stream, handler, count));
     }
@@ -135,6 +156,7 @@
     session: &SessionKey,
     receiver: RecvStream,
     mut respond: SendResponse<Bytes>,
+    traffic: Option<&Rc<ZoneTraffic>>,
 ) -> Result<PeerStream, PeerError> {
     let sender = respond.send_response(http::Response::new(()), false)?;
     let receiver = StreamReceiver::Open(receiver);
@@ -144,6 +166,7 @@
         sender,
         receiver,
         None,
+        traffic,
     ))
 }
 
@@ -155,7 +178,10 @@
     refused_messages: Rc<Cell<u64>>,
 ) {
     match stream.receive_required().await {
-        Ok(opening) => handler(opening, stream).await,
+        Ok(opening) => {
+            stream.set_purpose(TrafficPurpose::of(&opening));
+            handler(opening, stream).await;
+        }
         Err(
             PeerError::AuthenticationFailed | PeerError::Codec(_) | PeerError::UnexpectedMessage,
         ) => {
--- a/src/peers/peer_pool.rs
+++ b/src/peers/peer_pool.rs
@@ -8,7 +8,7 @@
 use futures_util::lock::Mutex;
 
 use crate::hash::FastMap;
-use crate::peers::{FleetKey, PeerConnection, PeerError, PeerStream};
+use crate::peers::{FleetKey, PeerConnection, PeerError, PeerStream, TrafficPurpose, ZoneTraffic};
 use crate::wire::{PeerCall, PeerOpening, PeerReply};
 
 /// The connection to one address, if any. The lock is held while it is opened, so that concurrent
@@ -19,6 +19,7 @@
 #[derive(Clone)]
 pub struct PeerPool {
     key: FleetKey,
+    traffic: Rc<ZoneTraffic>,
     connections: Rc<RefCell<FastMap<SocketAddr, ConnectionSlot>>>,
 }
 
@@ -26,12 +27,25 @@
     /// Creates an empty pool whose connections authenticate with `key`.
     #[must_use]
     pub fn open(key: FleetKey) -> Self {
+        Self::open_counted(key, Rc::default())
+    }
+
+    /// As `open`, and counts what goes to and comes from other zones in `traffic`.
+    #[must_use]
+    pub fn open_counted(key: FleetKey, traffic: Rc<ZoneTraffic>) -> Self {
         Self {
             key,
+            traffic,
             connections: Rc::default(),
         }
     }
 
+    /// The counters of the bytes between zones.
+    #[must_use]
+    pub fn traffic(&self) -> &ZoneTraffic {
+        &self.traffic
+    }
+
     /// Opens a stream to the daemon at `address`.
     ///
     /// # Errors
@@ -65,7 +79,9 @@
 
     async fn exchange(&self, address: SocketAddr, call: PeerCall) -> Result<PeerReply, PeerError> {
         let mut stream = self.open_stream(address).await?;
-        stream.send(&PeerOpening::Call(call)).await?;
+        let opening = PeerOpening::Call(call);
+        stream.set_purpose(TrafficPurpose::of(&opening));
+        stream.send(&opening).await?;
         stream.finish()?;
         stream.receive_required().await
     }
@@ -76,7 +92,7 @@
         if let Some(connection) = held.as_ref().filter(|connection| connection.is_alive()) {
             return Ok(connection.clone());
         }
-        let connection = PeerConnection::open(address, &self.key).await?;
+        let connection = PeerConnection::open(address, &self.key, &self.traffic).await?;
         *held = Some(connection.clone());
         Ok(connection)
     }
--- a/src/peers/peer_receiver.rs
+++ b/src/peers/peer_receiver.rs
@@ -1,11 +1,13 @@
 //! Receiving half of a stream between daemons.
 
+use std::rc::Rc;
+
 use bincode::Decode;
 use bytes::BytesMut;
 
 use crate::peers::PeerError;
 use crate::peers::frame_codec::FrameCodec;
-use crate::peers::peer_stream::StreamToken;
+use crate::peers::peer_stream::StreamShare;
 use crate::peers::stream_receiver::StreamReceiver;
 use crate::wire;
 
@@ -14,16 +16,16 @@
     codec: FrameCodec,
     stream: StreamReceiver,
     buffer: BytesMut,
-    _token: StreamToken,
+    share: Rc<StreamShare>,
 }
 
 impl PeerReceiver {
-    pub(crate) fn open(codec: FrameCodec, stream: StreamReceiver, token: StreamToken) -> Self {
+    pub(crate) fn open(codec: FrameCodec, stream: StreamReceiver, share: Rc<StreamShare>) -> Self {
         Self {
             codec,
             stream,
             buffer: BytesMut::new(),
-            _token: token,
+            share,
         }
     }
 
@@ -39,7 +41,12 @@
                 return Ok(Some(wire::decode(&payload)?));
             }
             match self.stream.next().await? {
-                Some(chunk) => self.buffer.extend_from_slice(&chunk),
+                Some(chunk) => {
+                    if let Some(traffic) = &self.share.traffic {
+                        traffic.add_received(chunk.len());
+                    }
+                    self.buffer.extend_from_slice(&chunk);
+                }
                 None if self.buffer.is_empty() => return Ok(None),
                 None => return Err(PeerError::UnexpectedEnd),
             }
--- a/src/peers/peer_sender.rs
+++ b/src/peers/peer_sender.rs
@@ -1,33 +1,41 @@
 //! Sending half of a stream between daemons.
 
 use std::future::poll_fn;
+use std::rc::Rc;
 
 use bincode::Encode;
 use bytes::Bytes;
 use h2::SendStream;
 
-use crate::peers::PeerError;
 use crate::peers::frame_codec::FrameCodec;
-use crate::peers::peer_stream::StreamToken;
+use crate::peers::peer_stream::StreamShare;
+use crate::peers::{PeerError, TrafficPurpose};
 use crate::wire;
 
 /// Sends messages in order, each with a MAC. Dropping the sender before `finish` resets the stream.
 pub struct PeerSender {
     codec: FrameCodec,
     stream: SendStream<Bytes>,
-    _token: StreamToken,
+    share: Rc<StreamShare>,
 }
 
 impl PeerSender {
     pub(crate) const fn open(
         codec: FrameCodec,
         stream: SendStream<Bytes>,
-        token: StreamToken,
+        share: Rc<StreamShare>,
     ) -> Self {
         Self {
             codec,
             stream,
-            _token: token,
+            share,
+        }
+    }
+
+    /// Sets what the stream's bytes count for, once its first message is known.
+    pub(crate) fn set_purpose(&self, purpose: TrafficPurpose) {
+        if let Some(traffic) = &self.share.traffic {
+            traffic.set_purpose(purpose);
         }
     }
 
@@ -44,6 +52,9 @@
                 .await
                 .ok_or(PeerError::UnexpectedEnd)??;
             let chunk = frame.split_to(granted.min(frame.len()));
+            if let Some(traffic) = &self.share.traffic {
+                traffic.add_sent(chunk.len());
+            }
             self.stream.send_data(chunk, false)?;
         }
         Ok(())
--- a/src/peers/peer_stream.rs
+++ b/src/peers/peer_stream.rs
@@ -9,7 +9,8 @@
 use crate::peers::connection_activity::OpenStream;
 use crate::peers::frame_codec::{FrameCodec, StreamSide};
 use crate::peers::stream_receiver::StreamReceiver;
-use crate::peers::{FleetKey, PeerError, PeerReceiver, PeerSender};
+use crate::peers::stream_traffic::StreamTraffic;
+use crate::peers::{FleetKey, PeerError, PeerReceiver, PeerSender, TrafficPurpose, ZoneTraffic};
 
 /// Sends and receives authenticated messages, in order in each direction.
 pub struct PeerStream {
@@ -17,8 +18,14 @@
     receiver: PeerReceiver,
 }
 
-/// Counts a stream of its connection as open until both halves are dropped.
-pub(crate) type StreamToken = Option<Rc<OpenStream>>;
+/// What the halves of a stream share.
+#[derive(Debug)]
+pub(crate) struct StreamShare {
+    /// Counts a stream of its connection as open until both halves are dropped.
+    pub(crate) _open: Option<OpenStream>,
+    /// None if the peer is in the own zone.
+    pub(crate) traffic: Option<StreamTraffic>,
+}
 
 impl PeerStream {
     pub(crate) fn open(
@@ -26,17 +33,27 @@
         side: StreamSide,
         sender: SendStream<Bytes>,
         receiver: StreamReceiver,
-        token: StreamToken,
+        open: Option<OpenStream>,
+        traffic: Option<&Rc<ZoneTraffic>>,
     ) -> Self {
+        let share = Rc::new(StreamShare {
+            _open: open,
+            traffic: traffic.map(StreamTraffic::open),
+        });
         let id = sender.stream_id().as_u32();
         let encoder = FrameCodec::open(key.clone(), side, id);
         let decoder = FrameCodec::open(key.clone(), side.opposite(), id);
         Self {
-            sender: PeerSender::open(encoder, sender, token.clone()),
-            receiver: PeerReceiver::open(decoder, receiver, token),
+            sender: PeerSender::open(encoder, sender, Rc::clone(&share)),
+            receiver: PeerReceiver::open(decoder, receiver, share),
         }
     }
 
+    /// Sets what the stream's bytes count for, once its first message is known.
+    pub(crate) fn set_purpose(&self, purpose: TrafficPurpose) {
+        self.sender.set_purpose(purpose);
+    }
+
     /// Sends one message; see `PeerSender::send`.
     ///
     /// # Errors
