--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -120,7 +120,7 @@
             start_spread: settings.start_spread.get(),
             seed: fastrand::u64(..),
         };
-        let handle = MembersHandle::spawn(sources)
+        let handle = MembersHandle::spawn_with_relays(sources, settings.zones.relays)
             .await
             .map_err(|cause| bind_error("listen.peers", settings.listen.peers, &cause))?;
         // The cell is still empty, since this function runs once per daemon.
--- a/src/members/failure_detector.rs
+++ b/src/members/failure_detector.rs
@@ -6,6 +6,7 @@
 use crate::ids::{DaemonId, RegionId};
 use crate::members::MemberTable;
 use crate::time::{Deadline, MonoTime};
+use crate::wire::MemberRecord;
 
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 // Time from the direct ping to the request for indirect pings.
@@ -102,22 +103,40 @@
         self.number
     }
 
-    /// Returns the actions that are due at `now`.
+    /// Returns the actions that are due at `now`, with rounds over the whole fleet.
     pub fn tick(
         &mut self,
         members: &MemberTable,
         now: MonoTime,
         rng: &mut fastrand::Rng,
+    ) -> Vec<ProbeAction> {
+        let region = self.region.clone();
+        let draw = |rng: &mut fastrand::Rng| shuffle_round(members.live(), &region, rng);
+        self.tick_over(members, draw, now, rng)
+    }
+
+    /// Returns the actions that are due at `now`, with rounds that `draw` returns.
+    pub fn tick_over(
+        &mut self,
+        members: &MemberTable,
+        draw: impl FnOnce(&mut fastrand::Rng) -> Vec<DaemonId>,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
     ) -> Vec<ProbeAction> {
         let mut actions = Vec::new();
         actions.extend(self.check_pending(now));
         if self.next_probe_at.has_passed(now) {
             self.next_probe_at = now.after(PROBE_INTERVAL);
-            actions.extend(self.start_probe(members, now, rng));
+            actions.extend(self.start_probe(members, draw, now, rng));
         }
         actions
     }
 
+    /// Drops the rest of the present round, so that a new one is drawn.
+    pub fn end_round(&mut self) {
+        self.round.clear();
+    }
+
     /// Handles an ack; returns whether it completes the pending probe.
     pub fn acknowledge(&mut self, probe: u32) -> bool {
         match &self.pending {
@@ -155,13 +174,14 @@
     fn start_probe(
         &mut self,
         members: &MemberTable,
+        draw: impl FnOnce(&mut fastrand::Rng) -> Vec<DaemonId>,
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Option<ProbeAction> {
         if self.pending.is_some() {
             return None;
         }
-        let target = self.next_target(members, rng)?;
+        let target = self.next_target(members, draw, rng)?;
         let to = members.get(&target)?.record.address;
         let probe = self.next_probe_number();
         self.pending = Some(PendingProbe {
@@ -175,11 +195,16 @@
         Some(ProbeAction::Ping { probe, target, to })
     }
 
-    fn next_target(&mut self, members: &MemberTable, rng: &mut fastrand::Rng) -> Option<DaemonId> {
+    fn next_target(
+        &mut self,
+        members: &MemberTable,
+        draw: impl FnOnce(&mut fastrand::Rng) -> Vec<DaemonId>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<DaemonId> {
         if let Some(target) = self.pop_live_target(members) {
             return Some(target);
         }
-        self.round = self.shuffle_round(members, rng);
+        self.round = draw(rng);
         self.pop_live_target(members)
     }
 
@@ -191,25 +216,29 @@
         }
         None
     }
+}
 
-    /// Draws a round: all live members of the own region and, for every `LOCAL_PER_REMOTE` of
-    /// them, one of another region.
-    fn shuffle_round(&self, members: &MemberTable, rng: &mut fastrand::Rng) -> Vec<DaemonId> {
-        let (mut local, mut remote) = (Vec::new(), Vec::new());
-        for record in members.live() {
-            let side = match record.region == self.region {
-                true => &mut local,
-                false => &mut remote,
-            };
-            side.push(record.daemon.clone());
-        }
-        // Hash map order differs between runs; sorting makes the shuffle repeatable for a seed.
-        local.sort_unstable();
-        remote.sort_unstable();
-        rng.shuffle(&mut remote);
-        remote.truncate(local.len().div_ceil(LOCAL_PER_REMOTE).max(1));
-        local.append(&mut remote);
-        rng.shuffle(&mut local);
-        local
+/// Draws a round: all `members` of the own region and, for every `LOCAL_PER_REMOTE` of them, one of
+/// another region.
+pub(super) fn shuffle_round<'a>(
+    members: impl Iterator<Item = &'a MemberRecord>,
+    region: &RegionId,
+    rng: &mut fastrand::Rng,
+) -> Vec<DaemonId> {
+    let (mut local, mut remote) = (Vec::new(), Vec::new());
+    for record in members {
+        let side = match record.region == *region {
+            true => &mut local,
+            false => &mut remote,
+        };
+        side.push(record.daemon.clone());
     }
+    // Hash map order differs between runs; sorting makes the shuffle repeatable for a seed.
+    local.sort_unstable();
+    remote.sort_unstable();
+    rng.shuffle(&mut remote);
+    remote.truncate(local.len().div_ceil(LOCAL_PER_REMOTE).max(1));
+    local.append(&mut remote);
+    rng.shuffle(&mut local);
+    local
 }
--- a/src/members/gossip_context.rs
+++ b/src/members/gossip_context.rs
@@ -8,6 +8,8 @@
     pub(super) now: MonoTime,
     pub(super) rng: &'rng mut fastrand::Rng,
     pub(super) actions: Vec<GossipAction>,
+    /// Whether the sender of the message introduced itself, so that the answer does too.
+    pub(super) is_introduction: bool,
 }
 
 impl<'rng> GossipContext<'rng> {
@@ -17,6 +19,7 @@
             now,
             rng,
             actions: Vec::new(),
+            is_introduction: false,
         }
     }
 }
--- a/src/members/gossip_core.rs
+++ b/src/members/gossip_core.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::ids::{Incarnation, InstanceId, Revision, ServiceId};
+use crate::hash::FastMap;
+use crate::ids::{Incarnation, InstanceId, Revision, ServiceId, ZoneId};
 use crate::members::gossip_context::GossipContext;
 use crate::members::gossip_send::PushScope;
+use crate::members::zone_state::ZoneState;
 use crate::members::{
     ChangeKey, ChangeQueue, FailureDetector, FleetView, GossipAction, GossipCounters,
     IndirectProbes, LiveMember, LocalRecords, RemoteServices,
@@ -43,6 +45,9 @@
     // Number of configured seeds, which come first in `bootstrap_addresses`.
     seed_count: usize,
     pub(super) reconnect_at: Deadline,
+    pub(super) zones: ZoneState,
+    /// Zones of the bootstrap addresses, where they are known.
+    pub(super) bootstrap_zones: FastMap<SocketAddr, ZoneId>,
     purge_at: Deadline,
 }
 
@@ -60,7 +65,10 @@
     ) -> Self {
         let mut queue = ChangeQueue::default();
         queue.push(ChangeKey::Member(own.daemon.clone()));
+        let idle_rng = &mut fastrand::Rng::with_seed(0);
         let mut core = Self {
+            zones: ZoneState::open(&own, 0, now, idle_rng),
+            bootstrap_zones: FastMap::default(),
             detector: FailureDetector::open(own.region.clone(), now, rng),
             local_records: LocalRecords::open(own.incarnation),
             view: FleetView::open(own),
@@ -88,6 +96,23 @@
         core
     }
 
+    /// Makes membership pass between zones through `count` relays of each; 0 means without relays.
+    ///
+    /// Must be called before the first message.
+    pub fn set_relays(&mut self, count: usize, now: MonoTime, rng: &mut fastrand::Rng) {
+        self.zones = ZoneState::open(self.view.own(), count, now, rng);
+    }
+
+    /// Adds addresses of daemons whose zones are known, as `add_bootstrap_addresses`.
+    pub fn add_bootstrap_rows(&mut self, rows: Vec<(SocketAddr, ZoneId)>) {
+        let addresses = rows.iter().map(|(address, _)| *address).collect();
+        self.bootstrap_zones.extend(rows);
+        self.add_bootstrap_addresses(addresses);
+        let kept = &self.bootstrap_addresses;
+        self.bootstrap_zones
+            .retain(|address, _| kept.contains(address));
+    }
+
     /// Adds addresses of daemons to ping until they are members; the oldest discovered ones
     /// are evicted when the list is full.
     pub fn add_bootstrap_addresses(&mut self, bootstrap_addresses: Vec<SocketAddr>) {
@@ -119,13 +144,13 @@
     pub fn tick(&mut self, now: MonoTime, rng: &mut fastrand::Rng) -> Vec<GossipAction> {
         let context = &mut GossipContext::open(now, rng);
         self.indirect_probes.expire(now);
-        for action in self.detector.tick(self.view.members(), now, context.rng) {
-            self.run_probe_action(action, context);
-        }
+        self.tick_zones(context);
+        self.probe_members(context);
         self.expire_suspicions(now);
         self.publish_expired_orphans(context);
         self.reconnect(context);
         self.refresh_remote(context);
+        self.cross_zones(context);
         if self.purge_at.has_passed(now) {
             self.purge_at = now.after(PURGE_INTERVAL);
             self.view.purge(now);
@@ -146,6 +171,7 @@
         let mut context = GossipContext::open(now, rng);
         if let Some(issued) = self.local_records.publish(record) {
             self.push_record(&issued, &mut context);
+            self.cross_urgent(&mut context);
         }
         context.actions
     }
@@ -160,6 +186,7 @@
         let mut context = GossipContext::open(now, rng);
         if let Some(record) = self.local_records.remove(instance) {
             self.publish_gone(record, &mut context);
+            self.cross_urgent(&mut context);
         }
         context.actions
     }
@@ -169,9 +196,12 @@
         let left = self.view.own().with_state(MemberState::Left);
         self.queue
             .push_urgent(ChangeKey::Member(left.daemon.clone()));
+        let key = ChangeKey::Member(left.daemon.clone());
         self.view.set_own(left);
         let mut context = GossipContext::open(now, rng);
         self.push_to_some(LEAVE_FANOUT, PushScope::Fleet, &mut context);
+        self.note_crossing(&key, now);
+        self.cross_urgent(&mut context);
         context.actions
     }
 
@@ -215,6 +245,17 @@
         &mut self.counters
     }
 
+    /// Whether this daemon acts as a relay between zones at `now`.
+    #[must_use]
+    pub fn is_relay(&self, now: MonoTime) -> bool {
+        self.zones.relays.is_relay(now)
+    }
+
+    /// The zones that no relay of the own zone reaches, so that they are contacted directly.
+    pub fn open_zones(&self) -> impl Iterator<Item = &ZoneId> {
+        self.zones.open_zones.iter()
+    }
+
     /// Returns the number of changes that are still piggybacked on outgoing messages.
     #[must_use]
     pub fn queued_changes(&self) -> usize {
--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -16,6 +16,8 @@
 const MAX_INCARNATION: Incarnation = Incarnation(1 << 62);
 // Members to which an urgent change is forwarded at once.
 const FORWARD_FANOUT: usize = 4;
+// The same while relays pass membership between zones, when only the own zone is told.
+const ZONE_FORWARD_FANOUT: usize = 6;
 
 impl GossipCore {
     /// Handles a message received from the address `from`.
@@ -35,35 +37,48 @@
         context
             .actions
             .push(GossipAction::ReportRevision(message.revision, from));
-        self.merge_updates(&message.members, &message.instances, context);
+        self.merge_updates(message, context);
         self.view.mark_heard(&message.sender, now);
         self.handle_body(message, from, context);
         if let Some(digest) = &message.digest {
             self.compare_digest(digest, message, from, context);
         }
         self.pull_after_join(&message.sender, from, context);
+        self.cross_urgent(context);
         std::mem::take(&mut context.actions)
     }
 
-    fn merge_updates(
-        &mut self,
-        members: &[MemberRecord],
-        instances: &[InstanceRecord],
-        context: &mut GossipContext<'_>,
-    ) {
-        let (mut has_left, mut is_urgent) = (false, false);
-        for record in members {
+    fn merge_updates(&mut self, message: &GossipMessage, context: &mut GossipContext<'_>) {
+        let (mut has_left, mut is_urgent, mut has_news) = (false, false, false);
+        for record in &message.members {
+            context.is_introduction |= record.daemon == message.sender;
+            if self.forward_accusation(record, Some(&message.sender), context) {
+                continue;
+            }
+            let is_relay = self.zones.relays.is_relay_of_zone(&record.daemon);
             let newer = self.merge_member(record, context.now, true);
+            has_news |= newer;
             has_left |= newer && record.state == MemberState::Left;
+            // The next by rank takes the place of a lost relay as soon as it hears of it.
+            is_urgent |= newer && is_relay && record.state != MemberState::Alive;
         }
-        for record in instances {
+        for record in &message.instances {
             let newer = self.merge_record(record, true, context);
+            has_news |= newer;
             is_urgent |= newer && record.is_urgent();
         }
+        self.zones.needs_sync |= has_news;
         if has_left {
-            self.push_to_some(FORWARD_FANOUT, PushScope::Fleet, context);
+            self.push_to_some(self.forward_fanout(), PushScope::Fleet, context);
         } else if is_urgent {
-            self.push_to_some(FORWARD_FANOUT, PushScope::Region, context);
+            self.push_to_some(self.forward_fanout(), PushScope::Region, context);
+        }
+    }
+
+    pub(super) const fn forward_fanout(&self) -> usize {
+        match self.zones.relays.is_on() {
+            true => ZONE_FORWARD_FANOUT,
+            false => FORWARD_FANOUT,
         }
     }
 
@@ -79,18 +94,19 @@
             return false;
         }
         if record.daemon == self.view.own().daemon {
-            self.refute_member(record);
+            self.refute_member(record, now);
             return false;
         }
         let key = ChangeKey::Member(record.daemon.clone());
         let consecutive_failures = self.detector.consecutive_failures();
         let was_live = self.view.is_live(&record.daemon);
-        let change = self.view.merge_member(record, consecutive_failures, now);
+        let change = self.merge_into_view(record, consecutive_failures, now);
         if change == MemberChange::LivenessChanged && was_live {
             self.counters.deaths += 1;
         }
         match change {
             MemberChange::Newer | MemberChange::LivenessChanged if should_gossip => {
+                self.note_crossing(&key, now);
                 self.queue.push_urgent(key)
             }
             MemberChange::Newer | MemberChange::LivenessChanged => self.queue.remove(&key),
@@ -124,10 +140,13 @@
         let key = ChangeKey::Instance(record.instance.clone());
         let change = self.view.merge_record(record, context.now);
         match change {
-            RecordChange::Newer if should_gossip && record.is_urgent() => {
-                self.queue.push_urgent(key)
+            RecordChange::Newer if should_gossip => {
+                self.note_crossing(&key, context.now);
+                match record.is_urgent() {
+                    true => self.queue.push_urgent(key),
+                    false => self.queue.push(key),
+                }
             }
-            RecordChange::Newer if should_gossip => self.queue.push(key),
             RecordChange::Newer => self.queue.remove(&key),
             RecordChange::Same => self.count_redundant(&key),
             RecordChange::Stale => {}
@@ -136,7 +155,7 @@
     }
 
     /// Refutes a record of this daemon that differs from its own, with a higher incarnation.
-    fn refute_member(&mut self, record: &MemberRecord) {
+    fn refute_member(&mut self, record: &MemberRecord, now: MonoTime) {
         let own = self.view.own();
         if record.incarnation < own.incarnation || own.state == MemberState::Left {
             return;
@@ -149,8 +168,10 @@
         }
         let mut refutation = own.clone();
         refutation.incarnation = record.incarnation.next();
-        self.queue.push(ChangeKey::Member(record.daemon.clone()));
+        let key = ChangeKey::Member(record.daemon.clone());
+        self.queue.push(key.clone());
         self.view.set_own(refutation);
+        self.note_crossing(&key, now);
         self.counters.refutations += 1;
     }
 
@@ -194,11 +215,16 @@
         context: &mut GossipContext<'_>,
     ) {
         match &message.body {
-            GossipBody::Ping(probe) => {
-                let ack = GossipBody::Ack(*probe);
-                self.send(from, Some(&message.sender), ack, context);
+            GossipBody::Ping(probe) => self.acknowledge(*probe, message, from, context),
+            GossipBody::ZonePing { probe, contacts } => {
+                self.zones.contacts.merge(contacts, context.now);
+                self.acknowledge(*probe, message, from, context);
+            }
+            GossipBody::Ack(probe) => self.handle_ack(*probe, &message.sender, context),
+            GossipBody::ZoneAck { probe, contacts } => {
+                self.zones.contacts.merge(contacts, context.now);
+                self.handle_ack(*probe, &message.sender, context);
             }
-            GossipBody::Ack(probe) => self.handle_ack(*probe, context),
             GossipBody::PingRequest { probe, target } => {
                 let number = self.detector.next_probe_number();
                 if self
@@ -217,8 +243,20 @@
         }
     }
 
-    fn handle_ack(&mut self, probe: u32, context: &mut GossipContext<'_>) {
-        if self.detector.acknowledge(probe) {
+    fn acknowledge(
+        &mut self,
+        probe: u32,
+        message: &GossipMessage,
+        from: SocketAddr,
+        context: &mut GossipContext<'_>,
+    ) {
+        let ack = GossipBody::Ack(probe);
+        let has_digest = message.digest.is_some();
+        self.answer(from, &message.sender, ack, has_digest, context);
+    }
+
+    fn handle_ack(&mut self, probe: u32, sender: &DaemonId, context: &mut GossipContext<'_>) {
+        if self.detector.acknowledge(probe) || self.acknowledge_relay(probe, sender, context.now) {
             return;
         }
         if let Some(probe) = self.indirect_probes.take(probe) {
--- a/src/members/gossip_repair.rs
+++ b/src/members/gossip_repair.rs
@@ -22,6 +22,9 @@
 const DIFFERENCES_BEFORE_PULL: u32 = 6;
 // Shortest time from any pull to one that differing digests cause.
 const PULL_INTERVAL: Duration = Duration::from_secs(10);
+// The same for a daemon that starts, within its zone, if relays pass membership between zones: what a
+// relay pulls, the others learn by pulls of their own, each after the first difference.
+pub(super) const ZONE_PULL_INTERVAL: Duration = Duration::from_secs(1);
 
 impl GossipCore {
     /// Answers a pull or a service query of a peer.
@@ -85,7 +88,9 @@
     ) -> Vec<GossipAction> {
         let mut context = GossipContext::open(now, rng);
         for state in owners {
-            self.merge_member(&state.member, now, false);
+            if !self.forward_accusation(&state.member, None, &mut context) {
+                self.merge_member(&state.member, now, false);
+            }
             for record in &state.instances {
                 self.merge_record(record, false, &mut context);
             }
@@ -124,10 +129,14 @@
         }
         self.counters.differing_buckets += 1;
         self.consecutive_differences += 1;
-        if self.consecutive_differences >= DIFFERENCES_BEFORE_PULL
-            && self.next_pull_at.has_passed(context.now)
+        let is_starting = !self.zones.joined_at.has_passed(context.now);
+        let (differences, interval) = match is_starting && self.is_in_own_zone(&message.sender) {
+            true => (1, ZONE_PULL_INTERVAL),
+            false => (DIFFERENCES_BEFORE_PULL, PULL_INTERVAL),
+        };
+        if self.consecutive_differences >= differences && self.next_pull_at.has_passed(context.now)
         {
-            self.next_pull_at = context.now.after(PULL_INTERVAL);
+            self.next_pull_at = context.now.after(interval);
             context.actions.push(GossipAction::PullView(from));
         }
         let summary = self.summary(digest, true);
@@ -207,6 +216,10 @@
         from: SocketAddr,
         context: &mut GossipContext<'_>,
     ) {
+        if self.zones.relays.is_on() {
+            self.pull_zone(sender, from, context);
+            return;
+        }
         let is_same_region = self.is_same_region(sender);
         if self.has_pulled_region || (self.has_pulled && !is_same_region) {
             return;
--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::{DaemonId, InstanceId};
 use crate::members::gossip_context::GossipContext;
+use crate::members::zone_state::ZoneReach;
 use crate::members::{
     ChangeKey, GossipAction, GossipCore, MemberChange, MessageBuilder, ProbeAction,
 };
@@ -17,7 +18,7 @@
 // Random draws for each member of a sample.
 const DRAWS_PER_SAMPLE: usize = 16;
 // Changes considered for one message; the datagram size may allow fewer.
-const MAX_CHANGES: usize = 24;
+pub(super) const MAX_CHANGES: usize = 24;
 // Transmissions of a change beyond the binary logarithm of the fleet size.
 const EXTRA_TRANSMISSIONS: u32 = 3;
 const MAX_INSTANCE_TRANSMISSIONS: u32 = 6;
@@ -47,9 +48,7 @@
             ProbeAction::IndirectPing { probe, target, to } => {
                 self.request_indirect_pings(probe, &target, to, context);
             }
-            ProbeAction::Failed { target, since } => {
-                self.suspect_member(&target, since, context.now)
-            }
+            ProbeAction::Failed { target, since } => self.suspect_member(&target, since, context),
         }
     }
 
@@ -72,7 +71,20 @@
         body: GossipBody,
         context: &mut GossipContext<'_>,
     ) {
-        let message = self.build_message(target, body, context.rng);
+        let message = self.build_message(to, target, body, false, context);
+        context.actions.push(GossipAction::Send { to, message });
+    }
+
+    /// As `send`, in answer to a message of `target` that carried a digest if `has_digest` holds.
+    pub(super) fn answer(
+        &mut self,
+        to: SocketAddr,
+        target: &DaemonId,
+        body: GossipBody,
+        has_digest: bool,
+        context: &mut GossipContext<'_>,
+    ) {
+        let message = self.build_message(to, Some(target), body, has_digest, context);
         context.actions.push(GossipAction::Send { to, message });
     }
 
@@ -84,7 +96,9 @@
         context: &mut GossipContext<'_>,
     ) {
         let region = self.view.own().region.clone();
+        self.push_to_partners(context);
         let is_in_scope = |record: &MemberRecord| match scope {
+            _ if !self.is_reached_directly(record) => false,
             PushScope::Region => record.region == region,
             PushScope::Fleet => true,
         };
@@ -127,20 +141,34 @@
 
     fn build_message(
         &mut self,
+        to: SocketAddr,
         target: Option<&DaemonId>,
         body: GossipBody,
-        rng: &mut fastrand::Rng,
+        answers_digest: bool,
+        context: &mut GossipContext<'_>,
     ) -> GossipMessage {
+        let reach = self.reach(to, target, context.now);
+        let is_ack = matches!(body, GossipBody::Ack(_));
         let mut message = self.empty_message(body);
         if matches!(message.body, GossipBody::Ping(_) | GossipBody::Ack(_)) {
             let has_left = self.view.own().state == MemberState::Left;
+            let is_compared =
+                answers_digest || !matches!(reach, ZoneReach::Closed | ZoneReach::Unknown);
             let is_same_region = target.is_some_and(|target| self.is_same_region(target));
-            message.digest =
-                (!has_left).then(|| self.view.random_bucket_digest(is_same_region, rng));
+            message.digest = (is_compared && !has_left)
+                .then(|| self.view.random_bucket_digest(is_same_region, context.rng));
+        }
+        if reach == ZoneReach::OwnZone {
+            self.add_contacts(&mut message.body, context.now);
         }
         let mut builder = MessageBuilder::open(message);
         self.add_target_record(target, &mut builder);
-        self.add_changes(target, &mut builder);
+        self.add_introduction(target, reach, is_ack, &mut builder, context);
+        match reach {
+            ZoneReach::Direct | ZoneReach::OwnZone => self.add_changes(target, &mut builder),
+            ZoneReach::Relayed => self.add_crossings(target, &mut builder),
+            ZoneReach::Closed | ZoneReach::Unknown => {}
+        }
         builder.build()
     }
 
@@ -186,17 +214,27 @@
         to: SocketAddr,
         context: &mut GossipContext<'_>,
     ) {
-        for relay in self.sample(
-            INDIRECT_PROBE_COUNT,
-            |record| record.daemon != *target,
-            context.rng,
-        ) {
+        let is_near = self.view.member(target).is_none_or(|record| {
+            self.zones.relays.is_on() && record.zone == *self.zones.relays.own_zone()
+        });
+        let can_ask = |record: &MemberRecord| match self.zones.relays.is_on() {
+            false => record.daemon != *target,
+            true if is_near => self.is_reached_directly(record) && record.daemon != *target,
+            true => record.daemon != *target && self.zones.relays.is_relay_of_zone(&record.daemon),
+        };
+        for relay in self.sample(INDIRECT_PROBE_COUNT, can_ask, context.rng) {
             let body = GossipBody::PingRequest { probe, target: to };
             self.send(relay.address, Some(&relay.daemon), body, context);
         }
     }
 
-    fn suspect_member(&mut self, target: &DaemonId, since: MonoTime, now: MonoTime) {
+    fn suspect_member(
+        &mut self,
+        target: &DaemonId,
+        since: MonoTime,
+        context: &mut GossipContext<'_>,
+    ) {
+        let now = context.now;
         if self.heard_since(target, since) {
             return;
         }
@@ -209,18 +247,20 @@
         let own = self.view.own().daemon.clone();
         let suspicion = entry.record.with_state(MemberState::Suspect(own));
         let consecutive_failures = self.detector.consecutive_failures().saturating_sub(1);
-        if self
-            .view
-            .merge_member(&suspicion, consecutive_failures, now)
-            == MemberChange::Newer
-        {
+        let is_relay = self.zones.relays.is_relay_of_zone(target);
+        if self.merge_into_view(&suspicion, consecutive_failures, now) == MemberChange::Newer {
             self.counters.suspicions += 1;
-            self.queue.push_urgent(ChangeKey::Member(target.clone()));
+            let key = ChangeKey::Member(target.clone());
+            self.note_crossing(&key, now);
+            self.queue.push_urgent(key);
+            if is_relay {
+                self.announce_suspicion(&suspicion, context);
+            }
         }
     }
 
     /// Draws up to `count` random live members that `is_fit` accepts.
-    fn sample(
+    pub(super) fn sample(
         &self,
         count: usize,
         is_fit: impl Fn(&MemberRecord) -> bool,
--- a/src/members/gossip_timers.rs
+++ b/src/members/gossip_timers.rs
@@ -25,8 +25,9 @@
     /// Merges a newly issued record of a local instance and pushes it to the region.
     pub(super) fn push_record(&mut self, record: &InstanceRecord, context: &mut GossipContext<'_>) {
         self.view.merge_record(record, context.now);
-        self.queue
-            .push_urgent(ChangeKey::Instance(record.instance.clone()));
+        let key = ChangeKey::Instance(record.instance.clone());
+        self.note_crossing(&key, context.now);
+        self.queue.push_urgent(key);
         self.push_to_some(PUBLISH_FANOUT, PushScope::Region, context);
     }
 
@@ -52,10 +53,12 @@
         };
         for record in self.view.members().expired_suspicions(grace, now) {
             let dead = record.with_state(MemberState::Dead);
-            let change = self.view.merge_member(&dead, 0, now);
+            let change = self.merge_into_view(&dead, 0, now);
             debug_assert_eq!(change, MemberChange::LivenessChanged);
             self.counters.deaths += 1;
-            self.queue.push_urgent(ChangeKey::Member(dead.daemon));
+            let key = ChangeKey::Member(dead.daemon);
+            self.note_crossing(&key, now);
+            self.queue.push_urgent(key);
         }
     }
 
@@ -72,21 +75,22 @@
             return;
         }
         let is_alone = self.view.members().live_count() == 0;
-        let (interval, most) = match is_alone {
+        let (interval, most) = match is_alone || self.lacks_zone(context.now) {
             true => (ISOLATED_RECONNECT_INTERVAL, 3),
             false => (RECONNECT_INTERVAL, 1),
         };
         self.reconnect_at = context.now.after(interval);
-        let mut candidates = self.reconnect_candidates();
+        let mut candidates = self.reconnect_candidates(context.now);
         context.rng.shuffle(&mut candidates);
         for (address, daemon) in candidates.into_iter().take(most) {
             self.ping(address, daemon.as_ref(), context);
         }
     }
 
-    fn reconnect_candidates(&self) -> Vec<(SocketAddr, Option<DaemonId>)> {
+    fn reconnect_candidates(&self, now: MonoTime) -> Vec<(SocketAddr, Option<DaemonId>)> {
         let members = self.view.members();
         let dead = members.dead();
+        let dead = dead.filter(|record| self.may_contact_zone(&record.zone, now));
         let dead = dead.map(|record| (record.address, Some(record.daemon.clone())));
         let bootstrap_addresses = self
             .bootstrap_addresses
@@ -96,6 +100,7 @@
             .chain(bootstrap_addresses)
             .filter(|(address, _)| members.live_by_address(*address).is_none())
             .collect();
+        self.keep_near_candidates(&mut candidates, now);
         candidates.sort_unstable();
         candidates
     }
--- a/src/members/member_directory.rs
+++ b/src/members/member_directory.rs
@@ -78,10 +78,22 @@
         after: Option<&DaemonId>,
         limit: usize,
     ) -> Result<Vec<SocketAddr>, PlatformError> {
+        let rows = self.rows(after, limit).await?;
+        Ok(rows.into_iter().map(|row| row.address).collect())
+    }
+
+    /// Reads up to `limit` rows, as `addresses`.
+    ///
+    /// # Errors
+    /// `PlatformError` when the platform cannot be read.
+    pub async fn rows(
+        &self,
+        after: Option<&DaemonId>,
+        limit: usize,
+    ) -> Result<Vec<MemberRow>, PlatformError> {
         let after = after.map(key_of);
         let rows = self.platform.scan(PREFIX, after.as_ref(), limit).await?;
-        let decoded = rows.iter().filter_map(|row| decode(&row.value));
-        Ok(decoded.map(|row| row.address).collect())
+        Ok(rows.iter().filter_map(|row| decode(&row.value)).collect())
     }
 
     async fn commit(
--- a/src/members/members_discovery.rs
+++ b/src/members/members_discovery.rs
@@ -23,6 +23,11 @@
 /// Rows that suffice for a daemon that starts. Gossip reports the other members, so the directory
 /// needs no row of each daemon.
 const ENOUGH_ROWS: usize = 8;
+/// The same in the own zone, if membership passes between zones through relays: a daemon that starts
+/// asks daemons of its own zone first.
+const ENOUGH_ZONE_ROWS: usize = 3;
+/// Time after its first read in which a daemon knows whether it is a relay.
+const RELAY_READ_DELAY: Duration = Duration::from_secs(2);
 /// Reads without a live member after which the rows that were found count as outdated.
 const MAX_READS_ALONE: u32 = 2;
 /// Salt of the ranking of the members that keep a row, unlike those of other rankings.
@@ -50,7 +55,19 @@
         // By then the view is complete, so that few daemons take themselves for one that keeps a row.
         let mut check_at = sources.clock.now().after(ROW_CHECK_INTERVAL);
         let mut checked_version = None;
+        // A relay reads the rows of the zones that started after its first read.
+        let mut relay_read_at = self
+            .state
+            .has_relays
+            .then(|| sources.clock.now().after(RELAY_READ_DELAY));
         loop {
+            if relay_read_at.is_some_and(|at| at.has_passed(sources.clock.now())) {
+                relay_read_at = None;
+                let is_relay = self.state.core.borrow().is_relay(sources.clock.now());
+                if is_relay {
+                    self.read_directory(&directory).await;
+                }
+            }
             let mut needs_row = false;
             let is_read_due = read_at.has_passed(sources.clock.now());
             if is_read_due && has_found && self.live_count() > 1 {
@@ -62,8 +79,8 @@
                 has_found = found.is_some_and(|rows| rows > 0);
                 let is_alone = self.live_count() == 1;
                 reads_alone = if is_alone { reads_alone + 1 } else { 0 };
-                needs_row =
-                    found.is_some_and(|rows| rows < ENOUGH_ROWS) || reads_alone > MAX_READS_ALONE;
+                needs_row = found.is_some_and(|rows| rows < self.enough_rows())
+                    || reads_alone > MAX_READS_ALONE;
                 let wait = match found.is_none() || is_alone {
                     true => retry_interval,
                     false => DIRECTORY_POLL_INTERVAL,
@@ -86,6 +103,7 @@
                 }
             }
             let wake_at = read_at.min(check_at);
+            let wake_at = relay_read_at.map_or(wake_at, |at| at.min(wake_at));
             actix_rt::time::sleep(wake_at.remaining(sources.clock.now())).await;
         }
     }
@@ -96,20 +114,35 @@
         let score = |name: &str| rendezvous_score(name, ROW_SALT);
         let own = score(self.state.sources.daemon.as_str());
         let live = self.live();
+        let zone = &self.state.sources.zone;
         let higher = live
             .iter()
+            .filter(|member| !self.state.has_relays || member.zone == *zone)
             .filter(|member| score(member.daemon.as_str()) > own);
-        higher.take(ENOUGH_ROWS).count() < ENOUGH_ROWS
+        higher.take(self.enough_rows()).count() < self.enough_rows()
+    }
+
+    /// Rows that suffice for a daemon that starts, in its own zone if there are relays.
+    fn enough_rows(&self) -> usize {
+        match self.state.has_relays {
+            true => ENOUGH_ZONE_ROWS,
+            false => ENOUGH_ROWS,
+        }
     }
 
-    /// Reads the rows and adds their addresses as bootstrap addresses. Returns their number, or none
-    /// if the directory cannot be read.
+    /// Reads the rows and adds their addresses as bootstrap addresses. Returns their number, in the
+    /// own zone if there are relays, or none if the directory cannot be read.
     async fn read_directory(&self, directory: &MemberDirectory) -> Option<usize> {
-        match directory.addresses(None, MAX_ROWS_READ).await {
-            Ok(addresses) => {
-                let count = addresses.len();
+        match directory.rows(None, MAX_ROWS_READ).await {
+            Ok(rows) => {
+                let zone = &self.state.sources.zone;
+                let counted = rows
+                    .iter()
+                    .filter(|row| !self.state.has_relays || row.zone == *zone);
+                let count = counted.count();
+                let rows = rows.into_iter().map(|row| (row.address, row.zone));
                 let mut core = self.state.core.borrow_mut();
-                core.add_bootstrap_addresses(addresses);
+                core.add_bootstrap_rows(rows.collect());
                 core.reconnect_now();
                 Some(count)
             }
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -19,6 +19,8 @@
 
 pub(super) struct MembersState {
     pub(super) sources: MemberSources,
+    /// Whether membership passes between zones through relays.
+    pub(super) has_relays: bool,
     pub(super) codec: DatagramCodec,
     pub(super) socket: UdpSocket,
     pub(super) core: RefCell<GossipCore>,
@@ -39,14 +41,27 @@
     /// # Errors
     /// The I/O error when the address cannot be bound.
     pub async fn spawn(sources: MemberSources) -> io::Result<Self> {
+        Self::spawn_with_relays(sources, 0).await
+    }
+
+    /// As `spawn`, with membership that passes between zones through `relays` daemons of each; 0
+    /// means without relays.
+    ///
+    /// # Errors
+    /// As `spawn`.
+    pub async fn spawn_with_relays(sources: MemberSources, relays: usize) -> io::Result<Self> {
         let socket = UdpSocket::bind(sources.address).await?;
         let mut rng = fastrand::Rng::with_seed(sources.seed);
         let own = own_record(&sources);
         let now = sources.clock.now();
-        let core = GossipCore::open(own, sources.seeds.clone(), now, &mut rng);
+        let mut core = GossipCore::open(own, sources.seeds.clone(), now, &mut rng);
+        if relays > 0 {
+            core.set_relays(relays, now, &mut rng);
+        }
         let state = Rc::new(MembersState {
             codec: DatagramCodec::open(sources.key.clone()),
             sources,
+            has_relays: relays > 0,
             socket,
             core: RefCell::new(core),
             rng: RefCell::new(rng),
@@ -131,6 +146,8 @@
             "members": members,
             "live": core.view().members().live_count() + 1,
             "instance_records": core.view().records().len(),
+            "is_relay": core.is_relay(self.state.sources.clock.now()),
+            "zones_contacted_directly": core.open_zones().collect::<Vec<_>>(),
             "queued_changes": core.queued_changes(),
             "counters": core.counters(),
         })
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -9,7 +9,7 @@
 use crate::limits::MAX_SHARES;
 use crate::settings::{
     BaselineSettings, HeaderSettings, LimitsSettings, ListenSettings, OperatorSettings,
-    PlatformSettings, ProxySettings, ServiceSettings, SettingsError,
+    PlatformSettings, ProxySettings, ServiceSettings, SettingsError, ZoneSettings,
 };
 use crate::units::TimeSpan;
 
@@ -61,6 +61,9 @@
     /// Leases and loans of the fleet-wide rate limits.
     #[serde(default)]
     pub limits: LimitsSettings,
+    /// Passage of control traffic between availability zones.
+    #[serde(default)]
+    pub zones: ZoneSettings,
     /// Baselines that benchmarks compare against.
     #[serde(default)]
     pub baseline: BaselineSettings,
@@ -99,7 +102,7 @@
 
     /// Name and debug text of each top-level field except `log_level` and `start_spread`; two texts
     /// differ if the fields differ.
-    fn field_texts(&self) -> [(&'static str, String); 14] {
+    fn field_texts(&self) -> [(&'static str, String); 15] {
         let text = |field: &dyn std::fmt::Debug| format!("{field:?}");
         [
             ("daemon", text(&self.daemon)),
@@ -115,6 +118,7 @@
             ("proxy", text(&self.proxy)),
             ("services", text(&self.services)),
             ("limits", text(&self.limits)),
+            ("zones", text(&self.zones)),
             ("baseline", text(&self.baseline)),
         ]
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,6 +10,7 @@
 mod proxy_settings;
 mod service_settings;
 mod settings_error;
+mod zone_settings;
 
 pub use baseline_settings::BaselineSettings;
 pub use daemon_settings::DaemonSettings;
@@ -21,3 +22,4 @@
 pub use proxy_settings::ProxySettings;
 pub use service_settings::ServiceSettings;
 pub use settings_error::SettingsError;
+pub use zone_settings::ZoneSettings;
--- a/src/wire/gossip_message.rs
+++ b/src/wire/gossip_message.rs
@@ -50,6 +50,29 @@
         /// Whether the receiver must reply with its own summary.
         wants_reply: bool,
     },
+    /// As `Ping`, to a daemon of the own zone while relays pass membership between zones.
+    ZonePing {
+        /// Number that the `ZoneAck` or `Ack` must have.
+        probe: u32,
+        /// Ages of the last contact of the zone's relays with the other zones.
+        contacts: Vec<ZoneContact>,
+    },
+    /// As `Ack`, to a daemon of the own zone.
+    ZoneAck {
+        /// Number of the ping.
+        probe: u32,
+        /// Ages of the last contact of the zone's relays with the other zones.
+        contacts: Vec<ZoneContact>,
+    },
+}
+
+/// Age of the last contact of the sender's zone with another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct ZoneContact {
+    /// Lowest bits of the hash of the zone's name.
+    pub zone: u16,
+    /// Age in tenths of a second.
+    pub age: u16,
 }
 
 /// Digest of a bucket: the daemons whose hashed names begin with the same bits.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -25,7 +25,7 @@
     WatchReply, WatchRequest,
 };
 pub use egress_message::{BackendHead, EgressMessage, FailureCause, RefusalReason};
-pub use gossip_message::{BucketDigest, GossipBody, GossipMessage, OwnerDigest};
+pub use gossip_message::{BucketDigest, GossipBody, GossipMessage, OwnerDigest, ZoneContact};
 pub use ingress_message::IngressMessage;
 pub use instance_load::InstanceLoad;
 pub use instance_record::{HealthState, InstancePhase, InstanceRecord};
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use wagtailtrack::ids::{BootId, Incarnation, RegionId, Revision, ServiceId};
+use wagtailtrack::ids::{BootId, Incarnation, RegionId, Revision, ServiceId, ZoneId};
 use wagtailtrack::members::{DatagramCodec, GossipAction, GossipCore};
 use wagtailtrack::peers::FleetKey;
 use wagtailtrack::time::MonoTime;
@@ -31,6 +31,9 @@
     pub is_paused: bool,
     pub udp_bytes: u64,
     pub pull_bytes: u64,
+    /// Parts of both that went to daemons of other zones.
+    pub zone_udp_bytes: u64,
+    pub zone_pull_bytes: u64,
 }
 
 /// Delivery time, sequence number, sender, receiver and datagram.
@@ -53,6 +56,14 @@
     codec: DatagramCodec,
     in_flight: BinaryHeap<InFlight>,
     sequence: u64,
+    zone_plan: Option<ZonePlan>,
+}
+
+/// Zones of a net, by the remainder of the index, and the relays of each.
+#[derive(Clone, Copy)]
+pub struct ZonePlan {
+    pub zones: usize,
+    pub relays: usize,
 }
 
 pub fn address(index: usize) -> SocketAddr {
@@ -82,6 +93,10 @@
     }
 }
 
+fn zone_name(index: usize, plan: ZonePlan) -> ZoneId {
+    format!("zone-{}", index % plan.zones).parse().unwrap()
+}
+
 /// Record of instance `number` beside daemon `index`; three daemons share a service.
 pub fn instance(index: usize, number: usize, phase: InstancePhase) -> InstanceRecord {
     let place = member(index, 0, 1);
@@ -117,6 +132,7 @@
             codec: DatagramCodec::open(FleetKey::open("a secret of the fleet")),
             in_flight: BinaryHeap::new(),
             sequence: 0,
+            zone_plan: None,
         };
         for index in 0..count {
             let node = net.start(member(index, 1, regions));
@@ -125,15 +141,40 @@
         net
     }
 
-    fn start(&mut self, own: MemberRecord) -> GossipNode {
+    /// Creates `count` daemons of one region in zones. Each finds rows of the first three daemons of
+    /// each zone in the directory, and there are no seeds.
+    pub fn open_zones(count: usize, zones: usize, relays: usize, seed: u64) -> Self {
+        let mut net = Self::open(0, 1, seed);
+        net.zone_plan = Some(ZonePlan { zones, relays });
+        for index in 0..count {
+            let node = net.start(member(index, 1, 1));
+            net.nodes.push(node);
+        }
+        net
+    }
+
+    fn start(&mut self, mut own: MemberRecord) -> GossipNode {
         let mut rng = fastrand::Rng::with_seed(self.rng.u64(..));
+        let core = match self.zone_plan {
+            None => GossipCore::open(own, vec![address(0), address(1)], self.now, &mut rng),
+            Some(plan) => {
+                own.zone = zone_name(index(own.address), plan);
+                let mut core = GossipCore::open(own, Vec::new(), self.now, &mut rng);
+                core.set_relays(plan.relays, self.now, &mut rng);
+                let rows = (0..3 * plan.zones).map(|row| (address(row), zone_name(row, plan)));
+                core.add_bootstrap_rows(rows.collect());
+                core
+            }
+        };
         GossipNode {
-            core: GossipCore::open(own, vec![address(0), address(1)], self.now, &mut rng),
+            core,
             rng,
             is_down: false,
             is_paused: false,
             udp_bytes: 0,
             pull_bytes: 0,
+            zone_udp_bytes: 0,
+            zone_pull_bytes: 0,
         }
     }
 
@@ -212,6 +253,9 @@
         let node = &mut self.nodes[index];
         let mut record = record.clone();
         record.region = node.core.view().own().region.clone();
+        if self.zone_plan.is_some() {
+            record.zone = node.core.view().own().zone.clone();
+        }
         let actions = node.core.publish(&record, self.now, &mut node.rng);
         self.carry_out(index, actions);
     }
@@ -234,6 +278,9 @@
                 GossipAction::Send { to, message } => {
                     let datagram = self.codec.encode(&message).unwrap();
                     self.nodes[from].udp_bytes += datagram.len() as u64;
+                    if self.is_other_zone(from, index(to)) {
+                        self.nodes[from].zone_udp_bytes += datagram.len() as u64;
+                    }
                     self.enqueue(from, index(to), datagram);
                 }
                 GossipAction::ReportRevision(revision, _) => self.revisions.push((from, revision)),
@@ -247,6 +294,15 @@
         }
     }
 
+    fn is_other_zone(&self, from: usize, to: usize) -> bool {
+        let zone = |index: usize| {
+            self.nodes
+                .get(index)
+                .map(|node| &node.core.view().own().zone)
+        };
+        zone(from) != zone(to)
+    }
+
     fn enqueue(&mut self, from: usize, to: usize, datagram: Vec<u8>) {
         if to >= self.nodes.len() || self.blocked_links.contains(&(from, to)) {
             return;
@@ -301,8 +357,14 @@
         while let Some(page) = next {
             let call = self.nodes[from].core.pull_call(address(peer), page);
             let reply = self.nodes[peer].core.serve(&call);
-            self.nodes[from].pull_bytes += wire::encode(&call).unwrap().len() as u64;
-            self.nodes[peer].pull_bytes += wire::encode(&reply).unwrap().len() as u64;
+            let asked = wire::encode(&call).unwrap().len() as u64;
+            let answered = wire::encode(&reply).unwrap().len() as u64;
+            self.nodes[from].pull_bytes += asked;
+            self.nodes[peer].pull_bytes += answered;
+            if self.is_other_zone(from, peer) {
+                self.nodes[from].zone_pull_bytes += asked;
+                self.nodes[peer].zone_pull_bytes += answered;
+            }
             let InstancesReply::Owners {
                 owners,
                 next: following,
