Ask the grandparent of the watch tree while the parent is silent

Children of a silent daemon asked daemons of other zones, and fetched new documents from there, although the grandparent in their own zone knew them. Alternates for a parent that has nothing new stay in other zones, since all daemons of the own zone depend on the same root (watch_fleet zone_loses_store).

--- a/src/config/peer_watcher.rs
+++ b/src/config/peer_watcher.rs
@@ -25,6 +25,8 @@
 /// Unsuccessful answers in a row after which the store is likely down, so that asking further daemons
 /// is of no use.
 const FRUITLESS_ROUND: u32 = 3;
+/// Position of the grandparent among the choices, which stands in for a silent parent.
+const GRANDPARENT: u32 = u32::MAX;
 /// How long only the parent is asked then.
 const REST_AFTER_ROUND: Duration = Duration::from_secs(5);
 
@@ -118,7 +120,14 @@
         if self.return_at.has_passed(now) {
             self.position = 0;
         }
-        let Some(peer) = tree.peer_at(self.position) else {
+        if self.position == GRANDPARENT && tree.grandparent().is_none() {
+            self.position = self.take_alternate();
+        }
+        let peer = match self.position {
+            GRANDPARENT => tree.grandparent(),
+            position => tree.peer_at(position),
+        };
+        let Some(peer) = peer else {
             return PeerStep::Pause(now.after(self.wait));
         };
         let session = self.session.as_ref().filter(|session| session.peer == peer);
@@ -144,8 +153,12 @@
     ) -> Option<PeerUpdate> {
         let Some(reply) = reply else {
             self.failures += 1;
-            self.is_parent_lost |= self.position == 0;
+            let is_parent = self.position == 0;
+            self.is_parent_lost |= is_parent;
             self.turn_to_next(self.failures, now);
+            if is_parent && self.position != 0 {
+                self.position = GRANDPARENT;
+            }
             return None;
         };
         self.failures = 0;
@@ -164,7 +177,7 @@
         } else if is_old || reply.store_lost {
             self.fruitless += 1;
             self.turn_to_next(self.fruitless, now);
-        } else if self.position != 0 {
+        } else if self.position != 0 && self.position != GRANDPARENT {
             // The peer may itself hear of the document from this daemon alone.
             self.turn_to_next(0, now);
         }
@@ -213,11 +226,17 @@
             self.position = 0;
             self.rest_until = now.after(REST_AFTER_ROUND);
         } else if self.rest_until.has_passed(now) {
-            self.position = 1 + self.next_alternate % MAX_ALTERNATES;
-            self.next_alternate = self.next_alternate.wrapping_add(1);
+            self.position = self.take_alternate();
             self.return_at = now.after(RETURN_AFTER);
         }
         let doublings = count.saturating_sub(1).min(MAX_DOUBLINGS);
         self.resume_at = now.after(RETRY_PAUSE * 2_u32.pow(doublings));
     }
+
+    /// Returns the position of the next alternate.
+    const fn take_alternate(&mut self) -> u32 {
+        let position = 1 + self.next_alternate % MAX_ALTERNATES;
+        self.next_alternate = self.next_alternate.wrapping_add(1);
+        position
+    }
 }
--- a/src/config/watch_tree.rs
+++ b/src/config/watch_tree.rs
@@ -24,6 +24,8 @@
 pub struct WatchTree {
     is_root: bool,
     parent: Option<SocketAddr>,
+    /// The parent of the parent.
+    grandparent: Option<SocketAddr>,
     alternates: Vec<SocketAddr>,
 }
 
@@ -52,15 +54,17 @@
             true => 1,
             false => MIN_ROOTS,
         };
-        let parent = match position < roots {
-            true => None,
-            false => ranked[(position - roots) / FANOUT].1,
-        };
+        let above = |position: usize| Some(position.checked_sub(roots)? / FANOUT);
+        let parent_position = above(position);
+        let address_at = |position: usize| ranked[position].1;
+        let parent = parent_position.and_then(address_at);
+        let grandparent = parent_position.and_then(above).and_then(address_at);
         let others = members.iter().filter(is_other);
         let others = others.filter(|member| Some(member.address) != parent);
         let mut alternates: Vec<_> = others.collect();
         rng.shuffle(&mut alternates);
-        // The daemons of the own zone depend on the same root and lose the store with it.
+        // The daemons of the own zone depend on the same root and lose the store with it. For a parent
+        // that is silent, the grandparent stands in first, so that the document stays in the zone.
         alternates.sort_by_key(|member| member.zone == *zone);
         alternates.truncate(MAX_ALTERNATES as usize);
         let alternates = alternates
@@ -70,6 +74,7 @@
         Self {
             is_root: position < roots,
             parent,
+            grandparent,
             alternates,
         }
     }
@@ -86,6 +91,13 @@
         self.parent
     }
 
+    /// The daemon of the own zone to ask while the parent is silent; none if the parent is a root, on
+    /// which all daemons of the zone depend.
+    #[must_use]
+    pub const fn grandparent(&self) -> Option<SocketAddr> {
+        self.grandparent
+    }
+
     /// The daemon to ask at `position`, which counts on from the parent and wraps around.
     #[must_use]
     pub fn peer_at(&self, position: u32) -> Option<SocketAddr> {
--- a/tests/watch_fleet.rs
+++ b/tests/watch_fleet.rs
@@ -210,3 +210,33 @@
 fn all_zones_lose_store() {
     change_reaches_all(0..400, 3);
 }
+
+/// Guards against a configuration that crosses zones more often than needed: while nothing fails, no
+/// daemon asks another zone, and when daemons that others ask fall silent, these turn to their own zone.
+#[test]
+fn questions_stay_in_zone() {
+    for seed in [1, 2, 3] {
+        let mut fleet = settled(120, seed);
+        let before = fleet.zone_questions();
+        fleet.publish();
+        fleet.run(10_000);
+        let after = fleet.zone_questions();
+        assert_eq!(after, before, "seed {seed}: nothing fails");
+        let inner = fleet.inner_nodes();
+        assert!(inner.len() >= 9, "{inner:?}");
+        fleet.silence(|index| inner.contains(&index));
+        let before = fleet.zone_questions();
+        fleet.run(1_000);
+        fleet.publish();
+        fleet.run(4_000);
+        let behind = fleet.behind();
+        let heard = behind.iter().filter(|index| !inner.contains(index));
+        assert_eq!(heard.count(), 0, "seed {seed}: {behind:?}");
+        assert!(fleet.all_fresh_but(&inner), "seed {seed}");
+        let crossed = fleet.zone_questions() - before;
+        assert!(
+            crossed <= inner.len() as u64,
+            "seed {seed}: {crossed} questions"
+        );
+    }
+}
--- a/tests/watch_kit/event_handlers.rs
+++ b/tests/watch_kit/event_handlers.rs
@@ -126,6 +126,8 @@
                 node.asked += 1;
                 let number = node.asked;
                 node.question = Some((number, to, request, now));
+                let is_other_zone = self.members[index].zone != self.members[to].zone;
+                node.zone_questions += u64::from(is_other_zone);
                 let at = now + self.delay();
                 if !self.nodes[index].is_silent && !self.nodes[to].is_silent {
                     self.schedule(at, Event::Question(index, to, number));
--- a/tests/watch_kit/mod.rs
+++ b/tests/watch_kit/mod.rs
@@ -142,6 +142,22 @@
         self.nodes.iter().map(|node| node.questions).collect()
     }
 
+    /// Questions between zones of the nodes that are not silent.
+    pub fn zone_questions(&self) -> u64 {
+        let heard = self.nodes.iter().filter(|node| !node.is_silent);
+        heard.map(|node| node.zone_questions).sum()
+    }
+
+    /// The nodes that others ask and that watch no store.
+    pub fn inner_nodes(&self) -> Vec<usize> {
+        let parents = self.nodes.iter().filter_map(|node| node.tree.parent());
+        let mut inner: Vec<_> = parents.map(member_index).collect();
+        inner.sort_unstable();
+        inner.dedup();
+        inner.retain(|index| !self.nodes[*index].tree.is_root());
+        inner
+    }
+
     pub fn all_fresh(&self) -> bool {
         self.all_fresh_but(&[])
     }
--- a/tests/watch_kit/watch_node.rs
+++ b/tests/watch_kit/watch_node.rs
@@ -27,6 +27,8 @@
     /// Questions that wait here: asking node and number.
     pub kept: Vec<(usize, u64)>,
     pub questions: u64,
+    /// Questions that this node asked daemons of other zones.
+    pub zone_questions: u64,
 }
 
 impl WatchNode {
@@ -48,6 +50,7 @@
             question: None,
             kept: Vec::new(),
             questions: 0,
+            zone_questions: 0,
         }
     }
 
--- a/tests/zone_relays.rs
+++ b/tests/zone_relays.rs
@@ -12,6 +12,7 @@
 const RELAYS: usize = 2;
 const SIZES: [usize; 3] = [30, 100, 300];
 const START: Duration = Duration::from_secs(13);
+const CHANGES: usize = 5;
 const IDLE: Duration = Duration::from_secs(10);
 
 /// Bytes between zones so far: datagrams and pulls.
@@ -57,6 +58,33 @@
     net
 }
 
+/// Bytes between zones a second, in datagrams and pulls, with `CHANGES` changes of records and one drain
+/// or return a second.
+fn busy_costs(net: &mut GossipNet) -> (u64, u64) {
+    let before = zone_bytes(net);
+    let seconds = IDLE.as_secs() as u32;
+    for second in 0..seconds {
+        for _ in 0..CHANGES {
+            let index = net.rng.usize(1..net.nodes.len());
+            let mut changed = record(index);
+            changed.median_micros = 50_000 * (1 + second) * (1 + net.rng.u32(0..9));
+            net.publish(index, &changed);
+        }
+        let phase = match second % 2 {
+            0 => InstancePhase::Draining,
+            _ => InstancePhase::Starting,
+        };
+        net.publish(0, &instance(0, 0, phase));
+        net.run(Duration::from_secs(1));
+    }
+    let after = zone_bytes(net);
+    let seconds = u64::from(seconds);
+    (
+        (after.0 - before.0) / seconds,
+        (after.1 - before.1) / seconds,
+    )
+}
+
 /// Bytes between zones of the start, and of an idle second and daemon.
 fn costs(count: usize, relays: usize) -> (u64, u64) {
     let mut net = start(count, relays, 1);
@@ -76,9 +104,12 @@
     }
     let after = zone_bytes(&net);
     let idle = (after.0 + after.1 - before.0 - before.1) / IDLE.as_secs();
+    let busy = busy_costs(&mut net);
     println!(
-        "{count} daemons, {relays} relays: joined {joined:?}, known {known:?}, start {udp} B gossip {pulls} B pulls, idle {idle} B/s, {} B/s each",
-        idle as f64 / count as f64
+        "{count} daemons, {relays} relays: joined {joined:?}, known {known:?}, start {udp} B gossip {pulls} B pulls, idle {idle} B/s, {:.1} B/s each, busy {} B/s gossip {} B/s pulls",
+        idle as f64 / count as f64,
+        busy.0,
+        busy.1
     );
     (udp + pulls, idle)
 }
