--- a/src/members/gossip_crossings.rs
+++ b/src/members/gossip_crossings.rs
@@ -13,7 +13,7 @@
 use crate::wire::{GossipBody, MemberRecord, MemberState};
 
 /// Longest wait of a change that is not urgent for a message to another zone.
-const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
+const FLUSH_INTERVAL: Duration = Duration::from_millis(300);
 
 impl GossipCore {
     /// Notes a change that other zones must hear of, if this daemon is a relay.
