--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -12,6 +12,7 @@
 use crate::balance::ZoneLine;
 use crate::ingress::{CreditLine, RequestTotals};
 use crate::metrics::DurationMetrics;
+use crate::peers::ZoneBytes;
 
 /// Values of all exported counters and gauges at one time.
 #[derive(Debug, Clone, Default)]
@@ -46,6 +47,8 @@
     pub refused_messages: u64,
     /// Requests by service and the zone that served them.
     pub zones: Vec<ZoneLine>,
+    /// Bytes exchanged with other zones by purpose, since the daemon started.
+    pub zone_bytes: Vec<ZoneBytes>,
 }
 
 /// Registry of all metrics with the latest snapshot.
@@ -166,17 +169,19 @@
     });
     register_credit_counter(meter, latest, "requests_completed", |line| line.completed);
     register_credit_counter(meter, latest, "credit_earned", |line| line.credit);
-    register_zone_counter(meter, latest, "zone_requests_kept", |line| line.counts.kept);
-    register_zone_counter(meter, latest, "zone_requests_overflowed", |line| {
+    register_service_counter(meter, latest, "zone_requests_kept", |line| line.counts.kept);
+    register_service_counter(meter, latest, "zone_requests_overflowed", |line| {
         line.counts.overflowed
     });
-    register_zone_counter(meter, latest, "zone_requests_returned", |line| {
+    register_service_counter(meter, latest, "zone_requests_returned", |line| {
         line.counts.returned
     });
-    register_zone_counter(meter, latest, "zone_requests_sampled", |line| {
+    register_service_counter(meter, latest, "zone_requests_sampled", |line| {
         line.counts.sampled
     });
     register_zone_share(meter, latest);
+    register_zone_bytes(meter, latest, "zone_bytes_sent", |line| line.sent);
+    register_zone_bytes(meter, latest, "zone_bytes_received", |line| line.received);
 }
 
 fn register_counter(
@@ -239,7 +244,7 @@
 }
 
 /// Registers a counter with one series per service.
-fn register_zone_counter(
+fn register_service_counter(
     meter: &Meter,
     latest: &SharedSnapshot,
     name: &'static str,
@@ -248,7 +253,7 @@
     let latest = Arc::clone(latest);
     meter
         .u64_observable_counter(name)
-        .with_callback(move |instrument| observe_zones(instrument, &latest, read))
+        .with_callback(move |instrument| observe_services(instrument, &latest, read))
         .build();
 }
 
@@ -258,12 +263,12 @@
     meter
         .u64_observable_gauge("zone_overflow_permille")
         .with_callback(move |instrument| {
-            observe_zones(instrument, &latest, |line| line.share_permille);
+            observe_services(instrument, &latest, |line| line.share_permille);
         })
         .build();
 }
 
-fn observe_zones(
+fn observe_services(
     instrument: &dyn AsyncInstrument<u64>,
     latest: &SharedSnapshot,
     read: fn(&ZoneLine) -> u64,
@@ -276,3 +281,25 @@
         instrument.observe(read(line), &[service]);
     }
 }
+
+/// Registers a counter with one series per purpose of the bytes between zones.
+fn register_zone_bytes(
+    meter: &Meter,
+    latest: &SharedSnapshot,
+    name: &'static str,
+    read: fn(&ZoneBytes) -> u64,
+) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_counter(name)
+        .with_callback(move |instrument| {
+            let Ok(snapshot) = latest.lock() else {
+                return;
+            };
+            for line in &snapshot.zone_bytes {
+                let purpose = KeyValue::new("purpose", line.purpose.as_str());
+                instrument.observe(read(line), &[purpose]);
+            }
+        })
+        .build();
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,6 +11,7 @@
 mod service_settings;
 mod settings_error;
 mod zone_overflow;
+mod zone_settings;
 
 pub use baseline_settings::BaselineSettings;
 pub use daemon_settings::DaemonSettings;
@@ -23,3 +24,4 @@
 pub use service_settings::ServiceSettings;
 pub use settings_error::SettingsError;
 pub use zone_overflow::ZoneOverflow;
+pub use zone_settings::ZoneSettings;
