Tell refused callers when a token is due, and serve them first when they come

Cause: under a flood, requests waited up to 0.5 s for homes that could not answer, and all refusals named the home's next token, 10 to 100 ms away, so that thousands of callers came back at once. After a partition, home and backup competed for the shares for seconds, and shares lent within the smaller part were out of use.

Change: an ingress learns its share of the rate from the tokens it spends in a shortage, tells callers times one token apart, and keeps the tokens for those who come when told. Requests wait only while an answer with tokens may come. An ingress that reaches neither home nor backup borrows for itself, and lenders keep reclaimed shares for the home. In the simulated fleet, request deadlines are those of callers that come back.

--- a/src/limits/active_pools.rs
+++ b/src/limits/active_pools.rs
@@ -27,6 +27,8 @@
     until: Deadline,
     /// The daemon's role at the last request.
     role: HomeRole,
+    /// Whether the request came from this daemon, which had found no other to ask.
+    is_own: bool,
 }
 
 impl ActivePools {
@@ -39,15 +41,37 @@
         daemon: &DaemonId,
         now: MonoTime,
     ) -> bool {
-        let Some(role) = map.role(key, daemon) else {
-            return false;
-        };
+        match map.role(key, daemon) {
+            Some(role) => self.insert(key, role, false, now),
+            None => false,
+        }
+    }
+
+    /// Records a request by this daemon's own ingress, which reached neither the home nor the backup
+    /// of `key`: the daemon serves the pool for itself. Returns as `record_request` does.
+    pub fn record_own_request(
+        &mut self,
+        key: PoolKey,
+        map: &HomeMap,
+        daemon: &DaemonId,
+        now: MonoTime,
+    ) -> bool {
+        let role = map.role(key, daemon).unwrap_or(HomeRole::Backup);
+        self.insert(key, role, true, now)
+    }
+
+    fn insert(&mut self, key: PoolKey, role: HomeRole, is_own: bool, now: MonoTime) -> bool {
         let span = match role {
             HomeRole::Home => HOME_RETENTION,
             HomeRole::Backup => BACKUP_RETENTION,
         };
         let until = now.after(span);
-        let before = self.pools.insert(key, ActivePool { until, role });
+        let active = ActivePool {
+            until,
+            role,
+            is_own,
+        };
+        let before = self.pools.insert(key, active);
         before.is_none_or(|before| before.role != role)
     }
 
@@ -63,7 +87,8 @@
     pub fn served(&self, map: &HomeMap, daemon: &DaemonId) -> Vec<(PoolKey, HomeRole)> {
         let role_of = |key: PoolKey| {
             let active = self.pools.get(&key)?;
-            let role = map.role(key, daemon)?;
+            let own_role = active.is_own.then_some(HomeRole::Backup);
+            let role = map.role(key, daemon).or(own_role)?;
             // A home that has become a backup leaves the pool to the new home.
             let is_yielded = active.role == HomeRole::Home && role == HomeRole::Backup;
             (!is_yielded).then_some((key, role))
--- a/src/limits/admission_controller.rs
+++ b/src/limits/admission_controller.rs
@@ -7,18 +7,19 @@
 use crate::hash::FastMap;
 use crate::ids::{AccountId, BootId, DaemonId};
 use crate::limits::{
-    AccountPlacement, AdmittedToken, GrantTarget, HomeMap, PoolKey, RateRefusal, TokenCache,
-    WaitingRequest, clock_margin,
+    AccountPlacement, AdmittedToken, AnswerTime, GrantTarget, HomeCandidate, HomeMap, PoolKey,
+    RateRefusal, ReturnCounts, SilentDaemons, TokenCache, WaitingRequest, clock_margin,
 };
 use crate::resource::RateLimit;
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{GrantOutcome, GrantReply, GrantRequest};
 
-/// How long a home that did not answer is replaced by its backup: gossip takes seconds to detect
-/// its loss, and each failed request blocks its half of the shares for `GRANT_TIMEOUT`.
-const SILENT_HOME_BACKOFF: Duration = Duration::from_secs(1);
-/// Retry delay in a refusal if no home could be reached.
-const UNREACHABLE_RETRY: Duration = Duration::from_millis(500);
+/// How long a request waits for a token at most. It must not be below the time in which a starting
+/// fleet lends its shares; otherwise requests within the rate are refused.
+const ADMIT_WAIT: Duration = Duration::from_millis(500);
+
+/// While callers are told to come back, a request waits for this many answers at most.
+const SHORTAGE_WAIT_FACTOR: u32 = 2;
 
 /// Token caches and waiting requests of all client accounts at one ingress.
 #[derive(Debug)]
@@ -31,8 +32,12 @@
     due: BTreeSet<AccountId>,
     /// Boot id of each daemon as of its last answer.
     boots: FastMap<DaemonId, BootId>,
-    /// Daemons that did not answer, and until when their backups are called instead.
-    silent: FastMap<DaemonId, Deadline>,
+    silent: SilentDaemons,
+    /// The ingress's own daemon, which replaces the home and the backup while neither answers.
+    own: Option<HomeCandidate>,
+    answer_time: AnswerTime,
+    /// Counts of the accounts that were dropped.
+    dropped_returns: ReturnCounts,
 }
 
 /// The immediate outcome for a request.
@@ -88,13 +93,21 @@
             caches: FastMap::default(),
             due: BTreeSet::new(),
             boots: FastMap::default(),
-            silent: FastMap::default(),
+            silent: SilentDaemons::default(),
+            own: None,
+            answer_time: AnswerTime::default(),
+            dropped_returns: ReturnCounts::default(),
         }
     }
 
-    /// Admits or refuses a request of the account of `limit`, or lets it wait for a token until
-    /// `until` at most.
-    pub fn admit(&mut self, limit: &RateLimit, until: Deadline, now: MonoTime) -> AdmitOutcome {
+    /// Sets the ingress's own daemon.
+    pub fn set_own(&mut self, own: HomeCandidate) {
+        self.own = Some(own);
+    }
+
+    /// Admits or refuses a request of the account of `limit`, or lets it wait for a token while one
+    /// may come in time. The caller gives up at `deadline`.
+    pub fn admit(&mut self, limit: &RateLimit, deadline: Deadline, now: MonoTime) -> AdmitOutcome {
         let (number, total) = (self.next_request + 1, self.total);
         let cache = self
             .caches
@@ -105,9 +118,12 @@
             cache.set_limit(limit.clone(), placement);
         }
         cache.record_demand(now);
-        if cache.waiting.is_empty()
-            && let Some((home, grant)) = cache.spend(now)
-        {
+        let was_told = cache.returns.redeem(now);
+        let is_first = cache
+            .waiting
+            .front()
+            .is_none_or(|first| was_told && !first.was_told);
+        if is_first && let Some((home, grant)) = cache.spend(was_told, now) {
             if cache.needs_request(now) {
                 self.due.insert(limit.account.clone());
             }
@@ -118,11 +134,21 @@
                 grant,
             });
         }
-        if let Some(end) = cache.empty_until(now) {
-            return AdmitOutcome::Refused(cache.refusal(end.remaining(now), now));
+        let patience = self.answer_time.longest();
+        if !cache.may_get_tokens(patience, now) {
+            return AdmitOutcome::Refused(cache.refuse(deadline, was_told, now));
         }
+        let longest = match cache.returns.is_empty() {
+            true => ADMIT_WAIT,
+            false => patience * SHORTAGE_WAIT_FACTOR,
+        };
         self.next_request = number;
-        cache.waiting.push_back(WaitingRequest { number, until });
+        cache.push_waiting(WaitingRequest {
+            number,
+            until: deadline.min(now.after(longest)),
+            deadline,
+            was_told,
+        });
         self.due.insert(limit.account.clone());
         AdmitOutcome::Waiting(number)
     }
@@ -142,12 +168,12 @@
 
     /// Whether the due calls should be sent at once rather than in the next batch.
     #[must_use]
-    pub fn is_urgent(&self) -> bool {
+    pub fn is_urgent(&self, now: MonoTime) -> bool {
         let mut due = self
             .due
             .iter()
             .filter_map(|account| self.caches.get(account));
-        due.any(TokenCache::is_urgent)
+        due.any(|cache| cache.is_urgent(now))
     }
 
     /// The calls to send now, one for each home.
@@ -163,12 +189,12 @@
                     shard: cache.placement().shard,
                     half: request.half,
                 };
-                let prefers_backup = cache.homes[usize::from(request.half & 1)].prefers_backup(now);
-                let is_silent = |daemon: &DaemonId| {
-                    let until = self.silent.get(daemon);
-                    until.is_some_and(|until| !until.has_passed(now))
-                };
-                let Some(target) = GrantTarget::choose(map, key, prefers_backup, is_silent) else {
+                let home = cache.homes[usize::from(request.half & 1)];
+                let is_silent = |daemon: &DaemonId| self.silent.is_silent(daemon, &home, now);
+                let prefers_backup = home.prefers_backup(now);
+                let Some(target) =
+                    GrantTarget::choose(map, key, prefers_backup, self.own.as_ref(), is_silent)
+                else {
                     continue;
                 };
                 let daemon = &target.home.daemon;
@@ -200,7 +226,11 @@
     ) -> Vec<WaitOutcome> {
         self.boots
             .insert(call.target.home.daemon.clone(), answer.home);
-        self.silent.remove(&call.target.home.daemon);
+        self.silent.record_answer(&call.target.home.daemon);
+        if self.own.as_ref() != Some(&call.target.home) {
+            self.answer_time.record(now.since(call.sent));
+        }
+        let patience = self.answer_time.longest();
         let mut outcomes = Vec::new();
         let gives = answer
             .outcomes
@@ -213,7 +243,7 @@
             };
             let half = want.half;
             apply_give(cache, half, answer.home, call, give, now);
-            serve_waiting(cache, now, &mut outcomes);
+            serve_waiting(cache, patience, now, &mut outcomes);
             if cache.needs_request(now) {
                 self.due.insert(want.account.clone());
             }
@@ -224,7 +254,7 @@
     /// Records that `call` failed.
     pub fn record_failure(&mut self, call: &GrantCall, now: MonoTime) {
         let daemon = call.target.home.daemon.clone();
-        self.silent.insert(daemon, now.after(SILENT_HOME_BACKOFF));
+        self.silent.record_failure(daemon, now);
         for want in &call.ask.demands {
             if let Some(cache) = self.caches.get_mut(&want.account) {
                 cache.homes[usize::from(want.half & 1)].record_failure(call.target.is_last, now);
@@ -237,14 +267,19 @@
     /// accounts that have a call due.
     pub fn tick(&mut self, now: MonoTime) -> Vec<WaitOutcome> {
         let mut outcomes = Vec::new();
-        self.silent.retain(|_, until| !until.has_passed(now));
+        self.silent.expire(now);
+        let patience = self.answer_time.longest();
         self.caches.retain(|account, cache| {
             cache.expire(now);
-            serve_waiting(cache, now, &mut outcomes);
+            serve_waiting(cache, patience, now, &mut outcomes);
             if cache.needs_request(now) {
                 self.due.insert(account.clone());
             }
-            !cache.is_idle(now)
+            let is_idle = cache.is_idle(now);
+            if is_idle {
+                self.dropped_returns += cache.returns.counts();
+            }
+            !is_idle
         });
         outcomes.sort_unstable_by_key(WaitOutcome::number);
         outcomes
@@ -256,6 +291,15 @@
         self.caches.len()
     }
 
+    /// Counts of the returns that callers were told, of all accounts.
+    #[must_use]
+    pub fn return_counts(&self) -> ReturnCounts {
+        let mut sum = self.dropped_returns;
+        let counts = self.caches.values().map(|cache| cache.returns.counts());
+        counts.for_each(|counts| sum += counts);
+        sum
+    }
+
     /// Number of waiting requests.
     #[must_use]
     pub fn waiting_count(&self) -> usize {
@@ -266,7 +310,7 @@
 fn new_cache(limit: &RateLimit, total: u32, ingress: BootId, now: MonoTime) -> TokenCache {
     let placement = AccountPlacement::new(&limit.account, limit.burst, total);
     let next_half = (ingress.0 as u8) ^ (placement.shard.0 as u8);
-    TokenCache::open(limit.clone(), placement, next_half, now)
+    TokenCache::open(limit.clone(), placement, next_half, ingress.0, now)
 }
 
 fn apply_give(
@@ -288,19 +332,25 @@
             let life = Duration::from_micros(u64::from(grant.lifetime_micros));
             let until = call.sent.after(clock_margin::shortened(life));
             cache.add_grant(half, home, grant, until);
+            cache.returns.record_answer(false, now);
         }
         GrantOutcome::NoTokens { retry_micros } => {
             state.record_empty(Duration::from_micros(u64::from(*retry_micros)), now);
+            cache.returns.record_answer(true, now);
         }
         GrantOutcome::Recorded | GrantOutcome::NotHome => {}
     }
 }
 
-fn serve_waiting(cache: &mut TokenCache, now: MonoTime, outcomes: &mut Vec<WaitOutcome>) {
+fn serve_waiting(
+    cache: &mut TokenCache,
+    patience: Duration,
+    now: MonoTime,
+    outcomes: &mut Vec<WaitOutcome>,
+) {
+    cache.returns.expire(now);
     while let Some(first) = cache.waiting.front().copied() {
-        let outcome = if first.until.has_passed(now) {
-            WaitOutcome::Refused(first.number, cache.refusal(UNREACHABLE_RETRY, now))
-        } else if let Some((home, grant)) = cache.spend(now) {
+        let outcome = if let Some((home, grant)) = cache.spend(first.was_told, now) {
             let account = cache.limit().account.clone();
             let token = AdmittedToken {
                 account,
@@ -308,8 +358,9 @@
                 grant,
             };
             WaitOutcome::Admitted(first.number, token)
-        } else if let Some(end) = cache.empty_until(now) {
-            WaitOutcome::Refused(first.number, cache.refusal(end.remaining(now), now))
+        } else if first.until.has_passed(now) || !cache.may_get_tokens(patience, now) {
+            let refusal = cache.refuse(first.deadline, first.was_told, now);
+            WaitOutcome::Refused(first.number, refusal)
         } else {
             return;
         };
--- a/src/limits/home_state.rs
+++ b/src/limits/home_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::limits::{HomeRole, HomeStatus};
-use crate::time::{Deadline, MonoTime};
+use crate::time::MonoTime;
 
 /// If a home has not answered after this time, tokens are requested from the other home as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
@@ -17,6 +17,12 @@
 /// from the backup to the home in this time.
 const BACKUP_PREFERENCE: Duration = Duration::from_millis(500);
 
+/// How long requests wait for a home that answers that it has no loans, at the start of a fleet and
+/// later. A starting fleet lends its shares in this time; later on, a home borrows those that are
+/// unused within a few messages, and has to wait for the others as long as a loan lasts.
+const STARTING_WAIT: Duration = Duration::from_millis(500);
+const BORROWING_WAIT: Duration = Duration::from_millis(100);
+
 /// State of one home, as its ingress sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct HomeState {
@@ -32,6 +38,14 @@
     borrowing_until: MonoTime,
     /// Until when the backup is expected to have loans.
     backup_ready_until: MonoTime,
+    /// Since when all answers were that the daemon is not the home.
+    not_home_since: Option<MonoTime>,
+    /// Whether a home of this half ever answered that it has tokens, or none.
+    has_started: bool,
+    /// Whether the last answer came from a replacement of the home that has loans.
+    served_by_backup: bool,
+    /// When a replacement of the home lost its loans.
+    returned_at: Option<MonoTime>,
 }
 
 impl HomeState {
@@ -46,6 +60,10 @@
             silent_until: MonoTime::ZERO,
             borrowing_until: MonoTime::ZERO,
             backup_ready_until: MonoTime::ZERO,
+            not_home_since: None,
+            has_started: false,
+            served_by_backup: false,
+            returned_at: None,
         }
     }
 
@@ -74,6 +92,47 @@
             .is_some_and(|sent| now.since(sent) < HEDGE_DELAY)
     }
 
+    /// Whether tokens may come from this half in time: an answer is under way and not overdue, a
+    /// request can be sent, or the home is about to borrow shares. `patience` is how long an answer
+    /// usually takes at most.
+    #[must_use]
+    pub fn may_answer(&self, patience: Duration, now: MonoTime) -> bool {
+        if !self.used || self.is_empty(now) {
+            return false;
+        }
+        if let Some(sent) = self.requested {
+            return now.since(sent) < patience;
+        }
+        let longest = match self.has_started {
+            true => BORROWING_WAIT,
+            false => STARTING_WAIT,
+        };
+        let is_borrowing = self
+            .not_home_since
+            .is_some_and(|since| now.since(since) < longest);
+        is_borrowing || self.can_request(now)
+    }
+
+    /// When a replacement of the home lost its loans. The lenders withhold them once the home asks, so
+    /// the home has probably returned.
+    #[must_use]
+    pub const fn returned_at(&self) -> Option<MonoTime> {
+        self.returned_at
+    }
+
+    /// Whether the last answer came from a replacement of the home that has loans.
+    #[must_use]
+    pub const fn is_served_by_backup(&self) -> bool {
+        self.served_by_backup
+    }
+
+    /// Earliest time at which the home may answer with tokens.
+    #[must_use]
+    pub fn ready_at(&self, now: MonoTime) -> MonoTime {
+        let times = [self.empty_until, self.skipped_until, self.silent_until];
+        times.into_iter().fold(now, MonoTime::max)
+    }
+
     /// Whether the home has no tokens at `now`, by its last answer.
     #[must_use]
     pub fn is_empty(&self, now: MonoTime) -> bool {
@@ -97,12 +156,6 @@
         }
     }
 
-    /// Until when the home has no tokens, by its last answer.
-    #[must_use]
-    pub const fn empty_until(&self) -> Deadline {
-        Deadline::at(self.empty_until)
-    }
-
     /// Records that a request was sent.
     pub const fn record_request(&mut self, now: MonoTime) {
         self.requested = Some(now);
@@ -111,6 +164,9 @@
     /// Records an answer other than "not the home".
     pub fn record_answer(&mut self, role: HomeRole, now: MonoTime) {
         self.requested = None;
+        self.not_home_since = None;
+        self.has_started = true;
+        self.served_by_backup = role == HomeRole::Backup;
         if role == HomeRole::Backup {
             self.backup_ready_until = now + BACKUP_PREFERENCE;
         }
@@ -133,6 +189,11 @@
         self.requested = None;
         self.skipped_until = now + NOT_HOME_BACKOFF;
         self.silent_until = now;
+        self.not_home_since = self.not_home_since.or(Some(now));
+        if self.served_by_backup {
+            self.returned_at = Some(now);
+        }
+        self.served_by_backup = false;
         if role == HomeRole::Home {
             self.borrowing_until = now + BACKUP_PREFERENCE;
         }
--- a/src/limits/limits_core.rs
+++ b/src/limits/limits_core.rs
@@ -11,8 +11,8 @@
 use crate::ids::DaemonId;
 use crate::limits::{
     AccountPlacement, ActivePools, Admission, AdmissionController, ClaimEpoch, GrantIssuer,
-    HomeMap, LeaseChange, LeaseHolder, LeaseIdentity, LimitsSources, PoolKey, ShareBorrower,
-    ShareLender, ShareOrigin, ShareSet, WaitOutcome,
+    HomeCandidate, HomeMap, LeaseChange, LeaseHolder, LeaseIdentity, LimitsSources, PoolKey,
+    ShareBorrower, ShareLender, ShareOrigin, ShareSet, WaitOutcome,
 };
 use crate::logs::log_target;
 use crate::peers::PeerError;
@@ -59,13 +59,18 @@
             address: sources.own_address,
             boot,
         };
+        let mut controller = AdmissionController::open(boot, total);
+        controller.set_own(HomeCandidate {
+            daemon: sources.daemon.clone(),
+            address: sources.own_address,
+        });
         Self {
             map: RefCell::default(),
             holder: RefCell::new(LeaseHolder::open(identity, settings.lease, total)),
             lender: RefCell::new(ShareLender::open(loan, grant, ClaimEpoch(boot.0 >> 1))),
             borrower: RefCell::new(ShareBorrower::open(boot, sources.own_address, total, loan)),
             issuer: RefCell::new(GrantIssuer::open(boot, total, grant)),
-            controller: RefCell::new(AdmissionController::open(boot, total)),
+            controller: RefCell::new(controller),
             waiters: RefCell::default(),
             active: RefCell::default(),
             has_new_pools: Cell::new(false),
@@ -127,11 +132,12 @@
                 half: want.half & 1,
             };
             let (map, daemon) = (self.map.borrow(), &self.sources.daemon);
-            if self
-                .active
-                .borrow_mut()
-                .record_request(key, &map, daemon, now)
-            {
+            let mut active = self.active.borrow_mut();
+            let is_new = match ask.ingress == self.sources.boot {
+                true => active.record_own_request(key, &map, daemon, now),
+                false => active.record_request(key, &map, daemon, now),
+            };
+            if is_new {
                 self.has_new_pools.set(true);
             }
         }
--- a/src/limits/limits_dump.rs
+++ b/src/limits/limits_dump.rs
@@ -27,6 +27,7 @@
         "accounts_pooled": issuer.account_count(),
         "accounts_held": controller.account_count(),
         "waiting": controller.waiting_count(),
+        "returns": controller.return_counts(),
         "admitted": core.admitted.get(),
         "refused": core.refused.get(),
     })
--- a/src/limits/limits_handle.rs
+++ b/src/limits/limits_handle.rs
@@ -66,8 +66,8 @@
         Self(core)
     }
 
-    /// Decides whether a request of `account` is admitted. Waits up to 500 ms, and at most until
-    /// `deadline`, for a home to grant a token.
+    /// Decides whether a request of `account` is admitted. Waits for a token while a
+    /// home may grant one, up to 500 ms and at most until `deadline`.
     pub async fn admit(&self, account: &AccountId, deadline: Deadline) -> Admission {
         limits_tasks::admit(&self.0, account, deadline).await
     }
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -25,9 +25,8 @@
 const TICKS_PER_REFRESH: u32 = 5;
 /// Ticks between two removals of full buckets.
 const TICKS_PER_PRUNE: u32 = 500;
-/// How long a request waits for a token. It must exceed the time in which a starting fleet lends
-/// its shares; otherwise requests within the rate are refused.
-const ADMIT_WAIT: Duration = Duration::from_millis(500);
+/// Retry delay in a refusal of a request whose decision was lost.
+const UNDECIDED_RETRY: Duration = Duration::from_millis(500);
 /// Timeout of a token request.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout of a loan request, of a return and of a notification.
@@ -55,7 +54,7 @@
         let now = core.now();
         let outcomes = core.controller.borrow_mut().tick(now);
         core.deliver(outcomes);
-        if tick.is_multiple_of(TICKS_PER_REFRESH) || core.controller.borrow().is_urgent() {
+        if tick.is_multiple_of(TICKS_PER_REFRESH) || core.controller.borrow().is_urgent(now) {
             send_grant_calls(&core);
         }
     }
@@ -178,7 +177,7 @@
         }
     };
     core.deliver(outcomes);
-    if core.controller.borrow().is_urgent() {
+    if core.controller.borrow().is_urgent(core.now()) {
         send_grant_calls(&core);
     }
 }
@@ -193,8 +192,7 @@
         return Admission::NoLimit;
     };
     let now = core.now();
-    let until = deadline.min(now.after(ADMIT_WAIT));
-    let outcome = core.controller.borrow_mut().admit(&limit, until, now);
+    let outcome = core.controller.borrow_mut().admit(&limit, deadline, now);
     let admission = match outcome {
         AdmitOutcome::Admitted(token) => Admission::Admitted(token),
         AdmitOutcome::Refused(refusal) => Admission::Refused(refusal),
@@ -212,9 +210,9 @@
     let (sender, receiver) = oneshot::channel();
     core.waiters.borrow_mut().insert(number, sender);
     send_grant_calls(core);
-    receiver
-        .await
-        .unwrap_or_else(|_| Admission::Refused(RateRefusal::without_answers(limit, ADMIT_WAIT)))
+    receiver.await.unwrap_or_else(|_| {
+        Admission::Refused(RateRefusal::without_answers(limit, UNDECIDED_RETRY))
+    })
 }
 
 fn own_pools(core: &LimitsCore, map: &HomeMap) -> Vec<(PoolKey, HomeRole)> {
--- a/src/limits/share_lender.rs
+++ b/src/limits/share_lender.rs
@@ -15,6 +15,10 @@
 /// address.
 const UNCONFIRMED_WAIT: Duration = Duration::from_millis(100);
 
+/// How long an unused share that its home has requested is kept from the backup. The home asks again
+/// in this time.
+const HOME_PRECEDENCE: Duration = Duration::from_millis(400);
+
 /// Lends each leased share, separately for each shard, to one home at a time.
 #[derive(Debug)]
 pub struct ShareLender {
@@ -254,8 +258,12 @@
             return LendOutcome::Unavailable;
         };
         let renewed = record.borrower == Some(borrower) || (proves_loan && record.inherited);
-        let is_yielded = renewed && want.is_backup && record.is_reclaimed;
-        if (!renewed || is_yielded) && !record.is_unused(now) {
+        let is_yielded = want.is_backup && record.is_reclaimed;
+        let kept_until = record.unused_from.map(|from| from + HOME_PRECEDENCE);
+        if is_yielded && kept_until.is_some_and(|until| now < until) {
+            return LendOutcome::Withheld(kept_until.unwrap_or(now).since(now));
+        }
+        if !renewed && !record.is_unused(now) {
             record.is_reclaimed |= record.is_backup && !want.is_backup;
             let from = record.unused_from.unwrap_or(now);
             return LendOutcome::Withheld(from.since(now));
--- a/src/limits/token_bucket.rs
+++ b/src/limits/token_bucket.rs
@@ -13,6 +13,9 @@
 /// microsecond.
 const PARTS_PER_TOKEN: u64 = 1_000_000_000;
 
+/// How long a bucket counts as short of tokens after it had none.
+const SHORTAGE_MEMORY: Duration = Duration::from_secs(5);
+
 /// A token bucket in exact integer arithmetic.
 ///
 /// One token is `PARTS_PER_TOKEN` parts times the number of the account's shares, so that the rate
@@ -27,6 +30,8 @@
     pooled: u32,
     updated: MonoTime,
     grants: Vec<OpenGrant>,
+    /// When the bucket last had no token for an ingress.
+    short_at: Option<MonoTime>,
 }
 
 /// A grant that has not expired and that its ingress has not closed.
@@ -56,6 +61,7 @@
             pooled: 0,
             updated: now,
             grants: Vec::new(),
+            short_at: None,
         }
     }
 
@@ -138,6 +144,9 @@
     pub fn grant(&mut self, id: u64, ingress: BootId, most: u32, until: Deadline) -> u32 {
         let tokens = most.min(self.available());
         if tokens == 0 {
+            if self.available() == 0 {
+                self.short_at = Some(self.updated);
+            }
             return 0;
         }
         self.level -= u64::from(tokens) * self.parts_per_token();
@@ -151,6 +160,13 @@
         tokens
     }
 
+    /// Whether the bucket had no token for an ingress recently.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.short_at
+            .is_some_and(|short_at| self.updated.since(short_at) < SHORTAGE_MEMORY)
+    }
+
     /// Number of whole tokens that can be granted.
     #[must_use]
     pub fn available(&self) -> u32 {
--- a/src/limits/token_cache.rs
+++ b/src/limits/token_cache.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::BootId;
-use crate::limits::{AccountPlacement, DemandRate, HomeState, RateRefusal};
+use crate::limits::{AccountPlacement, DemandRate, HomeState, RateRefusal, ReturnSchedule};
 use crate::resource::RateLimit;
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{GrantDemand, GrantUsage, TokenGrant};
@@ -49,6 +49,10 @@
     pub number: u64,
     /// When the request is refused if it has no token by then.
     pub until: Deadline,
+    /// When the caller gives up.
+    pub deadline: Deadline,
+    /// Whether the request came when its caller had been told to come.
+    pub was_told: bool,
 }
 
 /// Grants, measured demand and waiting requests of one client account.
@@ -58,8 +62,10 @@
     placement: AccountPlacement,
     /// State of the homes of both halves, by half.
     pub homes: [HomeState; 2],
-    /// Waiting requests, oldest first.
+    /// Waiting requests: first those that came when told, and of each kind the oldest first.
     pub waiting: VecDeque<WaitingRequest>,
+    /// When refused callers come back.
+    pub returns: ReturnSchedule,
     grants: Vec<HeldGrant>,
     demand: DemandRate,
     /// The half to request tokens from next.
@@ -67,15 +73,18 @@
 }
 
 impl TokenCache {
-    /// Creates an empty cache. `next_half` (0 or 1) is the half to request tokens from first.
+    /// Creates an empty cache. `next_half` (0 or 1) is the half to request tokens from first, and
+    /// `seed` selects the jitter of return times.
     #[must_use]
     pub fn open(
         limit: RateLimit,
         placement: AccountPlacement,
         next_half: u8,
+        seed: u64,
         now: MonoTime,
     ) -> Self {
         Self {
+            returns: ReturnSchedule::open(limit.rate, seed, now),
             limit,
             placement,
             homes: initial_homes(&placement),
@@ -103,9 +112,22 @@
         self.demand.record(now);
     }
 
+    /// Adds a waiting request, behind those that have the same right to a token.
+    pub fn push_waiting(&mut self, request: WaitingRequest) {
+        let told = self.waiting.iter().filter(|other| other.was_told).count();
+        match request.was_told {
+            true => self.waiting.insert(told, request),
+            false => self.waiting.push_back(request),
+        }
+    }
+
     /// Spends a token of the unexpired grant that expires first. Returns the boot of the home and
-    /// the id of the grant, or `None` if no token is left.
-    pub fn spend(&mut self, now: MonoTime) -> Option<(BootId, u64)> {
+    /// the id of the grant, or `None` if no token is left, or only reserved ones for a request that
+    /// did not come when told.
+    pub fn spend(&mut self, was_told: bool, now: MonoTime) -> Option<(BootId, u64)> {
+        if !was_told && self.tokens_left(now) <= self.returns.reserved(now) {
+            return None;
+        }
         let live = self
             .grants
             .iter_mut()
@@ -113,6 +135,7 @@
         let grant = live.min_by_key(|grant| grant.until)?;
         grant.left -= 1;
         grant.spent += 1;
+        self.returns.record_spent();
         Some((grant.home, grant.id))
     }
 
@@ -162,16 +185,20 @@
     /// Whether requests wait, or spent tokens must be reported at once because the burst is
     /// short.
     #[must_use]
-    pub fn is_urgent(&self) -> bool {
+    pub fn is_urgent(&self, now: MonoTime) -> bool {
         let mut grants = self.grants.iter();
         !self.waiting.is_empty()
+            || self.returns.urgently_reserved(now) > self.tokens_left(now)
             || grants.any(|grant| grant.reports_at_once && grant.spent > grant.reported)
     }
 
     /// Whether the cache can be dropped: no waiting request, no grant and almost no demand.
     #[must_use]
     pub fn is_idle(&self, now: MonoTime) -> bool {
-        self.waiting.is_empty() && self.grants.is_empty() && self.demand.per_second(now) < 0.01
+        self.waiting.is_empty()
+            && self.grants.is_empty()
+            && self.returns.is_empty()
+            && self.demand.per_second(now) < 0.01
     }
 
     /// The requests that are due now. Tokens are requested from one home at a time; reports go to
@@ -182,7 +209,9 @@
         let open = [self.next_half, self.next_half ^ 1]
             .into_iter()
             .filter(is_open);
-        let mut needs_tokens = !self.waiting.is_empty() || self.needs_prefetch(now);
+        let mut needs_tokens = !self.waiting.is_empty()
+            || self.missing_for_returns(now) > 0
+            || self.needs_prefetch(now);
         if self.homes.iter().any(|home| home.awaits_answer(now)) {
             needs_tokens = false;
         }
@@ -203,8 +232,7 @@
         let half = request.half;
         let (mut waiting, mut extra) = (0, 0);
         if request.wants_tokens {
-            waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
-            extra = self.prefetch_count(now);
+            (waiting, extra) = self.wanted_tokens(now);
             self.next_half = half ^ 1;
         }
         self.homes[usize::from(half)].record_request(now);
@@ -222,6 +250,7 @@
 
     /// Changes the limit. Cached tokens remain valid.
     pub fn set_limit(&mut self, limit: RateLimit, placement: AccountPlacement) {
+        self.returns.set_rate(limit.rate);
         self.limit = limit;
         self.placement = placement;
         self.homes = initial_homes(&placement);
@@ -237,27 +266,26 @@
         live.map(|grant| grant.left).sum()
     }
 
-    /// Earliest time at which a home may have tokens again, or `None` unless each home reported
-    /// that it has none.
+    /// Whether a home may answer with tokens in time, so that a request should wait. `patience` is
+    /// how long an answer usually takes at most.
     ///
-    /// A home that has just failed to answer counts as having none: to wait for it would only delay
-    /// the refusal.
+    /// If one home has no tokens, the one that has just failed to answer counts as having none: to
+    /// wait for its backup would only delay the refusal.
     #[must_use]
-    pub fn empty_until(&self, now: MonoTime) -> Option<Deadline> {
-        let used = || self.homes.iter().filter(|home| home.is_used());
-        if !used().all(|home| home.is_empty(now) || home.is_silent(now)) {
-            return None;
-        }
-        let empty = used().filter(|home| home.is_empty(now));
-        empty.map(HomeState::empty_until).min()
+    pub fn may_get_tokens(&self, patience: Duration, now: MonoTime) -> bool {
+        let is_one_empty = self.homes.iter().any(|home| home.is_empty(now));
+        let mut homes = self.homes.iter();
+        homes.any(|home| home.may_answer(patience, now) && !(is_one_empty && home.is_silent(now)))
     }
 
-    /// Builds a refusal that names the status of both homes.
-    #[must_use]
-    pub fn refusal(&self, retry_after: Duration, now: MonoTime) -> RateRefusal {
+    /// Refuses a request with the time at which a token is due for its caller, and the status of
+    /// both homes. Reserves the token if the caller accepts that time.
+    pub fn refuse(&mut self, deadline: Deadline, was_told: bool, now: MonoTime) -> RateRefusal {
+        let used = self.homes.iter().filter(|home| home.is_used());
+        let earliest = used.map(|home| home.ready_at(now)).min().unwrap_or(now);
         RateRefusal {
             limit: self.limit.clone(),
-            retry_after,
+            retry_after: self.returns.refuse(earliest, deadline, was_told, now),
             homes: [self.homes[0].status(now), self.homes[1].status(now)],
         }
     }
@@ -271,9 +299,29 @@
         grants.any(|grant| needs_report(grant, now))
     }
 
+    /// Tokens to request for callers that are due to come back soon.
+    fn missing_for_returns(&self, now: MonoTime) -> u32 {
+        let reserved = self.returns.reserved(now);
+        reserved.saturating_sub(self.tokens_left(now))
+    }
+
+    /// Number of tokens to request, and of those to request only from what the home can spare.
+    ///
+    /// While callers were told to come back, new requests get only what their home can spare: else
+    /// they would take the tokens that are due to callers of other ingresses.
+    fn wanted_tokens(&self, now: MonoTime) -> (u32, u32) {
+        let count = |waiting: usize| u32::try_from(waiting).unwrap_or(u32::MAX);
+        if self.returns.is_empty() {
+            return (count(self.waiting.len()), self.prefetch_count(now));
+        }
+        let told = self.waiting.iter().filter(|one| one.was_told).count();
+        let due = count(told).saturating_add(self.missing_for_returns(now));
+        (due, count(self.waiting.len() - told))
+    }
+
     fn needs_prefetch(&self, now: MonoTime) -> bool {
         let low = self.demand.per_second(now) * REFILL_BELOW.as_secs_f64();
-        low >= 1.0 && f64::from(self.tokens_left(now)) < low
+        self.returns.is_empty() && low >= 1.0 && f64::from(self.tokens_left(now)) < low
     }
 
     fn prefetch_count(&self, now: MonoTime) -> u32 {
--- a/src/limits/token_pool.rs
+++ b/src/limits/token_pool.rs
@@ -11,6 +11,8 @@
 
 /// One ingress may prefetch at most 1/4 of the tokens that are left after its waiting requests.
 const PREFETCH_DIVISOR: u32 = 4;
+/// In a shortage, tokens below 1/8 of the capacity go only to waiting requests.
+const SPARE_DIVISOR: u32 = 8;
 /// No grant is issued from a loan that expires within 1/4 of the longest life of a grant.
 const CLOSING_DIVISOR: u32 = 4;
 /// Longest wait for a batch of tokens before an ingress that found the bucket empty retries. It
@@ -160,7 +162,7 @@
         };
         let bucket = self.bucket(&want.account, limit, placement, now);
         bucket.advance(now);
-        let most = tokens_to_grant(want, bucket.available());
+        let most = tokens_to_grant(want, bucket);
         if want.waiting == 0 && want.prefetch == 0 {
             return GrantOutcome::Recorded;
         }
@@ -255,11 +257,13 @@
 
 /// Number of tokens to grant: one for each waiting request and a fraction of the rest to prefetch.
 ///
-/// The last tokens go only to waiting requests: prefetched by one ingress, they would be missing at
-/// another.
-fn tokens_to_grant(want: &GrantDemand, available: u32) -> u32 {
+/// The last tokens, and in a shortage the last eighth of a bucket's, go only to waiting requests:
+/// prefetched by one ingress, they would be missing at another.
+fn tokens_to_grant(want: &GrantDemand, bucket: &TokenBucket) -> u32 {
+    let available = bucket.available();
     let beyond = available.saturating_sub(want.waiting);
-    let least = u32::from(want.waiting == 0);
+    let has_spare = !bucket.is_short() || available >= bucket.capacity() / SPARE_DIVISOR;
+    let least = u32::from(want.waiting == 0 && has_spare);
     let prefetch = want.prefetch.min((beyond / PREFETCH_DIVISOR).max(least));
     want.waiting.saturating_add(prefetch)
 }
--- a/tests/limits_kit/event_handlers.rs
+++ b/tests/limits_kit/event_handlers.rs
@@ -1,16 +1,20 @@
 //! Handlers of the events in a simulated fleet.
 
+use std::time::Duration;
+
 use wagtailtrack::ids::DaemonId;
 use wagtailtrack::limits::{
-    AccountPlacement, AdmittedToken, LeasePlan, LeaseRow, LoanCall, PoolKey, SHARE_PREFIX,
-    WaitOutcome,
+    AccountPlacement, AdmittedToken, LeasePlan, LeaseRow, LoanCall, PoolKey, RateRefusal,
+    SHARE_PREFIX, WaitOutcome,
 };
 use wagtailtrack::platform::{CommitOutcome, RowKey, TableRow};
+use wagtailtrack::resource::RateLimit;
 use wagtailtrack::wire::{LoanRequest, LoanReturn};
 
+use super::flood_callers::FloodCaller;
 use super::node_event::NodeEvent;
-use super::simulated_node::{NodeAdmission, TablePhase};
-use super::{SECOND, SimulatedFleet};
+use super::simulated_node::{ADMIT_WAIT, NodeAdmission, TablePhase};
+use super::{RETURN_DELAY, SECOND, SimulatedFleet};
 
 impl SimulatedFleet {
     pub(super) fn handle(&mut self, index: usize, event: NodeEvent) {
@@ -20,7 +24,14 @@
         let now = node.clock.at(true_now);
         match event {
             NodeEvent::Tick => self.tick(index),
-            NodeEvent::Request(account) => self.request(index, account),
+            NodeEvent::Request(account) => {
+                self.next_request(index, account);
+                self.request(index, account, self.callers.new_caller(self.now));
+            }
+            NodeEvent::RequestAgain(account, caller) => {
+                let arrived = self.now;
+                self.request(index, account, FloodCaller { arrived, ..caller });
+            }
             NodeEvent::GiveBack(boot, token, admission) if boot == node.boot => {
                 node.controller.give_back(&token, now);
                 self.audit.give_back(admission);
@@ -72,9 +83,11 @@
                     let shard = AccountPlacement::new(&want.account, limit.burst, total).shard;
                     let half = want.half & 1;
                     let key = PoolKey { shard, half };
-                    has_new_pools |= node
-                        .active
-                        .record_request(key, &node.map, &node.daemon, now);
+                    let (map, daemon) = (&node.map, &node.daemon);
+                    has_new_pools |= match ask.ingress == node.boot {
+                        true => node.active.record_own_request(key, map, daemon, now),
+                        false => node.active.record_request(key, map, daemon, now),
+                    };
                 }
                 if has_new_pools {
                     node.update_pools(now);
@@ -195,10 +208,10 @@
     fn send_grant_calls(&mut self, index: usize) {
         let is_batch = (self.now / self.tick).is_multiple_of(5);
         let node = &mut self.nodes[index];
-        if !is_batch && !node.controller.is_urgent() {
+        let now = node.clock.at(self.now);
+        if !is_batch && !node.controller.is_urgent(now) {
             return;
         }
-        let now = node.clock.at(self.now);
         for call in node.controller.due_calls(&node.map, now) {
             let number = self.next_event;
             self.next_event += 1;
@@ -215,15 +228,19 @@
         }
     }
 
-    fn request(&mut self, index: usize, account: usize) {
-        self.next_request(index, account);
+    fn request(&mut self, index: usize, account: usize, caller: FloodCaller) {
         let limit = self.limits[account].clone();
         let request = self.audit.request(account, self.now);
+        self.callers.begin(request, caller);
+        let left = match self.callers.patience {
+            0 => ADMIT_WAIT,
+            _ => Duration::from_micros(caller.deadline.saturating_sub(self.now)),
+        };
         let node = &mut self.nodes[index];
         let now = node.clock.at(self.now);
-        match node.admit(&limit, request, now) {
+        match node.admit(&limit, request, left, now) {
             NodeAdmission::Admitted(token) => self.admitted(index, request, token),
-            NodeAdmission::Refused => self.audit.refuse(request),
+            NodeAdmission::Refused(refusal) => self.refused(index, request, &refusal),
             NodeAdmission::Waiting => self.send_grant_calls(index),
         }
     }
@@ -231,14 +248,28 @@
     fn record_outcomes(&mut self, index: usize, outcomes: Vec<WaitOutcome>) {
         for outcome in outcomes {
             match self.nodes[index].resolve(outcome) {
-                (request, Some(token)) => self.admitted(index, request, token),
-                (request, None) => self.audit.refuse(request),
+                (request, Ok(token)) => self.admitted(index, request, token),
+                (request, Err(refusal)) => self.refused(index, request, &refusal),
             }
         }
     }
 
+    fn refused(&mut self, index: usize, request: usize, refusal: &RateRefusal) {
+        self.audit.refuse(request);
+        let returning = self.callers.refused(request, refusal.retry_after, self.now);
+        if let Some((caller, wait)) = returning {
+            let is_it = |limit: &RateLimit| limit.account == refusal.limit.account;
+            let account = self.limits.iter().position(is_it).unwrap();
+            // The caller's clock is that of the ingress's VM.
+            let wait = wait * 1_000 / self.nodes[index].clock.speed;
+            let wait = wait + self.rng.u64(0..RETURN_DELAY);
+            self.schedule(index, wait, NodeEvent::RequestAgain(account, caller));
+        }
+    }
+
     fn admitted(&mut self, index: usize, request: usize, token: AdmittedToken) {
         let admission = self.audit.admit(request, self.now);
+        self.callers.admitted(request);
         if self.rng.u8(0..20) == 0 {
             let boot = self.nodes[index].boot;
             let wait = self.rng.u64(0..SECOND);
@@ -256,7 +287,7 @@
 
     /// Starts a scan of the table, which a commit may follow.
     fn lease(&mut self, index: usize) {
-        let is_down = self.is_platform_down();
+        let is_down = self.is_platform_down(index);
         let node = &self.nodes[index];
         if node.phase != TablePhase::Idle || is_down || self.rng.u8(0..5) > 0 {
             return;
@@ -307,7 +338,7 @@
     }
 
     fn commit(&mut self, from: usize, round: u64, plan: LeasePlan) {
-        if self.is_platform_down() {
+        if self.is_platform_down(from) {
             return;
         }
         let outcome = self.table.apply(&plan.transaction());
--- a/tests/limits_kit/mod.rs
+++ b/tests/limits_kit/mod.rs
@@ -3,6 +3,7 @@
 
 mod event_handlers;
 mod fault_plan;
+mod flood_callers;
 mod limits_fleet;
 mod memory_table;
 mod node_event;
@@ -11,6 +12,7 @@
 mod simulated_node;
 
 pub use fault_plan::FaultPlan;
+pub use flood_callers::{CutPlan, FloodCallers, RETURN_DELAY, seconds};
 pub use limits_fleet::{LimitsFleet, rate_limit};
 pub use memory_table::{MemoryTable, TableFault};
 pub use rate_audit::RateAudit;
--- a/tests/limits_kit/node_event.rs
+++ b/tests/limits_kit/node_event.rs
@@ -8,6 +8,8 @@
     PeerCall, PeerOpening, PeerReply, encode,
 };
 
+use super::flood_callers::FloodCaller;
+
 /// Overhead of a message: length and type code, and the header of the h2 frame.
 const FRAME_BYTES: usize = 20 + 9;
 
@@ -16,6 +18,8 @@
 pub enum NodeEvent {
     Tick,
     Request(usize),
+    /// A request for an account by a caller that was told to come back.
+    RequestAgain(usize, FloodCaller),
     GiveBack(BootId, AdmittedToken, usize),
     LoanRequest(usize, u64, LoanRequest),
     /// Lender, its boot, boot of the previous borrower, number and request that wait for the
--- a/tests/limits_kit/rate_audit.rs
+++ b/tests/limits_kit/rate_audit.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Default)]
 pub struct RateAudit {
     requests: Vec<AuditedRequest>,
+    /// Account and time of each admission.
+    admission_times: Vec<(usize, u64)>,
 }
 
 impl RateAudit {
@@ -33,6 +35,8 @@
 
     pub fn admit(&mut self, request: usize, now: u64) -> usize {
         self.requests[request].admitted = Some(now);
+        let account = self.requests[request].account;
+        self.admission_times.push((account, now));
         request
     }
 
@@ -60,6 +64,15 @@
         [arrived().count(), admitted, refused]
     }
 
+    /// Number of admissions of `account` in `span`, including those whose token was given back.
+    pub fn admissions(&self, account: usize, span: std::ops::Range<u64>) -> usize {
+        let times = &self.admission_times[..];
+        let inside = times
+            .iter()
+            .filter(|(of, at)| *of == account && span.contains(at));
+        inside.count()
+    }
+
     /// Number of requests of `account` that arrived in `span` and that a single central token
     /// bucket would admit.
     pub fn ideal(&self, account: usize, limit: &RateLimit, span: std::ops::Range<u64>) -> usize {
--- a/tests/limits_kit/simulated_fleet.rs
+++ b/tests/limits_kit/simulated_fleet.rs
@@ -10,7 +10,7 @@
 
 use super::node_event::NodeEvent;
 use super::simulated_node::{SimulatedClock, SimulatedNode};
-use super::{FaultPlan, MemoryTable, RateAudit};
+use super::{CutPlan, FaultPlan, FloodCallers, MemoryTable, RateAudit};
 
 const MILLI: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
@@ -25,6 +25,10 @@
     /// Requests per second that each node receives for each account.
     pub demand: Vec<f64>,
     pub audit: RateAudit,
+    /// Number of nodes that receive requests.
+    pub ingresses: usize,
+    pub callers: FloodCallers,
+    pub cuts: CutPlan,
     /// Number of times that a share was found live in the pools of two nodes.
     pub double_lent: u64,
     /// Messages sent between daemons; `bytes` is their total size.
@@ -49,6 +53,9 @@
             limits: Vec::new(),
             demand: Vec::new(),
             audit: RateAudit::default(),
+            ingresses: count,
+            callers: FloodCallers::default(),
+            cuts: CutPlan::default(),
             double_lent: 0,
             messages: 0,
             bytes: 0,
@@ -74,7 +81,7 @@
     pub fn add_account(&mut self, limit: RateLimit, demand_per_node: f64) {
         self.limits.push(limit);
         self.demand.push(demand_per_node);
-        for node in 0..self.nodes.len() {
+        for node in 0..self.ingresses {
             self.next_request(node, self.limits.len() - 1);
         }
     }
@@ -141,9 +148,10 @@
         }
     }
 
-    pub(super) fn is_platform_down(&self) -> bool {
+    pub(super) fn is_platform_down(&self, node: usize) -> bool {
         let (from, to) = self.faults.outage;
-        (from * SECOND..to * SECOND).contains(&self.now)
+        let is_down = (from * SECOND..to * SECOND).contains(&self.now);
+        is_down || self.cuts.cuts_platform(node, self.now)
     }
 
     /// Counts the shares that are live in the pools of two nodes now, for the shards of all
@@ -180,6 +188,9 @@
             self.messages += u64::from(event.wire_bytes() > 0);
             self.bytes += event.wire_bytes() as u64;
         }
+        if self.cuts.cuts_link(self.sender, to, self.now) {
+            return;
+        }
         let lossy = self.faults.lossy_percent;
         if self.rng.u64(0..100) < lossy {
             return;
--- a/tests/limits_kit/simulated_node.rs
+++ b/tests/limits_kit/simulated_node.rs
@@ -7,14 +7,14 @@
 use wagtailtrack::ids::{BootId, DaemonId};
 use wagtailtrack::limits::{
     ActivePools, AdmissionController, AdmitOutcome, AdmittedToken, ClaimEpoch, GrantCall,
-    GrantIssuer, HomeMap, LeaseChange, LeaseHolder, LeaseIdentity, ShareBorrower, ShareLender,
-    WaitOutcome,
+    GrantIssuer, HomeCandidate, HomeMap, LeaseChange, LeaseHolder, LeaseIdentity, RateRefusal,
+    ShareBorrower, ShareLender, WaitOutcome,
 };
 use wagtailtrack::resource::RateLimit;
 use wagtailtrack::settings::LimitsSettings;
 use wagtailtrack::time::MonoTime;
 
-const ADMIT_WAIT: Duration = Duration::from_millis(250);
+pub const ADMIT_WAIT: Duration = Duration::from_millis(250);
 
 /// A clock with its own origin and speed.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +69,11 @@
             address,
             boot,
         };
+        let mut controller = AdmissionController::open(boot, total);
+        controller.set_own(HomeCandidate {
+            daemon: daemon.clone(),
+            address,
+        });
         Self {
             daemon,
             boot,
@@ -78,7 +83,7 @@
             lender: ShareLender::open(loan, grant, ClaimEpoch(boot.0)),
             borrower: ShareBorrower::open(boot, address, total, loan),
             issuer: GrantIssuer::open(boot, total, grant),
-            controller: AdmissionController::open(boot, total),
+            controller,
             map: HomeMap::default(),
             active: ActivePools::default(),
             pending_calls: FastMap::default(),
@@ -117,11 +122,17 @@
         }
     }
 
-    /// Decides on a request of the account of `limit`.
-    pub fn admit(&mut self, limit: &RateLimit, request: usize, now: MonoTime) -> NodeAdmission {
-        match self.controller.admit(limit, now.after(ADMIT_WAIT), now) {
+    /// Decides on a request of the account of `limit` whose caller has `left`.
+    pub fn admit(
+        &mut self,
+        limit: &RateLimit,
+        request: usize,
+        left: Duration,
+        now: MonoTime,
+    ) -> NodeAdmission {
+        match self.controller.admit(limit, now.after(left), now) {
             AdmitOutcome::Admitted(token) => NodeAdmission::Admitted(token),
-            AdmitOutcome::Refused(_) => NodeAdmission::Refused,
+            AdmitOutcome::Refused(refusal) => NodeAdmission::Refused(refusal),
             AdmitOutcome::Waiting(number) => {
                 self.waiting.insert(number, request);
                 NodeAdmission::Waiting
@@ -129,18 +140,20 @@
         }
     }
 
-    pub fn resolve(&mut self, outcome: WaitOutcome) -> (usize, Option<AdmittedToken>) {
+    pub fn resolve(&mut self, outcome: WaitOutcome) -> (usize, Result<AdmittedToken, RateRefusal>) {
         match outcome {
             WaitOutcome::Admitted(number, token) => {
-                (self.waiting.remove(&number).unwrap(), Some(token))
+                (self.waiting.remove(&number).unwrap(), Ok(token))
+            }
+            WaitOutcome::Refused(number, refusal) => {
+                (self.waiting.remove(&number).unwrap(), Err(refusal))
             }
-            WaitOutcome::Refused(number, _) => (self.waiting.remove(&number).unwrap(), None),
         }
     }
 }
 
 pub enum NodeAdmission {
     Admitted(AdmittedToken),
-    Refused,
+    Refused(RateRefusal),
     Waiting,
 }
