Request tokens from the home in the own availability zone first

Cause: homes are drawn over all zones, so that most token requests cross zones.

Change: with limits.zones the two homes of a shard are in different zones, and an ingress asks the one in its zone first. Loans still cross zones.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -11,8 +11,9 @@
 use crate::daemon::daemon_view::DaemonView;
 use crate::daemon::record_publisher::RecordPublisher;
 use crate::egress::{ClientOptions, EgressHandle, EgressSources};
+use crate::hash::FastMap;
 use crate::http::HeaderRules;
-use crate::ids::BootId;
+use crate::ids::{BootId, DaemonId, ZoneId};
 use crate::ingress::{IngressHandle, IngressSources};
 use crate::instances::{AnnounceServer, AnnounceSources};
 use crate::limits::{HomeCandidate, LimitsHandle, LimitsSources, MemberSource};
@@ -132,7 +133,7 @@
         members: &MembersHandle,
     ) -> LimitsHandle {
         let config = config.clone();
-        let (versions, members) = (members.clone(), members.clone());
+        let (versions, zoned, members) = (members.clone(), members.clone(), members.clone());
         LimitsHandle::spawn(LimitsSources {
             settings: settings.limits.clone(),
             daemon: settings.daemon.clone(),
@@ -145,6 +146,7 @@
             members: MemberSource {
                 version: Rc::new(move || versions.liveness_version()),
                 list: Rc::new(move || home_candidates(&members)),
+                zones: Rc::new(move || member_zones(&zoned)),
             },
             rate_of: Rc::new(move |account| config.catalog().rate_limit(account)),
         })
@@ -288,6 +290,12 @@
         .collect()
 }
 
+/// The availability zones of the live members.
+fn member_zones(members: &MembersHandle) -> FastMap<DaemonId, ZoneId> {
+    let live = members.live().into_iter();
+    live.map(|member| (member.daemon, member.zone)).collect()
+}
+
 /// The live members, any of which may serve as the home of a rate limit.
 fn home_candidates(members: &MembersHandle) -> Vec<HomeCandidate> {
     members
--- a/src/limits/admission_controller.rs
+++ b/src/limits/admission_controller.rs
@@ -184,6 +184,9 @@
             let Some(cache) = self.caches.get_mut(&account) else {
                 continue;
             };
+            let shard = cache.placement().shard;
+            let own = self.own.as_ref();
+            cache.set_near_half(own.and_then(|own| map.near_half(shard, &own.daemon)));
             for request in cache.due_requests(now) {
                 let key = PoolKey {
                     shard: cache.placement().shard,
--- a/src/limits/home_map.rs
+++ b/src/limits/home_map.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use crate::hash::{mixed_score, name_hash};
-use crate::ids::DaemonId;
-use crate::limits::{MAX_SHARES, PoolKey};
+use crate::hash::{FastMap, mixed_score, name_hash};
+use crate::ids::{DaemonId, ZoneId};
+use crate::limits::{MAX_SHARES, PoolKey, ShardId};
 
 /// A live daemon that may become the home of token pools.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -41,6 +41,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct HomeMap {
     members: Vec<HomeCandidate>,
+    /// Zones of `members`, in the same order. Empty if zones are not used.
+    zones: Vec<Option<ZoneId>>,
     homes: Vec<PoolHomes>,
     /// Indices of the daemons that may lease shares, the highest-ranked first.
     lenders: Vec<u32>,
@@ -56,16 +58,36 @@
 impl HomeMap {
     /// Creates the map for the live daemons `members`.
     #[must_use]
-    pub fn new(mut members: Vec<HomeCandidate>) -> Self {
+    pub fn new(members: Vec<HomeCandidate>) -> Self {
+        Self::with_zones(members, &FastMap::default())
+    }
+
+    /// Creates the map for the live daemons `members` in the availability zones `zones`. The two homes
+    /// of a shard are in different zones if there are several.
+    #[must_use]
+    pub fn with_zones(mut members: Vec<HomeCandidate>, zones: &FastMap<DaemonId, ZoneId>) -> Self {
         members.sort();
         members.dedup();
         let names = members.iter().map(|one| one.daemon.as_str());
         let hashes: Vec<u64> = names.map(name_hash).collect();
+        let zones: Vec<Option<ZoneId>> = match zones.is_empty() {
+            true => Vec::new(),
+            false => {
+                let zone_of = |one: &HomeCandidate| zones.get(&one.daemon).cloned();
+                members.iter().map(zone_of).collect()
+            }
+        };
         let homes = PoolKey::all()
             .scan(None, |first, key| {
                 let other = (key.half == 1).then_some(*first).flatten();
-                let home = highest_scoring(&hashes, key, [other, None]).or(other);
-                let backup = highest_scoring(&hashes, key, [other, home]);
+                let zone = other.and_then(|other| zone_at(&zones, other));
+                let is_far = |index: u32| zone.is_none() || zone_at(&zones, index) != zone;
+                let best = |excluded| {
+                    let far = highest_scoring(&hashes, key, excluded, is_far);
+                    far.or_else(|| highest_scoring(&hashes, key, excluded, |_| true))
+                };
+                let home = best([other, None]).or(other);
+                let backup = best([other, home]);
                 *first = home;
                 Some(PoolHomes { home, backup })
             })
@@ -73,6 +95,7 @@
         let lenders = ranked_lenders(&hashes);
         Self {
             members,
+            zones,
             homes,
             lenders,
         }
@@ -94,9 +117,13 @@
     /// The live daemon with this id.
     #[must_use]
     pub fn member(&self, daemon: &DaemonId) -> Option<&HomeCandidate> {
+        self.members.get(self.index_of(daemon)? as usize)
+    }
+
+    fn index_of(&self, daemon: &DaemonId) -> Option<u32> {
         let members = &self.members;
         let found = members.binary_search_by(|member| member.daemon.cmp(daemon));
-        found.ok().and_then(|index| members.get(index))
+        found.ok().and_then(|index| u32::try_from(index).ok())
     }
 
     /// The live daemons, sorted.
@@ -112,6 +139,20 @@
         self.members.get(home as usize)
     }
 
+    /// The half of `shard` whose home is in the same availability zone as `daemon`, if there is one
+    /// and zones are used.
+    #[must_use]
+    pub fn near_half(&self, shard: ShardId, daemon: &DaemonId) -> Option<u8> {
+        let own = self.index_of(daemon)?;
+        let zone = zone_at(&self.zones, own)?;
+        let is_near = |half: &u8| {
+            let home = self.pool_homes(PoolKey { shard, half: *half });
+            let home = home.and_then(|homes| homes.home);
+            home.and_then(|home| zone_at(&self.zones, home)) == Some(zone)
+        };
+        [0, 1].into_iter().find(is_near)
+    }
+
     /// The backup of the home of `key`, or `None` if too few daemons are live.
     #[must_use]
     pub fn backup(&self, key: PoolKey) -> Option<&HomeCandidate> {
@@ -138,12 +179,22 @@
     }
 }
 
-/// Index of the daemon with the highest score for `key` that is not `excluded`.
-fn highest_scoring(hashes: &[u64], key: PoolKey, excluded: [Option<u32>; 2]) -> Option<u32> {
+fn zone_at(zones: &[Option<ZoneId>], index: u32) -> Option<&ZoneId> {
+    zones.get(index as usize)?.as_ref()
+}
+
+/// Index of the daemon with the highest score for `key` among those that are `allowed` and not
+/// `excluded`.
+fn highest_scoring(
+    hashes: &[u64],
+    key: PoolKey,
+    excluded: [Option<u32>; 2],
+    allowed: impl Fn(u32) -> bool,
+) -> Option<u32> {
     let salt = u64::from(key.shard.0) << 1 | u64::from(key.half);
     (0u32..)
         .zip(hashes)
-        .filter(|(index, _)| !excluded.contains(&Some(*index)))
+        .filter(|(index, _)| !excluded.contains(&Some(*index)) && allowed(*index))
         .max_by_key(|(_, hash)| mixed_score(**hash, salt + 1))
         .map(|(index, _)| index)
 }
--- a/src/limits/limits_handle.rs
+++ b/src/limits/limits_handle.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::ids::{AccountId, BootId, DaemonId};
+use crate::hash::FastMap;
+use crate::ids::{AccountId, BootId, DaemonId, ZoneId};
 use crate::limits::limits_core::LimitsCore;
 use crate::limits::{
     Admission, AdmittedToken, HomeCandidate, lease_task, limits_dump, limits_tasks,
@@ -23,6 +24,8 @@
     pub version: Rc<dyn Fn() -> u64>,
     /// Returns the live daemons, including this one.
     pub list: Rc<dyn Fn() -> Vec<HomeCandidate>>,
+    /// Returns the availability zones of the live daemons.
+    pub zones: Rc<dyn Fn() -> FastMap<DaemonId, ZoneId>>,
 }
 /// Returns the configured limit of a client account, or `None` if it has none.
 pub type RateSource = Rc<dyn Fn(&AccountId) -> Option<RateLimit>>;
--- a/src/limits/limits_tasks.rs
+++ b/src/limits/limits_tasks.rs
@@ -68,8 +68,12 @@
     let version = (core.sources.members.version)();
     let is_changed = core.members_version.replace(Some(version)) != Some(version);
     if is_changed {
-        core.map
-            .replace(HomeMap::new((core.sources.members.list)()));
+        let members = (core.sources.members.list)();
+        let map = match core.sources.settings.zones {
+            true => HomeMap::with_zones(members, &(core.sources.members.zones)()),
+            false => HomeMap::new(members),
+        };
+        core.map.replace(map);
         core.members_changed_at.set(now);
     }
     if is_changed || has_new_pools || expired {
--- a/src/limits/token_cache.rs
+++ b/src/limits/token_cache.rs
@@ -70,6 +70,8 @@
     demand: DemandRate,
     /// The half to request tokens from next.
     next_half: u8,
+    /// The half to request tokens from first while its home has some.
+    near_half: Option<u8>,
 }
 
 impl TokenCache {
@@ -92,6 +94,7 @@
             grants: Vec::new(),
             demand: DemandRate::open(now),
             next_half: next_half & 1,
+            near_half: None,
         }
     }
 
@@ -107,6 +110,11 @@
         &self.placement
     }
 
+    /// Sets the half to request tokens from first while its home has some, or `None` for both in turn.
+    pub const fn set_near_half(&mut self, half: Option<u8>) {
+        self.near_half = half;
+    }
+
     /// Counts a request towards the demand.
     pub fn record_demand(&mut self, now: MonoTime) {
         self.demand.record(now);
@@ -206,9 +214,8 @@
     #[must_use]
     pub fn due_requests(&self, now: MonoTime) -> Vec<HalfRequest> {
         let is_open = |half: &u8| self.home(*half).can_report(now);
-        let open = [self.next_half, self.next_half ^ 1]
-            .into_iter()
-            .filter(is_open);
+        let first = self.near_half.unwrap_or(self.next_half);
+        let open = [first, first ^ 1].into_iter().filter(is_open);
         let mut needs_tokens = !self.waiting.is_empty()
             || self.missing_for_returns(now) > 0
             || self.needs_prefetch(now);
--- a/src/settings/limits_settings.rs
+++ b/src/settings/limits_settings.rs
@@ -26,6 +26,9 @@
     pub loan: TimeSpan,
     /// Duration for which a grant of tokens is valid; at most `loan`.
     pub grant: TimeSpan,
+    /// Whether the two homes of a client account run in different availability zones, and ingresses
+    /// request tokens from the one in their own zone first. It must be the same on every daemon.
+    pub zones: bool,
 }
 
 impl Default for LimitsSettings {
@@ -37,6 +40,7 @@
             renew: TimeSpan::from_secs(300),
             loan: TimeSpan::from_millis(LOAN_MILLIS),
             grant: TimeSpan::from_secs(1),
+            zones: false,
         }
     }
 }
--- a/tests/limits_kit/event_handlers.rs
+++ b/tests/limits_kit/event_handlers.rs
@@ -277,7 +277,7 @@
         }
     }
 
-    pub(super) fn next_request(&mut self, node: usize, account: usize) {
+    pub fn next_request(&mut self, node: usize, account: usize) {
         let demand = self.demand[account];
         if demand > 0.0 {
             let wait = -(1.0 - self.rng.f64()).ln() / demand * SECOND as f64;
--- a/tests/limits_kit/limits_fleet.rs
+++ b/tests/limits_kit/limits_fleet.rs
@@ -106,6 +106,7 @@
             members: MemberSource {
                 version: Rc::new(move || list_version(&versions.borrow())),
                 list: Rc::new(move || members.borrow().clone()),
+                zones: Rc::new(Default::default),
             },
             rate_of: Rc::new(move |account| find_limit(&limits.borrow(), account)),
         });
--- a/tests/limits_kit/mod.rs
+++ b/tests/limits_kit/mod.rs
@@ -16,5 +16,5 @@
 pub use limits_fleet::{LimitsFleet, rate_limit};
 pub use memory_table::{MemoryTable, TableFault};
 pub use rate_audit::RateAudit;
-pub use simulated_fleet::{SECOND, SimulatedFleet};
+pub use simulated_fleet::{SECOND, SimulatedFleet, ZONES};
 pub use simulated_node::SimulatedNode;
--- a/tests/limits_kit/simulated_fleet.rs
+++ b/tests/limits_kit/simulated_fleet.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use fastrand::Rng;
+use wagtailtrack::hash::FastMap;
+use wagtailtrack::ids::{DaemonId, ZoneId};
 use wagtailtrack::limits::{AccountPlacement, HomeCandidate, HomeMap, PoolKey, ShareSet};
 use wagtailtrack::resource::RateLimit;
 use wagtailtrack::settings::LimitsSettings;
@@ -14,6 +16,8 @@
 
 const MILLI: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
+/// Availability zones, in which the nodes lie in turn.
+pub const ZONES: usize = 3;
 
 /// The nodes, the platform table, the event queue and the record of all requests.
 pub struct SimulatedFleet {
@@ -29,6 +33,10 @@
     pub ingresses: usize,
     pub callers: FloodCallers,
     pub cuts: CutPlan,
+    /// Number of availability zones that the daemons know of; 0 if they do not use zones.
+    pub zones: usize,
+    /// Bytes of messages about grants between `ZONES` zones.
+    pub far_grant_bytes: u64,
     /// Number of times that a share was found live in the pools of two nodes.
     pub double_lent: u64,
     /// Messages sent between daemons; `bytes` is their total size.
@@ -56,6 +64,8 @@
             ingresses: count,
             callers: FloodCallers::default(),
             cuts: CutPlan::default(),
+            zones: 0,
+            far_grant_bytes: 0,
             double_lent: 0,
             messages: 0,
             bytes: 0,
@@ -114,11 +124,22 @@
             daemon: format!("vm-{member}").parse().unwrap(),
             address: format!("127.0.0.1:{}", 1_000 + member).parse().unwrap(),
         });
-        let map = HomeMap::new(candidates.collect());
+        let map = match self.zones {
+            0 => HomeMap::new(candidates.collect()),
+            _ => HomeMap::with_zones(candidates.collect(), &self.zone_map()),
+        };
         let now = self.nodes[index].clock.at(self.now);
         self.nodes[index].set_map(map, now);
     }
 
+    fn zone_map(&self) -> FastMap<DaemonId, ZoneId> {
+        let zone_of = |node: usize| format!("zone-{}", node % self.zones).parse().unwrap();
+        let daemon_of = |node: usize| format!("vm-{node}").parse().unwrap();
+        (0..self.nodes.len())
+            .map(|node| (daemon_of(node), zone_of(node)))
+            .collect()
+    }
+
     fn new_node(&mut self, index: usize) -> SimulatedNode {
         let clock = SimulatedClock {
             origin: self.rng.u64(0..1_000 * SECOND),
@@ -187,6 +208,13 @@
         if to != self.sender {
             self.messages += u64::from(event.wire_bytes() > 0);
             self.bytes += event.wire_bytes() as u64;
+            let is_grant = matches!(
+                event,
+                NodeEvent::GrantRequest(..) | NodeEvent::GrantReply(..)
+            );
+            if is_grant && to % ZONES != self.sender % ZONES {
+                self.far_grant_bytes += event.wire_bytes() as u64;
+            }
         }
         if self.cuts.cuts_link(self.sender, to, self.now) {
             return;
--- a/tests/rate_flood.rs
+++ b/tests/rate_flood.rs
@@ -38,6 +38,7 @@
         renew: TimeSpan::from_secs(4),
         loan: TimeSpan::from_millis(700),
         grant: TimeSpan::from_millis(350),
+        zones: false,
     }
 }
 
