--- a/src/limits/limits_handle.rs
+++ b/src/limits/limits_handle.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::ids::{AccountId, BootId, DaemonId};
+use crate::hash::FastMap;
+use crate::ids::{AccountId, BootId, DaemonId, ZoneId};
 use crate::limits::limits_core::LimitsCore;
 use crate::limits::{
     Admission, AdmittedToken, HomeCandidate, lease_task, limits_dump, limits_tasks,
@@ -23,6 +24,8 @@
     pub version: Rc<dyn Fn() -> u64>,
     /// Returns the live daemons, including this one.
     pub list: Rc<dyn Fn() -> Vec<HomeCandidate>>,
+    /// Returns the availability zones of the live daemons.
+    pub zones: Rc<dyn Fn() -> FastMap<DaemonId, ZoneId>>,
 }
 /// Returns the configured limit of a client account, or `None` if it has none.
 pub type RateSource = Rc<dyn Fn(&AccountId) -> Option<RateLimit>>;
@@ -66,8 +69,8 @@
         Self(core)
     }
 
-    /// Decides whether a request of `account` is admitted. Waits up to 500 ms, and at most until
-    /// `deadline`, for a home to grant a token.
+    /// Decides whether a request of `account` is admitted. Waits for a token while a
+    /// home may grant one, up to 500 ms and at most until `deadline`.
     pub async fn admit(&self, account: &AccountId, deadline: Deadline) -> Admission {
         limits_tasks::admit(&self.0, account, deadline).await
     }
--- a/tests/limits_kit/simulated_fleet.rs
+++ b/tests/limits_kit/simulated_fleet.rs
@@ -4,16 +4,20 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use fastrand::Rng;
+use wagtailtrack::hash::FastMap;
+use wagtailtrack::ids::{DaemonId, ZoneId};
 use wagtailtrack::limits::{AccountPlacement, HomeCandidate, HomeMap, PoolKey, ShareSet};
 use wagtailtrack::resource::RateLimit;
 use wagtailtrack::settings::LimitsSettings;
 
 use super::node_event::NodeEvent;
 use super::simulated_node::{SimulatedClock, SimulatedNode};
-use super::{FaultPlan, MemoryTable, RateAudit};
+use super::{CutPlan, FaultPlan, FloodCallers, MemoryTable, RateAudit};
 
 const MILLI: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
+/// Availability zones, in which the nodes lie in turn.
+pub const ZONES: usize = 3;
 
 /// The nodes, the platform table, the event queue and the record of all requests.
 pub struct SimulatedFleet {
@@ -25,6 +29,14 @@
     /// Requests per second that each node receives for each account.
     pub demand: Vec<f64>,
     pub audit: RateAudit,
+    /// Number of nodes that receive requests.
+    pub ingresses: usize,
+    pub callers: FloodCallers,
+    pub cuts: CutPlan,
+    /// Number of availability zones that the daemons know of; 0 if they do not use zones.
+    pub zones: usize,
+    /// Bytes of messages about grants between `ZONES` zones.
+    pub far_grant_bytes: u64,
     /// Number of times that a share was found live in the pools of two nodes.
     pub double_lent: u64,
     /// Messages sent between daemons; `bytes` is their total size.
@@ -49,6 +61,11 @@
             limits: Vec::new(),
             demand: Vec::new(),
             audit: RateAudit::default(),
+            ingresses: count,
+            callers: FloodCallers::default(),
+            cuts: CutPlan::default(),
+            zones: 0,
+            far_grant_bytes: 0,
             double_lent: 0,
             messages: 0,
             bytes: 0,
@@ -74,7 +91,7 @@
     pub fn add_account(&mut self, limit: RateLimit, demand_per_node: f64) {
         self.limits.push(limit);
         self.demand.push(demand_per_node);
-        for node in 0..self.nodes.len() {
+        for node in 0..self.ingresses {
             self.next_request(node, self.limits.len() - 1);
         }
     }
@@ -107,11 +124,22 @@
             daemon: format!("vm-{member}").parse().unwrap(),
             address: format!("127.0.0.1:{}", 1_000 + member).parse().unwrap(),
         });
-        let map = HomeMap::new(candidates.collect());
+        let map = match self.zones {
+            0 => HomeMap::new(candidates.collect()),
+            _ => HomeMap::with_zones(candidates.collect(), &self.zone_map()),
+        };
         let now = self.nodes[index].clock.at(self.now);
         self.nodes[index].set_map(map, now);
     }
 
+    fn zone_map(&self) -> FastMap<DaemonId, ZoneId> {
+        let zone_of = |node: usize| format!("zone-{}", node % self.zones).parse().unwrap();
+        let daemon_of = |node: usize| format!("vm-{node}").parse().unwrap();
+        (0..self.nodes.len())
+            .map(|node| (daemon_of(node), zone_of(node)))
+            .collect()
+    }
+
     fn new_node(&mut self, index: usize) -> SimulatedNode {
         let clock = SimulatedClock {
             origin: self.rng.u64(0..1_000 * SECOND),
@@ -141,9 +169,10 @@
         }
     }
 
-    pub(super) fn is_platform_down(&self) -> bool {
+    pub(super) fn is_platform_down(&self, node: usize) -> bool {
         let (from, to) = self.faults.outage;
-        (from * SECOND..to * SECOND).contains(&self.now)
+        let is_down = (from * SECOND..to * SECOND).contains(&self.now);
+        is_down || self.cuts.cuts_platform(node, self.now)
     }
 
     /// Counts the shares that are live in the pools of two nodes now, for the shards of all
@@ -179,6 +208,16 @@
         if to != self.sender {
             self.messages += u64::from(event.wire_bytes() > 0);
             self.bytes += event.wire_bytes() as u64;
+            let is_grant = matches!(
+                event,
+                NodeEvent::GrantRequest(..) | NodeEvent::GrantReply(..)
+            );
+            if is_grant && to % ZONES != self.sender % ZONES {
+                self.far_grant_bytes += event.wire_bytes() as u64;
+            }
+        }
+        if self.cuts.cuts_link(self.sender, to, self.now) {
+            return;
         }
         let lossy = self.faults.lossy_percent;
         if self.rng.u64(0..100) < lossy {
