Close gaps that reviews of the new parts found

A zone's gate opened a tick before the gate of its possibly cold instances closed; requests queued for a removed instance could reach the process that follows at its address; probes without a token counted as refused callers. In the urgency queue a rank with a guarantee was refused as late on arrival, an unused level closed priorities, and a route with a high estimate was refused by an idle instance; a service counted as full when only the own zone had been heard. Change: each is mended where it arises. Test: other_zone_has_room.

--- a/src/egress/cold_gate.rs
+++ b/src/egress/cold_gate.rs
@@ -175,7 +175,8 @@
         let is_wanted = self.coldness(now) == Coldness::Unknown
             && self.rate.is_some()
             && self.probes < MAX_PROBES
-            && self.next_probe.has_passed(now);
+            && self.next_probe.has_passed(now)
+            && self.next_token(now).is_zero();
         if !is_wanted || !self.take_probe(now) {
             return false;
         }
--- a/src/egress/evacuation_gate.rs
+++ b/src/egress/evacuation_gate.rs
@@ -43,6 +43,11 @@
     /// Why no request may be sent now; none while the zone is in service.
     pub(crate) fn refusal(&self) -> Option<RefusalReason> {
         match self.state() {
+            // The instances count as cold from the end of the evacuation on, which the dispatchers hear of
+            // at the next tick.
+            ZoneGate::Open if self.applied.get() == ZoneGate::Evacuated => {
+                Some(RefusalReason::NotReady)
+            }
             ZoneGate::Open => None,
             ZoneGate::Unknown => Some(RefusalReason::NotReady),
             ZoneGate::Evacuated => Some(RefusalReason::Evacuated),
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::{Either, select};
 use std::pin::pin;
+use std::rc::Rc;
 use tokio::sync::oneshot;
 
 use crate::egress::egress_handle::SharedDispatcher;
@@ -181,11 +182,21 @@
     /// closed while it waited. No request passes to the instance after this.
     fn pass_gates(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
         match self.pass_zone_gate(outcome) {
+            StartOutcome::Run if !self.is_dispatcher_current() => {
+                StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER)
+            }
             StartOutcome::Run => self.pass_cold(key),
             outcome => outcome,
         }
     }
 
+    /// Whether the instance is still the one that the request was queued for. Its address may belong to
+    /// a new process since.
+    fn is_dispatcher_current(&self) -> bool {
+        let current = self.egress.dispatcher(&self.offer.instance);
+        current.is_some_and(|current| Rc::ptr_eq(&current, &self.dispatcher))
+    }
+
     /// Refuses a request that would run now, or that left the queue, if the zone has been evacuated
     /// since the offer.
     fn pass_zone_gate(&self, outcome: StartOutcome) -> StartOutcome {
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -19,7 +19,7 @@
 use crate::resource::RequestClass;
 use crate::retry::RetryBudget;
 use crate::time::{Deadline, MonoTime};
-use crate::wire::{BackendHead, InstanceRecord, RefusalReason, RequestOffer};
+use crate::wire::{BackendHead, InstancePhase, InstanceRecord, RefusalReason, RequestOffer};
 
 /// Shortest timeout of an attempt that can be retried at another instance.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -117,15 +117,18 @@
     /// waits for are always offered: refusing one would waste the work on the request that made it.
     fn check_pressure(&self) -> Result<(), RequestRefusal> {
         let (service, priority) = (&self.plan.service, self.plan.priority);
-        let mut state = self.ingress.state.borrow_mut();
-        let Some(pressure) = state.pressures.get_mut(service) else {
-            return Ok(());
-        };
-        if self.plan.class == RequestClass::InternalCheck {
+        let is_call = self.plan.class == RequestClass::InternalCheck;
+        if is_call || !self.ingress.state.borrow().pressures.contains_key(service) {
             return Ok(());
         }
-        let instances = self.ingress.sources.members.instances_of(service).len();
+        let records = self.usable_instances();
+        let usable = records.iter().filter(|record| {
+            record.phase == InstancePhase::Ready && record.health.accepts(self.plan.idempotent)
+        });
+        let instances = usable.map(|record| (&record.instance, &record.zone));
         let now = self.ingress.sources.clock.now();
+        let mut state = self.ingress.state.borrow_mut();
+        let pressure = state.pressures.entry(service.clone()).or_default();
         let admitted = pressure.admit(priority, instances, now);
         admitted.map_err(|retry_after| RequestRefusal::ServiceFull(priority, retry_after))
     }
--- a/src/pressure/service_pressure.rs
+++ b/src/pressure/service_pressure.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::hash::FastMap;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, ZoneId};
 use crate::resource::Priority;
 use crate::time::{Deadline, MonoTime};
 
@@ -45,26 +45,38 @@
             closed_from: ALL_PRIORITIES.saturating_sub(closed_priorities),
             until: now.after(REPORT_LIFETIME),
         };
+        self.prune(now);
         if closed_priorities > 0 || !self.reports.is_empty() {
             self.reports.insert(instance.clone(), report);
         }
     }
 
-    /// Admits a request of `priority` to a service with `instances` usable instances.
+    /// Admits a request of `priority` to a service with the usable `instances`, each with its zone.
+    ///
+    /// The service counts as full only when an instance in each of their zones has reported so: other
+    /// zones may have room that the own one lacks.
     ///
     /// # Errors
     /// The time until requests are offered again, if the service has no room for this priority.
-    pub fn admit(
+    pub fn admit<'a>(
         &mut self,
         priority: Priority,
-        instances: usize,
+        instances: impl Iterator<Item = (&'a InstanceId, &'a ZoneId)> + Clone,
         now: MonoTime,
     ) -> Result<(), Duration> {
-        self.reports
-            .retain(|_, report| !report.until.has_passed(now));
-        let needed = MIN_FULL_INSTANCES.min(instances).max(1);
-        let is_closed = |report: &&PressureReport| u16::from(priority.0) >= report.closed_from;
-        let is_full = self.reports.len() >= needed && self.reports.values().all(|r| is_closed(&r));
+        self.prune(now);
+        let needed = MIN_FULL_INSTANCES.min(instances.clone().count()).max(1);
+        let is_closed = |report: &PressureReport| u16::from(priority.0) >= report.closed_from;
+        let is_full = self.reports.len() >= needed && self.reports.values().all(is_closed) && {
+            let heard =
+                |(instance, _): &(&InstanceId, &ZoneId)| self.reports.contains_key(*instance);
+            let heard_zones: Vec<_> = instances.clone().filter(heard).collect();
+            instances.clone().all(|(_, zone)| {
+                heard_zones
+                    .iter()
+                    .any(|(_, heard_zone)| *heard_zone == zone)
+            })
+        };
         if !is_full || self.takes_trial(now) {
             return Ok(());
         }
@@ -76,6 +88,11 @@
         Err(end)
     }
 
+    fn prune(&mut self, now: MonoTime) {
+        self.reports
+            .retain(|_, report| !report.until.has_passed(now));
+    }
+
     /// Number of requests refused since the start.
     #[must_use]
     pub const fn refused(&self) -> u64 {
--- a/src/queue/urgency_forecast.rs
+++ b/src/queue/urgency_forecast.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::AccountId;
 use crate::queue::urgency_level::UrgencyLevel;
+use crate::queue::urgency_order::GUARANTEED_SHARE;
 use crate::queue::{UrgencyQueue, UrgencyRank, UrgentRequest};
 use crate::time::MonoTime;
 
@@ -11,6 +12,8 @@
 const ALL_PRIORITIES: u16 = 256;
 /// Most of the slots' time that more urgent arrivals are expected to take from a waiting request.
 const MAX_URGENT_SHARE: f64 = 0.8;
+/// Demand below which a level counts as unused, in seconds of service a second.
+const MIN_DEMAND: f64 = 0.01;
 
 impl UrgencyQueue {
     /// Expected wait of a new request before it starts.
@@ -32,10 +35,14 @@
         }
         let is_closed = |(rank, level): &(&UrgencyRank, &UrgencyLevel)| {
             let own_secs = level.waiting_secs(&self.estimates);
-            rank.is_new && self.wait_secs(**rank, own_secs, now) > level.patience_secs()
+            self.wait_secs(**rank, own_secs, now) > level.patience_secs()
         };
-        let first = self.levels.iter().find(is_closed);
-        first.map_or(0, |(rank, _)| ALL_PRIORITIES - u16::from(rank.priority.0))
+        // Levels without recent requests say nothing of the present load.
+        let asked = self.levels.iter().rev().filter(|(rank, level)| {
+            rank.is_new && (level.waiting() > 0 || level.demand(now) >= MIN_DEMAND)
+        });
+        let last_closed = asked.take_while(is_closed).last();
+        last_closed.map_or(0, |(rank, _)| ALL_PRIORITIES - u16::from(rank.priority.0))
     }
 
     pub(super) fn expected_wait_secs(
@@ -66,7 +73,20 @@
             .sum();
         let arriving: f64 = urgent().map(|level| level.demand(now)).sum();
         let left_share = 1.0 - (arriving / slots).min(MAX_URGENT_SHARE);
-        self.first_free_secs(now) + (ahead_secs + own_secs) / (slots * left_share)
+        let by_urgency = (ahead_secs + own_secs) / (slots * left_share);
+        let by_guarantee = own_secs / self.guaranteed_slots(rank, now);
+        self.first_free_secs(now) + by_urgency.min(by_guarantee)
+    }
+
+    /// Slots that the guarantee of a rank amounts to.
+    pub(super) fn guaranteed_slots(&self, rank: UrgencyRank, now: MonoTime) -> f64 {
+        let demands = self.levels.values().map(|level| level.demand(now));
+        let total = demands.sum::<f64>().max(f64::MIN_POSITIVE);
+        let own = self
+            .levels
+            .get(&rank)
+            .map_or(0.0, |level| level.demand(now));
+        (f64::from(self.slots) * GUARANTEED_SHARE * own / total).max(f64::MIN_POSITIVE)
     }
 
     /// Expected time until a slot is free, in seconds.
--- a/src/queue/urgency_level.rs
+++ b/src/queue/urgency_level.rs
@@ -63,6 +63,9 @@
     /// Counts the arrival of a request that asks for `secs` of service and has `left` until its goal.
     pub(super) fn record_arrival(&mut self, secs: f64, left: Duration, now: MonoTime) {
         self.demand.record(secs, now);
+        if left.is_zero() {
+            return;
+        }
         let patience_secs = (left.as_secs_f64() - secs).max(0.0);
         let mean_secs = self.patience_secs.unwrap_or(patience_secs);
         self.patience_secs = Some(mean_secs + PATIENCE_STEP * (patience_secs - mean_secs));
@@ -177,11 +180,11 @@
         own_secs + others_secs
     }
 
-    /// The waiting requests in order of their goals, whichever account they belong to.
-    pub(super) fn by_goal(&self) -> Vec<&LevelEntry> {
+    /// The waiting requests in the order in which they would start if they were of one account.
+    pub(super) fn by_goal(&self, estimates: &RouteEstimates, now: MonoTime) -> Vec<&LevelEntry> {
         let backlogs = self.accounts.values();
         let mut entries: Vec<_> = backlogs.flat_map(|backlog| &backlog.waiting).collect();
-        entries.sort_unstable_by_key(|entry| (entry.goal, entry.key));
+        entries.sort_by_cached_key(|entry| start_order(entry, estimates, now));
         entries
     }
 
@@ -244,10 +247,16 @@
 
 /// Index of the request that starts first.
 fn best_index(waiting: &[LevelEntry], estimates: &RouteEstimates, now: MonoTime) -> Option<usize> {
-    let order = |entry: &LevelEntry| {
-        let left_secs = entry.goal.remaining(now).as_secs_f64();
-        let is_late = left_secs < estimates.mean_secs(&entry.route);
-        (is_late, entry.goal, entry.key)
-    };
-    (0..waiting.len()).min_by_key(|index| order(&waiting[*index]))
+    (0..waiting.len()).min_by_key(|index| start_order(&waiting[*index], estimates, now))
+}
+
+/// Sorts requests that can no longer meet their goal behind the others.
+fn start_order(
+    entry: &LevelEntry,
+    estimates: &RouteEstimates,
+    now: MonoTime,
+) -> (bool, Deadline, RequestKey) {
+    let left_secs = entry.goal.remaining(now).as_secs_f64();
+    let is_late = left_secs < estimates.mean_secs(&entry.route);
+    (is_late, entry.goal, entry.key)
 }
--- a/src/queue/urgency_order.rs
+++ b/src/queue/urgency_order.rs
@@ -15,7 +15,7 @@
 /// Part of its share of all work that each waiting level is guaranteed, whatever more urgent levels
 /// ask for. A kind of request counts as starved below a quarter of what all requests get on average,
 /// counted in requests, which is more than a quarter of the work where the urgent ones are short.
-const GUARANTEED_SHARE: f64 = 0.4;
+pub(super) const GUARANTEED_SHARE: f64 = 0.4;
 /// Most service time that a level saves up from its guarantee, in seconds.
 const MAX_GUARANTEED_SECS: f64 = 1.0;
 
@@ -44,7 +44,9 @@
         let key = entry.key;
         self.waiting.remove(&key);
         let charged_secs = self.estimates.mean_secs(&entry.route);
-        if entry.deadline.remaining(now).as_secs_f64() < charged_secs {
+        // Without others that wait, a slot is better used for a request that may come late than left free.
+        let is_wanted = !self.waiting.is_empty() || entry.deadline.has_passed(now);
+        if is_wanted && entry.deadline.remaining(now).as_secs_f64() < charged_secs {
             let retry_after = MIN_RETRY_AFTER.max(Duration::from_secs_f64(charged_secs));
             return Some(QueueAction::Refuse { key, retry_after });
         }
@@ -61,14 +63,17 @@
         Some(QueueAction::Start(key))
     }
 
-    /// Gives every level its guaranteed part of the `secs` of service that a request of
+    /// Gives every level that waits its guaranteed part of the `secs` of service that a request of
     /// `chosen` takes.
     fn grant_guarantees(&mut self, chosen: UrgencyRank, secs: f64, now: MonoTime) {
         let demands = self.levels.values().map(|level| level.demand(now));
         let total = demands.sum::<f64>().max(f64::MIN_POSITIVE);
         for (rank, level) in &mut self.levels {
             let used_secs = if *rank == chosen { secs } else { 0.0 };
-            let share = GUARANTEED_SHARE * level.demand(now) / total;
+            let share = match level.waiting() > 0 || *rank == chosen {
+                true => GUARANTEED_SHARE * level.demand(now) / total,
+                false => 0.0,
+            };
             let saved_secs = level.guaranteed_secs + secs * share - used_secs;
             level.guaranteed_secs = saved_secs.clamp(0.0, MAX_GUARANTEED_SECS);
         }
@@ -134,21 +139,25 @@
             return Vec::new();
         }
         let slots = f64::from(self.slots);
-        let mut start_secs = self.first_free_secs(now);
+        let first_secs = self.first_free_secs(now);
+        let mut ahead_secs = 0.0;
         let mut late = Vec::new();
         for (rank, level) in &self.levels {
-            for entry in level.by_goal() {
+            let guaranteed_slots = self.guaranteed_slots(*rank, now);
+            let mut own_secs = 0.0;
+            for entry in level.by_goal(&self.estimates, now) {
                 let mean_secs = self.estimates.mean_secs(&entry.route);
                 let left_secs = entry.deadline.remaining(now).as_secs_f64();
+                let by_urgency = (ahead_secs + own_secs) / slots;
+                let by_guarantee = (own_secs - level.guaranteed_secs).max(0.0) / guaranteed_slots;
+                let start_secs = first_secs + by_urgency.min(by_guarantee);
                 let late_secs = start_secs + mean_secs - left_secs;
-                // Guarantees may start a request earlier than the order of the levels, so that only
-                // the level's own requests decide while it has some.
-                let is_late = late_secs > 0.0 && level.guaranteed_secs < mean_secs;
-                match is_late {
+                match late_secs > 0.0 {
                     true => late.push((*rank, entry.key, late_secs)),
-                    false => start_secs += mean_secs / slots,
+                    false => own_secs += mean_secs,
                 }
             }
+            ahead_secs += own_secs;
         }
         let refuse = late.into_iter().map(|(rank, key, late_secs)| {
             self.waiting.remove(&key);
--- a/src/queue/urgency_queue.rs
+++ b/src/queue/urgency_queue.rs
@@ -66,13 +66,14 @@
         let mean_secs = self.estimates.mean_secs(route);
         let level = self.levels.entry(rank);
         let level = level.or_insert_with(|| UrgencyLevel::open(now));
-        let patience = urgent.goal.min(request.deadline).remaining(now);
+        let patience = urgent.goal.remaining(now);
         level.record_arrival(mean_secs, patience, now);
         let wait_secs = self.expected_wait_secs(rank, &request.account, weight, mean_secs, now);
         let finish_secs = wait_secs + mean_secs;
         let late_secs = finish_secs - request.deadline.remaining(now).as_secs_f64();
         self.closed_priorities = self.count_closed(now);
-        if late_secs > 0.0 {
+        let is_idle = self.has_free_slot() && self.waiting.is_empty();
+        if late_secs > 0.0 && !is_idle {
             return refuse_after(late_secs);
         }
         if self.waiting.len() >= MAX_WAITING && !self.displace(rank, &request.account, weight) {
--- a/tests/service_pressure.rs
+++ b/tests/service_pressure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailtrack::ids::InstanceId;
+use wagtailtrack::ids::{InstanceId, ZoneId};
 use wagtailtrack::pressure::ServicePressure;
 use wagtailtrack::resource::Priority;
 use wagtailtrack::time::MonoTime;
@@ -14,13 +14,26 @@
     format!("desk-{number}").parse().unwrap()
 }
 
+/// Asks for a request of `priority` to eight instances that are spread over `zones`.
+fn admit(
+    pressure: &mut ServicePressure,
+    priority: u8,
+    zones: usize,
+    now: MonoTime,
+) -> Result<(), Duration> {
+    let zone = |number: usize| format!("zone-{}", number % zones).parse().unwrap();
+    let list: Vec<(InstanceId, ZoneId)> = (0..8).map(|n| (instance(n), zone(n))).collect();
+    let instances = list.iter().map(|(instance, zone)| (instance, zone));
+    pressure.admit(Priority(priority), instances, now)
+}
+
 fn full_service(now: MonoTime) -> ServicePressure {
     let mut pressure = ServicePressure::default();
     for number in 0..3 {
         pressure.record(&instance(number), ONLY_MOST_URGENT, now);
     }
     // The first request after a while is let through to learn anew.
-    pressure.admit(Priority(1), 8, now).unwrap();
+    admit(&mut pressure, 1, 1, now).unwrap();
     pressure
 }
 
@@ -30,9 +43,9 @@
 fn least_urgent_refused_first() {
     let now = MonoTime::from_millis(5_000);
     let mut pressure = full_service(now);
-    assert!(pressure.admit(Priority(1), 8, now).is_err());
-    assert!(pressure.admit(Priority(2), 8, now).is_err());
-    assert!(pressure.admit(Priority(0), 8, now).is_ok());
+    assert!(admit(&mut pressure, 1, 1, now).is_err());
+    assert!(admit(&mut pressure, 2, 1, now).is_err());
+    assert!(admit(&mut pressure, 0, 1, now).is_ok());
     assert_eq!(pressure.refused(), 2);
 }
 
@@ -43,12 +56,12 @@
     let mut pressure = ServicePressure::default();
     pressure.record(&instance(0), ONLY_MOST_URGENT, now);
     for _ in 0..5 {
-        assert!(pressure.admit(Priority(2), 8, now).is_ok());
+        assert!(admit(&mut pressure, 2, 1, now).is_ok());
     }
     let mut pressure = full_service(now);
     pressure.record(&instance(3), 0, now);
     for _ in 0..5 {
-        assert!(pressure.admit(Priority(2), 8, now).is_ok());
+        assert!(admit(&mut pressure, 2, 1, now).is_ok());
     }
 }
 
@@ -57,11 +70,11 @@
 fn threshold_lapses() {
     let now = MonoTime::from_millis(5_000);
     let mut pressure = full_service(now);
-    let retry_after = pressure.admit(Priority(1), 8, now).unwrap_err();
+    let retry_after = admit(&mut pressure, 1, 1, now).unwrap_err();
     let then = now + retry_after;
     assert!(retry_after <= Duration::from_secs(1), "{retry_after:?}");
     for _ in 0..5 {
-        assert!(pressure.admit(Priority(1), 8, then).is_ok());
+        assert!(admit(&mut pressure, 1, 1, then).is_ok());
     }
 }
 
@@ -77,7 +90,18 @@
         for number in 0..3 {
             pressure.record(&instance(number), ONLY_MOST_URGENT, now);
         }
-        admitted += u32::from(pressure.admit(Priority(1), 8, now).is_ok());
+        admitted += u32::from(admit(&mut pressure, 1, 1, now).is_ok());
     }
     assert!((9..=11).contains(&admitted), "{admitted}");
 }
+
+/// Requests are refused although another zone has room, because only the own zone was heard.
+#[test]
+fn other_zone_has_room() {
+    let now = MonoTime::from_millis(5_000);
+    let mut pressure = full_service(now);
+    assert!(admit(&mut pressure, 1, 3, now).is_err());
+    for _ in 0..5 {
+        assert!(admit(&mut pressure, 1, 4, now).is_ok());
+    }
+}
