--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -222,14 +222,7 @@
         to: SocketAddr,
         context: &mut GossipContext<'_>,
     ) {
-        let is_near = self.view.member(target).is_none_or(|record| {
-            self.zones.relays.is_on() && record.zone == *self.zones.relays.own_zone()
-        });
-        let can_ask = |record: &MemberRecord| match self.zones.relays.is_on() {
-            false => record.daemon != *target,
-            true if is_near => self.is_reached_directly(record) && record.daemon != *target,
-            true => record.daemon != *target && self.zones.relays.is_relay_of_zone(&record.daemon),
-        };
+        let can_ask = |record: &MemberRecord| self.may_ping_for(record, target);
         for relay in self.sample(INDIRECT_PROBE_COUNT, can_ask, context.rng) {
             let body = GossipBody::PingRequest { probe, target: to };
             self.send(relay.address, Some(&relay.daemon), body, context);
--- a/src/members/gossip_zones.rs
+++ b/src/members/gossip_zones.rs
@@ -171,6 +171,18 @@
             || zones.open_zones.contains(&record.zone)
     }
 
+    /// Whether the daemon of `record` may be asked to ping `target`. For one of another zone relays are.
+    pub(super) fn may_ping_for(&self, record: &MemberRecord, target: &DaemonId) -> bool {
+        let relays = &self.zones.relays;
+        let is_near = self.is_in_own_zone(target);
+        record.daemon != *target
+            && match relays.is_on() {
+                false => true,
+                true if is_near => self.is_reached_directly(record),
+                true => relays.is_relay_of_zone(&record.daemon),
+            }
+    }
+
     /// Whether this daemon looks for lost daemons of `zone`.
     pub(super) fn may_contact_zone(&self, zone: &ZoneId, now: MonoTime) -> bool {
         let zones = &self.zones;
