--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -24,6 +24,9 @@
 const MAX_INSTANCE_TRANSMISSIONS: u32 = 6;
 // Pushes that forward a drain count as transmissions too.
 const EXTRA_URGENT_TRANSMISSIONS: u32 = 6;
+// Within a zone an urgent change is pushed twice, and each daemon receives about as many copies, which
+// count too. Without this it is no longer on probes when a daemon has missed all pushes.
+const EXTRA_ZONE_TRANSMISSIONS: u32 = 20;
 
 /// Which members may receive a push.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,10 +116,15 @@
     pub(super) fn transmit_limit(&self, key: &ChangeKey) -> u32 {
         let live = self.view.members().live_count() + 1;
         let full = live.ilog2() + EXTRA_TRANSMISSIONS;
+        let pushed_in_zone = match self.zones.relays.is_on() {
+            true => EXTRA_ZONE_TRANSMISSIONS,
+            false => 0,
+        };
         match key {
+            ChangeKey::Member(daemon) if !self.view.is_live(daemon) => full + pushed_in_zone,
             ChangeKey::Member(_) => full,
             ChangeKey::Instance(instance) if self.is_urgent(instance) => {
-                full + EXTRA_URGENT_TRANSMISSIONS
+                full + EXTRA_URGENT_TRANSMISSIONS + pushed_in_zone
             }
             ChangeKey::Instance(_) => full.min(MAX_INSTANCE_TRANSMISSIONS),
         }
@@ -214,14 +222,7 @@
         to: SocketAddr,
         context: &mut GossipContext<'_>,
     ) {
-        let is_near = self.view.member(target).is_none_or(|record| {
-            self.zones.relays.is_on() && record.zone == *self.zones.relays.own_zone()
-        });
-        let can_ask = |record: &MemberRecord| match self.zones.relays.is_on() {
-            false => record.daemon != *target,
-            true if is_near => self.is_reached_directly(record) && record.daemon != *target,
-            true => record.daemon != *target && self.zones.relays.is_relay_of_zone(&record.daemon),
-        };
+        let can_ask = |record: &MemberRecord| self.may_ping_for(record, target);
         for relay in self.sample(INDIRECT_PROBE_COUNT, can_ask, context.rng) {
             let body = GossipBody::PingRequest { probe, target: to };
             self.send(relay.address, Some(&relay.daemon), body, context);
