--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -19,6 +19,7 @@
 mod response_body;
 mod shutdown_signal;
 mod zone_attempts;
+mod zone_outcomes;
 
 pub use attempt_history::{AttemptFailure, AttemptHistory, DEFAULT_MAX_ATTEMPTS, MAX_OFFERS};
 pub use attempt_machine::{AttemptAction, AttemptEvent, AttemptMachine, AttemptState};
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -1,5 +1,4 @@
-//! Zone-local routing of one request: chooses the instance of each offer and records what the offers
-//! tell of the zones.
+//! Zone-local routing of one request: chooses the instance of each offer.
 
 use std::time::Duration;
 
@@ -7,36 +6,34 @@
     InstancePicker, OtherZone, PickScope, ServiceZones, WaitLimits, ZoneChoice, ZoneRoom,
     ZoneStart, ZoneStep,
 };
-use crate::ingress::attempt_task::AttemptOutcome;
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::instance_choice::ChosenInstance;
 use crate::ingress::offer_wait::OfferWait;
-use crate::ingress::{AttemptFailure, AttemptHistory, MAX_OFFERS};
-use crate::logs::log_target;
+use crate::ingress::{AttemptHistory, MAX_OFFERS};
 use crate::retry::RetryBudget;
 use crate::settings::ZoneOverflow;
 use crate::time::MonoTime;
-use crate::wire::{InstanceRecord, RefusalReason};
+use crate::wire::InstanceRecord;
 
 /// Attempts that reached an instance in vain before the request goes to other zones.
 const MAX_HOME_ATTEMPTS: usize = 2;
 /// Only a free slot is taken; a busy instance names the expected wait.
-const NO_WAIT: OfferWait = OfferWait::AtMost(Duration::ZERO);
+pub(super) const NO_WAIT: OfferWait = OfferWait::AtMost(Duration::ZERO);
 
 /// The zones that one request was offered to.
 pub(crate) struct ZoneAttempts {
-    choice: ZoneChoice,
+    pub(super) choice: ZoneChoice,
     /// The room of the own zone when the request arrived.
-    room: ZoneRoom,
-    is_sample: bool,
+    pub(super) room: ZoneRoom,
+    pub(super) is_sample: bool,
     /// Whether the request has told of the pressure of the own zone.
-    has_told: bool,
+    pub(super) has_told: bool,
     /// Whether the last offer permitted hardly a wait, so that it found out whether there is room.
-    is_brief_offer: bool,
+    pub(super) is_brief_offer: bool,
     /// Whether the request was offered to another zone.
-    has_crossed: bool,
+    pub(super) has_crossed: bool,
     /// Offers so far.
-    offers: usize,
+    pub(super) offers: usize,
 }
 
 impl CallerRequest<'_> {
@@ -154,104 +151,6 @@
         }
     }
 
-    /// Records what the outcome of an offer, begun at `begin`, tells of the zones.
-    pub(crate) fn record_zone_outcome(
-        &self,
-        attempts: &mut ZoneAttempts,
-        chosen: &ChosenInstance,
-        outcome: &AttemptOutcome,
-        begin: MonoTime,
-    ) {
-        let record = &chosen.record;
-        let is_home = record.zone == self.ingress.sources.zone;
-        match outcome {
-            AttemptOutcome::Complete { .. } | AttemptOutcome::Streaming(_) => {
-                if is_home && attempts.is_brief_offer && !attempts.has_told {
-                    attempts.has_told = true;
-                    self.with_zones(|zones, _, rng, now| zones.on_home_free(now, rng));
-                }
-                if matches!(outcome, AttemptOutcome::Complete { .. }) && chosen.wait == NO_WAIT {
-                    self.with_zones(|zones, _, _, now| {
-                        zones.observe_time(&self.plan.route, now.since(begin));
-                    });
-                }
-                if !is_home && attempts.is_brief_offer {
-                    self.with_zones(|zones, _, _, now| zones.on_other(&record.zone, false, now));
-                }
-            }
-            AttemptOutcome::Failed { failure, load } => {
-                self.record_zone_failure(attempts, record, failure, load.is_some());
-            }
-        }
-        self.log_share_change(&attempts.room);
-    }
-
-    /// Counts a request whose response goes to the caller by the zone that served it.
-    pub(crate) fn count_zone(&self, attempts: &ZoneAttempts, record: &InstanceRecord) {
-        let is_home = record.zone == self.ingress.sources.zone;
-        let (is_sample, has_crossed) = (attempts.is_sample, attempts.has_crossed);
-        self.with_zones(|zones, _, _, _| {
-            let counts = &mut zones.counts;
-            counts.kept += u64::from(is_home);
-            counts.overflowed += u64::from(!is_home);
-            counts.returned += u64::from(is_home && has_crossed);
-            counts.sampled += u64::from(!is_home && is_sample);
-        });
-    }
-
-    fn record_zone_failure(
-        &self,
-        attempts: &mut ZoneAttempts,
-        record: &InstanceRecord,
-        failure: &AttemptFailure,
-        is_reached: bool,
-    ) {
-        let is_home = record.zone == self.ingress.sources.zone;
-        let is_busy = failure.reason == Some(RefusalReason::Busy);
-        match is_busy {
-            true => attempts
-                .choice
-                .on_busy(&record.instance, is_home, failure.retry_after),
-            false => attempts.choice.on_failure(&record.instance, is_home),
-        }
-        if is_home {
-            return;
-        }
-        self.with_zones(|zones, _, _, now| match is_reached {
-            true => zones.on_other(&record.zone, is_full(failure.reason), now),
-            false => zones.on_other_unreachable(&record.zone, now),
-        });
-    }
-
-    /// Records, once for each request, that the own zone had no free slot.
-    fn tell_shortage(&self, attempts: &mut ZoneAttempts, limit: Duration) {
-        if std::mem::replace(&mut attempts.has_told, true) {
-            return;
-        }
-        let wait = attempts.choice.home_wait().unwrap_or(limit * 2);
-        self.with_zones(|zones, _, rng, now| {
-            zones.on_home_busy(wait, limit, &attempts.room, now, rng);
-        });
-        self.log_share_change(&attempts.room);
-    }
-
-    fn log_share_change(&self, room: &ZoneRoom) {
-        let Some(change) = self.with_zones(|zones, _, _, now| zones.take_share_change(now)) else {
-            return;
-        };
-        log::info!(
-            target: log_target::INGRESS,
-            service:% = self.plan.service,
-            zone:% = self.ingress.sources.zone,
-            from = change.from,
-            to = change.to,
-            pressure = change.pressure,
-            usable_slots = room.usable(),
-            announced_slots = room.announced();
-            "Zone overflow share changed."
-        );
-    }
-
     fn wait_limits(&self, room: &ZoneRoom) -> WaitLimits {
         let now = self.ingress.sources.clock.now();
         let route = &self.plan.route;
@@ -307,7 +206,7 @@
         state.zones.take_sample(now, &mut state.rng)
     }
 
-    fn with_zones<T>(
+    pub(super) fn with_zones<T>(
         &self,
         act: impl FnOnce(&mut ServiceZones, &InstancePicker, &mut fastrand::Rng, MonoTime) -> T,
     ) -> T {
@@ -318,16 +217,3 @@
             })
     }
 }
-
-/// Whether an instance refused for lack of room.
-const fn is_full(reason: Option<RefusalReason>) -> bool {
-    matches!(
-        reason,
-        Some(
-            RefusalReason::Busy
-                | RefusalReason::Overloaded
-                | RefusalReason::Shed
-                | RefusalReason::LimitReached
-        )
-    )
-}
--- a/tests/zone_kit/mod.rs
+++ b/tests/zone_kit/mod.rs
@@ -2,6 +2,7 @@
 //! the daemons use.
 
 mod zone_load;
+mod zone_outcome;
 mod zone_request;
 mod zone_service;
 
--- a/tests/zone_kit/zone_request.rs
+++ b/tests/zone_kit/zone_request.rs
@@ -5,40 +5,39 @@
 use wagtailtrack::balance::{
     OtherZone, PickCriteria, PickScope, WaitLimits, ZoneChoice, ZoneRoom, ZoneStart, ZoneStep,
 };
-use wagtailtrack::execution_verdict::ExecutionVerdict;
 use wagtailtrack::ids::{BootId, RequestId};
-use wagtailtrack::ingress::{AttemptFailure, AttemptHistory, MAX_OFFERS};
+use wagtailtrack::ingress::{AttemptHistory, MAX_OFFERS};
 use wagtailtrack::queue::{EnqueueOutcome, QueuedRequest, RequestKey};
 use wagtailtrack::resource::RequestClass;
 use wagtailtrack::time::{Deadline, MonoTime};
 use wagtailtrack::units::Percent;
-use wagtailtrack::wire::{InstanceRecord, RefusalReason};
+use wagtailtrack::wire::InstanceRecord;
 
 use super::ZoneService;
 use super::zone_service::Event;
 
 const DEADLINE: Duration = Duration::from_secs(2);
-const HOME_DELAY: Duration = Duration::from_micros(300);
-const CROSSING_DELAY: Duration = Duration::from_millis(3);
+pub(super) const HOME_DELAY: Duration = Duration::from_micros(300);
+pub(super) const CROSSING_DELAY: Duration = Duration::from_millis(3);
 /// Time after which an offer to an unreachable instance is given up.
 const LOST_AFTER: Duration = Duration::from_millis(250);
 const CLASS: RequestClass = RequestClass::Lookup;
 
 pub(super) struct ZoneRequest {
-    ingress: usize,
-    choice: ZoneChoice,
-    history: AttemptHistory,
-    limits: WaitLimits,
-    room: ZoneRoom,
-    has_told: bool,
-    sent: MonoTime,
-    goal: Deadline,
-    deadline: Deadline,
-    instance: usize,
+    pub(super) ingress: usize,
+    pub(super) choice: ZoneChoice,
+    pub(super) history: AttemptHistory,
+    pub(super) limits: WaitLimits,
+    pub(super) room: ZoneRoom,
+    pub(super) has_told: bool,
+    pub(super) sent: MonoTime,
+    pub(super) goal: Deadline,
+    pub(super) deadline: Deadline,
+    pub(super) instance: usize,
     /// Longest expected wait that the present offer permits.
-    max_wait: Option<Duration>,
-    is_brief_offer: bool,
-    offers: usize,
+    pub(super) max_wait: Option<Duration>,
+    pub(super) is_brief_offer: bool,
+    pub(super) offers: usize,
 }
 
 impl ZoneService {
@@ -81,7 +80,7 @@
     }
 
     /// Offers the request to the next instance.
-    fn offer(&mut self, key: RequestKey) {
+    pub(super) fn offer(&mut self, key: RequestKey) {
         let now = self.now;
         let Some(mut request) = self.requests.remove(&key) else {
             return;
@@ -227,88 +226,4 @@
         let span = self.service_time.mul_f64(0.5 + self.rng.f64());
         self.schedule(span, Event::Done(instance, key));
     }
-
-    pub(super) fn refused(
-        &mut self,
-        key: RequestKey,
-        reason: Option<RefusalReason>,
-        wait: Duration,
-    ) {
-        let now = self.now;
-        let Some(request) = self.requests.get_mut(&key) else {
-            return;
-        };
-        let ingress = &mut self.ingresses[request.ingress];
-        let record = &self.records[request.instance];
-        let is_home = self.instances[request.instance].home == ingress.home;
-        request.history.record_failure(AttemptFailure {
-            verdict: ExecutionVerdict::NotRun,
-            reason,
-            cause: None,
-            retry_after: wait,
-        });
-        match reason {
-            Some(RefusalReason::Busy) => request.choice.on_busy(&record.instance, is_home, wait),
-            _ => request.choice.on_failure(&record.instance, is_home),
-        }
-        if reason.is_none() {
-            ingress.picker.on_unreachable(&record.instance, now);
-            ingress.zones.on_other_unreachable(&record.zone, now);
-        } else {
-            let load = self.instances[request.instance].queue.load();
-            ingress.picker.on_response(&record.instance, load, now);
-            if !is_home {
-                ingress.zones.on_other(&record.zone, true, now);
-            }
-        }
-        self.offer(key);
-    }
-
-    pub(super) fn done(&mut self, instance: usize, key: RequestKey) {
-        let now = self.now;
-        let service_time = self.service_time;
-        let actions = self.instances[instance]
-            .queue
-            .finish(key, service_time, now);
-        self.apply(instance, actions);
-        let Some(request) = self.requests.remove(&key) else {
-            return;
-        };
-        let delay = self.delay(&request);
-        let ingress = &mut self.ingresses[request.ingress];
-        let record = &self.records[instance];
-        let load = self.instances[instance].queue.load();
-        ingress.picker.on_response(&record.instance, load, now);
-        let is_home = self.instances[instance].home == ingress.home;
-        if is_home && request.is_brief_offer && !request.has_told {
-            ingress.zones.on_home_free(now, &mut self.rng);
-        }
-        let result = &mut self.results[ingress.home];
-        match is_home {
-            true => {
-                result.kept += 1;
-                Self::count(&mut result.kept_by_slice, now);
-            }
-            false => {
-                result.crossed += 1;
-                if request.is_brief_offer {
-                    ingress.zones.on_other(&record.zone, false, now);
-                }
-            }
-        }
-        let took = now.since(request.sent) + delay;
-        result.late += usize::from(took > self.goal);
-    }
-
-    /// The queue drops a request that cannot meet its deadline.
-    pub(super) fn give_up(&mut self, key: RequestKey) {
-        if let Some(request) = self.requests.remove(&key) {
-            self.results[self.ingresses[request.ingress].home].refused += 1;
-        }
-    }
-
-    fn delay(&self, request: &ZoneRequest) -> Duration {
-        let is_home = self.instances[request.instance].home == self.ingresses[request.ingress].home;
-        if is_home { HOME_DELAY } else { CROSSING_DELAY }
-    }
 }
