--- a/src/balance/zone_choice.rs
+++ b/src/balance/zone_choice.rs
@@ -210,7 +210,8 @@
         rng: &mut fastrand::Rng,
     ) -> Option<ZoneStep> {
         let fits = |busy: &&BusyInstance| {
-            (busy.is_home || !is_home) && bound.is_none_or(|bound| busy.wait <= bound)
+            (busy.is_home || (!is_home && self.has_away_offers()))
+                && bound.is_none_or(|bound| busy.wait <= bound)
         };
         let shortest = self.busy.iter().filter(fits).map(|busy| busy.wait).min()?;
         let is_near = |busy: &&BusyInstance| busy.wait <= shortest + service_time;
@@ -239,6 +240,9 @@
 
     /// Whether an instance of another zone expects less than half of the wait in the own zone.
     fn is_far_shorter_away(&self) -> bool {
+        if !self.has_away_offers() {
+            return false;
+        }
         let mut away = self.busy.iter().filter(|busy| !busy.is_home);
         let home_wait = self.home_wait();
         away.any(|busy| home_wait.is_none_or(|home_wait| busy.wait * 2 < home_wait))
@@ -246,7 +250,12 @@
 
     /// Whether a request that no instance has taken may still be offered to any zone.
     fn may_cross(&self) -> bool {
-        !self.start.has_home || (!self.is_away_full && self.away_offers < MAX_AWAY_OFFERS)
+        !self.start.has_home || (!self.is_away_full && self.has_away_offers())
+    }
+
+    /// Whether the request may make another offer in other zones.
+    const fn has_away_offers(&self) -> bool {
+        !self.start.has_home || self.away_offers < MAX_AWAY_OFFERS
     }
 
     fn count_offer(&mut self, is_home: bool) {
