--- a/src/ingress/zone_outcomes.rs
+++ b/src/ingress/zone_outcomes.rs
@@ -121,6 +121,7 @@
                 | RefusalReason::Overloaded
                 | RefusalReason::Shed
                 | RefusalReason::LimitReached
+                | RefusalReason::Cold
         )
     )
 }
--- a/tests/rate_flood.rs
+++ b/tests/rate_flood.rs
@@ -153,7 +153,7 @@
 /// lost and again when they return, so that 5 s with both ends of the partition in them admit less.
 #[test]
 fn both_homes_cut_off() {
-    (1..3).for_each(|seed| partition_flood(seed, 25..33, 90.0));
+    (1..3).for_each(|seed| partition_flood(seed, 25..33, 95.0));
 }
 
 /// A home and later a lender restart. The loans of a home that is replaced
--- a/tests/zone_overflow.rs
+++ b/tests/zone_overflow.rs
@@ -206,7 +206,7 @@
 }
 
 /// Guards against requests that are offered to other zones in vain while no zone has room: at 1.3
-/// times the room everywhere, less than one offer for seven requests may cross.
+/// times the room everywhere, at most one offer for ten requests may cross.
 #[test]
 fn full_zones_rarely_cross() {
     let mut service = ZoneService::open(11, INSTANCES, INGRESSES, steady([1.3, 1.3, 1.3]));
@@ -215,5 +215,5 @@
     let offers = service.results.iter().flat_map(|result| &result.crossings);
     let crossings: usize = offers.sum();
     println!("{arrived} arrived, {crossings} offers to other zones");
-    assert!(crossings * 20 < arrived * 3);
+    assert!(crossings * 10 <= arrived);
 }
