Build a queued request once per offer and sum the demand in one place

Cause: the check of the expected wait and the request for a slot each built the queued request, with clones of account and route, for every offer; two functions of the queue by urgency each summed the demand of all ranks. Change: the offer task builds the request once; total_demand serves both. Behaviour is the same.

--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -241,11 +241,12 @@
         let hold = self.egress.sources.slot_hold;
         let mut machine = StartMachine::open(needs_go, hold, self.deadline);
         let mut retry_after = NOT_READY_RETRY_AFTER;
-        if let Some(wait) = self.excessive_wait(key) {
+        let request = self.urgent_request(key);
+        if let Some(wait) = self.excessive_wait(&request) {
             return Ok(StartOutcome::Refused(RefusalReason::Busy, wait));
         }
         let mut waiting = None;
-        let mut event = match self.request_slot(key) {
+        let mut event = match self.request_slot(request) {
             SlotResponse::Immediate(decision) => event_of_decision(decision, &mut retry_after),
             SlotResponse::Pending(_) if !self.offer.may_wait => {
                 return Ok(StartOutcome::Refused(RefusalReason::Busy, BUSY_RETRY_AFTER));
@@ -272,19 +273,17 @@
     }
 
     /// Returns the expected wait for a slot if the offer does not permit so long a wait.
-    fn excessive_wait(&self, key: RequestKey) -> Option<Duration> {
+    fn excessive_wait(&self, request: &UrgentRequest) -> Option<Duration> {
         if self.offer.max_wait_micros == u64::MAX {
             return None;
         }
         let bound = Duration::from_micros(self.offer.max_wait_micros);
-        let request = self.urgent_request(key);
         let dispatcher = self.dispatcher.borrow();
-        let wait = dispatcher.queue().expected_wait(&request, self.clock.now());
+        let wait = dispatcher.queue().expected_wait(request, self.clock.now());
         (wait > bound).then_some(wait)
     }
 
-    fn request_slot(&self, key: RequestKey) -> SlotResponse {
-        let request = self.urgent_request(key);
+    fn request_slot(&self, request: UrgentRequest) -> SlotResponse {
         self.dispatcher
             .borrow_mut()
             .request_slot(request, self.clock.now())
--- a/src/queue/urgency_forecast.rs
+++ b/src/queue/urgency_forecast.rs
@@ -80,13 +80,18 @@
 
     /// Slots that the guarantee of a rank amounts to.
     pub(super) fn guaranteed_slots(&self, rank: UrgencyRank, now: MonoTime) -> f64 {
-        let demands = self.levels.values().map(|level| level.demand(now));
-        let total = demands.sum::<f64>().max(f64::MIN_POSITIVE);
         let own = self
             .levels
             .get(&rank)
             .map_or(0.0, |level| level.demand(now));
-        (f64::from(self.slots) * GUARANTEED_SHARE * own / total).max(f64::MIN_POSITIVE)
+        let slots = f64::from(self.slots) * GUARANTEED_SHARE * own / self.total_demand(now);
+        slots.max(f64::MIN_POSITIVE)
+    }
+
+    /// Work that requests of all ranks ask for, in seconds of service a second; never zero.
+    pub(super) fn total_demand(&self, now: MonoTime) -> f64 {
+        let demands = self.levels.values().map(|level| level.demand(now));
+        demands.sum::<f64>().max(f64::MIN_POSITIVE)
     }
 
     /// Expected time until a slot is free, in seconds.
--- a/src/queue/urgency_order.rs
+++ b/src/queue/urgency_order.rs
@@ -66,8 +66,7 @@
     /// Gives every level that waits its guaranteed part of the `secs` of service that a request of
     /// `chosen` takes.
     fn grant_guarantees(&mut self, chosen: UrgencyRank, secs: f64, now: MonoTime) {
-        let demands = self.levels.values().map(|level| level.demand(now));
-        let total = demands.sum::<f64>().max(f64::MIN_POSITIVE);
+        let total = self.total_demand(now);
         for (rank, level) in &mut self.levels {
             let used_secs = if *rank == chosen { secs } else { 0.0 };
             let share = match level.waiting() > 0 || *rank == chosen {
