Log the end of an instance with the requests that it was running

The ingress computes a digest of each request (client account, method, path, query, body and the route's host) and sends it with the offer. The egress keeps the digests of the running requests of each instance. When a request loses its connection, the egress tries to connect to the instance; if no process listens any more, it logs the instance, and digest and age of each request that was running. A lost connection alone is no evidence, since instances reset connections.

--- a/bench/scaling/codec_scaling.rs
+++ b/bench/scaling/codec_scaling.rs
@@ -46,6 +46,7 @@
         account: "account-1".parse().unwrap(),
         client_account: None,
         caller: None,
+        digest: None,
         request_name: "7-9".to_owned(),
         host: None,
         priority: wagtailtrack::resource::Priority::default(),
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -53,6 +53,9 @@
                 if failure == SendFailure::not_run(FailureCause::ConnectionLost) {
                     self.egress.observe_cold_end(&self.dispatcher);
                 }
+                if failure == SendFailure::may_have_run(FailureCause::ConnectionLost) {
+                    self.egress.observe_lost_connection(&self.dispatcher).await;
+                }
                 self.observe(outcome_of_failure(failure.cause), start, Duration::ZERO);
                 drop(guard);
                 self.report_failure(failure).await
@@ -138,6 +141,9 @@
                 Ok(Some(chunk)) => blocked += self.send_chunk(&chunk).await?,
                 Ok(None) => break,
                 Err(cause) => {
+                    if cause == FailureCause::ConnectionLost {
+                        self.egress.observe_lost_connection(&self.dispatcher).await;
+                    }
                     self.observe(outcome_of_failure(cause), start, blocked);
                     drop(guard);
                     return self.report_failure(SendFailure::may_have_run(cause)).await;
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 
-use crate::egress::{ColdGate, HealthPublication, StatedLimit};
+use crate::egress::{ColdGate, HealthPublication, RunningDigests, StatedLimit};
 use crate::hash::FastMap;
 use crate::health::{HealthChange, ServiceBaseline};
 use crate::health::{InstanceHealth, ServiceSample};
@@ -52,6 +52,7 @@
     waiting: FastMap<RequestKey, oneshot::Sender<SlotDecision>>,
     /// Requests sent to the instance, with the time of sending.
     running: FastMap<RequestKey, MonoTime>,
+    pub(super) digests: RunningDigests,
     probe_target: Option<String>,
 }
 
@@ -73,6 +74,7 @@
             local,
             waiting: FastMap::default(),
             running: FastMap::default(),
+            digests: RunningDigests::default(),
             probe_target: None,
         }
     }
@@ -220,6 +222,7 @@
     /// Frees the slot of a request that was sent and has ended.
     pub fn finish(&mut self, key: RequestKey, now: MonoTime) {
         self.end_trial(key);
+        self.digests.finish(key);
         let started = self.running.remove(&key).unwrap_or(now);
         let actions = self.queue.finish(key, now.since(started), now);
         self.apply_actions(actions);
--- /dev/null
+++ b/src/egress/instance_end.rs
@@ -0,0 +1,51 @@
+//! Finds out whether an instance has ended while it ran requests.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::net::TcpStream;
+
+use crate::egress::EgressHandle;
+use crate::egress::egress_handle::SharedDispatcher;
+use crate::logs::log_target;
+
+/// Longest wait for the answer to a connection attempt. The instance is on the same VM, which refuses at
+/// once if no process listens.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+impl EgressHandle {
+    /// Called when a request has lost its connection. If the instance has ended, logs which requests it
+    /// was running.
+    ///
+    /// A lost connection alone proves nothing: instances reset connections, and links fail. An instance
+    /// that announced that it leaves may end at any time.
+    pub(super) async fn observe_lost_connection(&self, dispatcher: &SharedDispatcher) {
+        let address = dispatcher.borrow().local().address;
+        if !dispatcher.borrow().is_ready() || !refuses_connections(address).await {
+            return;
+        }
+        let now = self.sources.clock.now();
+        let running = dispatcher.borrow_mut().digests.take(now);
+        if running.is_empty() {
+            return;
+        }
+        let requests: Vec<String> = running
+            .iter()
+            .map(|(digest, age)| format!("{digest}:{}ms", age.as_millis()))
+            .collect();
+        log::warn!(
+            target: log_target::EGRESS,
+            instance:% = dispatcher.borrow().local().instance,
+            address:%,
+            running:? = requests;
+            "Instance ended while it ran requests."
+        );
+    }
+}
+
+/// Whether no process listens at `address`.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    matches!(connecting.await, Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused)
+}
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -175,6 +175,10 @@
             StartOutcome::Abandoned => return Ok(()),
         }
         guard.mark_sent();
+        if let Some(digest) = self.offer.digest {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.digests.start(key, digest, self.clock.now());
+        }
         self.into_execution().run(guard).await
     }
 
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -102,6 +102,7 @@
         account: PROBE_NAME.parse::<AccountId>().ok()?,
         client_account: None,
         caller: None,
+        digest: None,
         request_name: format!("{PROBE_NAME}-{}", fastrand::u64(..)),
         host: None,
         priority: Priority::default(),
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -19,7 +19,9 @@
 use crate::resource::RequestClass;
 use crate::retry::RetryBudget;
 use crate::time::{Deadline, MonoTime};
-use crate::wire::{BackendHead, InstancePhase, InstanceRecord, RefusalReason, RequestOffer};
+use crate::wire::{
+    BackendHead, InstancePhase, InstanceRecord, RefusalReason, RequestDigest, RequestOffer,
+};
 
 /// Shortest timeout of an attempt that can be retried at another instance.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -30,6 +32,7 @@
 pub(crate) struct CallerRequest<'a> {
     pub(crate) ingress: &'a IngressHandle,
     pub(crate) id: RequestId,
+    pub(crate) digest: RequestDigest,
     /// The request name that instances see in the request header.
     pub(crate) name: String,
     /// The `Host` header of the caller, with its port.
@@ -204,6 +207,7 @@
             account: self.plan.account.clone(),
             client_account: self.plan.key_account.clone(),
             caller: sources.service.clone(),
+            digest: Some(self.digest),
             request_name: self.name.clone(),
             host: self.host.clone(),
             priority: self.plan.priority,
--- a/src/ingress/request_plan.rs
+++ b/src/ingress/request_plan.rs
@@ -37,6 +37,8 @@
     pub is_unlimited: bool,
     /// The route that matches the host and path.
     pub route: RouteId,
+    /// The host that the route is for; none when it is for any.
+    pub host: Option<HostName>,
     /// The service that serves the request.
     pub service: ServiceId,
     /// The request class.
@@ -102,6 +104,7 @@
             account_weight: account_weight(catalog, &account),
             account,
             route: route.id.clone(),
+            host: route.rules.host.clone(),
             service: id,
             class: route.class,
             weight: service.weights.weight(route.class),
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -22,6 +22,7 @@
 use crate::logs::log_target;
 use crate::resource::KeyHash;
 use crate::time::Deadline;
+use crate::wire::RequestDigest;
 
 /// Serves one request and records its verdict and duration. When the caller disconnects, the request
 /// and its attempt are cancelled at once.
@@ -136,10 +137,12 @@
         check_key_exposure(request, &body, secret)?;
     }
     let headers = rules.forwardable_request(request.headers(), secret.as_deref());
+    let digest = digest(request, &plan, &body);
     let token = admit(ingress, &plan, deadline).await?;
     let call = CallerRequest {
         ingress,
         id,
+        digest,
         name: instance_name(ingress, id, name),
         host: host_header(request).map(str::to_owned),
         plan,
@@ -169,6 +172,12 @@
     }
 }
 
+fn digest(request: &Request, plan: &RequestPlan, body: &Bytes) -> RequestDigest {
+    let (method, target) = (request.method().as_str(), request_target(request));
+    let host = plan.host.as_ref().map(HostName::as_str);
+    RequestDigest::open(&plan.account, method, host, &target, body)
+}
+
 fn plan(
     ingress: &IngressHandle,
     request: &Request,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -17,6 +17,7 @@
 mod peer_call;
 mod peer_opening;
 mod peer_reply;
+mod request_digest;
 mod request_offer;
 
 pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
@@ -39,4 +40,5 @@
 pub use peer_call::PeerCall;
 pub use peer_opening::PeerOpening;
 pub use peer_reply::PeerReply;
+pub use request_digest::RequestDigest;
 pub use request_offer::RequestOffer;
--- a/src/wire/request_offer.rs
+++ b/src/wire/request_offer.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::{AccountId, BootId, InstanceId, RequestId, RouteId, ServiceId};
 use crate::resource::{Priority, RequestClass};
+use crate::wire::RequestDigest;
 
 /// A caller's request, offered for execution on one instance.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -24,6 +25,8 @@
     pub client_account: Option<AccountId>,
     /// The service on the ingress's VM, if the settings name one.
     pub caller: Option<ServiceId>,
+    /// Digest of the request with its body; `None` for a probe.
+    pub digest: Option<RequestDigest>,
     /// Value of the request name header that the instance gets.
     pub request_name: String,
     /// The host that the caller requested, from its `Host` header.
--- a/tests/common/sample_offer.rs
+++ b/tests/common/sample_offer.rs
@@ -15,6 +15,7 @@
         account: "crew".parse().unwrap(),
         client_account: None,
         caller: None,
+        digest: None,
         request_name: "7-9".to_owned(),
         host: None,
         priority: Priority::default(),
