Test that fails: a request that ends each instance that runs it

Six daemons in two zones, an instance each, which is replaced after its end. The same request is sent 18 times, one at a time, 0.4 s apart. On this code it ends 54 instances: four with each of the first requests, as the ingress retries it, then one with each once the retry budget is exhausted. All 54 log lines name the same digest.

--- a/standins/backend/instance_handler.rs
+++ b/standins/backend/instance_handler.rs
@@ -22,6 +22,8 @@
 const DEADLINE: &str = "x-deadline-ms";
 /// Response header with the time that the instance stays cold, in milliseconds.
 const COLD: HeaderName = HeaderName::from_static("x-instance-cold-ms");
+/// Query of a request that ends the process once it has run.
+const CRASH_QUERY: &str = "crash";
 /// Longest wait for a slot of a request without a deadline.
 const MAX_WAIT: Duration = Duration::from_secs(3600);
 /// Upper bound of `bytes=N`, in bytes.
@@ -99,6 +101,10 @@
     }
     let started = Instant::now();
     sleep(time).await;
+    if request.uri().query() == Some(CRASH_QUERY) {
+        // Ends without closing anything in order, as a crash does.
+        std::process::abort();
+    }
     entry.complete();
     let builder = ResponseBuilder {
         headers: request.headers(),
--- a/tests/common/backend_process.rs
+++ b/tests/common/backend_process.rs
@@ -71,7 +71,16 @@
 impl BackendProcess {
     /// Starts an instance that announces itself at `announce`.
     pub async fn open(plan: BackendPlan, announce: Option<SocketAddr>, folder: &Path) -> Self {
-        let address = free_address();
+        Self::open_at(plan, free_address(), announce, folder).await
+    }
+
+    /// As `open`, at `address`.
+    async fn open_at(
+        plan: BackendPlan,
+        address: SocketAddr,
+        announce: Option<SocketAddr>,
+        folder: &Path,
+    ) -> Self {
         let mut arguments: Vec<String> = [
             ("--listen", address.to_string()),
             ("--service", plan.service.clone()),
@@ -97,6 +106,18 @@
         }
     }
 
+    /// Starts an instance at the same address in place of this one, if this one has ended. Returns
+    /// whether it had.
+    pub async fn replace_ended(&mut self, announce: SocketAddr, folder: &Path) -> bool {
+        if self.process.is_running() {
+            return false;
+        }
+        let mut plan = self.plan.clone();
+        plan.instance = format!("{}x", plan.instance);
+        *self = Self::open_at(plan, self.address, Some(announce), folder).await;
+        true
+    }
+
     /// A client that talks to the instance itself.
     pub fn client(&self) -> CallerClient {
         CallerClient::open(self.address)
