Refuse a request that ends the instances that run it

What callers saw: a figure query that ended each instance that ran it came again at one daemon after the other and was retried by each.

Cause: no part of the system connected the end of an instance with the requests that it was running. The egress saw a lost connection, the ingress tried the next instance, and the next daemon knew nothing. The class of fault: evidence on a request was kept with the instance alone, and evidence that one daemon has did not reach the others.

Why this works: the egress reports which requests were running when its instance ended. Reports travel with the daemon's member record, so gossip sends them at once, digests repair what is lost and a pull brings them to daemons that start. A request that was running at an end is suspected: each ingress sends it to the same instance, whose egress runs it beside no other suspect, so that its runs follow one another and the next end tells which request it was. A completed run clears it. After three ends, of which it was the only suspect at one, each ingress answers 400 at once and each egress refuses it. While no instance ends, nothing is sent and no table is looked at.

--- /dev/null
+++ b/src/crashes/suspects_handle.rs
@@ -0,0 +1,136 @@
+//! The table of suspected requests that ingress, egress and membership of a daemon share.
+
+use std::cell::{OnceCell, RefCell};
+use std::rc::Rc;
+
+use serde_json::{Value, json};
+
+use crate::crashes::{CrashRules, RequestStanding, SuspectTable};
+use crate::ids::InstanceId;
+use crate::logs::log_target;
+use crate::time::ProcessClock;
+use crate::wire::{RequestDigest, RunOutcome, RunReport};
+
+/// Sends a report of this daemon to the fleet.
+type ReportPublisher = Box<dyn Fn(&RunReport)>;
+
+/// Handle of the daemon's table of suspected requests; clones share it.
+#[derive(Clone)]
+pub struct SuspectsHandle {
+    clock: ProcessClock,
+    table: Rc<RefCell<SuspectTable>>,
+    /// Empty until the membership runs.
+    publisher: Rc<OnceCell<ReportPublisher>>,
+}
+
+impl SuspectsHandle {
+    /// Opens an empty table.
+    #[must_use]
+    pub fn open(rules: CrashRules, clock: ProcessClock) -> Self {
+        Self {
+            clock,
+            table: Rc::new(RefCell::new(SuspectTable::open(rules))),
+            publisher: Rc::default(),
+        }
+    }
+
+    /// Sets how this daemon's reports reach the fleet. Only the first call has an effect.
+    pub fn publish_by(&self, publish: impl Fn(&RunReport) + 'static) {
+        let _ = self.publisher.set(Box::new(publish));
+    }
+
+    /// What is known of the request now.
+    #[must_use]
+    pub fn standing(&self, digest: RequestDigest) -> RequestStanding {
+        let table = self.table.borrow();
+        match table.is_empty() {
+            true => RequestStanding::Clear,
+            false => table.standing(digest, self.clock.now()),
+        }
+    }
+
+    /// Records and publishes that an instance ended while it ran `running`.
+    pub fn report_end(&self, instance: &InstanceId, running: &[RequestDigest]) {
+        let now = self.clock.now();
+        let reports = self.table.borrow().reports_of_end(running, now);
+        for report in &reports {
+            self.publish(report, &format!("instance {instance}"));
+        }
+    }
+
+    /// Records and publishes that the request ran to its end, if it is suspected.
+    pub fn report_completed(&self, instance: &InstanceId, digest: RequestDigest) {
+        if self.standing(digest).is_suspect() {
+            let report = RunReport::open(digest, RunOutcome::Completed);
+            self.publish(&report, &format!("instance {instance}"));
+        }
+    }
+
+    /// Clears a request of suspicion for an operator; returns false if it is not suspected.
+    pub fn clear(&self, digest: RequestDigest) -> bool {
+        let is_suspect = self.standing(digest).is_suspect();
+        if is_suspect {
+            self.publish(&RunReport::open(digest, RunOutcome::Cleared), "an operator");
+        }
+        is_suspect
+    }
+
+    /// Takes in reports of other daemons.
+    pub fn receive(&self, reports: &[RunReport]) {
+        for report in reports {
+            self.record(report, "another daemon");
+        }
+    }
+
+    /// The report of the last end that counts against the request.
+    #[must_use]
+    pub fn last_end(&self, digest: RequestDigest) -> Option<RunReport> {
+        self.table.borrow().last_end(digest)
+    }
+
+    /// The reports that a daemon needs that starts.
+    #[must_use]
+    pub fn reports(&self) -> Vec<RunReport> {
+        self.table.borrow().reports(self.clock.now())
+    }
+
+    /// The suspected and refused requests as JSON, for operators.
+    #[must_use]
+    pub fn dump(&self) -> Value {
+        let suspects = self.table.borrow().suspects(self.clock.now());
+        let lines = suspects.into_iter().map(|(digest, standing)| {
+            let (state, ends) = match standing {
+                RequestStanding::Clear => ("clear", 0),
+                RequestStanding::Suspected(ends) => ("suspected", ends),
+                RequestStanding::Refused(ends) => ("refused", ends),
+            };
+            json!({ "digest": digest.to_string(), "state": state, "instances_ended": ends })
+        });
+        Value::Array(lines.collect())
+    }
+
+    fn publish(&self, report: &RunReport, source: &str) {
+        self.record(report, source);
+        if let Some(publish) = self.publisher.get() {
+            publish(report);
+        }
+    }
+
+    fn record(&self, report: &RunReport, source: &str) {
+        let now = self.clock.now();
+        let change = self.table.borrow_mut().record(report, now);
+        let Some((before, after)) = change else {
+            return;
+        };
+        log::info!(
+            target: log_target::CRASHES,
+            digest:% = report.digest,
+            report:% = report.id,
+            outcome:% = report.outcome,
+            source,
+            before:?,
+            after:?;
+            "Evidence on a request that was running when an instance ended."
+        );
+    }
+}
--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -7,6 +7,7 @@
 
 use crate::admin::{AdminServer, AdminSources};
 use crate::config::{ConfigHandle, ConfigSources, DocumentPeers};
+use crate::crashes::{CrashRules, SuspectsHandle};
 use crate::daemon::ProtocolAdapters;
 use crate::daemon::daemon_view::DaemonView;
 use crate::daemon::record_publisher::RecordPublisher;
@@ -34,6 +35,7 @@
     headers: Rc<HeaderRules>,
     pub(crate) zone_traffic: Rc<ZoneTraffic>,
     peers: PeerPool,
+    pub(crate) suspects: SuspectsHandle,
     platform: Rc<dyn PlatformService>,
     adapters: ProtocolAdapters,
     metrics: Rc<MetricsExport>,
@@ -49,11 +51,16 @@
         let clock = ProcessClock::open();
         let metrics = Rc::new(MetricsExport::open().map_err(io::Error::other)?);
         let platform = Rc::clone(&adapters.platform);
+        let rules = CrashRules {
+            limit: settings.proxy.crash_limit as usize,
+            hold: settings.proxy.crash_hold.get(),
+        };
         let zone_traffic = Rc::new(ZoneTraffic::open(&settings.zone));
         Ok(Self {
             boot: BootId(fastrand::u64(1..)),
             clock,
             peers: PeerPool::open_counted(key.clone(), Rc::clone(&zone_traffic)),
+            suspects: SuspectsHandle::open(rules, clock),
             zone_traffic,
             key,
             stopping: Rc::default(),
@@ -119,6 +126,7 @@
             on_revision: Rc::new(move |revision, from| {
                 announced.revision_announced(revision, from)
             }),
+            suspects: self.suspects.clone(),
             start_spread: settings.start_spread.get(),
             seed: fastrand::u64(..),
         };
@@ -127,6 +135,9 @@
             .map_err(|cause| bind_error("listen.peers", settings.listen.peers, &cause))?;
         // The cell is still empty, since this function runs once per daemon.
         let _ = self.members.set(handle.clone());
+        let publisher = handle.clone();
+        self.suspects
+            .publish_by(move |report| publisher.publish_run(report));
         Ok(handle)
     }
 
@@ -186,6 +197,7 @@
                 record_filter.borrow_mut().usable(service, all, &zones)
             }),
             zone_gate: Rc::new(move || gate.zone_gate(&own_zone)),
+            suspects: self.suspects.clone(),
             member_count: Rc::new(move || counted.live_count()),
             accepts_work: Rc::new(move |instance| {
                 announce
@@ -252,6 +264,7 @@
             limits: limits.clone(),
             members: members.clone(),
             durations: self.metrics.durations(),
+            suspects: self.suspects.clone(),
         };
         IngressHandle::bind(address, sources)
             .await
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -6,6 +6,7 @@
 
 use serde_json::json;
 
+use crate::crashes::SuspectsHandle;
 use crate::egress::evacuation_gate::EvacuationGate;
 use crate::egress::{
     BackendClient, ClientOptions, ColdWatch, HealthPublication, InstanceDispatcher, offer_task,
@@ -62,6 +63,8 @@
     pub publish: StatePublisher,
     /// Whether the availability zone of the instances is in service.
     pub zone_gate: Rc<dyn Fn() -> ZoneGate>,
+    /// The requests that may end instances.
+    pub suspects: SuspectsHandle,
 }
 
 pub(crate) type SharedDispatcher = Rc<RefCell<InstanceDispatcher>>;
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -16,7 +16,9 @@
 use crate::peers::{PeerError, PeerReceiver, PeerSender};
 use crate::time::{Deadline, MonoTime, ProcessClock};
 use crate::units::Rate;
-use crate::wire::{EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer};
+use crate::wire::{
+    EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer, RunReport,
+};
 
 /// Maximum size of the body that is read of a response that says that the request was not run, in
 /// bytes.
@@ -153,6 +155,10 @@
         log::debug!(target: log_target::EGRESS, request = self.offer.request_name, status = response.head.status, bytes = response.received_bytes(); "Response forwarded to the ingress.");
         self.observe(outcome_of_status(response.head.status), start, blocked);
         self.update_probe_target(response.head.status);
+        if let Some(digest) = self.offer.digest {
+            let suspects = &self.egress.sources.suspects;
+            suspects.report_completed(&self.offer.instance, digest);
+        }
         drop(guard);
         let total_bytes = response.received_bytes();
         let address = self.dispatcher.borrow().local().address;
@@ -203,12 +209,20 @@
         let message = EgressMessage::Failed {
             verdict: failure.verdict,
             cause: failure.cause,
+            end: self.report_of_end(failure.cause),
             load,
         };
         self.sender.send(&message).await?;
         self.sender.finish()
     }
 
+    /// The report on the request, if its instance has ended.
+    fn report_of_end(&self, cause: FailureCause) -> Option<RunReport> {
+        let digest = self.offer.digest?;
+        let has_lost = cause == FailureCause::ConnectionLost;
+        has_lost.then(|| self.egress.sources.suspects.last_end(digest))?
+    }
+
     /// Records the outcome of the request in the log, the metrics and the instance's health.
     fn observe(&self, outcome: SampleOutcome, start: MonoTime, blocked: Duration) {
         let total = self.clock.now().since(start);
--- a/src/egress/instance_end.rs
+++ b/src/egress/instance_end.rs
@@ -15,8 +15,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl EgressHandle {
-    /// Called when a request has lost its connection. If the instance has ended, logs which requests it
-    /// was running.
+    /// Called when a request has lost its connection. If the instance has ended, reports the requests
+    /// that it was running.
     ///
     /// A lost connection alone proves nothing: instances reset connections, and links fail. An instance
     /// that announced that it leaves may end at any time.
@@ -41,6 +41,9 @@
             running:? = requests;
             "Instance ended while it ran requests."
         );
+        let digests: Vec<_> = running.into_iter().map(|(digest, _)| digest).collect();
+        let instance = dispatcher.borrow().local().instance.clone();
+        self.sources.suspects.report_end(&instance, &digests);
     }
 }
 
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
+use crate::crashes::RequestStanding;
 use crate::egress::egress_handle::SharedDispatcher;
 use crate::egress::execution_task::ExecutionTask;
 use crate::egress::{
@@ -28,6 +29,9 @@
 /// Retry-after time when all slots are in use and the request must not wait.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-after time of a suspected request while another one runs at the instance.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Retry-after time while the availability zone is evacuated. Other zones serve the request meanwhile.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -77,6 +81,9 @@
     if !egress.accepts_requests(dispatcher) {
         return Err((RefusalReason::NotReady, NOT_READY_RETRY_AFTER));
     }
+    if let Some(reason) = suspect_refusal(egress, dispatcher, offer) {
+        return Err((reason, SUSPECT_RETRY_AFTER));
+    }
     let now = egress.sources.clock.now();
     let mut dispatcher = dispatcher.borrow_mut();
     if !dispatcher.admits(offer.idempotent, offer.is_forced, now) {
@@ -88,6 +95,26 @@
     claimed.map_err(|retry_after| (RefusalReason::Cold, retry_after))
 }
 
+/// Why the request may not run at the instance because it ends instances, or may: then it runs only
+/// beside requests that are not suspected, so that the end of the instance tells which one is guilty.
+fn suspect_refusal(
+    egress: &EgressHandle,
+    dispatcher: &SharedDispatcher,
+    offer: &RequestOffer,
+) -> Option<RefusalReason> {
+    let suspects = &egress.sources.suspects;
+    match suspects.standing(offer.digest?) {
+        RequestStanding::Clear => None,
+        RequestStanding::Refused(_) => Some(RefusalReason::EndsInstances),
+        RequestStanding::Suspected(_) => {
+            let is_suspect = |digest| suspects.standing(digest).is_suspect();
+            let digests = &dispatcher.borrow().digests;
+            let is_running = digests.any_other(request_key(offer), is_suspect);
+            is_running.then_some(RefusalReason::SuspectRunning)
+        }
+    }
+}
+
 const fn request_key(offer: &RequestOffer) -> RequestKey {
     RequestKey {
         boot: offer.boot,
@@ -182,14 +209,19 @@
         self.into_execution().run(guard).await
     }
 
-    /// Lets a request that may run through the gates of the zone and of a cold instance, which may have
-    /// closed while it waited. No request passes to the instance after this.
+    /// Lets a request that may run through the gates of the zone, of requests that end instances and of
+    /// a cold instance, which may have closed while it waited. No request passes to the instance after this.
     fn pass_gates(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
         match self.pass_zone_gate(outcome) {
             StartOutcome::Run if !self.is_dispatcher_current() => {
                 StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER)
             }
-            StartOutcome::Run => self.pass_cold(key),
+            StartOutcome::Run => {
+                match suspect_refusal(self.egress, &self.dispatcher, &self.offer) {
+                    Some(reason) => StartOutcome::Refused(reason, SUSPECT_RETRY_AFTER),
+                    None => self.pass_cold(key),
+                }
+            }
             outcome => outcome,
         }
     }
--- a/src/ingress/attempt_history.rs
+++ b/src/ingress/attempt_history.rs
@@ -54,7 +54,8 @@
     /// Attempts in `tried` that provably sent nothing to an instance.
     unreached: usize,
     tried: Vec<InstanceId>,
-    /// Instances in `tried` that refused because every slot was taken.
+    /// Instances in `tried` that refused because every slot was taken, or because another request had to
+    /// end first.
     busy: Vec<InstanceId>,
     /// Whether the busy instances were made eligible again.
     is_busy_retried: bool,
@@ -127,6 +128,12 @@
             .is_some_and(|failure| failure.reason == Some(RefusalReason::Busy))
     }
 
+    /// Returns whether `instance` was tried and may not be offered the request again.
+    #[must_use]
+    pub fn is_excluded(&self, instance: &InstanceId) -> bool {
+        self.tried.contains(instance) && !self.busy.contains(instance)
+    }
+
     /// Returns whether any tried instance was refused only because every slot was taken.
     #[must_use]
     pub fn has_busy(&self) -> bool {
@@ -165,7 +172,10 @@
 
     /// Records that the current attempt returned no response.
     pub fn record_failure(&mut self, failure: AttemptFailure) {
-        if failure.reason == Some(RefusalReason::Busy) {
+        if matches!(
+            failure.reason,
+            Some(RefusalReason::Busy | RefusalReason::SuspectRunning)
+        ) {
             self.busy.extend(self.tried.last().cloned());
         }
         if failure.is_unreached() {
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 
+use crate::crashes::SuspectsHandle;
 use crate::execution_verdict::ExecutionVerdict;
 use crate::ingress::held_body::HeldBody;
 use crate::ingress::shutdown_signal::ShutdownSignal;
@@ -73,6 +74,8 @@
     pub(crate) buffer_bytes: usize,
     /// Memory for the responses to all callers.
     pub(crate) answer_budget: &'a BodyBudget,
+    /// Takes in that the instance ended while it ran the request.
+    pub(crate) suspects: &'a SuspectsHandle,
 }
 
 impl AttemptTask<'_> {
@@ -141,8 +144,10 @@
                 EgressMessage::Failed {
                     verdict,
                     cause,
+                    end,
                     load,
                 } => {
+                    self.suspects.receive(end.as_slice());
                     return Ok(failed_outcome(machine, verdict, cause, load));
                 }
                 EgressMessage::Chunk(_) | EgressMessage::End { .. } => {
@@ -180,8 +185,10 @@
                 EgressMessage::Failed {
                     verdict,
                     cause,
+                    end,
                     load,
                 } => {
+                    self.suspects.receive(end.as_slice());
                     return Ok(failed_outcome(machine, verdict, cause, load));
                 }
                 _ => return Err(PeerError::UnexpectedMessage),
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -6,6 +6,7 @@
 use actix_http::body::BoxBody;
 use bytes::Bytes;
 
+use crate::crashes::RequestStanding;
 use crate::execution_verdict::ExecutionVerdict;
 use crate::http::HeaderList;
 use crate::ids::RequestId;
@@ -66,7 +67,7 @@
         let mut last_response = None;
         self.with_budget(|budget, now| budget.record_attempt(now));
         let mut zones = self.open_zone_attempts();
-        while let Some(chosen) = self.choose_instance(&mut history, zones.as_mut()) {
+        while let Some(chosen) = self.next_attempt(&mut history, zones.as_mut()) {
             let record = &chosen.record;
             history.record_attempt(record.instance.clone());
             let begin = self.ingress.sources.clock.now();
@@ -107,6 +108,9 @@
                     if !self.may_retry(&history, failure.verdict, failure.is_unreached()) {
                         break;
                     }
+                    if failure.reason == Some(RefusalReason::SuspectRunning) {
+                        actix_rt::time::sleep(failure.retry_after).await;
+                    }
                 }
             }
         }
@@ -116,6 +120,24 @@
         }
     }
 
+    /// Chooses the instance of the next offer; none when no instance may take the request.
+    fn next_attempt(
+        &self,
+        history: &mut AttemptHistory,
+        zones: Option<&mut ZoneAttempts>,
+    ) -> Option<ChosenInstance> {
+        match self.standing() {
+            RequestStanding::Suspected(_) => self.choose_for_suspect(history),
+            RequestStanding::Clear | RequestStanding::Refused(_) => {
+                self.choose_instance(history, zones)
+            }
+        }
+    }
+
+    fn standing(&self) -> RequestStanding {
+        self.ingress.sources.suspects.standing(self.digest)
+    }
+
     /// Refuses a request that its service has no room for in time. Requests that a running request
     /// waits for are always offered: refusing one would waste the work on the request that made it.
     fn check_pressure(&self) -> Result<(), RequestRefusal> {
@@ -149,6 +171,9 @@
     fn refusal(&self, history: &AttemptHistory) -> RequestRefusal {
         match history.refusal(self.deadline_passed()) {
             refusal if refusal.verdict() != ExecutionVerdict::NotRun => refusal,
+            RequestRefusal::NoCapacity(Some(RefusalReason::EndsInstances), _) => {
+                RequestRefusal::EndsInstances
+            }
             _ if self.is_cut_off() => RequestRefusal::Stopping,
             RequestRefusal::NoCapacity(None, span) if self.is_evacuated() => {
                 RequestRefusal::NoCapacity(Some(RefusalReason::Evacuated), span)
@@ -169,6 +194,7 @@
             deadline,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
             answer_budget: &self.ingress.answer_budget,
+            suspects: &sources.suspects,
         };
         let offer = self.offer(chosen, deadline);
         task.run(offer, self.body.clone()).await
@@ -268,6 +294,8 @@
     ) -> bool {
         let obstacle = if !verdict.allows_retry(self.plan.idempotent) {
             Some("the request may have run and is not idempotent")
+        } else if let Some(obstacle) = self.suspicion(is_unreached) {
+            Some(obstacle)
         } else if history.is_last() {
             Some("the maximum number of attempts is reached")
         } else if self.deadline_passed() {
@@ -298,6 +326,18 @@
         true
     }
 
+    /// Why a request that may end instances is not sent again. After one end it is, since most of the
+    /// requests that run when an instance ends are innocent.
+    fn suspicion(&self, is_unreached: bool) -> Option<&'static str> {
+        match self.standing() {
+            RequestStanding::Refused(_) => Some("the request ends the instances that run it"),
+            RequestStanding::Suspected(ends) if ends > 1 && !is_unreached => {
+                Some("several instances have ended while they ran the request")
+            }
+            RequestStanding::Suspected(_) | RequestStanding::Clear => None,
+        }
+    }
+
     pub(crate) fn with_budget<T>(&self, act: impl FnOnce(&mut RetryBudget, MonoTime) -> T) -> T {
         let now = self.ingress.sources.clock.now();
         let share = self.plan.retry_budget;
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -10,6 +10,7 @@
 use crate::balance::{InstancePicker, ServiceZones, TrafficSplitter, ZoneLine, ZoneRouter};
 use crate::baseline::{RoundRobin, StaticLimiter};
 use crate::config::ConfigHandle;
+use crate::crashes::SuspectsHandle;
 use crate::evacuation::{AvoidedZones, RecordFilter};
 use crate::hash::FastMap;
 use crate::http::{HeaderRules, HttpHandler, HttpServer, HttpTimeouts};
@@ -54,6 +55,8 @@
     pub members: MembersHandle,
     /// Duration histograms.
     pub durations: DurationMetrics,
+    /// The requests that may end instances.
+    pub suspects: SuspectsHandle,
 }
 
 /// Mutable state that requests share.
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::balance::{PickCriteria, PickScope};
+use crate::hash::rendezvous_score;
 use crate::ids::{InstanceId, ZoneId};
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::offer_wait::OfferWait;
@@ -92,6 +93,31 @@
         })
     }
 
+    /// Picks the instance for a request that may end instances: the same one at each ingress, so that
+    /// in the whole fleet one run follows the other.
+    pub(crate) fn choose_for_suspect(&self, history: &AttemptHistory) -> Option<ChosenInstance> {
+        let records = self.usable_instances();
+        let candidates = records.iter().filter(|record| {
+            record.phase == InstancePhase::Ready
+                && record.health.accepts(self.plan.idempotent)
+                && !history.is_excluded(&record.instance)
+        });
+        let score = |record: &&InstanceRecord| {
+            rendezvous_score(record.instance.as_str(), self.digest.content)
+        };
+        let record = candidates.max_by_key(score)?.clone();
+        let now = self.ingress.sources.clock.now();
+        self.ingress.with_picker(&self.plan.service, |picker, _| {
+            picker.retain(&records);
+            picker.on_start(&record.instance, now);
+        });
+        Some(ChosenInstance {
+            record,
+            is_forced: false,
+            wait: OfferWait::Unbounded,
+        })
+    }
+
     /// The records whose instances may get requests: without those in evacuated zones and in zones that
     /// refused a request because of an evacuation. Records of other regions are added when no ready
     /// instance of this region is left.
--- a/src/ingress/request_refusal.rs
+++ b/src/ingress/request_refusal.rs
@@ -45,6 +45,8 @@
     NoCapacity(Option<RefusalReason>, Duration),
     /// The service has no room in time for requests of this priority; holds when to retry.
     ServiceFull(Priority, Duration),
+    /// The request ends the instances that run it.
+    EndsInstances,
     /// The deadline passed before an instance ran the request.
     DeadlinePassed,
     /// The caller closed its connection before the response was ready.
@@ -62,7 +64,10 @@
     pub const fn status(&self) -> StatusCode {
         match self {
             Self::NoKey | Self::UnknownKey | Self::WithdrawnKey => StatusCode::UNAUTHORIZED,
-            Self::KeyExposed | Self::BadDeadline(_) => StatusCode::BAD_REQUEST,
+            // Callers take 400 as final; they send a request again after most other answers.
+            Self::KeyExposed | Self::BadDeadline(_) | Self::EndsInstances => {
+                StatusCode::BAD_REQUEST
+            }
             Self::BadBody(error) => error.status(),
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Forbidden | Self::NoRateLimit => StatusCode::FORBIDDEN,
@@ -192,6 +197,9 @@
             Self::ServiceFull(priority, _) => {
                 write!(formatter, "the service has no room in time for priority {priority}")
             }
+            Self::EndsInstances => formatter.write_str(
+                "the backend servers that ran this request ended; do not send it again",
+            ),
             Self::DeadlinePassed => {
                 formatter.write_str("the deadline passed before the request was started")
             }
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -138,6 +138,9 @@
     }
     let headers = rules.forwardable_request(request.headers(), secret.as_deref());
     let digest = digest(request, &plan, &body);
+    if ingress.sources.suspects.standing(digest).is_refused() {
+        return Err(RequestRefusal::EndsInstances);
+    }
     let token = admit(ingress, &plan, deadline).await?;
     let call = CallerRequest {
         ingress,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod baseline;
 pub mod client;
 pub mod config;
+pub mod crashes;
 pub mod daemon;
 pub mod egress;
 pub mod evacuation;
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -22,6 +22,8 @@
     pub const INSTANCES: &str = "instances";
     /// Rate limits.
     pub const LIMITS: &str = "limits";
+    /// Requests that end the instances that run them.
+    pub const CRASHES: &str = "crashes";
     /// Ejection and readmission of instances.
     pub const HEALTH: &str = "health";
     /// Configuration.
--- a/src/members/gossip_action.rs
+++ b/src/members/gossip_action.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::ids::{RegionId, Revision, ServiceId};
-use crate::wire::GossipMessage;
+use crate::wire::{GossipMessage, RunReport};
 
 /// An effect that the caller of `GossipCore` carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     },
     /// Report the configuration revision and the address of the peer that advertised it.
     ReportRevision(Revision, SocketAddr),
+    /// Report what another daemon says of requests that may end instances.
+    ReportRuns(Vec<RunReport>),
     /// Pull the differing owners from this peer, because the views differ too much for datagrams.
     PullView(SocketAddr),
     /// Query a daemon of another region for a service without ready instances in the own one.
--- a/src/members/gossip_core.rs
+++ b/src/members/gossip_core.rs
@@ -14,11 +14,14 @@
     IndirectProbes, LiveMember, LocalRecords, RemoteServices,
 };
 use crate::time::{Deadline, MonoTime};
-use crate::wire::{InstancePhase, InstanceRecord, MemberRecord, MemberState};
+use crate::wire::{InstancePhase, InstanceRecord, MemberRecord, MemberState, RunReport};
 
 const MAX_BOOTSTRAP_ADDRESSES: usize = 64;
 // Members that a leaving daemon tells directly.
 const LEAVE_FANOUT: usize = 8;
+// Latest reports on requests that the own record carries. Those before are known to the fleet; a daemon
+// that starts hears of them by a pull.
+const MAX_RUNS: usize = 12;
 // Interval between removals of dead members and gone records whose retention has ended.
 const PURGE_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -176,6 +179,29 @@
         context.actions
     }
 
+    /// Publishes a report on a request that may end instances, at once and to the whole fleet.
+    pub fn publish_run(
+        &mut self,
+        report: &RunReport,
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<GossipAction> {
+        let mut own = self.view.own().clone();
+        own.incarnation = own.incarnation.next();
+        own.runs.push(*report);
+        let surplus = own.runs.len().saturating_sub(MAX_RUNS);
+        own.runs.drain(..surplus);
+        let key = ChangeKey::Member(own.daemon.clone());
+        self.view.set_own(own);
+        self.queue.push_urgent(key.clone());
+        let mut context = GossipContext::open(now, rng);
+        self.push_to_some(self.forward_fanout(), PushScope::Fleet, &mut context);
+        self.schedule_repeat(now);
+        self.note_crossing(&key, now);
+        self.cross_urgent(&mut context);
+        context.actions
+    }
+
     /// Publishes that a local instance is gone.
     pub fn remove(
         &mut self,
--- a/src/members/gossip_crossings.rs
+++ b/src/members/gossip_crossings.rs
@@ -35,7 +35,7 @@
             ChangeKey::Member(daemon) => match self.view.member(daemon) {
                 Some(record) => (
                     &record.zone,
-                    !record.state.is_live(),
+                    !record.state.is_live() || record.has_urgent_runs(),
                     matches!(record.state, MemberState::Suspect(_) | MemberState::Dead),
                 ),
                 None => return,
--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -49,7 +49,7 @@
     }
 
     fn merge_updates(&mut self, message: &GossipMessage, context: &mut GossipContext<'_>) {
-        let (mut has_left, mut is_urgent, mut has_news) = (false, false, false);
+        let (mut concerns_fleet, mut is_urgent, mut has_news) = (false, false, false);
         for record in &message.members {
             context.is_introduction |= record.daemon == message.sender;
             if self.forward_accusation(record, Some(&message.sender), context) {
@@ -58,7 +58,12 @@
             let is_relay = self.zones.relays.is_relay_of_zone(&record.daemon);
             let newer = self.merge_member(record, context.now, true);
             has_news |= newer;
-            has_left |= newer && record.state == MemberState::Left;
+            if newer && !record.runs.is_empty() {
+                let runs = record.runs.clone();
+                context.actions.push(GossipAction::ReportRuns(runs));
+            }
+            concerns_fleet |= newer && record.state == MemberState::Left;
+            concerns_fleet |= newer && record.has_urgent_runs();
             // The next by rank takes the place of a lost relay as soon as it hears of it.
             is_urgent |= newer && is_relay && record.state != MemberState::Alive;
         }
@@ -68,10 +73,10 @@
             is_urgent |= newer && record.is_urgent();
         }
         self.zones.needs_sync |= has_news;
-        if has_left || is_urgent {
+        if concerns_fleet || is_urgent {
             self.schedule_repeat(context.now);
         }
-        if has_left {
+        if concerns_fleet {
             self.push_to_some(self.forward_fanout(), PushScope::Fleet, context);
         } else if is_urgent {
             self.push_to_some(self.forward_fanout(), PushScope::Region, context);
--- a/src/members/gossip_repair.rs
+++ b/src/members/gossip_repair.rs
@@ -60,6 +60,7 @@
         InstancesReply::Owners {
             owners: states,
             next,
+            runs: Vec::new(),
         }
     }
 
@@ -89,7 +90,11 @@
         let mut context = GossipContext::open(now, rng);
         for state in owners {
             if !self.forward_accusation(&state.member, None, &mut context) {
-                self.merge_member(&state.member, now, false);
+                let newer = self.merge_member(&state.member, now, false);
+                if newer && !state.member.runs.is_empty() {
+                    let runs = state.member.runs.clone();
+                    context.actions.push(GossipAction::ReportRuns(runs));
+                }
             }
             for record in &state.instances {
                 self.merge_record(record, false, &mut context);
--- a/src/members/gossip_send.rs
+++ b/src/members/gossip_send.rs
@@ -122,6 +122,9 @@
         };
         match key {
             ChangeKey::Member(daemon) if !self.view.is_live(daemon) => full + pushed_in_zone,
+            ChangeKey::Member(daemon) if self.has_urgent_runs(daemon) => {
+                full + EXTRA_URGENT_TRANSMISSIONS + pushed_in_zone
+            }
             ChangeKey::Member(_) => full,
             ChangeKey::Instance(instance) if self.is_urgent(instance) => {
                 full + EXTRA_URGENT_TRANSMISSIONS + pushed_in_zone
@@ -130,6 +133,11 @@
         }
     }
 
+    fn has_urgent_runs(&self, daemon: &DaemonId) -> bool {
+        let record = self.view.member(daemon);
+        record.is_some_and(MemberRecord::has_urgent_runs)
+    }
+
     fn is_urgent(&self, instance: &InstanceId) -> bool {
         let record = self.view.records().get(instance);
         record.is_some_and(InstanceRecord::is_urgent)
--- a/src/members/member_sources.rs
+++ b/src/members/member_sources.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::crashes::SuspectsHandle;
 use crate::ids::{BootId, DaemonId, RegionId, Revision, ZoneId};
 use crate::peers::{FleetKey, PeerPool};
 use crate::platform::PlatformService;
@@ -36,6 +37,8 @@
     pub own_revision: Rc<dyn Fn() -> Revision>,
     /// Called on each message received, with the revision and the address of the sender.
     pub on_revision: Rc<dyn Fn(Revision, SocketAddr)>,
+    /// The requests that may end instances, as this daemon knows them.
+    pub suspects: SuspectsHandle,
     /// Time over which daemons that start together spread their first read of the directory.
     pub start_spread: Duration,
     /// Seed of the random generator.
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -13,7 +13,9 @@
 use crate::members::{
     DatagramCodec, GossipAction, GossipCore, LiveMember, MemberDirectory, MemberSources,
 };
-use crate::wire::{InstanceRecord, InstancesCall, InstancesReply, MemberRecord, MemberState};
+use crate::wire::{
+    InstanceRecord, InstancesCall, InstancesReply, MemberRecord, MemberState, RunReport,
+};
 
 // Longest wait for the deletion of the own row when the daemon leaves.
 const ROW_DELETE_TIMEOUT: Duration = Duration::from_millis(50);
@@ -128,6 +130,12 @@
         self.execute(actions);
     }
 
+    /// Publishes a report of this daemon on a request that may end instances.
+    pub fn publish_run(&self, report: &RunReport) {
+        let actions = self.with_core(|core, rng, now| core.publish_run(report, now, rng));
+        self.execute(actions);
+    }
+
     /// Publishes that a local instance is gone.
     pub fn remove(&self, instance: &InstanceId) {
         let actions = self.with_core(|core, rng, now| core.remove(instance, now, rng));
@@ -136,7 +144,13 @@
 
     /// Answers a pull or a service query of a peer.
     pub async fn serve(&self, call: InstancesCall) -> InstancesReply {
-        self.state.core.borrow().serve(&call)
+        let mut reply = self.state.core.borrow().serve(&call);
+        if let (InstancesCall::Pull { from: 0, .. }, InstancesReply::Owners { runs, .. }) =
+            (&call, &mut reply)
+        {
+            *runs = self.state.sources.suspects.reports();
+        }
+        reply
     }
 
     /// Tells several daemons that this one leaves, then deletes its row of the member directory if
@@ -198,6 +212,7 @@
                 GossipAction::ReportRevision(revision, from) => {
                     (self.state.sources.on_revision)(revision, from);
                 }
+                GossipAction::ReportRuns(runs) => self.state.sources.suspects.receive(&runs),
                 GossipAction::PullView(peer) => {
                     actix_rt::spawn(self.clone().pull(peer));
                 }
@@ -226,5 +241,6 @@
         zone: sources.zone.clone(),
         region: sources.region.clone(),
         state: MemberState::Alive,
+        runs: Vec::new(),
     }
 }
--- a/src/members/members_pulls.rs
+++ b/src/members/members_pulls.rs
@@ -35,7 +35,8 @@
             .call(peer, call, PULL_TIMEOUT)
             .await;
         match reply {
-            Ok(PeerReply::Instances(InstancesReply::Owners { owners, next })) => {
+            Ok(PeerReply::Instances(InstancesReply::Owners { owners, next, runs })) => {
+                self.state.sources.suspects.receive(&runs);
                 let actions =
                     self.with_core(|core, rng, now| core.merge_pull_page(&owners, now, rng));
                 self.execute(actions);
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -55,6 +55,10 @@
     /// reserve of its own.
     #[serde(deserialize_with = "whole_count")]
     pub retry_reserve: Option<u32>,
+    /// Instances that must have ended while they ran a request until it is refused; 0 turns this off.
+    pub crash_limit: u32,
+    /// How long a request is refused after the last end of an instance that it caused.
+    pub crash_hold: TimeSpan,
 }
 
 impl Default for ProxySettings {
@@ -78,6 +82,8 @@
             zone_cost: ZoneCost::default(),
             zone_overflow: ZoneOverflow::Off,
             retry_reserve: None,
+            crash_limit: 3,
+            crash_hold: TimeSpan::from_secs(600),
         }
     }
 }
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::execution_verdict::ExecutionVerdict;
-use crate::wire::InstanceLoad;
+use crate::wire::{InstanceLoad, RunReport};
 
 /// A message from the egress to the ingress.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -40,6 +40,8 @@
         verdict: ExecutionVerdict,
         /// Why there is no complete response.
         cause: FailureCause,
+        /// The report on the request, if the instance ended while it ran the request.
+        end: Option<RunReport>,
         /// The instance's load when the message was sent.
         load: InstanceLoad,
     },
@@ -89,6 +91,10 @@
     Evacuated,
     /// The instance is cold, or may be, and has got as many requests as it takes then.
     Cold,
+    /// The request ends the instances that run it.
+    EndsInstances,
+    /// The request may end instances, and the instance is running another that may.
+    SuspectRunning,
 }
 
 impl RefusalReason {
@@ -115,6 +121,8 @@
             Self::LimitReached => "the instance takes no more requests a second",
             Self::Evacuated => "the availability zone is evacuated",
             Self::Cold => "the instance is cold and takes few requests",
+            Self::EndsInstances => "the request ends the instances that run it",
+            Self::SuspectRunning => "the request waits for another that may end instances",
         })
     }
 }
--- a/src/wire/instances_call.rs
+++ b/src/wire/instances_call.rs
@@ -3,7 +3,7 @@
 use bincode::{Decode, Encode};
 
 use crate::ids::{RegionId, ServiceId};
-use crate::wire::{InstanceRecord, MemberRecord, OwnerDigest};
+use crate::wire::{InstanceRecord, MemberRecord, OwnerDigest, RunReport};
 
 /// A request to another daemon about members and instances.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -31,6 +31,8 @@
         owners: Vec<OwnerState>,
         /// Lowest name hash of the next page; `None` after the last page.
         next: Option<u32>,
+        /// With the first page, what the receiver knows of requests that may end instances.
+        runs: Vec<RunReport>,
     },
     /// Reply to `Service`: the instances of the service.
     Service(Vec<InstanceRecord>),
--- a/src/wire/member_record.rs
+++ b/src/wire/member_record.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::ids::{BootId, DaemonId, Incarnation, RegionId, ZoneId};
+use crate::wire::RunReport;
 
 /// Membership state of a daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode, Serialize)]
@@ -58,6 +59,9 @@
     pub region: RegionId,
     /// Membership state.
     pub state: MemberState,
+    /// The daemon's latest reports on requests that may end instances; empty as long as no instance
+    /// beside it ends.
+    pub runs: Vec<RunReport>,
 }
 
 impl MemberRecord {
@@ -67,6 +71,13 @@
         (self.incarnation, self.state.rank()) > (other.incarnation, other.state.rank())
     }
 
+    /// Whether other daemons must learn of the record at once, because it tells of requests that may
+    /// end instances.
+    #[must_use]
+    pub fn has_urgent_runs(&self) -> bool {
+        self.state == MemberState::Alive && !self.runs.is_empty()
+    }
+
     /// A copy of the record with another state.
     #[must_use]
     pub fn with_state(&self, state: MemberState) -> Self {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -19,6 +19,7 @@
 mod peer_reply;
 mod request_digest;
 mod request_offer;
+mod run_report;
 
 pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
 pub use config_call::{
@@ -42,3 +43,4 @@
 pub use peer_reply::PeerReply;
 pub use request_digest::RequestDigest;
 pub use request_offer::RequestOffer;
+pub use run_report::{RunOutcome, RunReport};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,6 +10,7 @@
 mod follower_net;
 mod free_ports;
 mod memory_platform;
+mod no_suspects;
 mod patience;
 #[path = "../../standins/relay/mod.rs"]
 mod relay;
@@ -26,6 +27,7 @@
 pub use follower_net::{FollowerNet, key_hash};
 pub use free_ports::{free_address, free_host};
 pub use memory_platform::{MemoryMode, MemoryPlatform};
+pub use no_suspects::no_suspects;
 pub use patience::{PATIENCE, eventually};
 pub use relay::{RelayHandle, RelayMode};
 pub use resource_client::ResourceClient;
--- a/tests/evacuation_gate.rs
+++ b/tests/evacuation_gate.rs
@@ -79,6 +79,7 @@
             on_leaving: Rc::new(|_| {}),
             publish: Rc::new(move |_, state, _, _| published.set(state)),
             zone_gate: Rc::new(move || source.get()),
+            suspects: common::no_suspects(),
         });
         egress.apply_announcement(&LocalInstance {
             instance: "desk-1".parse().unwrap(),
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -13,7 +13,7 @@
 use wagtailtrack::units::Slots;
 use wagtailtrack::wire::{
     self, HealthState, InstancePhase, InstanceRecord, InstancesCall, InstancesReply, MemberRecord,
-    MemberState,
+    MemberState, RunReport,
 };
 
 /// Random seeds with which every randomised test runs.
@@ -51,6 +51,8 @@
     pub delay: Duration,
     pub blocked_links: BTreeSet<(usize, usize)>,
     pub revisions: Vec<(usize, Revision)>,
+    /// Reports on requests, by the daemon that has heard of them.
+    pub runs: Vec<(usize, RunReport)>,
     pub is_recording: bool,
     pub recording: Vec<(usize, usize, Vec<u8>)>,
     codec: DatagramCodec,
@@ -90,6 +92,7 @@
         zone: format!("zone-{}", index % 11).parse().unwrap(),
         region: format!("region-{}", index % regions).parse().unwrap(),
         state: MemberState::Alive,
+        runs: Vec::new(),
     }
 }
 
@@ -128,6 +131,7 @@
             delay: Duration::from_millis(3),
             blocked_links: BTreeSet::new(),
             revisions: Vec::new(),
+            runs: Vec::new(),
             is_recording: false,
             recording: Vec::new(),
             codec: DatagramCodec::open(FleetKey::open("a secret of the fleet")),
@@ -285,6 +289,9 @@
                     self.enqueue(from, index(to), datagram);
                 }
                 GossipAction::ReportRevision(revision, _) => self.revisions.push((from, revision)),
+                GossipAction::ReportRuns(runs) => {
+                    self.runs.extend(runs.into_iter().map(|run| (from, run)));
+                }
                 GossipAction::PullView(peer) => self.pull(from, index(peer)),
                 GossipAction::PullService {
                     service,
@@ -369,6 +376,7 @@
             let InstancesReply::Owners {
                 owners,
                 next: following,
+                ..
             } = reply
             else {
                 panic!("the reply to a pull contains no owners");
--- a/tests/members_rows.rs
+++ b/tests/members_rows.rs
@@ -27,6 +27,7 @@
         platform: Rc::clone(platform) as _,
         own_revision: Rc::new(|| Revision(0)),
         on_revision: Rc::new(|_, _| {}),
+        suspects: common::no_suspects(),
         start_spread: Duration::ZERO,
         seed: 7,
     })
--- a/tests/members_sockets.rs
+++ b/tests/members_sockets.rs
@@ -1,5 +1,7 @@
 //! Membership of three daemons over real sockets on loopback.
 
+mod common;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -84,6 +86,7 @@
         platform: Rc::new(UnavailablePlatform),
         own_revision: Rc::new(move || Revision(revision)),
         on_revision: Rc::new(move |revision, _| reported.set(reported.get().max(revision))),
+        suspects: common::no_suspects(),
         start_spread: Duration::ZERO,
         seed: 7,
     })
--- a/tests/zone_sockets.rs
+++ b/tests/zone_sockets.rs
@@ -59,6 +59,7 @@
         platform: Rc::clone(platform) as _,
         own_revision: Rc::new(|| Revision(0)),
         on_revision: Rc::new(|_, _| {}),
+        suspects: common::no_suspects(),
         start_spread: Duration::from_millis(300),
         seed: index as u64,
     };
