--- a/src/admin/admin_server.rs
+++ b/src/admin/admin_server.rs
@@ -13,6 +13,7 @@
 use crate::admin::resource_api::ResourceApi;
 use crate::admin::{ApiError, ApiPath, ChangeHeaders, change_event};
 use crate::config::ConfigHandle;
+use crate::crashes::SuspectsHandle;
 use crate::http::{HttpServer, json_response, read_body, text_response};
 use crate::ids::{Revision, ZoneId};
 use crate::resource::KeyHash;
@@ -33,6 +34,8 @@
     pub config: ConfigHandle,
     /// Returns the availability zones that exist, in service or not.
     pub zones: Rc<dyn Fn() -> BTreeSet<ZoneId>>,
+    /// The requests that are suspected of ending instances.
+    pub suspects: SuspectsHandle,
     /// Whether the daemon accepts requests from callers; decides the status of `/readyz`.
     pub is_ready: Rc<dyn Fn() -> bool>,
     /// Returns the daemon's state as JSON, for `/dump`.
@@ -162,6 +165,21 @@
                 Method::GET => self.api.operation(&operation).await,
                 _ => Err(method_not_allowed(&request, "GET")),
             },
+            ApiPath::Suspects => match *request.method() {
+                Method::GET => {
+                    let suspects = self.sources.suspects.suspects();
+                    Ok(json_response(StatusCode::OK, &suspects))
+                }
+                _ => Err(method_not_allowed(&request, "GET")),
+            },
+            ApiPath::Suspect(digest) => match *request.method() {
+                Method::DELETE if self.sources.suspects.clear(digest) => {
+                    let suspects = self.sources.suspects.suspects();
+                    Ok(json_response(StatusCode::OK, &suspects))
+                }
+                Method::DELETE => Err(ApiError::NotFound(format!("suspect/{digest}"))),
+                _ => Err(method_not_allowed(&request, "DELETE")),
+            },
             ApiPath::Watch => match *request.method() {
                 Method::GET => {
                     let from = query_parameter(&request, "from").map(parse_revision);
--- a/src/admin/api_error.rs
+++ b/src/admin/api_error.rs
@@ -23,7 +23,7 @@
         }
         /// The path does not exist.
         UnknownPath(path: String) {
-            display("path '{path}' is unknown; see /v1/accounts, /v1/keys, /v1/rates, /v1/routes, /v1/services, /v1/evacuations, /v1/operations and /v1/watch")
+            display("path '{path}' is unknown; see /v1/accounts, /v1/keys, /v1/rates, /v1/routes, /v1/services, /v1/evacuations, /v1/operations, /v1/suspects and /v1/watch")
         }
         /// The path does not support the method; holds the method and the supported ones.
         MethodNotAllowed(method: String, allowed: &'static str) {
--- a/src/admin/api_path.rs
+++ b/src/admin/api_path.rs
@@ -3,6 +3,7 @@
 use crate::admin::ApiError;
 use crate::ids::OperationId;
 use crate::resource::{ResourceKind, ResourceName};
+use crate::wire::RequestDigest;
 
 /// A parsed path below `/v1/`.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +18,10 @@
     Operation(OperationId),
     /// Stream of configuration changes: `watch`.
     Watch,
+    /// The requests that are suspected of ending instances: `suspects`.
+    Suspects,
+    /// One of them: `suspects/DIGEST`.
+    Suspect(RequestDigest),
 }
 
 impl ApiPath {
@@ -24,11 +29,13 @@
     ///
     /// # Errors
     /// `ApiError::UnknownPath` for an unknown path or kind; `ApiError::InvalidName` for a malformed
-    /// name or operation id.
+    /// name or operation id; `ApiError::InvalidParameter` for a malformed digest.
     pub fn parse(path: &str) -> Result<Self, ApiError> {
         let segments: Vec<&str> = path.split('/').collect();
         match segments.as_slice() {
             ["watch"] => Ok(Self::Watch),
+            ["suspects"] => Ok(Self::Suspects),
+            ["suspects", digest] => Ok(Self::Suspect(parse_digest(digest)?)),
             ["operations", id] => Ok(Self::Operation(id.parse()?)),
             [plural] => Ok(Self::Collection(parse_kind(plural)?)),
             [plural, id] => Ok(Self::Resource(resource_name(parse_kind(plural)?, id)?)),
@@ -44,6 +51,13 @@
     }
 }
 
+fn parse_digest(text: &str) -> Result<RequestDigest, ApiError> {
+    text.parse().map_err(|_| {
+        let remedy = "use the digest of a log line or of /v1/suspects";
+        ApiError::InvalidParameter("digest".to_owned(), text.to_owned(), remedy)
+    })
+}
+
 fn parse_kind(plural: &str) -> Result<ResourceKind, ApiError> {
     ResourceKind::ALL
         .into_iter()
--- a/src/client/api_client.rs
+++ b/src/client/api_client.rs
@@ -99,8 +99,24 @@
     /// # Errors
     /// Returns `ClientError` when the daemon cannot be reached, refuses or sends an invalid response.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
+        self.call(Method::GET, path).await
+    }
+
+    /// Deletes what stands at `path`, which is not part of the configuration, and parses the response.
+    ///
+    /// # Errors
+    /// Returns `ClientError` when the daemon cannot be reached, refuses or sends an invalid response.
+    pub async fn delete<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
+        self.call(Method::DELETE, path).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> Result<T, ClientError> {
         let mut response = self
-            .request(Method::GET, path)
+            .request(method, path)
             .send()
             .await
             .map_err(|cause| self.unreachable(&cause.to_string()))?;
--- a/src/client/command_line.rs
+++ b/src/client/command_line.rs
@@ -8,6 +8,7 @@
 use crate::ids::{AccountId, KeyId, OperationId, Revision, Version};
 use crate::resource::ResourceKind;
 use crate::units::TimeSpan;
+use crate::wire::RequestDigest;
 
 /// Drives a fleet of wagtailtrack daemons through the operators' API of any one of them.
 #[derive(Debug, FromArgs)]
@@ -67,6 +68,8 @@
     Key(KeyCommand),
     /// Takes availability zones out of service and puts them back.
     Zone(ZoneCommand),
+    /// Lists and clears requests that are suspected of ending instances.
+    Suspect(SuspectCommand),
     /// Prints configuration changes as they are committed.
     Watch(WatchCommand),
     /// Shows the state of the daemon.
@@ -232,6 +235,39 @@
 #[argh(subcommand, name = "list")]
 pub struct ListZonesCommand {}
 
+/// List the requests that were running when instances ended, or clear one.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "suspect")]
+pub struct SuspectCommand {
+    /// action on the suspects
+    #[argh(subcommand)]
+    pub action: SuspectAction,
+}
+
+/// An action on the requests that are suspected of ending instances.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum SuspectAction {
+    /// Lists them.
+    List(ListSuspectsCommand),
+    /// Clears one, on all daemons.
+    Clear(ClearCommand),
+}
+
+/// List the requests that were running when instances ended, as the daemon knows them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListSuspectsCommand {}
+
+/// Clear a request, so that it may run again, for example after a release that mends the service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "clear")]
+pub struct ClearCommand {
+    /// digest of the request, from the list or a log line
+    #[argh(positional)]
+    pub digest: RequestDigest,
+}
+
 /// Print changes until interrupted.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "watch")]
--- a/src/client/command_runner.rs
+++ b/src/client/command_runner.rs
@@ -9,13 +9,15 @@
 };
 use crate::client::api_client::resource_path;
 use crate::client::command_line::{
-    CheckCommand, CreateCommand, DeleteCommand, IssueCommand, KeyAction, UpdateCommand, ZoneAction,
+    CheckCommand, CreateCommand, DeleteCommand, IssueCommand, KeyAction, SuspectAction,
+    UpdateCommand, ZoneAction,
 };
 use crate::client::{
     ApiClient, ChangeWatcher, ClientChange, ClientCommand, ClientError, CommandLine, TextTable,
     merge_fields,
 };
 use crate::config::PropagationReport;
+use crate::crashes::SuspectRecord;
 use crate::ids::{OperationId, Version};
 use crate::resource::{KeyHash, ResourceKind, ResourceName};
 use crate::settings::DaemonSettings;
@@ -109,6 +111,20 @@
                     Ok(self.format_resources(&items, &items))
                 }
             },
+            ClientCommand::Suspect(command) => match &command.action {
+                SuspectAction::List(_) => {
+                    let suspects = self.client.get("/v1/suspects").await?;
+                    Ok(self.format_suspects(suspects))
+                }
+                SuspectAction::Clear(command) => {
+                    let path = format!("/v1/suspects/{}", command.digest);
+                    let suspects: Vec<SuspectRecord> = self.client.delete(&path).await?;
+                    Ok(match self.line.json {
+                        true => format_json(&suspects),
+                        false => format!("suspect/{} cleared", command.digest),
+                    })
+                }
+            },
             ClientCommand::Dump(_) => {
                 let dump: Value = self.client.get("/dump").await?;
                 Ok(format_json(&dump))
@@ -231,6 +247,27 @@
         )
     }
 
+    fn format_suspects(&self, suspects: Vec<SuspectRecord>) -> String {
+        if self.line.json {
+            return format_json(&suspects);
+        }
+        if suspects.is_empty() {
+            return "none".to_owned();
+        }
+        let lines = suspects.into_iter().map(|suspect| {
+            let state = if suspect.refused {
+                "refused"
+            } else {
+                "suspected"
+            };
+            format!(
+                "{}  {state}  {} instances ended",
+                suspect.digest, suspect.ends
+            )
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
     fn format_resources<T: Serialize>(&self, value: &T, items: &[ResourceBody]) -> String {
         if self.line.json {
             return format_json(value);
--- a/src/crashes/suspect_table.rs
+++ b/src/crashes/suspect_table.rs
@@ -1,6 +1,6 @@
 //! The requests that were running when instances ended.
 
-use crate::crashes::{CrashRules, RequestStanding, SuspectEntry};
+use crate::crashes::{CrashRules, RequestStanding, SuspectEntry, SuspectRecord};
 use crate::hash::FastMap;
 use crate::time::MonoTime;
 use crate::wire::{RequestDigest, RunOutcome, RunReport};
@@ -94,14 +94,13 @@
 
     /// The suspected and refused requests, sorted by digest.
     #[must_use]
-    pub fn suspects(&self, now: MonoTime) -> Vec<(RequestDigest, RequestStanding)> {
-        let digests = self.entries.keys().copied();
-        let standings = digests.map(|digest| (digest, self.standing(digest, now)));
-        let mut suspects: Vec<_> = standings
-            .filter(|(_, standing)| standing.is_suspect())
-            .collect();
-        suspects.sort_unstable_by_key(|(digest, _)| *digest);
-        suspects
+    pub fn suspects(&self, now: MonoTime) -> Vec<SuspectRecord> {
+        let digests = self.entries.keys();
+        let records =
+            digests.filter_map(|digest| SuspectRecord::open(*digest, self.standing(*digest, now)));
+        let mut records: Vec<_> = records.collect();
+        records.sort_unstable_by_key(|record| record.digest);
+        records
     }
 
     /// Whether no request has an entry.
--- a/src/crashes/suspects_handle.rs
+++ b/src/crashes/suspects_handle.rs
@@ -1,11 +1,9 @@
 //! The table of suspected requests that ingress, egress and membership of a daemon share.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 
-use serde_json::{Value, json};
-
-use crate::crashes::{CrashRules, RequestStanding, SuspectTable};
+use crate::crashes::{CrashRules, RequestStanding, SuspectRecord, SuspectTable};
 use crate::ids::InstanceId;
 use crate::logs::log_target;
 use crate::time::ProcessClock;
@@ -19,6 +17,7 @@
 pub struct SuspectsHandle {
     clock: ProcessClock,
     table: Rc<RefCell<SuspectTable>>,
+    instance_ends: Rc<Cell<u64>>,
     /// Empty until the membership runs.
     publisher: Rc<OnceCell<ReportPublisher>>,
 }
@@ -30,6 +29,7 @@
         Self {
             clock,
             table: Rc::new(RefCell::new(SuspectTable::open(rules))),
+            instance_ends: Rc::default(),
             publisher: Rc::default(),
         }
     }
@@ -51,6 +51,7 @@
 
     /// Records and publishes that an instance ended while it ran `running`.
     pub fn report_end(&self, instance: &InstanceId, running: &[RequestDigest]) {
+        self.instance_ends.set(self.instance_ends.get() + 1);
         let now = self.clock.now();
         let reports = self.table.borrow().reports_of_end(running, now);
         for report in &reports {
@@ -94,19 +95,16 @@
         self.table.borrow().reports(self.clock.now())
     }
 
-    /// The suspected and refused requests as JSON, for operators.
+    /// The suspected and refused requests, sorted by digest.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<SuspectRecord> {
+        self.table.borrow().suspects(self.clock.now())
+    }
+
+    /// Ends of instances beside this daemon while they ran requests.
     #[must_use]
-    pub fn dump(&self) -> Value {
-        let suspects = self.table.borrow().suspects(self.clock.now());
-        let lines = suspects.into_iter().map(|(digest, standing)| {
-            let (state, ends) = match standing {
-                RequestStanding::Clear => ("clear", 0),
-                RequestStanding::Suspected(ends) => ("suspected", ends),
-                RequestStanding::Refused(ends) => ("refused", ends),
-            };
-            json!({ "digest": digest.to_string(), "state": state, "instances_ended": ends })
-        });
-        Value::Array(lines.collect())
+    pub fn instance_ends(&self) -> u64 {
+        self.instance_ends.get()
     }
 
     fn publish(&self, report: &RunReport, source: &str) {
--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -288,6 +288,7 @@
             token_hash: settings.operators.token_hash,
             config: view.config.clone(),
             zones: Rc::new(move || members.zones()),
+            suspects: self.suspects.clone(),
             is_ready: Rc::new(move || loaded.is_loaded() && !stopping.get()),
             dump: Rc::new(move || shown.dump()),
             metrics: Rc::new(move || export.text(measured.metrics())),
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -83,6 +83,7 @@
             announce: Rc::clone(&announce),
             listener: Rc::clone(&listener),
             zone_traffic: Rc::clone(&builder.zone_traffic),
+            suspects: builder.suspects.clone(),
             settings: settings.clone(),
             boot: builder.boot,
         };
--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::config::ConfigHandle;
+use crate::crashes::SuspectsHandle;
 use crate::egress::EgressHandle;
 use crate::ids::BootId;
 use crate::ingress::IngressHandle;
@@ -25,6 +26,7 @@
     pub(crate) announce: Rc<AnnounceServer>,
     pub(crate) listener: Rc<PeerListener>,
     pub(crate) zone_traffic: Rc<ZoneTraffic>,
+    pub(crate) suspects: SuspectsHandle,
     pub(crate) settings: DaemonSettings,
     pub(crate) boot: BootId,
 }
@@ -43,6 +45,7 @@
             "limits": self.limits.dump(),
             "ingress": self.ingress.dump(),
             "egress": self.egress.dump(),
+            "suspects": self.suspects.suspects(),
             "refused_messages": self.listener.refused_messages(),
             "zone_bytes": self.zone_bytes(),
         })
@@ -69,6 +72,8 @@
             members: self.members.live().len() as u64,
             revision: self.config.revision().0,
             document_warnings: self.config.document_warnings(),
+            instance_ends: self.suspects.instance_ends(),
+            suspects: self.suspects.suspects().len() as u64,
             evacuation_refusals: self.egress.evacuation_refusals(),
             evacuated_zones: self.config.evacuated_zones().len() as u64,
             evacuation_age: self.config.evacuation_age().unwrap_or_default(),
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -91,6 +91,9 @@
     if matches!(refusal, RequestRefusal::ServiceFull(..)) {
         ingress.state.borrow_mut().totals.service_full += 1;
     }
+    if matches!(refusal, RequestRefusal::EndsInstances) {
+        ingress.state.borrow_mut().totals.ends_instances += 1;
+    }
     log::info!(
         target: log_target::INGRESS,
         request = name,
--- a/src/ingress/request_totals.rs
+++ b/src/ingress/request_totals.rs
@@ -19,6 +19,8 @@
     pub over_rate: u64,
     /// Requests refused before an offer because their service had no room for their priority.
     pub service_full: u64,
+    /// Requests refused because they end the instances that run them.
+    pub ends_instances: u64,
     /// Attempts after the first of a request, without those that follow an offer refused as busy.
     pub retries: u64,
 }
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -39,6 +39,10 @@
     /// Offers and waiting requests that the egress refused because of an evacuation, since the daemon
     /// started.
     pub evacuation_refusals: u64,
+    /// Ends of instances beside the daemon while they ran requests, since the daemon started.
+    pub instance_ends: u64,
+    /// Requests that are suspected of ending instances, or refused for it.
+    pub suspects: u64,
     /// Number of evacuated zones.
     pub evacuated_zones: u64,
     /// Time since the evacuated zones were confirmed.
@@ -130,6 +134,15 @@
     register_counter(meter, latest, "requests_service_full", |snapshot| {
         snapshot.totals.service_full
     });
+    register_counter(meter, latest, "requests_ending_instances", |snapshot| {
+        snapshot.totals.ends_instances
+    });
+    register_counter(meter, latest, "instance_ends", |snapshot| {
+        snapshot.instance_ends
+    });
+    register_gauge(meter, latest, "requests_suspected", |snapshot| {
+        snapshot.suspects
+    });
     register_counter(meter, latest, "request_retries", |snapshot| {
         snapshot.totals.retries
     });
--- a/src/wire/request_digest.rs
+++ b/src/wire/request_digest.rs
@@ -5,14 +5,17 @@
 use std::str::FromStr;
 
 use bincode::{Decode, Encode};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::hash::name_hash;
 use crate::ids::AccountId;
 
 /// Digest of a request's client account, method, path, query and body, and of its route's host. Equal
 /// requests have equal digests at every daemon, whichever of them the caller sends them to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode, Serialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
 pub struct RequestDigest {
     /// Hash of the client account, so that each account's requests can be counted apart.
     pub account: u32,
@@ -68,3 +71,17 @@
         })
     }
 }
+
+impl From<RequestDigest> for String {
+    fn from(digest: RequestDigest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for RequestDigest {
+    type Error = ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- a/tests/config_api.rs
+++ b/tests/config_api.rs
@@ -42,6 +42,7 @@
             token_hash: KeyHash::hash_secret(TOKEN),
             config: config.clone(),
             zones: Rc::new(|| ["z1", "z2"].map(|zone| zone.parse().unwrap()).into()),
+            suspects: common::no_suspects(),
             is_ready: Rc::new(|| false),
             dump: Rc::new(|| serde_json::json!({})),
             metrics: Rc::new(String::new),
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -265,6 +265,13 @@
         self.carry_out(index, actions);
     }
 
+    pub fn publish_run(&mut self, index: usize, report: &RunReport) {
+        let node = &mut self.nodes[index];
+        let actions = node.core.publish_run(report, self.now, &mut node.rng);
+        self.runs.push((index, *report));
+        self.carry_out(index, actions);
+    }
+
     pub fn remove(&mut self, index: usize, record: &InstanceRecord) {
         let node = &mut self.nodes[index];
         let actions = node.core.remove(&record.instance, self.now, &mut node.rng);
@@ -381,6 +388,10 @@
             else {
                 panic!("the reply to a pull contains no owners");
             };
+            // As `MembersHandle` does, a pull brings what the peer knows of requests.
+            let known = self.runs.clone().into_iter();
+            let known = known.filter(|(node, _)| page == 0 && *node == peer);
+            self.runs.extend(known.map(|(_, run)| (from, run)));
             next = following;
             let node = &mut self.nodes[from];
             let actions = node.core.merge_pull_page(&owners, self.now, &mut node.rng);
--- a/tests/process_client.rs
+++ b/tests/process_client.rs
@@ -81,6 +81,7 @@
             token_hash: KeyHash::hash_secret(TOKEN),
             config: config.clone(),
             zones: Rc::new(BTreeSet::new),
+            suspects: common::no_suspects(),
             is_ready: Rc::new(|| true),
             dump: Rc::new(move || dumped.dump()),
             metrics: Rc::new(|| "up 1".to_owned()),
