Recognize the end of an instance that closes its listener last

A process that ends may close its connections some milliseconds before its listener. A connection that is accepted now has to stay open for 30 ms before the instance counts as alive; a listener that closes resets it.

The reports of one end now travel in one member record, and daemons that hear of them log only what leads to a refusal or ends one.

--- a/src/crashes/suspects_handle.rs
+++ b/src/crashes/suspects_handle.rs
@@ -9,8 +9,8 @@
 use crate::time::ProcessClock;
 use crate::wire::{RequestDigest, RunOutcome, RunReport};
 
-/// Sends a report of this daemon to the fleet.
-type ReportPublisher = Box<dyn Fn(&RunReport)>;
+/// Sends reports of this daemon to the fleet.
+type ReportPublisher = Box<dyn Fn(&[RunReport])>;
 
 /// Handle of the daemon's table of suspected requests; clones share it.
 #[derive(Clone)]
@@ -35,7 +35,7 @@
     }
 
     /// Sets how this daemon's reports reach the fleet. Only the first call has an effect.
-    pub fn publish_by(&self, publish: impl Fn(&RunReport) + 'static) {
+    pub fn publish_by(&self, publish: impl Fn(&[RunReport]) + 'static) {
         let _ = self.publisher.set(Box::new(publish));
     }
 
@@ -54,16 +54,14 @@
         self.instance_ends.set(self.instance_ends.get() + 1);
         let now = self.clock.now();
         let reports = self.table.borrow().reports_of_end(running, now);
-        for report in &reports {
-            self.publish(report, &format!("instance {instance}"));
-        }
+        self.publish(&reports, &format!("instance {instance}"));
     }
 
     /// Records and publishes that the request ran to its end, if it is suspected.
     pub fn report_completed(&self, instance: &InstanceId, digest: RequestDigest) {
         if self.standing(digest).is_suspect() {
             let report = RunReport::open(digest, RunOutcome::Completed);
-            self.publish(&report, &format!("instance {instance}"));
+            self.publish(&[report], &format!("instance {instance}"));
         }
     }
 
@@ -71,15 +69,21 @@
     pub fn clear(&self, digest: RequestDigest) -> bool {
         let is_suspect = self.standing(digest).is_suspect();
         if is_suspect {
-            self.publish(&RunReport::open(digest, RunOutcome::Cleared), "an operator");
+            let report = RunReport::open(digest, RunOutcome::Cleared);
+            self.publish(&[report], "an operator");
         }
         is_suspect
     }
 
-    /// Takes in reports of other daemons.
+    /// Takes in reports of other daemons. Only what leads to a refusal or ends one is logged: the daemon
+    /// that reports has logged the rest.
     pub fn receive(&self, reports: &[RunReport]) {
         for report in reports {
-            self.record(report, "another daemon");
+            if let Some((before, after)) = self.record(report)
+                && before.is_refused() != after.is_refused()
+            {
+                log_evidence(report, "another daemon", before, after);
+            }
         }
     }
 
@@ -107,28 +111,32 @@
         self.instance_ends.get()
     }
 
-    fn publish(&self, report: &RunReport, source: &str) {
-        self.record(report, source);
+    fn publish(&self, reports: &[RunReport], source: &str) {
+        for report in reports {
+            if let Some((before, after)) = self.record(report) {
+                log_evidence(report, source, before, after);
+            }
+        }
         if let Some(publish) = self.publisher.get() {
-            publish(report);
+            publish(reports);
         }
     }
 
-    fn record(&self, report: &RunReport, source: &str) {
+    fn record(&self, report: &RunReport) -> Option<(RequestStanding, RequestStanding)> {
         let now = self.clock.now();
-        let change = self.table.borrow_mut().record(report, now);
-        let Some((before, after)) = change else {
-            return;
-        };
-        log::info!(
-            target: log_target::CRASHES,
-            digest:% = report.digest,
-            report:% = report.id,
-            outcome:% = report.outcome,
-            source,
-            before:?,
-            after:?;
-            "Evidence on a request that was running when an instance ended."
-        );
+        self.table.borrow_mut().record(report, now)
     }
 }
+
+fn log_evidence(report: &RunReport, source: &str, before: RequestStanding, after: RequestStanding) {
+    log::info!(
+        target: log_target::CRASHES,
+        digest:% = report.digest,
+        report:% = report.id,
+        outcome:% = report.outcome,
+        source,
+        before:?,
+        after:?;
+        "Evidence on a request that was running when an instance ended."
+    );
+}
--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -137,7 +137,7 @@
         let _ = self.members.set(handle.clone());
         let publisher = handle.clone();
         self.suspects
-            .publish_by(move |report| publisher.publish_run(report));
+            .publish_by(move |reports| publisher.publish_runs(reports));
         Ok(handle)
     }
 
--- a/src/egress/instance_end.rs
+++ b/src/egress/instance_end.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_rt::net::TcpStream;
+use tokio::io::AsyncReadExt;
 
 use crate::egress::EgressHandle;
 use crate::egress::egress_handle::SharedDispatcher;
@@ -14,6 +15,11 @@
 /// once if no process listens.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How long a new connection must stay open to show that the process goes on.
+const SETTLE_TIME: Duration = Duration::from_millis(30);
+/// Most connection attempts: an instance that resets each is not one that has ended.
+const MAX_CONNECTS: usize = 3;
+
 impl EgressHandle {
     /// Called when a request has lost its connection. If the instance has ended, reports the requests
     /// that it was running.
@@ -48,7 +54,22 @@
 }
 
 /// Whether no process listens at `address`.
+///
+/// A process that ends may close its connections before its listener, which then resets the new
+/// connection. One that stays open shows that the process goes on.
 async fn refuses_connections(address: SocketAddr) -> bool {
-    let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    matches!(connecting.await, Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused)
+    for _ in 0..MAX_CONNECTS {
+        let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        match connecting.await {
+            Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused => return true,
+            Ok(Ok(mut socket)) => {
+                let closing = socket.read_u8();
+                if actix_rt::time::timeout(SETTLE_TIME, closing).await.is_err() {
+                    return false;
+                }
+            }
+            Ok(Err(_)) | Err(_) => return false,
+        }
+    }
+    false
 }
--- a/src/members/gossip_core.rs
+++ b/src/members/gossip_core.rs
@@ -179,16 +179,16 @@
         context.actions
     }
 
-    /// Publishes a report on a request that may end instances, at once and to the whole fleet.
-    pub fn publish_run(
+    /// Publishes reports on requests that may end instances, at once and to the whole fleet.
+    pub fn publish_runs(
         &mut self,
-        report: &RunReport,
+        reports: &[RunReport],
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Vec<GossipAction> {
         let mut own = self.view.own().clone();
         own.incarnation = own.incarnation.next();
-        own.runs.push(*report);
+        own.runs.extend_from_slice(reports);
         let surplus = own.runs.len().saturating_sub(MAX_RUNS);
         own.runs.drain(..surplus);
         let key = ChangeKey::Member(own.daemon.clone());
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -130,9 +130,9 @@
         self.execute(actions);
     }
 
-    /// Publishes a report of this daemon on a request that may end instances.
-    pub fn publish_run(&self, report: &RunReport) {
-        let actions = self.with_core(|core, rng, now| core.publish_run(report, now, rng));
+    /// Publishes reports of this daemon on requests that may end instances.
+    pub fn publish_runs(&self, reports: &[RunReport]) {
+        let actions = self.with_core(|core, rng, now| core.publish_runs(reports, now, rng));
         self.execute(actions);
     }
 
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -267,7 +267,7 @@
 
     pub fn publish_run(&mut self, index: usize, report: &RunReport) {
         let node = &mut self.nodes[index];
-        let actions = node.core.publish_run(report, self.now, &mut node.rng);
+        let actions = node.core.publish_runs(&[*report], self.now, &mut node.rng);
         self.runs.push((index, *report));
         self.carry_out(index, actions);
     }
--- a/tests/process_crashes.rs
+++ b/tests/process_crashes.rs
@@ -61,7 +61,11 @@
     for index in 0..DAEMONS {
         let announce = desk.fleet.daemons[index].announce();
         let backend = &mut desk.fleet.backends[index];
-        ends += usize::from(backend.replace_ended(announce, &folder).await);
+        let name = backend.plan.instance.clone();
+        if backend.replace_ended(announce, &folder).await {
+            println!("{name} has ended");
+            ends += 1;
+        }
     }
     ends
 }
