--- a/tests/evacuation_gate.rs
+++ b/tests/evacuation_gate.rs
@@ -10,16 +10,15 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use common::{eventually, sample_offer};
+use common::{desk_spec, eventually, sample_offer};
 use wagtailtrack::egress::{ClientOptions, EgressHandle, EgressSources};
 use wagtailtrack::evacuation::ZoneGate;
 use wagtailtrack::ids::RequestId;
 use wagtailtrack::instances::LocalInstance;
 use wagtailtrack::metrics::MetricsExport;
 use wagtailtrack::peers::{FleetKey, PeerHandler, PeerListener, PeerPool, PeerStream};
-use wagtailtrack::resource::{ClassWeights, RecoveryRule, ServiceSpec};
 use wagtailtrack::time::ProcessClock;
-use wagtailtrack::units::{Percent, Slots, Weight};
+use wagtailtrack::units::Slots;
 use wagtailtrack::wire::{
     EgressMessage, HealthState, IngressMessage, InstancePhase, PeerOpening, RefusalReason,
     RequestOffer,
@@ -72,7 +71,7 @@
             client_options: ClientOptions::default(),
             slot_hold: Duration::from_secs(2),
             durations: MetricsExport::open().unwrap().durations(),
-            spec_of: Rc::new(|_| Some(spec())),
+            spec_of: Rc::new(|_| Some(desk_spec())),
             records_of: Rc::new(|_| Vec::new().into()),
             member_count: Rc::new(|| 1),
             accepts_work: Rc::new(|_| true),
@@ -131,27 +130,6 @@
     }
 }
 
-fn spec() -> ServiceSpec {
-    let weight = Weight::new(1).unwrap();
-    ServiceSpec {
-        id: "desk".parse().unwrap(),
-        floor: Percent::new(60).unwrap(),
-        slots: Slots::new(1).unwrap(),
-        weights: ClassWeights {
-            lookup: weight,
-            filing: weight,
-            extract: weight,
-            internal_check: weight,
-        },
-        retry_budget: Percent::new(20).unwrap(),
-        recovery: RecoveryRule::Probes,
-        reserves_check_slot: false,
-        cold_rate: None,
-        health_path: None,
-        order: wagtailtrack::resource::QueueOrder::Classes,
-    }
-}
-
 async fn refusal(stream: &mut PeerStream) -> Option<RefusalReason> {
     match stream.receive_required().await.unwrap() {
         EgressMessage::Refused { reason, .. } => Some(reason),
