Let evidence on requests lapse at the same time everywhere

A refusal lapses ten minutes after the last end of an instance. A daemon that started took the reports of others for new, from their member records and from the table that it pulled, so that restarts in turn prolonged a refusal without end. The table now travels with the time left of each report, and a member record drops its reports ten minutes after the last one.

newcomers_prolong_nothing and old_reports_dropped show both.

--- a/src/crashes/suspect_entry.rs
+++ b/src/crashes/suspect_entry.rs
@@ -2,7 +2,7 @@
 
 use crate::crashes::{CrashRules, RequestStanding};
 use crate::ids::ReportId;
-use crate::time::{Deadline, MonoTime};
+use crate::time::Deadline;
 use crate::wire::{RunOutcome, RunReport};
 
 /// Most reports kept of one request. More ends of instances add nothing to the verdict.
@@ -22,26 +22,28 @@
 
 impl SuspectEntry {
     /// Creates an entry without reports.
-    pub(super) fn open(rules: &CrashRules, now: MonoTime) -> Self {
+    pub(super) const fn open(expiry: Deadline) -> Self {
         Self {
             ends: Vec::new(),
             settled: Vec::new(),
             clearance: None,
-            expiry: now.after(rules.hold),
+            expiry,
         }
     }
 
-    /// Takes in a report; returns false if it is known.
+    /// Takes in a report that counts until `expiry`; returns false if it is known.
     ///
     /// A request that ends instances ends each that runs it, so that a completed run clears it of
     /// all ends before.
-    pub(super) fn record(&mut self, report: &RunReport, rules: &CrashRules, now: MonoTime) -> bool {
+    pub(super) fn record(&mut self, report: &RunReport, expiry: Deadline) -> bool {
         let is_known =
             self.settled.contains(&report.id) || self.ends.iter().any(|end| end.id == report.id);
         if is_known {
             return false;
         }
-        self.expiry = now.after(rules.hold);
+        if self.expiry.time() < expiry.time() {
+            self.expiry = expiry;
+        }
         match report.outcome {
             RunOutcome::InstanceEnded { .. } if self.ends.len() < MAX_REPORTS => {
                 self.ends.push(*report);
--- a/src/crashes/suspect_table.rs
+++ b/src/crashes/suspect_table.rs
@@ -1,9 +1,11 @@
 //! The requests that were running when instances ended.
 
+use std::time::Duration;
+
 use crate::crashes::{CrashRules, RequestStanding, SuspectEntry, SuspectRecord};
 use crate::hash::FastMap;
-use crate::time::MonoTime;
-use crate::wire::{RequestDigest, RunOutcome, RunReport};
+use crate::time::{Deadline, MonoTime};
+use crate::wire::{KnownRun, RequestDigest, RunOutcome, RunReport};
 
 /// Most requests of one client account. An account that sends many such requests displaces its own.
 pub const MAX_ACCOUNT_SUSPECTS: usize = 64;
@@ -36,12 +38,32 @@
         entry.map_or(RequestStanding::Clear, |entry| entry.standing(&self.rules))
     }
 
-    /// Takes in a report. Returns the standing before and after, or none if the report is known or says
-    /// nothing new.
+    /// Takes in a report that has just been made. Returns the standing before and after, or none if the
+    /// report is known or says nothing new.
     pub fn record(
         &mut self,
         report: &RunReport,
         now: MonoTime,
+    ) -> Option<(RequestStanding, RequestStanding)> {
+        self.record_until(report, now.after(self.rules.hold), now)
+    }
+
+    /// Takes in a report of the past that another daemon knows. Returns the same.
+    pub fn record_known(
+        &mut self,
+        known: &KnownRun,
+        now: MonoTime,
+    ) -> Option<(RequestStanding, RequestStanding)> {
+        let left = Duration::from_millis(u64::from(known.left_millis));
+        let expiry = now.after(left.min(self.rules.hold));
+        self.record_until(&known.report, expiry, now)
+    }
+
+    fn record_until(
+        &mut self,
+        report: &RunReport,
+        expiry: Deadline,
+        now: MonoTime,
     ) -> Option<(RequestStanding, RequestStanding)> {
         if self.rules.limit == 0 {
             return None;
@@ -55,10 +77,9 @@
         if !self.entries.contains_key(&report.digest) {
             self.make_room(report.digest.account);
         }
-        let rules = self.rules;
         let entry = self.entries.entry(report.digest);
-        let entry = entry.or_insert_with(|| SuspectEntry::open(&rules, now));
-        let is_new = entry.record(report, &rules, now);
+        let entry = entry.or_insert_with(|| SuspectEntry::open(expiry));
+        let is_new = entry.record(report, expiry);
         is_new.then(|| (before, self.standing(report.digest, now)))
     }
 
@@ -86,10 +107,18 @@
 
     /// The reports that another daemon needs to know as much as this one.
     #[must_use]
-    pub fn reports(&self, now: MonoTime) -> Vec<RunReport> {
+    pub fn known_runs(&self, now: MonoTime) -> Vec<KnownRun> {
         let entries = self.entries.values();
         let live = entries.filter(|entry| !entry.expiry().has_passed(now));
-        live.flat_map(SuspectEntry::reports).collect()
+        live.flat_map(|entry| {
+            let left = entry.expiry().remaining(now).as_millis();
+            let left_millis = u32::try_from(left).unwrap_or(u32::MAX);
+            entry.reports().map(move |report| KnownRun {
+                report,
+                left_millis,
+            })
+        })
+        .collect()
     }
 
     /// The suspected and refused requests, sorted by digest.
--- a/src/crashes/suspects_handle.rs
+++ b/src/crashes/suspects_handle.rs
@@ -7,7 +7,7 @@
 use crate::ids::InstanceId;
 use crate::logs::log_target;
 use crate::time::ProcessClock;
-use crate::wire::{RequestDigest, RunOutcome, RunReport};
+use crate::wire::{KnownRun, RequestDigest, RunOutcome, RunReport};
 
 /// Sends reports of this daemon to the fleet.
 type ReportPublisher = Box<dyn Fn(&[RunReport])>;
@@ -79,11 +79,16 @@
     /// that reports has logged the rest.
     pub fn receive(&self, reports: &[RunReport]) {
         for report in reports {
-            if let Some((before, after)) = self.record(report)
-                && before.is_refused() != after.is_refused()
-            {
-                log_evidence(report, "another daemon", before, after);
-            }
+            log_received(report, self.record(report));
+        }
+    }
+
+    /// Takes in what another daemon knows of the past.
+    pub fn receive_known(&self, runs: &[KnownRun]) {
+        let now = self.clock.now();
+        for known in runs {
+            let change = self.table.borrow_mut().record_known(known, now);
+            log_received(&known.report, change);
         }
     }
 
@@ -95,8 +100,8 @@
 
     /// The reports that a daemon needs that starts.
     #[must_use]
-    pub fn reports(&self) -> Vec<RunReport> {
-        self.table.borrow().reports(self.clock.now())
+    pub fn known_runs(&self) -> Vec<KnownRun> {
+        self.table.borrow().known_runs(self.clock.now())
     }
 
     /// The suspected and refused requests, sorted by digest.
@@ -128,6 +133,14 @@
     }
 }
 
+fn log_received(report: &RunReport, change: Option<(RequestStanding, RequestStanding)>) {
+    if let Some((before, after)) = change
+        && before.is_refused() != after.is_refused()
+    {
+        log_evidence(report, "another daemon", before, after);
+    }
+}
+
 fn log_evidence(report: &RunReport, source: &str, before: RequestStanding, after: RequestStanding) {
     log::info!(
         target: log_target::CRASHES,
--- a/src/members/gossip_core.rs
+++ b/src/members/gossip_core.rs
@@ -22,6 +22,9 @@
 // Latest reports on requests that the own record carries. Those before are known to the fleet; a daemon
 // that starts hears of them by a pull.
 const MAX_RUNS: usize = 12;
+// Time after its last report after which the own record carries none any more: a daemon that hears of an
+// old report would count it as new.
+const RUNS_RETENTION: Duration = Duration::from_secs(600);
 // Interval between removals of dead members and gone records whose retention has ended.
 const PURGE_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -52,6 +55,7 @@
     /// Zones of the bootstrap addresses, where they are known.
     pub(super) bootstrap_zones: FastMap<SocketAddr, ZoneId>,
     purge_at: Deadline,
+    runs_expiry: Deadline,
 }
 
 impl GossipCore {
@@ -89,6 +93,7 @@
             seed_count: 0,
             reconnect_at: Deadline::at(now),
             purge_at: now.after(PURGE_INTERVAL),
+            runs_expiry: now.after(RUNS_RETENTION),
         };
         core.add_bootstrap_addresses(bootstrap_addresses);
         // Configured seeds are never evicted in favour of addresses discovered later.
@@ -158,6 +163,15 @@
             self.purge_at = now.after(PURGE_INTERVAL);
             self.view.purge(now);
         }
+        if self.runs_expiry.has_passed(now) && !self.view.own().runs.is_empty() {
+            let own = MemberRecord {
+                incarnation: self.view.own().incarnation.next(),
+                runs: Vec::new(),
+                ..self.view.own().clone()
+            };
+            self.queue.push(ChangeKey::Member(own.daemon.clone()));
+            self.view.set_own(own);
+        }
         std::mem::take(&mut context.actions)
     }
 
@@ -191,6 +205,7 @@
         own.runs.extend_from_slice(reports);
         let surplus = own.runs.len().saturating_sub(MAX_RUNS);
         own.runs.drain(..surplus);
+        self.runs_expiry = now.after(RUNS_RETENTION);
         let key = ChangeKey::Member(own.daemon.clone());
         self.view.set_own(own);
         self.queue.push_urgent(key.clone());
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -148,7 +148,7 @@
         if let (InstancesCall::Pull { from: 0, .. }, InstancesReply::Owners { runs, .. }) =
             (&call, &mut reply)
         {
-            *runs = self.state.sources.suspects.reports();
+            *runs = self.state.sources.suspects.known_runs();
         }
         reply
     }
--- a/src/members/members_pulls.rs
+++ b/src/members/members_pulls.rs
@@ -36,7 +36,7 @@
             .await;
         match reply {
             Ok(PeerReply::Instances(InstancesReply::Owners { owners, next, runs })) => {
-                self.state.sources.suspects.receive(&runs);
+                self.state.sources.suspects.receive_known(&runs);
                 let actions =
                     self.with_core(|core, rng, now| core.merge_pull_page(&owners, now, rng));
                 self.execute(actions);
--- a/src/wire/instances_call.rs
+++ b/src/wire/instances_call.rs
@@ -3,7 +3,7 @@
 use bincode::{Decode, Encode};
 
 use crate::ids::{RegionId, ServiceId};
-use crate::wire::{InstanceRecord, MemberRecord, OwnerDigest, RunReport};
+use crate::wire::{InstanceRecord, KnownRun, MemberRecord, OwnerDigest};
 
 /// A request to another daemon about members and instances.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -32,7 +32,7 @@
         /// Lowest name hash of the next page; `None` after the last page.
         next: Option<u32>,
         /// With the first page, what the receiver knows of requests that may end instances.
-        runs: Vec<RunReport>,
+        runs: Vec<KnownRun>,
     },
     /// Reply to `Service`: the instances of the service.
     Service(Vec<InstanceRecord>),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,6 +10,7 @@
 mod instance_load;
 mod instance_record;
 mod instances_call;
+mod known_run;
 mod limits_call;
 mod limits_grant;
 mod limits_loan;
@@ -32,6 +33,7 @@
 pub use instance_load::InstanceLoad;
 pub use instance_record::{HealthState, InstancePhase, InstanceRecord};
 pub use instances_call::{InstancesCall, InstancesReply, OwnerState};
+pub use known_run::KnownRun;
 pub use limits_call::{LimitsCall, LimitsReply};
 pub use limits_grant::{
     GrantDemand, GrantOutcome, GrantReply, GrantRequest, GrantUsage, TokenGrant,
--- a/tests/crash_news.rs
+++ b/tests/crash_news.rs
@@ -197,3 +197,19 @@
         assert!(late_ends <= MAX_LATE_ENDS, "seed {seed}: {late_ends} late");
     }
 }
+
+/// Guards against old reports in member records, which a daemon that starts would take for new.
+#[test]
+fn old_reports_dropped() {
+    let mut fleet = CrashFleet::open(6, 1);
+    fleet.end_instance(0);
+    fleet.run(Duration::from_secs(5));
+    let carries = |fleet: &CrashFleet| {
+        let view = fleet.net.nodes[1].core.view();
+        let origin = fleet.net.nodes[0].core.view().own().daemon.clone();
+        !view.member(&origin).unwrap().runs.is_empty()
+    };
+    assert!(carries(&fleet));
+    fleet.run(RULES.hold + Duration::from_secs(5));
+    assert!(!carries(&fleet));
+}
--- a/tests/crash_suspects.rs
+++ b/tests/crash_suspects.rs
@@ -159,8 +159,8 @@
     }
     let mut newcomer = SuspectTable::open(RULES);
     newcomer.record(&before[0], fleet.now);
-    for report in fleet.tables[0].reports(fleet.now) {
-        newcomer.record(&report, fleet.now);
+    for known in fleet.tables[0].known_runs(fleet.now) {
+        newcomer.record_known(&known, fleet.now);
     }
     assert!(newcomer.standing(guilty, fleet.now).is_refused());
     assert_eq!(
@@ -169,6 +169,28 @@
     );
 }
 
+/// Guards against a refusal that each daemon that starts takes for new, so that it never ends in a fleet
+/// whose daemons restart in turn.
+#[test]
+fn newcomers_prolong_nothing() {
+    let mut fleet = Fleet::open(1);
+    let guilty = digest("crew", "/a");
+    for _ in 0..3 {
+        fleet.end(0, &[guilty]);
+    }
+    for _ in 0..3 {
+        fleet.now = fleet.now.after(Duration::from_secs(199)).time();
+        let mut newcomer = SuspectTable::open(RULES);
+        for known in fleet.tables[0].known_runs(fleet.now) {
+            newcomer.record_known(&known, fleet.now);
+        }
+        assert!(newcomer.standing(guilty, fleet.now).is_refused());
+        fleet.tables = vec![newcomer];
+    }
+    fleet.now = fleet.now.after(Duration::from_secs(4)).time();
+    assert_eq!(fleet.standing(guilty), RequestStanding::Clear);
+}
+
 /// Guards against a refusal that never ends, and against one that ends while the request goes on.
 #[test]
 fn refusal_lapses() {
