Report runs where member records are merged; build a request's target once

The two callers of merge_member passed on a newer record's reports with the same lines; the merge does it now. The path and query of a request were built three times for each request, once of them for the digest.

--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -136,11 +136,12 @@
         .map(|span| ingress.sources.clock.now().after(span));
     let mut reservation = ingress.body_budget.reserve();
     let body = request_body(ingress, request, &mut reservation).await?;
+    let target = request_target(request);
     if let Some(secret) = &secret {
-        check_key_exposure(request, &body, secret)?;
+        check_key_exposure(&target, &body, secret)?;
     }
     let headers = rules.forwardable_request(request.headers(), secret.as_deref());
-    let digest = digest(request, &plan, &body);
+    let digest = digest(request.method().as_str(), &target, &plan, &body);
     if ingress.sources.suspects.standing(digest).is_refused() {
         return Err(RequestRefusal::EndsInstances);
     }
@@ -155,7 +156,7 @@
         deadline,
         goal,
         method: request.method().as_str().to_owned(),
-        target: request_target(request),
+        target,
         headers,
         body,
     };
@@ -178,10 +179,9 @@
     }
 }
 
-fn digest(request: &Request, plan: &RequestPlan, body: &Bytes) -> RequestDigest {
-    let (method, target) = (request.method().as_str(), request_target(request));
+fn digest(method: &str, target: &str, plan: &RequestPlan, body: &Bytes) -> RequestDigest {
     let host = plan.host.as_ref().map(HostName::as_str);
-    RequestDigest::open(&plan.account, method, host, &target, body)
+    RequestDigest::open(&plan.account, method, host, target, body)
 }
 
 fn plan(
@@ -254,8 +254,7 @@
         .map_err(RequestRefusal::BadBody)
 }
 
-fn check_key_exposure(request: &Request, body: &Bytes, secret: &str) -> Result<(), RequestRefusal> {
-    let target = request_target(request);
+fn check_key_exposure(target: &str, body: &Bytes, secret: &str) -> Result<(), RequestRefusal> {
     if header_rules::contains_secret(target.as_bytes(), secret)
         || header_rules::contains_secret(body, secret)
     {
--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -56,12 +56,8 @@
                 continue;
             }
             let is_relay = self.zones.relays.is_relay_of_zone(&record.daemon);
-            let newer = self.merge_member(record, context.now, true);
+            let newer = self.merge_member(record, true, context);
             has_news |= newer;
-            if newer && !record.runs.is_empty() {
-                let runs = record.runs.clone();
-                context.actions.push(GossipAction::ReportRuns(runs));
-            }
             concerns_fleet |= newer && record.state == MemberState::Left;
             concerns_fleet |= newer && record.has_urgent_runs();
             // The next by rank takes the place of a lost relay as soon as it hears of it.
@@ -90,13 +86,15 @@
         }
     }
 
-    /// Merges a member record; returns whether it was newer than the known one.
+    /// Merges a member record and passes on what a newer one reports of requests; returns whether it was
+    /// newer than the known one.
     pub(super) fn merge_member(
         &mut self,
         record: &MemberRecord,
-        now: MonoTime,
         should_gossip: bool,
+        context: &mut GossipContext<'_>,
     ) -> bool {
+        let now = context.now;
         if record.incarnation > MAX_INCARNATION {
             self.counters.malformed += 1;
             return false;
@@ -121,7 +119,12 @@
             MemberChange::Same => self.count_redundant(&key),
             MemberChange::Stale => {}
         }
-        matches!(change, MemberChange::Newer | MemberChange::LivenessChanged)
+        let newer = matches!(change, MemberChange::Newer | MemberChange::LivenessChanged);
+        if newer && !record.runs.is_empty() {
+            let runs = record.runs.clone();
+            context.actions.push(GossipAction::ReportRuns(runs));
+        }
+        newer
     }
 
     /// Merges an instance record; returns whether it was newer than the known one.
--- a/src/members/gossip_repair.rs
+++ b/src/members/gossip_repair.rs
@@ -90,11 +90,7 @@
         let mut context = GossipContext::open(now, rng);
         for state in owners {
             if !self.forward_accusation(&state.member, None, &mut context) {
-                let newer = self.merge_member(&state.member, now, false);
-                if newer && !state.member.runs.is_empty() {
-                    let runs = state.member.runs.clone();
-                    context.actions.push(GossipAction::ReportRuns(runs));
-                }
+                self.merge_member(&state.member, false, &mut context);
             }
             for record in &state.instances {
                 self.merge_record(record, false, &mut context);
