Count the pulls between zones that a daemon makes, not those it answers

zones_converge failed in 5 of 34 runs with 7 members that had sent bytes for pulls; 6 were allowed. In four traces only the three relays acted as relays and no other daemon pulled: the others had answered a relay's pull. A relay pulls from the first daemon of each other zone that it hears of, so three relays may ask up to six daemons, and nine members may send.

The test now counts the bytes of the connections that a member opens apart from those that it serves, and allows pulls by as many members as there are zones instead of twice as many.

--- a/tests/zone_sockets.rs
+++ b/tests/zone_sockets.rs
@@ -20,6 +20,7 @@
 
 struct ZoneMember {
     handle: MembersHandle,
+    /// Gossip with other zones, and pulls that this member made.
     traffic: Rc<ZoneTraffic>,
     _listener: PeerListener,
 }
@@ -29,6 +30,8 @@
     let zone: ZoneId = format!("zone-{}", index % ZONES).parse().unwrap();
     let key = FleetKey::open("a secret of the fleet");
     let traffic = Rc::new(ZoneTraffic::open(&zone));
+    // Replies to the pulls of others are counted apart.
+    let served = Rc::new(ZoneTraffic::open(&zone));
     let slot: Rc<RefCell<Option<MembersHandle>>> = Rc::default();
     let serving = Rc::clone(&slot);
     let handler: PeerHandler = Rc::new(move |opening, mut stream| {
@@ -44,7 +47,7 @@
         })
     });
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = PeerListener::bind_counted(any, key.clone(), handler, Rc::clone(&traffic));
+    let listener = PeerListener::bind_counted(any, key.clone(), handler, served);
     let listener = listener.await.unwrap();
     let sources = MemberSources {
         daemon: format!("daemon-{index}").parse().unwrap(),
@@ -91,8 +94,7 @@
     let pulling = members
         .iter()
         .filter(|one| bytes(one, TrafficPurpose::MembershipPulls).sent > 0);
-    // Both sides of a pull send; few others than the relays may have been asked.
-    assert!(pulling.count() <= 2 * ZONES, "pulls between zones");
+    assert!(pulling.count() <= ZONES, "pulls between zones");
     let gossip = members
         .iter()
         .map(|one| bytes(one, TrafficPurpose::MembershipGossip).sent);
