Add failing tests of changes that pass silent daemons

A daemon whose parent in the watch tree is silent, in one direction or both, doesn't have a change within half of its bound, nor does one with two silent peers. The simulated fleet now loads the document with a call of its own, as the daemons do, and loses messages by direction.

--- a/tests/watch_kit/event_handlers.rs
+++ b/tests/watch_kit/event_handlers.rs
@@ -1,7 +1,7 @@
 //! Steps of the simulated daemons and their store.
 
 use wagtailtrack::config::{
-    DocumentReading, DocumentUpdate, PeerStep, StoreStep, WatchResponse, WatcherStep,
+    DocumentReading, DocumentUpdate, PeerStep, PeerUpdate, StoreStep, WatchResponse, WatcherStep,
 };
 use wagtailtrack::evacuation::{EvacuationReport, EvacuationUpdate};
 use wagtailtrack::ids::{BootId, Revision, StoreEra, Version};
@@ -9,7 +9,10 @@
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::wire::{WatchReply, WatchRequest};
 
-use super::{AnswerParts, Event, STORE_TIMEOUT, WatchFleet, document, mark, member_index, micros};
+use super::{
+    AnswerParts, Event, LOAD_TIMEOUT, STORE_TIMEOUT, WatchFleet, document, mark, member_index,
+    micros,
+};
 
 impl WatchFleet {
     pub(super) fn store_turn(&mut self, index: usize) {
@@ -145,7 +148,7 @@
                 let is_other_zone = self.members[index].zone != self.members[to].zone;
                 node.zone_questions += u64::from(is_other_zone);
                 let at = now + self.delay();
-                if !self.nodes[index].is_silent && !self.nodes[to].is_silent {
+                if self.reaches(index, to) {
                     self.schedule(at, Event::Question(index, to, number));
                 }
                 self.schedule(now + micros(timeout), Event::GiveUp(index, to, number));
@@ -168,7 +171,7 @@
             self.nodes[to].kept.retain(|kept| *kept != (from, number));
             let parts = self.nodes[to].answer(now);
             let at = now + self.delay();
-            if !self.nodes[from].is_silent && !self.nodes[to].is_silent {
+            if self.reaches(to, from) {
                 self.schedule(at, Event::Answer(from, to, number, parts));
             }
             return;
@@ -214,11 +217,49 @@
         let update = node
             .peer_watcher
             .answered(peer, sent, local, reply, node.confirmed_at);
-        if let Some(update) = update {
-            node.revision = node.revision.max(Some(update.revision));
+        match update {
+            Some(update) if node.revision < Some(update.revision) => self.load(from, to, update),
+            Some(update) => {
+                self.confirm(from, Some(update.revision), update.confirmed_at);
+                self.schedule(now, Event::PeerTurn(from));
+            }
+            None => self.schedule(now, Event::PeerTurn(from)),
+        }
+    }
+
+    /// Requests the document from the node that told of a newer revision.
+    fn load(&mut self, from: usize, to: usize, update: PeerUpdate) {
+        let node = &mut self.nodes[from];
+        node.asked += 1;
+        let number = node.asked;
+        node.load = Some((number, update));
+        let at = self.now + self.delay();
+        if self.reaches(from, to) {
+            self.schedule(at, Event::LoadCall(from, to, number));
+        }
+        let end = self.now + LOAD_TIMEOUT;
+        self.schedule(end, Event::LoadGiveUp(from, to, number));
+    }
+
+    pub(super) fn load_call(&mut self, from: usize, to: usize, number: u64) {
+        let at = self.now + self.delay();
+        if self.reaches(to, from) {
+            let revision = self.nodes[to].revision.map(|revision| revision.0);
+            self.schedule(at, Event::LoadAnswer(from, to, number, revision));
+        }
+    }
+
+    pub(super) fn end_load(&mut self, from: usize, to: usize, number: u64, revision: Option<u64>) {
+        let node = &mut self.nodes[from];
+        let Some((_, update)) = node.load.take_if(|load| load.0 == number) else {
+            return;
+        };
+        debug_assert_ne!(from, to);
+        node.revision = node.revision.max(revision.map(Revision));
+        if node.revision >= Some(update.revision) {
             self.confirm(from, Some(update.revision), update.confirmed_at);
         }
-        self.schedule(now, Event::PeerTurn(from));
+        self.schedule(self.now, Event::PeerTurn(from));
     }
 
     /// Records a confirmation, after checking that it is true, and answers those who wait for it.
--- a/tests/watch_kit/mod.rs
+++ b/tests/watch_kit/mod.rs
@@ -6,11 +6,11 @@
 mod watch_node;
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use wagtailtrack::config::ConfigDocument;
+use wagtailtrack::config::{ConfigDocument, MAX_ALTERNATES};
 use wagtailtrack::evacuation::{EvacuatedZones, EvacuationMark};
 use wagtailtrack::ids::{BootId, Revision, StoreEra, Version};
 use wagtailtrack::members::LiveMember;
@@ -23,6 +23,8 @@
 const DELAYS: std::ops::Range<u64> = 500..4_000;
 /// Time in which a call that gets no answer fails, in microseconds.
 const STORE_TIMEOUT: u64 = 800_000;
+/// Time in which a peer must send the document, in microseconds.
+const LOAD_TIMEOUT: u64 = 5_000_000;
 
 /// What happens at a time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -44,6 +46,12 @@
     Answer(usize, usize, u64, AnswerParts),
     /// The asking node gives a question up.
     GiveUp(usize, usize, u64),
+    /// A request for the document arrives: asking node, asked node, number.
+    LoadCall(usize, usize, u64),
+    /// The document arrives: asking node, asked node, number, revision.
+    LoadAnswer(usize, usize, u64, Option<u64>),
+    /// The asking node gives the document up.
+    LoadGiveUp(usize, usize, u64),
 }
 
 /// Clock, revision and age of an answer, whether the node has lost the store, and the newest version
@@ -65,6 +73,8 @@
     /// Calls that wait at the store for a change: node and time of sending.
     store_waits: Vec<(usize, u64)>,
     store_calls: u64,
+    /// Directions that lose all messages: sending and receiving node.
+    cuts: HashSet<(usize, usize)>,
 }
 
 impl WatchFleet {
@@ -87,6 +97,7 @@
             zone_changes: Vec::new(),
             store_waits: Vec::new(),
             store_calls: 0,
+            cuts: HashSet::new(),
         };
         for index in 0..count {
             fleet.schedule(0, Event::StoreTurn(index));
@@ -169,6 +180,27 @@
         }
     }
 
+    /// Loses all messages from one node to another from now on.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    /// The nodes that a node asks first, second and so on if the ones before are silent; the parent is
+    /// the first.
+    pub fn sources(&self, index: usize) -> Vec<usize> {
+        let tree = &self.nodes[index].tree;
+        let alternates = (1..=MAX_ALTERNATES).filter_map(|position| tree.peer_at(position));
+        let parents = tree.parent().into_iter().chain(tree.grandparent());
+        let sources = parents.chain(alternates);
+        sources.map(member_index).collect()
+    }
+
+    /// Whether a message from one node reaches another.
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let is_silent = self.nodes[from].is_silent || self.nodes[to].is_silent;
+        !is_silent && !self.cuts.contains(&(from, to))
+    }
+
     /// The nodes that watch the store.
     pub fn roots(&self) -> Vec<usize> {
         let indices = 0..self.nodes.len();
@@ -265,6 +297,11 @@
             Event::WaitEnd(from, to, number) => self.question(from, to, number, true),
             Event::Answer(from, to, number, parts) => self.peer_answer(from, to, number, parts),
             Event::GiveUp(from, to, number) => self.give_up(from, to, number),
+            Event::LoadCall(from, to, number) => self.load_call(from, to, number),
+            Event::LoadAnswer(from, to, number, revision) => {
+                self.end_load(from, to, number, revision);
+            }
+            Event::LoadGiveUp(from, to, number) => self.end_load(from, to, number, None),
         }
     }
 }
--- a/tests/watch_kit/watch_node.rs
+++ b/tests/watch_kit/watch_node.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use wagtailtrack::config::{DocumentWatcher, PeerWatcher, StoreSchedule, WatchStatus, WatchTree};
+use wagtailtrack::config::{
+    DocumentWatcher, PeerUpdate, PeerWatcher, StoreSchedule, WatchStatus, WatchTree,
+};
 use wagtailtrack::evacuation::EvacuationState;
 use wagtailtrack::ids::Revision;
 use wagtailtrack::members::LiveMember;
@@ -26,6 +28,8 @@
     pub is_silent: bool,
     pub asked: u64,
     pub question: Option<OpenQuestion>,
+    /// Number of the open request for a document, and what the peer said of it.
+    pub load: Option<(u64, PeerUpdate)>,
     /// Questions that wait here: asking node and number.
     pub kept: Vec<(usize, u64)>,
     pub questions: u64,
@@ -51,6 +55,7 @@
             is_silent: false,
             asked: 0,
             question: None,
+            load: None,
             kept: Vec::new(),
             questions: 0,
             zone_questions: 0,
--- /dev/null
+++ b/tests/watch_silence.rs
@@ -0,0 +1,112 @@
+//! Daemons that are in touch with the store while one or two of the daemons that they ask are silent.
+
+mod watch_kit;
+
+use watch_kit::WatchFleet;
+
+const ZONES: usize = 5;
+/// Longer than any wait in the fleet.
+const SETTLE_MILLIS: u64 = 8_000;
+/// Half of the two seconds within which a change must be in force everywhere.
+const BOUND_MILLIS: u64 = 1_000;
+/// Longer than a question is held back, so that the cuts begin at every phase of it.
+const PHASE_MILLIS: u64 = 1_800;
+const PHASE_STEP_MILLIS: u64 = 150;
+
+/// Directions in which messages between a daemon and those that it asks are lost.
+#[derive(Debug, Clone, Copy)]
+enum CutWay {
+    ToPeer,
+    FromPeer,
+    Both,
+}
+
+/// Cuts a third of the daemons that ask another one off from the first `silent` of their sources,
+/// publishes a change `lag` ms later and checks that all have it within the bound.
+fn check_change(count: usize, way: CutWay, silent: usize, lag: u64) {
+    for phase in (0..PHASE_MILLIS).step_by(PHASE_STEP_MILLIS as usize) {
+        let mut fleet = WatchFleet::open(count, ZONES, phase);
+        fleet.run(SETTLE_MILLIS + phase);
+        assert!(fleet.all_fresh());
+        let roots = fleet.roots();
+        let asking = (0..count).filter(|index| !roots.contains(index));
+        for index in asking.filter(|index| index / ZONES % 3 == phase as usize % 2) {
+            for peer in fleet.sources(index).into_iter().take(silent) {
+                if !matches!(way, CutWay::FromPeer) {
+                    fleet.cut(index, peer);
+                }
+                if !matches!(way, CutWay::ToPeer) {
+                    fleet.cut(peer, index);
+                }
+            }
+        }
+        fleet.run(lag);
+        fleet.publish();
+        fleet.run(BOUND_MILLIS);
+        let behind = fleet.behind();
+        assert!(
+            behind.is_empty(),
+            "{count} daemons, {way:?}, {silent} silent, phase {phase}, lag {lag}: {behind:?}"
+        );
+    }
+}
+
+fn check_sizes(way: CutWay, silent: usize) {
+    for count in [25, 100, 300] {
+        for lag in [0, 100, 700] {
+            check_change(count, way, silent, lag);
+        }
+    }
+}
+
+/// Guards against a change that reaches a daemon late because its parent is silent: the length of a
+/// long poll must be no part of the time until that is noticed.
+#[test]
+fn parent_silent() {
+    check_sizes(CutWay::Both, 1);
+}
+
+/// The same where only the parent's messages are lost.
+#[test]
+fn parent_unheard() {
+    check_sizes(CutWay::FromPeer, 1);
+}
+
+/// The same where the parent's messages arrive, but not those to it: the child hears of the change
+/// and cannot load it.
+#[test]
+fn parent_unreachable() {
+    check_sizes(CutWay::ToPeer, 1);
+}
+
+/// The same where the daemon that stands in for the parent is silent too.
+#[test]
+fn two_peers_silent() {
+    check_sizes(CutWay::Both, 2);
+}
+
+/// Two silent peers, one direction each way.
+#[test]
+fn two_peers_one_way() {
+    check_sizes(CutWay::ToPeer, 2);
+    check_sizes(CutWay::FromPeer, 2);
+}
+
+/// Guards against calls to the store that go on growing while the daemons that others ask are silent.
+#[test]
+fn store_calls_while_silent() {
+    let mut fleet = WatchFleet::open(100, ZONES, 3);
+    fleet.run(SETTLE_MILLIS);
+    let roots = fleet.roots();
+    for index in (0..100).filter(|index| !roots.contains(index)) {
+        let parent = fleet.sources(index)[0];
+        fleet.cut(index, parent);
+        fleet.cut(parent, index);
+    }
+    fleet.run(2_000);
+    let before = fleet.store_calls();
+    fleet.run(10_000);
+    let calls = fleet.store_calls() - before;
+    // A daemon of its own that watches the store makes one call in a fifth of the lease.
+    assert!(calls <= 100 * 11, "{calls} calls in 10 s");
+}
