Notice a silent daemon in the watch tree within 600 ms

Callers saw a withdrawn or new configuration in force more than two seconds after its acknowledgement at daemons whose parent in the watch tree was cut off from them, also in one direction only.

A question was given its whole long poll and 0.4 s more before it counted as unanswered, 1.65 s at a lease of 5 s, and the next peer as much again. A child whose messages to its parent were lost heard of the change and then waited up to 5 s for the document. The store was read only once the last confirmation was 0.3 of the lease old.

A daemon that holds its answer back now sends a message each 250 ms; one that sends nothing for 600 ms is silent, whatever the wait. A daemon whose parent is silent, or late by 200 ms with a document, watches the store until the parent answers. What other peers say is still used, but not relied on.

watch_silence: the five failing tests pass (25, 100 and 300 daemons in five zones, one or two silent peers, each way and both, every phase of the wait, one second). watch_sockets shows the same over a relay.

The metrics tell the age and the source of the configuration, the log names a silent daemon and for how long it was not heard.

--- a/src/config/config_driver.rs
+++ b/src/config/config_driver.rs
@@ -8,16 +8,19 @@
 use tokio::sync::Notify;
 
 use crate::config::evacuation_follower::{EvacuationFollower, EvacuationInputs};
+use crate::config::peer_silence::PeerSilence;
 use crate::config::{
-    Catalog, ConfigChange, ConfigFollower, ConfigSources, ConfigStore, FollowerAction,
-    SnapshotSource,
+    Catalog, ConfigChange, ConfigFollower, ConfigSources, ConfigStore, ConfirmationSource,
+    FollowerAction, SnapshotSource,
 };
 use crate::ids::Revision;
 use crate::logs::log_target;
+use crate::peers::PeerError;
 use crate::platform::PlatformError;
 use crate::time::MonoTime;
 use crate::wire::{
     ConfigCall, ConfigReply, ConfigState, PeerCall, PeerReply, SnapshotCursor, SnapshotPage,
+    WatchReply, WatchRequest,
 };
 
 /// Interval between two ticks of the follower.
@@ -39,6 +42,10 @@
     pub(super) document_warnings: Cell<u64>,
     /// Whether this daemon watches the store of the document and its calls fail.
     pub(super) store_lost: Cell<bool>,
+    /// Who confirmed the configuration last; none before the first confirmation.
+    pub(super) source: Cell<Option<ConfirmationSource>>,
+    /// The silent ones of the daemons that pass the document on.
+    pub(super) silence: RefCell<PeerSilence>,
     /// The evacuated zones that the store of the document reports, and what was logged of them.
     pub(super) evacuations: EvacuationFollower,
     /// Notified when a document comes into force or is confirmed.
@@ -123,7 +130,8 @@
             ConfigReply::Pong
             | ConfigReply::Page(_)
             | ConfigReply::NotLoaded
-            | ConfigReply::Watched(_) => None,
+            | ConfigReply::Watched(_)
+            | ConfigReply::Held => None,
         }
     }
 
@@ -133,6 +141,18 @@
             .await;
     }
 
+    /// When the configuration in force was last confirmed to be the newest.
+    pub(super) fn confirmed_at(&self) -> Option<MonoTime> {
+        self.follower.borrow().lease().confirmed_at()
+    }
+
+    /// Takes `source` for that of the last confirmation if there is a newer one than at `known`.
+    pub(super) fn note_source(&self, known: Option<MonoTime>, source: ConfirmationSource) {
+        if self.confirmed_at() > known {
+            self.source.set(Some(source));
+        }
+    }
+
     fn revision(&self) -> Revision {
         self.follower.borrow().catalog().revision()
     }
@@ -142,11 +162,17 @@
         let actions = match action {
             FollowerAction::ReadHead => {
                 let head = self.store.head().await;
-                self.follower.borrow_mut().head_read(sent, head)
+                let known = self.confirmed_at();
+                let actions = self.follower.borrow_mut().head_read(sent, head);
+                self.note_source(known, ConfirmationSource::Store);
+                actions
             }
             FollowerAction::QueryPeer(peer, have) => {
                 let answer = self.query_peer(peer, have).await;
-                self.follower.borrow_mut().peer_answered(sent, peer, answer)
+                let known = self.confirmed_at();
+                let actions = self.follower.borrow_mut().peer_answered(sent, peer, answer);
+                self.note_source(known, ConfirmationSource::Peer(peer));
+                actions
             }
             FollowerAction::ReadChanges(after, until) => {
                 let changes = self.store.changes(after, until).await;
@@ -166,7 +192,7 @@
 
     async fn load_snapshot(&self, source: SnapshotSource) -> Option<Catalog> {
         match source {
-            SnapshotSource::Peer(peer) => self.load_peer_snapshot(peer).await,
+            SnapshotSource::Peer(peer) => self.load_peer_snapshot(peer, PAGE_TIMEOUT).await,
             SnapshotSource::Platform => match self.store.read_catalog().await {
                 Ok(catalog) => Some(catalog),
                 Err(cause) => {
@@ -178,9 +204,15 @@
     }
 
     /// Reads a peer's snapshot page by page, then the changes made since the first page. Returns
-    /// none when the peer does not answer, replaces its catalog meanwhile, or lacks the changes.
-    pub(super) async fn load_peer_snapshot(&self, peer: SocketAddr) -> Option<Catalog> {
-        let first = self.read_page(peer, SnapshotCursor::Services).await?;
+    /// none when the peer does not send a page within `timeout`, replaces its catalog meanwhile, or
+    /// lacks the changes.
+    pub(super) async fn load_peer_snapshot(
+        &self,
+        peer: SocketAddr,
+        timeout: Duration,
+    ) -> Option<Catalog> {
+        let services = SnapshotCursor::Services;
+        let first = self.read_page(peer, services, timeout).await?;
         let (epoch, mut newest) = (first.epoch, first.revision);
         let mut catalog = Catalog::from_resources(first.revision, None);
         let mut page = first;
@@ -193,7 +225,7 @@
                 .into_iter()
                 .for_each(|item| catalog.insert_item(item));
             match page.next {
-                Some(next) => page = self.read_page(peer, next).await?,
+                Some(next) => page = self.read_page(peer, next, timeout).await?,
                 None => break,
             }
         }
@@ -213,14 +245,54 @@
         &self,
         peer: SocketAddr,
         snapshot_part: SnapshotCursor,
+        timeout: Duration,
     ) -> Option<SnapshotPage> {
         let call = ConfigCall::Snapshot(snapshot_part);
-        match self.call(peer, call, PAGE_TIMEOUT).await? {
+        match self.call(peer, call, timeout).await? {
             ConfigReply::Page(page) => Some(page),
             ConfigReply::Pong
             | ConfigReply::State(_)
             | ConfigReply::NotLoaded
-            | ConfigReply::Watched(_) => None,
+            | ConfigReply::Watched(_)
+            | ConfigReply::Held => None,
+        }
+    }
+
+    /// Asks a peer for news of the document. Returns none if the peer sends nothing for `silence`.
+    pub(super) async fn watch_peer(
+        &self,
+        peer: SocketAddr,
+        request: WatchRequest,
+        silence: Duration,
+    ) -> Option<WatchReply> {
+        match self.receive_watched(peer, request, silence).await {
+            Ok(reply) => reply,
+            Err(cause) => {
+                log::debug!(target: log_target::CONFIG, peer:%, cause:%; "Peer did not answer a question for news of the configuration.");
+                None
+            }
+        }
+    }
+
+    async fn receive_watched(
+        &self,
+        peer: SocketAddr,
+        request: WatchRequest,
+        silence: Duration,
+    ) -> Result<Option<WatchReply>, PeerError> {
+        let call = PeerCall::Config(ConfigCall::Watch(request));
+        let opening = self.sources.peers.open_call(peer, call);
+        let clock = self.sources.clock;
+        self.silence.borrow_mut().asked(peer, clock.now());
+        let mut stream = within(silence, opening).await?;
+        loop {
+            let reply = within(silence, stream.receive_required()).await?;
+            self.silence.borrow_mut().heard(peer, clock.now());
+            match reply {
+                PeerReply::Config(ConfigReply::Held) => {}
+                PeerReply::Config(ConfigReply::Watched(reply)) => return Ok(Some(reply)),
+                _ => return Ok(None),
+            }
         }
     }
 
@@ -244,3 +316,12 @@
         }
     }
 }
+
+/// Ends `step` with an error after `span`.
+async fn within<T>(
+    span: Duration,
+    step: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    let ended = actix_rt::time::timeout(span, step).await;
+    ended.unwrap_or(Err(PeerError::Timeout))
+}
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -11,8 +11,9 @@
 use crate::config::evacuation_follower::EvacuationFollower;
 use crate::config::{
     Catalog, ChangeOutcome, ChangeRequest, ChangeSubmission, ConfigChange, ConfigFollower,
-    ConfigStore, DocumentPeers, DocumentSource, FollowerRules, HistoryError, MAX_ANSWERED_CHANGES,
-    PropagationReport, SubmissionAction, document_task, propagation_report, watch_service,
+    ConfigStore, ConfirmationSource, DocumentPeers, DocumentSource, FollowerRules, HistoryError,
+    MAX_ANSWERED_CHANGES, PropagationReport, SubmissionAction, document_task, propagation_report,
+    watch_service,
 };
 use crate::ids::{BootId, DaemonId, Revision};
 use crate::logs::log_target;
@@ -20,7 +21,7 @@
 use crate::platform::PlatformService;
 use crate::settings::PlatformSettings;
 use crate::time::{MonoTime, ProcessClock};
-use crate::wire::{ConfigCall, ConfigReply};
+use crate::wire::{ConfigCall, ConfigReply, WatchReply, WatchRequest};
 
 /// Time for submitting an operator's change, retries included.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -83,6 +84,8 @@
             follower: RefCell::new(follower),
             document_warnings: Cell::new(0),
             store_lost: Cell::new(false),
+            source: Cell::new(None),
+            silence: RefCell::default(),
             evacuations: EvacuationFollower::open(now),
             changed: Notify::new(),
         })
@@ -150,17 +153,47 @@
                 page.map_or(ConfigReply::NotLoaded, ConfigReply::Page)
             }
             ConfigCall::Watch(request) => {
-                ConfigReply::Watched(watch_service::serve(&self.driver, request).await)
+                let reply = self.serve_watch(request, async || true).await;
+                reply.map_or(ConfigReply::NotLoaded, ConfigReply::Watched)
             }
         }
     }
 
+    /// Serves a peer that waits for news of the document. `held` tells it that the reply is held
+    /// back, and returns whether it could be told; returns none once it could not.
+    pub async fn serve_watch(
+        &self,
+        request: WatchRequest,
+        held: impl AsyncFnMut() -> bool,
+    ) -> Option<WatchReply> {
+        watch_service::serve(&self.driver, request, held).await
+    }
+
     /// Parts of configuration documents that could not be used as they stood, since the start.
     #[must_use]
     pub fn document_warnings(&self) -> u64 {
         self.driver.document_warnings.get()
     }
 
+    /// Time since the configuration was last confirmed to be the newest; none without a confirmation.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        let now = self.driver.sources.clock.now();
+        self.driver.follower.borrow().lease().confirmation_age(now)
+    }
+
+    /// Who confirmed the configuration last; none before the first confirmation.
+    #[must_use]
+    pub fn source(&self) -> Option<ConfirmationSource> {
+        self.driver.source.get()
+    }
+
+    /// How often a daemon that passes the document on was found silent, since the start.
+    #[must_use]
+    pub fn silent_peers(&self) -> u64 {
+        self.driver.silence.borrow().count()
+    }
+
     /// State for the operators' dump, as JSON.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -174,6 +207,7 @@
             "is_loaded": follower.is_loaded(),
             "freshness": follower.freshness(now),
             "confirmed_millis_ago": lease.confirmation_age(now).map(|age| age.as_millis()),
+            "confirmed_by": self.source().map(|source| source.to_string()),
             "fleet_size": lease.peak_members(),
             "live_daemons": lease.live_members(),
             "accounts": accounts,
--- a/src/config/document_task.rs
+++ b/src/config/document_task.rs
@@ -2,20 +2,25 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
+use tokio::sync::Notify;
+
 use crate::config::config_driver::ConfigDriver;
 use crate::config::{
-    Catalog, ConfigDocument, DocumentSource, DocumentWatcher, PeerStep, PeerUpdate, PeerWatcher,
-    StoreSchedule, StoreStep, WatchResponse, WatchStatus, WatchTree, WatcherStep, WatcherUpdate,
+    Catalog, ConfigDocument, ConfirmationSource, DocumentSource, DocumentWatcher, PeerStep,
+    PeerUpdate, PeerWatcher, StoreSchedule, StoreStep, WatchResponse, WatchStatus, WatchTree,
+    WatcherStep, WatcherUpdate,
 };
 use crate::ids::{Revision, ZoneId};
 use crate::logs::log_target;
 use crate::members::LiveMember;
 use crate::platform::PlatformError;
 use crate::time::MonoTime;
-use crate::wire::{ConfigCall, ConfigReply, WatchRequest};
+use crate::wire::WatchRequest;
 
 /// Interval at which a daemon that need not ask its peers checks whether it must.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -39,6 +44,8 @@
     tree: RefCell<(Option<u64>, WatchTree)>,
     store_watcher: RefCell<DocumentWatcher>,
     peer_watcher: RefCell<PeerWatcher>,
+    /// Notified when a peer is found to be silent, so that the store is called at once.
+    peer_failed: Notify,
 }
 
 /// Follows the document of `source` for as long as the daemon runs.
@@ -53,6 +60,7 @@
         store_watcher: RefCell::new(DocumentWatcher::open(lease, now)),
         peer_watcher: RefCell::new(PeerWatcher::open(lease, now)),
         tree: RefCell::default(),
+        peer_failed: Notify::new(),
         driver,
         source,
         peers,
@@ -71,7 +79,8 @@
             self.driver.evacuations.log_own_age(lease, sent);
             match schedule.next_step(&status, sent, &mut rng) {
                 StoreStep::Wait(span) => {
-                    actix_rt::time::sleep(span).await;
+                    // The timeout only ends the wait.
+                    let _ = actix_rt::time::timeout(span, self.peer_failed.notified()).await;
                     continue;
                 }
                 StoreStep::Watch => {}
@@ -123,26 +132,21 @@
                     .borrow_mut()
                     .next_step(&tree.1, have, sent)
             };
-            let (peer, request, timeout) = match step {
-                PeerStep::Ask(peer, request, timeout) => (peer, request, timeout),
+            let (peer, request, silence) = match step {
+                PeerStep::Ask(peer, request, silence) => (peer, request, silence),
                 PeerStep::Pause(until) => {
                     actix_rt::time::sleep(until.remaining(sent)).await;
                     continue;
                 }
             };
-            let call = ConfigCall::Watch(WatchRequest {
+            let request = WatchRequest {
                 evacuations: self.driver.evacuations.digest(),
                 ..request
-            });
-            let reply = match self.driver.call(peer, call, timeout).await {
-                Some(ConfigReply::Watched(reply)) => Some(reply),
-                _ => {
-                    self.driver.sources.peers.retire(peer);
-                    None
-                }
             };
+            let reply = self.driver.watch_peer(peer, request, silence).await;
+            let is_answered = reply.is_some();
             let now = self.driver.sources.clock.now();
-            let known = self.driver.follower.borrow().lease().confirmed_at();
+            let known = self.driver.confirmed_at();
             let report = reply.as_ref().and_then(|reply| reply.evacuations.clone());
             let update = {
                 let mut watcher = self.peer_watcher.borrow_mut();
@@ -155,9 +159,15 @@
                     self.driver.changed.notify_waiters();
                 }
             }
+            if !is_answered {
+                self.note_silence(peer);
+            }
             if let Some(update) = update {
                 self.apply_peer_update(peer, update).await;
             }
+            if !self.peer_watcher.borrow().is_unheard() {
+                self.driver.silence.borrow_mut().ended(now);
+            }
         }
     }
 
@@ -173,6 +183,7 @@
             is_root: tree.1.is_root(),
             has_peers: tree.1.peer_at(0).is_some(),
             is_unheard: self.peer_watcher.borrow().is_unheard(),
+            has_parent_lost_store: self.peer_watcher.borrow().has_parent_lost_store(),
             age: age.filter(|_| follower.is_loaded() && self.driver.evacuations.is_known()),
         }
     }
@@ -215,7 +226,9 @@
             self.put_document_in_force(document);
         }
         if let Some(time) = update.confirmed_at {
+            let known = self.driver.confirmed_at();
             self.driver.follower.borrow_mut().confirm(time, now);
+            self.driver.note_source(known, ConfirmationSource::Store);
         }
         self.driver.changed.notify_waiters();
     }
@@ -235,20 +248,54 @@
     }
 
     async fn apply_peer_update(&self, peer: SocketAddr, update: PeerUpdate) {
-        if self.have().is_none_or(|have| have < update.revision)
-            && let Some(catalog) = self.driver.load_peer_snapshot(peer).await
-            && self.is_newer(catalog.revision(), "peer")
-        {
-            self.put_in_force(catalog, "peer");
+        if self.have().is_none_or(|have| have < update.revision) {
+            self.load_from_peer(peer).await;
         }
         if let Some(time) = update.confirmed_at {
             let now = self.driver.sources.clock.now();
+            let known = self.driver.confirmed_at();
             let mut follower = self.driver.follower.borrow_mut();
             follower.confirm_from_peer(update.revision, time, now);
+            drop(follower);
+            self.driver
+                .note_source(known, ConfirmationSource::Peer(peer));
         }
         self.driver.changed.notify_waiters();
     }
 
+    async fn load_from_peer(&self, peer: SocketAddr) {
+        let silence = PeerWatcher::load_silence();
+        let load = pin!(self.driver.load_peer_snapshot(peer, silence));
+        let patience = pin!(actix_rt::time::sleep(PeerWatcher::load_patience()));
+        let loaded = match select(load, patience).await {
+            Either::Left((loaded, _)) => loaded,
+            Either::Right(((), load)) => {
+                self.peer_watcher.borrow_mut().load_late();
+                self.peer_failed.notify_one();
+                load.await
+            }
+        };
+        let now = self.driver.sources.clock.now();
+        let mut watcher = self.peer_watcher.borrow_mut();
+        watcher.load_ended(loaded.is_some(), now);
+        drop(watcher);
+        match loaded {
+            Some(catalog) if self.is_newer(catalog.revision(), "peer") => {
+                self.put_in_force(catalog, "peer");
+            }
+            Some(_) => {}
+            None => self.note_silence(peer),
+        }
+    }
+
+    /// Makes later calls to `peer` use a new connection, and the store be called at once.
+    fn note_silence(&self, peer: SocketAddr) {
+        let now = self.driver.sources.clock.now();
+        self.driver.silence.borrow_mut().fell_silent(peer, now);
+        self.driver.sources.peers.retire(peer);
+        self.peer_failed.notify_one();
+    }
+
     /// Whether `revision` is newer than the one in force; logs if it is not.
     fn is_newer(&self, revision: Revision, source: &str) -> bool {
         let is_newer = self.have().is_none_or(|have| have < revision);
--- a/src/config/peer_watcher.rs
+++ b/src/config/peer_watcher.rs
@@ -8,11 +8,17 @@
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{WatchReply, WatchRequest};
 
-/// Fraction of the freshness lease for which the peer may hold the answer back. The rest leaves time
-/// to notice that the peer is gone and to ask two others.
+/// Fraction of the freshness lease for which the peer may hold the answer back.
 const WAIT_LEASE_FRACTION: f64 = 0.25;
-/// Time for the answer beyond the wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval at which a peer shows that it lives while it holds the answer back.
+const HELD_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without a message of the peer after which it counts as silent: two intervals and time for a
+/// lost packet. With a read of the store it is less than the second in which a daemon must have a
+/// change.
+const PEER_SILENCE: Duration = Duration::from_millis(600);
+/// Time after which the store is called beside a load from a peer. It adds up along the tree where
+/// messages to the parents are lost, so it is shorter than the silence.
+const LOAD_PATIENCE: Duration = Duration::from_millis(200);
 /// Pause after an unsuccessful question. It is doubled with each further one in a row.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Most doublings of the pause.
@@ -33,7 +39,7 @@
 /// The next question for the driver to ask.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerStep {
-    /// Ask this peer and wait for the answer at most this long.
+    /// Ask this peer, and give up when it sends nothing for this long.
     Ask(SocketAddr, WatchRequest, Duration),
     /// Ask nothing before this time.
     Pause(Deadline),
@@ -54,8 +60,12 @@
     wait: Duration,
     /// The peer that answered last, with its run and the mapping of its clock.
     session: Option<PeerSession>,
-    /// Questions in a row that were not answered.
+    /// Questions and loads in a row that were not answered.
     failures: u32,
+    /// Whether the last question went to the parent.
+    asks_parent: bool,
+    /// Whether the peer that told of a newer document is late to send it.
+    is_load_late: bool,
     /// Questions in a row that brought nothing new although the last confirmation is old, or the peer has
     /// lost the store.
     fruitless: u32,
@@ -93,6 +103,8 @@
             wait: lease.mul_f64(WAIT_LEASE_FRACTION),
             session: None,
             failures: 0,
+            asks_parent: false,
+            is_load_late: false,
             fruitless: 0,
             position: 0,
             next_alternate: 0,
@@ -130,6 +142,7 @@
         let Some(peer) = peer else {
             return PeerStep::Pause(now.after(self.wait));
         };
+        self.asks_parent = self.position == 0;
         let session = self.session.as_ref().filter(|session| session.peer == peer);
         let request = WatchRequest {
             have,
@@ -138,8 +151,9 @@
             store_lost: self.position == 0 && self.has_parent_lost_store,
             evacuations: None,
             wait_micros: u64::try_from(self.wait.as_micros()).unwrap_or(0),
+            held_interval_micros: u64::try_from(HELD_INTERVAL.as_micros()).unwrap_or(0),
         };
-        PeerStep::Ask(peer, request, self.wait + ANSWER_TIMEOUT)
+        PeerStep::Ask(peer, request, PEER_SILENCE)
     }
 
     /// Handles the answer of `peer` to a question that was sent at `sent`; none when it failed.
@@ -153,17 +167,11 @@
         confirmed_at: Option<MonoTime>,
     ) -> Option<PeerUpdate> {
         let Some(reply) = reply else {
-            self.failures += 1;
-            let is_parent = self.position == 0;
-            self.is_parent_lost |= is_parent;
-            self.turn_to_next(self.failures, now);
-            if is_parent && self.position != 0 {
-                self.position = GRANDPARENT;
-            }
+            self.fail(now);
             return None;
         };
         self.failures = 0;
-        if self.position == 0 {
+        if self.asks_parent {
             self.is_parent_lost = false;
             self.has_parent_lost_store = reply.store_lost;
         }
@@ -185,11 +193,54 @@
         update
     }
 
-    /// Whether the parent, or the daemon that was asked last, does not answer, or the parent has lost
-    /// the store, so that this daemon turns to the store.
+    /// Longest time without a part of the document while it is loaded from a peer.
+    #[must_use]
+    pub const fn load_silence() -> Duration {
+        PEER_SILENCE
+    }
+
+    /// Time after which a load is late.
+    #[must_use]
+    pub const fn load_patience() -> Duration {
+        LOAD_PATIENCE
+    }
+
+    /// Handles that the document of which the last answer told is late. The messages of the peer
+    /// arrive, and those to it may be lost.
+    pub const fn load_late(&mut self) {
+        self.is_load_late = true;
+    }
+
+    /// Handles the end of a load from the peer that answered last.
+    pub fn load_ended(&mut self, is_loaded: bool, now: MonoTime) {
+        self.is_load_late = false;
+        if !is_loaded {
+            self.fail(now);
+        }
+    }
+
+    /// Whether the parent, or the daemon that was asked last, is silent or late. This daemon then watches the
+    /// store until its parent answers: the daemons that it asks in the parent's place may hear of a
+    /// change from it alone.
     #[must_use]
     pub const fn is_unheard(&self) -> bool {
-        self.is_parent_lost || self.has_parent_lost_store || self.failures > 0
+        self.is_parent_lost || self.is_load_late || self.failures > 0
+    }
+
+    /// Whether the parent answers and has lost the store.
+    #[must_use]
+    pub const fn has_parent_lost_store(&self) -> bool {
+        self.has_parent_lost_store
+    }
+
+    /// Records a question or a load without an answer, and turns to the next peer.
+    fn fail(&mut self, now: MonoTime) {
+        self.failures += 1;
+        self.is_parent_lost |= self.asks_parent;
+        self.turn_to_next(self.failures, now);
+        if self.asks_parent && self.position != 0 {
+            self.position = GRANDPARENT;
+        }
     }
 
     /// Maps the time of the peer's confirmation to this daemon's clock, as a lower bound.
--- a/src/config/store_schedule.rs
+++ b/src/config/store_schedule.rs
@@ -7,9 +7,9 @@
 /// Fraction of the freshness lease after which a daemon that hears nothing newer from its peers turns
 /// to the store. The rest is time for two calls.
 const FALLBACK_LEASE_FRACTION: f64 = 0.55;
-/// The same while the parent does not answer. Its children then hear of a new document from the store
-/// alone, and must do so within two seconds.
-const UNHEARD_LEASE_FRACTION: f64 = 0.3;
+/// The same while the parent says that it has lost the store. Its children then hear of a new document
+/// from the store alone, and must do so within two seconds.
+const LOST_STORE_LEASE_FRACTION: f64 = 0.3;
 /// Time after the start in which other daemons may be found, before the store is read.
 const START_WAIT: Duration = Duration::from_millis(150);
 /// Shortest pause between two reads of a daemon that does not watch the store.
@@ -27,8 +27,10 @@
     pub is_root: bool,
     /// Whether other daemons are live.
     pub has_peers: bool,
-    /// Whether the daemons that it asks do not answer.
+    /// Whether a daemon that it asks is silent.
     pub is_unheard: bool,
+    /// Whether the daemon that it asks has lost the store.
+    pub has_parent_lost_store: bool,
     /// Time since the last confirmation; none before the first.
     pub age: Option<Duration>,
 }
@@ -76,22 +78,23 @@
         if status.age.is_none() && !self.start.has_passed(now) {
             return StoreStep::Wait(self.start.remaining(now).min(MAX_WAIT));
         }
-        if status.is_root || !status.has_peers {
+        // Silence is known in less than a second, and a watch takes as few calls as one of a root.
+        if status.is_root || !status.has_peers || status.is_unheard {
             return StoreStep::Watch;
         }
-        let unheard_fallback = self.lease.mul_f64(UNHEARD_LEASE_FRACTION);
-        let fallback = match status.is_unheard {
-            true => unheard_fallback,
+        let lost_store_fallback = self.lease.mul_f64(LOST_STORE_LEASE_FRACTION);
+        let fallback = match status.has_parent_lost_store {
+            true => lost_store_fallback,
             false => self.lease.mul_f64(FALLBACK_LEASE_FRACTION),
         };
         if let Some(age) = status.age.filter(|age| *age < fallback) {
             self.doubtful_at = None;
-            // The parent may be lost at any time, so the schedule is looked at again before the age
-            // at which that would call for a read.
-            let wait = unheard_fallback.saturating_sub(age);
+            // The parent may lose the store at any time, so the schedule is looked at again before
+            // the age at which that would call for a read.
+            let wait = lost_store_fallback.saturating_sub(age);
             return StoreStep::Wait(wait.max(READ_PAUSE / 4));
         }
-        let due_at = match status.is_unheard {
+        let due_at = match status.has_parent_lost_store {
             true => self.read_at,
             false => self.doubtful_due(now, rng).max(self.read_at),
         };
--- a/src/config/watch_service.rs
+++ b/src/config/watch_service.rs
@@ -5,21 +5,37 @@
 use crate::config::config_driver::ConfigDriver;
 use crate::wire::{WatchReply, WatchRequest};
 
-/// Waits until this daemon knows more than `request` says, and returns what it knows.
-pub(super) async fn serve(driver: &ConfigDriver, request: WatchRequest) -> WatchReply {
+/// Shortest interval between two messages that tell of a reply held back.
+const MIN_HELD_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Waits until this daemon knows more than `request` says, and returns what it knows. Calls `held` at
+/// the interval that the request states; returns none once that fails, as when the caller is gone.
+pub(super) async fn serve(
+    driver: &ConfigDriver,
+    request: WatchRequest,
+    mut held: impl AsyncFnMut() -> bool,
+) -> Option<WatchReply> {
     let clock = driver.sources.clock;
-    let end = clock
-        .now()
-        .after(Duration::from_micros(request.wait_micros));
+    let start = clock.now();
+    let end = start.after(Duration::from_micros(request.wait_micros));
+    let interval = Duration::from_micros(request.held_interval_micros).max(MIN_HELD_INTERVAL);
+    let mut held_at = start.after(interval);
     loop {
         let changed = driver.changed.notified();
         let reply = watch_reply(driver);
         let now = clock.now();
         if has_news(&reply, &request) || end.has_passed(now) {
-            return reply;
+            return Some(reply);
+        }
+        if held_at.has_passed(now) {
+            held_at = now.after(interval);
+            if !held().await {
+                return None;
+            }
         }
         // The timeout only ends the wait; the loop answers with what is known by then.
-        let _ = actix_rt::time::timeout(end.remaining(now), changed).await;
+        let span = end.min(held_at).remaining(now);
+        let _ = actix_rt::time::timeout(span, changed).await;
     }
 }
 
--- a/src/daemon/peer_calls.rs
+++ b/src/daemon/peer_calls.rs
@@ -8,7 +8,7 @@
 use crate::logs::log_target;
 use crate::members::MembersHandle;
 use crate::peers::{PeerHandler, PeerStream};
-use crate::wire::{PeerCall, PeerOpening, PeerReply};
+use crate::wire::{ConfigCall, ConfigReply, PeerCall, PeerOpening, PeerReply};
 
 /// Builds the handler for streams that other daemons open.
 pub(crate) fn handler(
@@ -47,7 +47,17 @@
             }
             PeerOpening::Call(call) => call,
         };
-        let reply = self.reply(call).await;
+        let reply = match call {
+            PeerCall::Config(ConfigCall::Watch(request)) => {
+                let held = PeerReply::Config(ConfigReply::Held);
+                let hold = async || stream.send(&held).await.is_ok();
+                let Some(reply) = self.config.serve_watch(request, hold).await else {
+                    return;
+                };
+                PeerReply::Config(ConfigReply::Watched(reply))
+            }
+            call => self.reply(call).await,
+        };
         let sent = match stream.send(&reply).await {
             Ok(()) => stream.finish(),
             Err(cause) => Err(cause),
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -10,6 +10,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::balance::ZoneLine;
+use crate::config::ConfirmationSource;
 use crate::ingress::{CreditLine, RequestTotals};
 use crate::metrics::DurationMetrics;
 use crate::peers::ZoneBytes;
@@ -33,6 +34,12 @@
     pub members: u64,
     /// Revision of the loaded configuration.
     pub revision: u64,
+    /// Time since the configuration was confirmed to be the newest; none without a confirmation.
+    pub configuration_age: Option<Duration>,
+    /// Who confirmed it last; none before the first confirmation.
+    pub configuration_source: Option<ConfirmationSource>,
+    /// How often a daemon that passes the configuration on was found silent, since the daemon started.
+    pub silent_peers: u64,
     /// Parts of configuration documents that could not be used as they stood, since the daemon
     /// started.
     pub document_warnings: u64,
@@ -152,6 +159,11 @@
     register_counter(meter, latest, "configuration_warnings", |snapshot| {
         snapshot.document_warnings
     });
+    register_counter(meter, latest, "configuration_peer_silences", |snapshot| {
+        snapshot.silent_peers
+    });
+    register_configuration_age(meter, latest);
+    register_configuration_source(meter, latest);
     register_counter(meter, latest, "requests_evacuated", |snapshot| {
         snapshot.evacuation_refusals
     });
@@ -223,6 +235,38 @@
         .build();
 }
 
+fn register_configuration_age(meter: &Meter, latest: &SharedSnapshot) {
+    let latest = Arc::clone(latest);
+    meter
+        .f64_observable_gauge("configuration_age_seconds")
+        .with_callback(move |instrument| {
+            if let Ok(snapshot) = latest.lock()
+                && let Some(age) = snapshot.configuration_age
+            {
+                instrument.observe(age.as_secs_f64(), &[]);
+            }
+        })
+        .build();
+}
+
+/// Registers a gauge with a single series, whose labels name the source.
+fn register_configuration_source(meter: &Meter, latest: &SharedSnapshot) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_gauge("configuration_source")
+        .with_callback(move |instrument| {
+            if let Ok(snapshot) = latest.lock()
+                && let Some(source) = snapshot.configuration_source
+            {
+                let kind = KeyValue::new("source", source.kind());
+                let peer = source.peer().map(|peer| peer.to_string());
+                let peer = KeyValue::new("peer", peer.unwrap_or_default());
+                instrument.observe(1, &[kind, peer]);
+            }
+        })
+        .build();
+}
+
 fn observe(
     instrument: &dyn AsyncInstrument<u64>,
     latest: &SharedSnapshot,
--- a/src/peers/peer_pool.rs
+++ b/src/peers/peer_pool.rs
@@ -77,12 +77,25 @@
         self.connections.borrow_mut().remove(&address);
     }
 
-    async fn exchange(&self, address: SocketAddr, call: PeerCall) -> Result<PeerReply, PeerError> {
+    /// Sends a call to the daemon at `address` and returns the stream on which it replies.
+    ///
+    /// # Errors
+    /// `PeerError` if the connection or the stream fails.
+    pub async fn open_call(
+        &self,
+        address: SocketAddr,
+        call: PeerCall,
+    ) -> Result<PeerStream, PeerError> {
         let mut stream = self.open_stream(address).await?;
         let opening = PeerOpening::Call(call);
         stream.set_purpose(TrafficPurpose::of(&opening));
         stream.send(&opening).await?;
         stream.finish()?;
+        Ok(stream)
+    }
+
+    async fn exchange(&self, address: SocketAddr, call: PeerCall) -> Result<PeerReply, PeerError> {
+        let mut stream = self.open_call(address, call).await?;
         stream.receive_required().await
     }
 
--- a/src/wire/config_call.rs
+++ b/src/wire/config_call.rs
@@ -39,6 +39,8 @@
     pub evacuations: Option<EvacuationDigest>,
     /// How long the peer may hold its reply back.
     pub wait_micros: u64,
+    /// Interval at which the peer sends [`ConfigReply::Held`] meanwhile.
+    pub held_interval_micros: u64,
 }
 
 /// What a daemon knows of the configuration. All times are by its own clock.
@@ -71,6 +73,8 @@
     NotLoaded,
     /// Reply to `Watch`.
     Watched(WatchReply),
+    /// The peer lives and holds its reply to `Watch` back; more messages follow.
+    Held,
 }
 
 /// Configuration revision of a daemon, and how fresh it is.
--- a/tests/evacuation_rows.rs
+++ b/tests/evacuation_rows.rs
@@ -277,6 +277,7 @@
             digest: 0,
         }),
         wait_micros: 600_000_000,
+        held_interval_micros: 250_000,
     };
     let question = daemon.config.serve(ConfigCall::Watch(request));
     let change = async {
--- a/tests/process_metrics.rs
+++ b/tests/process_metrics.rs
@@ -3,8 +3,11 @@
 mod common;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use common::{CallerClient, DeskFleet};
+use wagtailtrack::config::ConfirmationSource;
+use wagtailtrack::metrics::{MetricsExport, MetricsSnapshot};
 
 const TABLE: &str = include_str!("../docs/METRICS.md");
 
@@ -38,6 +41,36 @@
     assert_eq!(served(&metrics), documented(), "{metrics}");
 }
 
+/// Guards against a series of a former source that is served on, so that a daemon seems to hear of the
+/// configuration from two sources.
+#[test]
+fn one_configuration_source() {
+    let export = MetricsExport::open().unwrap();
+    let text = |source| {
+        let snapshot = MetricsSnapshot {
+            configuration_source: source,
+            configuration_age: Some(Duration::from_millis(1_500)),
+            ..MetricsSnapshot::default()
+        };
+        export.text(snapshot)
+    };
+    let peer = ConfirmationSource::Peer(([10, 0, 0, 1], 7000).into());
+    text(Some(ConfirmationSource::Store));
+    let metrics = text(Some(peer));
+    let mut lines = metrics.lines();
+    let sources = lines
+        .clone()
+        .filter(|line| line.starts_with("configuration_source{"));
+    let sources: Vec<_> = sources.collect();
+    assert_eq!(sources.len(), 1, "{sources:?}");
+    assert!(
+        sources[0].contains("peer=\"10.0.0.1:7000\"") && sources[0].contains("source=\"peer\"")
+    );
+    assert!(
+        lines.any(|line| line.starts_with("configuration_age_seconds") && line.ends_with(" 1.5"))
+    );
+}
+
 /// Guards against durations that are recorded not at all or twice per request, in another unit than
 /// seconds, or without the documented labels.
 #[actix_rt::test]
--- a/tests/watch_kit/event_handlers.rs
+++ b/tests/watch_kit/event_handlers.rs
@@ -1,7 +1,8 @@
 //! Steps of the simulated daemons and their store.
 
 use wagtailtrack::config::{
-    DocumentReading, DocumentUpdate, PeerStep, PeerUpdate, StoreStep, WatchResponse, WatcherStep,
+    DocumentReading, DocumentUpdate, PeerStep, PeerUpdate, PeerWatcher, StoreStep, WatchResponse,
+    WatcherStep,
 };
 use wagtailtrack::evacuation::{EvacuationReport, EvacuationUpdate};
 use wagtailtrack::ids::{BootId, Revision, StoreEra, Version};
@@ -9,21 +10,31 @@
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::wire::{WatchReply, WatchRequest};
 
-use super::{
-    AnswerParts, Event, LOAD_TIMEOUT, STORE_TIMEOUT, WatchFleet, document, mark, member_index,
-    micros,
-};
+use super::{AnswerParts, Event, STORE_TIMEOUT, WatchFleet, document, mark, member_index, micros};
 
 impl WatchFleet {
-    pub(super) fn store_turn(&mut self, index: usize) {
+    /// Makes the driver of the store take its next step at `time`. While it waits it may be woken
+    /// earlier.
+    pub(super) fn schedule_store_turn(&mut self, index: usize, time: u64, is_wait: bool) {
+        let turn = &mut self.nodes[index].store_turn;
+        *turn = (turn.0 + 1, is_wait);
+        let number = turn.0;
+        self.schedule(time, Event::StoreTurn(index, number));
+    }
+
+    pub(super) fn store_turn(&mut self, index: usize, number: u64) {
         let now = self.now;
         let node = &mut self.nodes[index];
+        if node.store_turn.0 != number {
+            return;
+        }
+        node.store_turn.1 = false;
         let local = node.local(now);
         let status = node.status(now);
         match node.schedule.next_step(&status, local, &mut node.rng) {
             StoreStep::Wait(span) => {
                 let wake = now + micros(span);
-                return self.schedule(wake, Event::StoreTurn(index));
+                return self.schedule_store_turn(index, wake, true);
             }
             StoreStep::Watch => {}
             StoreStep::Read => node.store_watcher.read_next(),
@@ -32,7 +43,7 @@
         let (position, wait) = match step {
             WatcherStep::Pause(until) => {
                 let wake = now + micros(until.remaining(local));
-                return self.schedule(wake, Event::StoreTurn(index));
+                return self.schedule_store_turn(index, wake, false);
             }
             WatcherStep::Read => (None, 0),
             WatcherStep::Watch(position, wait) => (Some(position.0), micros(wait)),
@@ -118,7 +129,7 @@
         for (from, number) in kept {
             self.question(from, index, number, false);
         }
-        self.schedule(now, Event::StoreTurn(index));
+        self.schedule_store_turn(index, now, false);
     }
 
     pub(super) fn peer_turn(&mut self, index: usize) {
@@ -136,7 +147,7 @@
                 let wake = now + micros(until.remaining(local)).max(1);
                 self.schedule(wake, Event::PeerTurn(index));
             }
-            PeerStep::Ask(peer, request, timeout) => {
+            PeerStep::Ask(peer, request, silence) => {
                 let request = WatchRequest {
                     evacuations: node.evacuations.digest(),
                     ..request
@@ -151,7 +162,9 @@
                 if self.reaches(index, to) {
                     self.schedule(at, Event::Question(index, to, number));
                 }
-                self.schedule(now + micros(timeout), Event::GiveUp(index, to, number));
+                self.nodes[index].heard_at = now;
+                let silence = micros(silence);
+                self.schedule(now + silence, Event::GiveUp(index, to, number, silence));
             }
         }
     }
@@ -180,6 +193,35 @@
             self.nodes[to].kept.push((from, number));
             let end = now + request.wait_micros;
             self.schedule(end, Event::WaitEnd(from, to, number));
+            let hold = now + request.held_interval_micros;
+            self.schedule(hold, Event::Hold(from, to, number));
+        }
+    }
+
+    /// Tells the asking node that its answer is held back, as long as it is.
+    pub(super) fn hold(&mut self, from: usize, to: usize, number: u64) {
+        let question = self.nodes[from].question;
+        let Some((_, _, request, _)) = question.filter(|one| one.0 == number) else {
+            return;
+        };
+        if !self.nodes[to].kept.contains(&(from, number)) {
+            return;
+        }
+        let at = self.now + self.delay();
+        if self.reaches(to, from) {
+            self.schedule(at, Event::Held(from, to, number));
+        }
+        let next = self.now + request.held_interval_micros;
+        self.schedule(next, Event::Hold(from, to, number));
+    }
+
+    pub(super) fn held(&mut self, from: usize, to: usize, number: u64) {
+        let node = &mut self.nodes[from];
+        if node
+            .question
+            .is_some_and(|one| (one.0, one.1) == (number, to))
+        {
+            node.heard_at = self.now;
         }
     }
 
@@ -199,10 +241,22 @@
         self.end_question(from, to, number, Some(reply));
     }
 
-    pub(super) fn give_up(&mut self, from: usize, to: usize, number: u64) {
+    pub(super) fn give_up(&mut self, from: usize, to: usize, number: u64, silence: u64) {
+        let node = &self.nodes[from];
+        let end = node.heard_at + silence;
+        if node.question.is_some_and(|one| one.0 == number) && end > self.now {
+            return self.schedule(end, Event::GiveUp(from, to, number, silence));
+        }
         self.end_question(from, to, number, None);
     }
 
+    /// Makes the driver of the store look at its schedule at once if it only waits.
+    fn wake_store_driver(&mut self, index: usize) {
+        if self.nodes[index].store_turn.1 {
+            self.schedule_store_turn(index, self.now, false);
+        }
+    }
+
     fn end_question(&mut self, from: usize, to: usize, number: u64, reply: Option<WatchReply>) {
         let now = self.now;
         let node = &mut self.nodes[from];
@@ -214,11 +268,16 @@
             node.evacuations.merge_report(report, sent);
         }
         let peer = self.members[to].address;
+        let is_answered = reply.is_some();
         let update = node
             .peer_watcher
             .answered(peer, sent, local, reply, node.confirmed_at);
+        if !is_answered {
+            self.wake_store_driver(from);
+        }
+        let revision = self.nodes[from].revision;
         match update {
-            Some(update) if node.revision < Some(update.revision) => self.load(from, to, update),
+            Some(update) if revision < Some(update.revision) => self.load(from, to, update),
             Some(update) => {
                 self.confirm(from, Some(update.revision), update.confirmed_at);
                 self.schedule(now, Event::PeerTurn(from));
@@ -237,8 +296,18 @@
         if self.reaches(from, to) {
             self.schedule(at, Event::LoadCall(from, to, number));
         }
-        let end = self.now + LOAD_TIMEOUT;
+        let end = self.now + micros(PeerWatcher::load_silence());
         self.schedule(end, Event::LoadGiveUp(from, to, number));
+        let late = self.now + micros(PeerWatcher::load_patience());
+        self.schedule(late, Event::LoadLate(from, number));
+    }
+
+    pub(super) fn load_late(&mut self, from: usize, number: u64) {
+        let node = &mut self.nodes[from];
+        if node.load.is_some_and(|load| load.0 == number) {
+            node.peer_watcher.load_late();
+            self.wake_store_driver(from);
+        }
     }
 
     pub(super) fn load_call(&mut self, from: usize, to: usize, number: u64) {
@@ -250,11 +319,18 @@
     }
 
     pub(super) fn end_load(&mut self, from: usize, to: usize, number: u64, revision: Option<u64>) {
+        let now = self.now;
         let node = &mut self.nodes[from];
         let Some((_, update)) = node.load.take_if(|load| load.0 == number) else {
             return;
         };
         debug_assert_ne!(from, to);
+        let local = node.local(now);
+        node.peer_watcher.load_ended(revision.is_some(), local);
+        if revision.is_none() {
+            self.wake_store_driver(from);
+        }
+        let node = &mut self.nodes[from];
         node.revision = node.revision.max(revision.map(Revision));
         if node.revision >= Some(update.revision) {
             self.confirm(from, Some(update.revision), update.confirmed_at);
--- a/tests/watch_kit/mod.rs
+++ b/tests/watch_kit/mod.rs
@@ -23,14 +23,13 @@
 const DELAYS: std::ops::Range<u64> = 500..4_000;
 /// Time in which a call that gets no answer fails, in microseconds.
 const STORE_TIMEOUT: u64 = 800_000;
-/// Time in which a peer must send the document, in microseconds.
-const LOAD_TIMEOUT: u64 = 5_000_000;
 
 /// What happens at a time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    /// The driver of the store, or of the peers, takes its next step.
-    StoreTurn(usize),
+    /// The driver of the store takes its next step, if it still waits for it: node and number.
+    StoreTurn(usize, u64),
+    /// The driver of the peers takes its next step.
     PeerTurn(usize),
     /// A call arrives at the store: node, time of sending, position and wait.
     StoreCall(usize, u64, Option<u64>, u64),
@@ -44,12 +43,19 @@
     WaitEnd(usize, usize, u64),
     /// An answer arrives: asking node, asked node, number, answer.
     Answer(usize, usize, u64, AnswerParts),
-    /// The asking node gives a question up.
-    GiveUp(usize, usize, u64),
+    /// The asked node holds its answer back: asking node, asked node, number.
+    Hold(usize, usize, u64),
+    /// A message that tells so arrives.
+    Held(usize, usize, u64),
+    /// The asking node gives a question up unless the asked one was heard since: asking node, asked
+    /// node, number, the longest silence.
+    GiveUp(usize, usize, u64, u64),
     /// A request for the document arrives: asking node, asked node, number.
     LoadCall(usize, usize, u64),
     /// The document arrives: asking node, asked node, number, revision.
     LoadAnswer(usize, usize, u64, Option<u64>),
+    /// The document is late: asking node, number.
+    LoadLate(usize, u64),
     /// The asking node gives the document up.
     LoadGiveUp(usize, usize, u64),
 }
@@ -100,7 +106,7 @@
             cuts: HashSet::new(),
         };
         for index in 0..count {
-            fleet.schedule(0, Event::StoreTurn(index));
+            fleet.schedule_store_turn(index, 0, false);
             fleet.schedule(0, Event::PeerTurn(index));
         }
         fleet
@@ -286,7 +292,7 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::StoreTurn(index) => self.store_turn(index),
+            Event::StoreTurn(index, number) => self.store_turn(index, number),
             Event::PeerTurn(index) => self.peer_turn(index),
             Event::StoreCall(index, sent, position, wait) => {
                 self.store_call(index, sent, position, wait);
@@ -296,11 +302,14 @@
             Event::Question(from, to, number) => self.question(from, to, number, false),
             Event::WaitEnd(from, to, number) => self.question(from, to, number, true),
             Event::Answer(from, to, number, parts) => self.peer_answer(from, to, number, parts),
-            Event::GiveUp(from, to, number) => self.give_up(from, to, number),
+            Event::Hold(from, to, number) => self.hold(from, to, number),
+            Event::Held(from, to, number) => self.held(from, to, number),
+            Event::GiveUp(from, to, number, silence) => self.give_up(from, to, number, silence),
             Event::LoadCall(from, to, number) => self.load_call(from, to, number),
             Event::LoadAnswer(from, to, number, revision) => {
                 self.end_load(from, to, number, revision);
             }
+            Event::LoadLate(from, number) => self.load_late(from, number),
             Event::LoadGiveUp(from, to, number) => self.end_load(from, to, number, None),
         }
     }
--- a/tests/watch_kit/watch_node.rs
+++ b/tests/watch_kit/watch_node.rs
@@ -28,6 +28,10 @@
     pub is_silent: bool,
     pub asked: u64,
     pub question: Option<OpenQuestion>,
+    /// When the asked node was last heard of the open question.
+    pub heard_at: u64,
+    /// Number of the next turn of the store's driver, and whether it only waits until then.
+    pub store_turn: (u64, bool),
     /// Number of the open request for a document, and what the peer said of it.
     pub load: Option<(u64, PeerUpdate)>,
     /// Questions that wait here: asking node and number.
@@ -56,6 +60,8 @@
             asked: 0,
             question: None,
             load: None,
+            heard_at: 0,
+            store_turn: (0, false),
             kept: Vec::new(),
             questions: 0,
             zone_questions: 0,
@@ -76,6 +82,7 @@
             is_root: self.tree.is_root(),
             has_peers: self.tree.peer_at(0).is_some(),
             is_unheard: self.peer_watcher.is_unheard(),
+            has_parent_lost_store: self.peer_watcher.has_parent_lost_store(),
             age: self.age(now).filter(|_| self.revision.is_some()),
         }
     }
