Keep the calls of instances from enlarging the retry budget

The bound is a share of the requests that callers send to a service, plus a reserve. The budget counted each call that an instance makes of the service as a first attempt, too. So the bound rose with the calls, and the more requests were repeated, the more calls there were.

Where the fleet has a reserve (`proxy.retry_reserve`), calls now add nothing to the budget of the service that they go to; their retries are taken from it as before. Without a reserve the budget is a daemon's own and counts as before.

--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -18,7 +18,7 @@
 use crate::ingress::{AttemptHistory, IngressHandle, RequestPlan, RequestRefusal};
 use crate::logs::log_target;
 use crate::resource::RequestClass;
-use crate::retry::RetryBudget;
+use crate::retry::{BudgetScope, ServiceBudgets};
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{
     BackendHead, InstancePhase, InstanceRecord, RefusalReason, RequestDigest, RequestOffer,
@@ -65,7 +65,8 @@
         .with_no_wait_offers(self.ingress.sources.proxy.no_wait_offers as usize);
         self.check_pressure()?;
         let mut last_response = None;
-        self.with_budget(|budget, now| budget.record_attempt(now));
+        let is_call = self.plan.class == RequestClass::InternalCheck;
+        self.with_budget(|budgets, scope, now| budgets.record_attempt(scope, is_call, now));
         let mut zones = self.open_zone_attempts();
         while let Some(chosen) = self.next_attempt(&mut history, zones.as_mut()) {
             let record = &chosen.record;
@@ -302,7 +303,7 @@
             Some("the deadline has passed")
         } else if self.is_cut_off() {
             Some("the daemon shuts down")
-        } else if !is_unreached && !self.with_budget(RetryBudget::try_retry) {
+        } else if !is_unreached && !self.with_budget(ServiceBudgets::try_retry) {
             Some("the retry budget is exhausted")
         } else {
             None
@@ -338,11 +339,16 @@
         }
     }
 
-    pub(crate) fn with_budget<T>(&self, act: impl FnOnce(&mut RetryBudget, MonoTime) -> T) -> T {
+    pub(crate) fn with_budget<T>(
+        &self,
+        act: impl FnOnce(&mut ServiceBudgets, &BudgetScope<'_>, MonoTime) -> T,
+    ) -> T {
         let now = self.ingress.sources.clock.now();
         let share = self.plan.retry_budget;
         self.ingress
-            .with_budget(&self.plan.service, share, |budget| act(budget, now))
+            .with_budget(&self.plan.service, share, |budgets, scope| {
+                act(budgets, scope, now)
+            })
     }
 
     fn record_completed(
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -23,7 +23,7 @@
 use crate::peers::PeerPool;
 use crate::pressure::ServicePressure;
 use crate::resource::ServiceRoute;
-use crate::retry::RetryBudget;
+use crate::retry::{BudgetScope, ServiceBudgets};
 use crate::settings::{BaselineSettings, ProxySettings};
 use crate::time::ProcessClock;
 use crate::units::Percent;
@@ -62,7 +62,7 @@
 /// Mutable state that requests share.
 pub(crate) struct IngressState {
     pub(crate) pickers: FastMap<ServiceId, InstancePicker>,
-    pub(crate) budgets: FastMap<ServiceId, RetryBudget>,
+    pub(crate) budgets: ServiceBudgets,
     pub(crate) pressures: FastMap<ServiceId, ServicePressure>,
     pub(crate) round_robins: FastMap<ServiceId, RoundRobin>,
     pub(crate) static_limiter: StaticLimiter,
@@ -102,7 +102,7 @@
     pub async fn bind(address: SocketAddr, sources: IngressSources) -> io::Result<Self> {
         let state = IngressState {
             pickers: FastMap::default(),
-            budgets: FastMap::default(),
+            budgets: ServiceBudgets::open(sources.proxy.retry_reserve),
             pressures: FastMap::default(),
             round_robins: FastMap::default(),
             static_limiter: StaticLimiter::default(),
@@ -260,18 +260,14 @@
         &self,
         service: &ServiceId,
         share: Percent,
-        act: impl FnOnce(&mut RetryBudget) -> T,
+        act: impl FnOnce(&mut ServiceBudgets, &BudgetScope<'_>) -> T,
     ) -> T {
-        let mut state = self.state.borrow_mut();
-        let budget = state
-            .budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::open(share));
-        if let Some(reserve) = self.sources.proxy.retry_reserve {
-            let daemons = self.sources.members.live_count();
-            budget.set_fleet_reserve(share, reserve, daemons);
-        }
-        act(budget)
+        let scope = BudgetScope {
+            service,
+            share,
+            daemons: self.sources.members.live_count(),
+        };
+        act(&mut self.state.borrow_mut().budgets, &scope)
     }
 
     /// Returns the service that gets the next request of `route`, which may split its requests among
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -11,7 +11,7 @@
 use crate::ingress::{AttemptFailure, AttemptHistory, RequestRefusal};
 use crate::logs::log_target;
 use crate::pressure::ServicePressure;
-use crate::retry::RetryBudget;
+use crate::retry::ServiceBudgets;
 use crate::time::MonoTime;
 use crate::wire::{InstanceLoad, InstancePhase, InstanceRecord, RefusalReason};
 
@@ -71,7 +71,7 @@
             tried,
             idempotent: self.plan.idempotent,
             may_wait: needs_healthy,
-            allows_trial: self.with_budget(RetryBudget::allows_trial),
+            allows_trial: self.with_budget(ServiceBudgets::allows_trial),
             is_bulk: self.plan.class.is_bulk(),
             scope,
         };
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -10,7 +10,7 @@
 use crate::ingress::instance_choice::ChosenInstance;
 use crate::ingress::offer_wait::OfferWait;
 use crate::ingress::{AttemptHistory, MAX_OFFERS};
-use crate::retry::RetryBudget;
+use crate::retry::ServiceBudgets;
 use crate::settings::ZoneOverflow;
 use crate::time::MonoTime;
 use crate::wire::InstanceRecord;
@@ -44,7 +44,7 @@
         }
         let sources = &self.ingress.sources;
         let records = self.usable_instances();
-        let allows_trial = self.with_budget(RetryBudget::allows_trial);
+        let allows_trial = self.with_budget(ServiceBudgets::allows_trial);
         let may_be_sample = self.plan.idempotent
             && allows_trial
             && !self.plan.class.is_bulk()
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,5 +1,7 @@
 //! Retry budgets, which limit the extra load that retries put on a service.
 
 mod retry_budget;
+mod service_budgets;
 
 pub use retry_budget::RetryBudget;
+pub use service_budgets::{BudgetScope, ServiceBudgets};
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use wagtailtrack::retry::RetryBudget;
+use wagtailtrack::ids::ServiceId;
+use wagtailtrack::retry::{BudgetScope, RetryBudget, ServiceBudgets};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::Percent;
 
@@ -95,3 +96,70 @@
     assert!((4..=7).contains(&trials), "{trials} trials of 13 retries");
     assert!(budget.try_retry(now));
 }
+
+const SHARE: u8 = 20;
+const RESERVE: u32 = 58;
+
+/// Guards against calls of instances that enlarge the budget of the service that they call, so that it
+/// gets more retries than its callers' requests allow. Each daemon passes on two calls for a request of
+/// a caller, all fail, and the windows of the daemons do not begin together.
+#[test]
+fn calls_add_nothing() {
+    let service: ServiceId = "called".parse().unwrap();
+    for (count, seed) in [(30, 1), (100, 2), (300, 3)] {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let daemons = (0..count).map(|_| (ServiceBudgets::open(Some(RESERVE)), rng.u64(0..10_000)));
+        let mut daemons: Vec<_> = daemons.collect();
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        // Four requests and calls a second at each daemon.
+        for turn in 0..160 * count as u64 {
+            let now = turn * 250 / count as u64;
+            let is_call = turn % 3 > 0;
+            let (budgets, ahead) = &mut daemons[rng.usize(0..count)];
+            let local = MonoTime::from_millis(now + *ahead);
+            let scope = BudgetScope {
+                service: &service,
+                share: share(SHARE),
+                daemons: count,
+            };
+            if !is_call {
+                requests.push(now);
+            }
+            budgets.record_attempt(&scope, is_call, local);
+            if budgets.try_retry(&scope, local) {
+                retries.push(now);
+            }
+        }
+        let inside = |times: &[u64], start: u64| {
+            let span = start..start + 10_000;
+            let times = times.iter().filter(|time| span.contains(*time));
+            f64::from(u32::try_from(times.count()).unwrap())
+        };
+        for start in (0..30_000).step_by(500) {
+            let allowed = 0.2 * inside(&requests, start) + f64::from(RESERVE);
+            let retries = inside(&retries, start);
+            assert!(
+                retries <= allowed,
+                "{count} daemons, seed {seed}: {retries} retries from {start} ms, {allowed} allowed"
+            );
+        }
+        assert!(retries.len() > 2 * count, "{} retries", retries.len());
+    }
+}
+
+/// Without a reserve of the fleet a daemon's budget is its own, and calls count as any other request.
+#[test]
+fn calls_without_fleet_reserve() {
+    let service: ServiceId = "called".parse().unwrap();
+    let mut budgets = ServiceBudgets::open(None);
+    let scope = BudgetScope {
+        service: &service,
+        share: share(10),
+        daemons: 25,
+    };
+    for _ in 0..1_000 {
+        budgets.record_attempt(&scope, true, MonoTime::ZERO);
+    }
+    let granted = (0..1_000).filter(|_| budgets.try_retry(&scope, MonoTime::ZERO));
+    assert_eq!(granted.count(), 103);
+}
--- a/tests/watch_silence.rs
+++ b/tests/watch_silence.rs
@@ -120,7 +120,9 @@
         fleet.run(SETTLE_MILLIS);
         let roots = fleet.roots();
         let asking = (0..count).filter(|index| !roots.contains(index));
-        let asking: Vec<_> = asking.filter(|index| (index / ZONES).is_multiple_of(3)).collect();
+        let asking: Vec<_> = asking
+            .filter(|index| (index / ZONES).is_multiple_of(3))
+            .collect();
         let before = fleet.store_calls();
         fleet.run(6_000);
         let calls_of_roots = fleet.store_calls() - before;
