--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -51,8 +51,8 @@
     /// Whether requests stay in the daemon's availability zone while it has room in time.
     pub zone_overflow: ZoneOverflow,
     /// Retries that the whole fleet may make for a service within ten seconds, in addition to the
-    /// share that `retry_budget` allows. A fraction is rounded down. If absent, each daemon has a small
-    /// reserve of its own.
+    /// share that `retry_budget` allows. A fraction is rounded down. With it, calls of instances do not
+    /// count as first attempts. If absent, each daemon has a small reserve of its own.
     #[serde(deserialize_with = "whole_count")]
     pub retry_reserve: Option<u32>,
     /// Instances that must have ended while they ran a request until it is refused; 0 turns this off.
