Ask a new parent in the watch tree at once

When the membership named another parent in the place of a silent or lost one, a daemon went on asking stand-ins, and watching the store, for up to 3 s more. The change of the parent now ends the turn of the stand-in. watch_silence new_parent_asked failed before.

--- a/src/config/peer_watcher.rs
+++ b/src/config/peer_watcher.rs
@@ -69,6 +69,8 @@
     /// Questions in a row that brought nothing new although the last confirmation is old, or the peer has
     /// lost the store.
     fruitless: u32,
+    /// The parent at the last step.
+    parent: Option<SocketAddr>,
     /// Position of the present peer among the choices; the parent is the first.
     position: u32,
     /// The alternate that is asked next.
@@ -106,6 +108,7 @@
             asks_parent: false,
             is_load_late: false,
             fruitless: 0,
+            parent: None,
             position: 0,
             next_alternate: 0,
             return_at: Deadline::at(now),
@@ -129,9 +132,10 @@
         if !self.resume_at.has_passed(now) {
             return PeerStep::Pause(self.resume_at);
         }
-        if self.return_at.has_passed(now) {
+        if self.return_at.has_passed(now) || self.parent != tree.parent() {
             self.position = 0;
         }
+        self.parent = tree.parent();
         if self.position == GRANDPARENT && tree.grandparent().is_none() {
             self.position = self.take_alternate();
         }
@@ -219,8 +223,8 @@
         }
     }
 
-    /// Whether the parent, or the daemon that was asked last, is silent or late. This daemon then watches the
-    /// store until its parent answers: the daemons that it asks in the parent's place may hear of a
+    /// Whether the parent, or the daemon that was asked last, is silent or late. This daemon then watches
+    /// the store until its parent answers: the daemons that it asks in the parent's place may hear of a
     /// change from it alone.
     #[must_use]
     pub const fn is_unheard(&self) -> bool {
--- a/tests/watch_silence.rs
+++ b/tests/watch_silence.rs
@@ -2,6 +2,13 @@
 
 mod watch_kit;
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wagtailtrack::config::{PeerStep, PeerWatcher, WatchTree};
+use wagtailtrack::ids::BootId;
+use wagtailtrack::members::LiveMember;
+use wagtailtrack::time::MonoTime;
 use watch_kit::WatchFleet;
 
 const ZONES: usize = 5;
@@ -140,3 +147,57 @@
         );
     }
 }
+
+fn member(name: &str, port: u16) -> LiveMember {
+    LiveMember {
+        daemon: name.parse().unwrap(),
+        boot: BootId(1),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        zone: "zone-a".parse().unwrap(),
+        region: "region-a".parse().unwrap(),
+    }
+}
+
+/// Guards against a daemon that goes on asking others, and watching the store, while the membership
+/// has already named another parent in the place of the silent one.
+#[test]
+fn new_parent_asked() {
+    let members: Vec<_> = (0..20)
+        .map(|index| member(&format!("daemon-{index}"), 7_000 + index))
+        .collect();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut tree_of = |own: &LiveMember, members: &[LiveMember]| {
+        WatchTree::new(&own.daemon, &own.zone, members, &mut rng)
+    };
+    let trees = members.iter().map(|own| (own, tree_of(own, &members)));
+    let (own, tree) = trees
+        .into_iter()
+        .find(|(_, tree)| tree.parent().is_some())
+        .unwrap();
+    let parent = tree.parent();
+    let live: Vec<_> = members
+        .iter()
+        .filter(|member| Some(member.address) != parent)
+        .cloned()
+        .collect();
+    let mut now = MonoTime::from_millis(1);
+    let mut watcher = PeerWatcher::open(Duration::from_secs(5), now);
+    let mut ask = |tree: &WatchTree| loop {
+        match watcher.next_step(tree, None, now) {
+            PeerStep::Pause(until) => now = now + until.remaining(now),
+            PeerStep::Ask(peer, _, silence) => {
+                let sent = now;
+                now = now + silence;
+                watcher.answered(peer, sent, now, None, None);
+                return Some(peer);
+            }
+        }
+    };
+    assert_eq!(ask(&tree), parent);
+    assert_eq!(ask(&tree), parent, "over a new connection");
+    assert_ne!(ask(&tree), parent);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let tree = WatchTree::new(&own.daemon, &own.zone, &live, &mut rng);
+    assert!(tree.parent().is_some());
+    assert_eq!(ask(&tree), tree.parent());
+}
