Take the calls of repeated runs from the retry budget of the service called

No budget counted these: the daemon that passes a call on does not know that the run was a repeat, and the ingress that granted the repeat did not know of the call.

Responses now tell how many calls of which services the instances beside the egress make for a run. An ingress that grants a retry takes that many retries from its budgets of the services called, and grants none that would exceed them. Such budgets may be used 1.2 times as far as by retries of the service itself, since the run fails that would make the calls; both stay within the bound's margin.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -23,6 +23,7 @@
 use crate::metrics::MetricsExport;
 use crate::peers::{FleetKey, PeerPool, ZoneTraffic};
 use crate::platform::{PlatformService, TimedPlatform};
+use crate::retry::CallRates;
 use crate::settings::DaemonSettings;
 use crate::time::ProcessClock;
 
@@ -36,6 +37,7 @@
     pub(crate) zone_traffic: Rc<ZoneTraffic>,
     peers: PeerPool,
     pub(crate) suspects: SuspectsHandle,
+    call_rates: Rc<RefCell<CallRates>>,
     platform: Rc<dyn PlatformService>,
     adapters: ProtocolAdapters,
     metrics: Rc<MetricsExport>,
@@ -61,6 +63,7 @@
             clock,
             peers: PeerPool::open_counted(key.clone(), Rc::clone(&zone_traffic)),
             suspects: SuspectsHandle::open(rules, clock),
+            call_rates: Rc::new(RefCell::new(CallRates::open(clock.now()))),
             zone_traffic,
             key,
             stopping: Rc::default(),
@@ -198,6 +201,7 @@
             }),
             zone_gate: Rc::new(move || gate.zone_gate(&own_zone)),
             suspects: self.suspects.clone(),
+            call_rates: Rc::clone(&self.call_rates),
             member_count: Rc::new(move || counted.live_count()),
             accepts_work: Rc::new(move |instance| {
                 announce
@@ -265,6 +269,7 @@
             members: members.clone(),
             durations: self.metrics.durations(),
             suspects: self.suspects.clone(),
+            call_rates: Rc::clone(&self.call_rates),
         };
         IngressHandle::bind(address, sources)
             .await
--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -70,6 +70,7 @@
             headers: options.headers.forwardable(headers),
             length,
             load: InstanceLoad::default(),
+            calls: Vec::new(),
         };
         Ok(Self {
             head,
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -21,6 +21,7 @@
 use crate::metrics::DurationMetrics;
 use crate::peers::PeerStream;
 use crate::resource::ServiceSpec;
+use crate::retry::CallRates;
 use crate::time::ProcessClock;
 use crate::units::Rate;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord, RequestOffer};
@@ -65,6 +66,8 @@
     pub zone_gate: Rc<dyn Fn() -> ZoneGate>,
     /// The requests that may end instances.
     pub suspects: SuspectsHandle,
+    /// The calls that the instances beside the daemon make.
+    pub call_rates: Rc<RefCell<CallRates>>,
 }
 
 pub(crate) type SharedDispatcher = Rc<RefCell<InstanceDispatcher>>;
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -68,6 +68,8 @@
     /// The response whose head has arrived, or none if the request was cancelled.
     async fn send_to_instance(&mut self) -> Option<Result<BackendResponse, SendFailure>> {
         let address = self.dispatcher.borrow().local().address;
+        let rates = &self.egress.sources.call_rates;
+        rates.borrow_mut().record_run(self.clock.now());
         let sending = pin!(self.egress.client.send(address, &self.offer, self.deadline));
         let lost = pin!(wait_stream_end(&mut self.receiver));
         match select(sending, lost).await {
@@ -135,6 +137,7 @@
     ) -> Result<(), PeerError> {
         let mut blocked = Duration::ZERO;
         response.head.load = self.dispatcher.borrow().load(self.clock.now());
+        response.head.calls = self.egress.sources.call_rates.borrow().rates();
         self.sender
             .send(&EgressMessage::Head(response.head.clone()))
             .await?;
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -9,7 +9,7 @@
 use crate::crashes::RequestStanding;
 use crate::execution_verdict::ExecutionVerdict;
 use crate::http::HeaderList;
-use crate::ids::RequestId;
+use crate::ids::{RequestId, ServiceId};
 use crate::ingress::attempt_task::{AttemptOutcome, AttemptTask};
 use crate::ingress::caller_response::{complete_response, streaming_response};
 use crate::ingress::ingress_handle::InFlightGuard;
@@ -20,6 +20,7 @@
 use crate::resource::RequestClass;
 use crate::retry::{BudgetScope, ServiceBudgets};
 use crate::time::{Deadline, MonoTime};
+use crate::units::Percent;
 use crate::wire::{
     BackendHead, InstancePhase, InstanceRecord, RefusalReason, RequestDigest, RequestOffer,
 };
@@ -65,8 +66,7 @@
         .with_no_wait_offers(self.ingress.sources.proxy.no_wait_offers as usize);
         self.check_pressure()?;
         let mut last_response = None;
-        let is_call = self.plan.class == RequestClass::InternalCheck;
-        self.with_budget(|budgets, scope, now| budgets.record_attempt(scope, is_call, now));
+        self.record_attempt();
         let mut zones = self.open_zone_attempts();
         while let Some(chosen) = self.next_attempt(&mut history, zones.as_mut()) {
             let record = &chosen.record;
@@ -80,6 +80,7 @@
             match outcome {
                 AttemptOutcome::Complete { head, body, load } => {
                     self.update_load(&record.instance, Some(load));
+                    self.learn_calls(&head);
                     if !self.is_retryable_response(&head)
                         || !self.may_retry(&history, ExecutionVerdict::MayHaveRun, false)
                     {
@@ -91,6 +92,7 @@
                 }
                 AttemptOutcome::Streaming(response) => {
                     self.update_load(&record.instance, Some(response.head.load));
+                    self.learn_calls(&response.head);
                     self.record_completed(&response.head, record, zones.as_ref());
                     let clock = self.ingress.sources.clock;
                     let budget = &self.ingress.answer_budget;
@@ -351,6 +353,29 @@
             })
     }
 
+    /// Counts the request for the budget of its service, and as a call if an instance beside the
+    /// daemon sent it.
+    fn record_attempt(&self) {
+        let is_call = self.plan.class == RequestClass::InternalCheck;
+        self.with_budget(|budgets, scope, now| budgets.record_attempt(scope, is_call, now));
+        if is_call {
+            let sources = &self.ingress.sources;
+            let mut rates = sources.call_rates.borrow_mut();
+            rates.record_call(&self.plan.service, sources.clock.now());
+        }
+    }
+
+    fn learn_calls(&self, head: &BackendHead) {
+        let catalog = self.ingress.sources.config.catalog();
+        let share_of = |service: &ServiceId| {
+            let spec = catalog.service(service);
+            spec.map_or(Percent::ZERO, |spec| spec.retry_budget)
+        };
+        let mut state = self.ingress.state.borrow_mut();
+        let budgets = &mut state.budgets;
+        budgets.learn_calls(&self.plan.service, &head.calls, share_of);
+    }
+
     fn record_completed(
         &self,
         head: &BackendHead,
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -23,7 +23,7 @@
 use crate::peers::PeerPool;
 use crate::pressure::ServicePressure;
 use crate::resource::ServiceRoute;
-use crate::retry::{BudgetScope, ServiceBudgets};
+use crate::retry::{BudgetScope, CallRates, ServiceBudgets};
 use crate::settings::{BaselineSettings, ProxySettings};
 use crate::time::ProcessClock;
 use crate::units::Percent;
@@ -57,6 +57,8 @@
     pub durations: DurationMetrics,
     /// The requests that may end instances.
     pub suspects: SuspectsHandle,
+    /// The calls that the instances beside the daemon make.
+    pub call_rates: Rc<RefCell<CallRates>>,
 }
 
 /// Mutable state that requests share.
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -14,10 +14,12 @@
 /// Retries per window that a daemon may send regardless of its traffic, where the settings name no
 /// reserve.
 const DEFAULT_RESERVE: f64 = 3.0;
-/// Part of the share and of the fleet's reserve that is used. The rest is a margin: a retry may make
-/// calls of its own, which count at the services called, and the windows of ingresses do not begin
-/// together.
+/// Part of the share and of the fleet's reserve that is used. The rest is a margin: the calls of a
+/// repeated run are only estimated, and the windows of ingresses do not begin together.
 const FLEET_USED_SHARE: f64 = 0.7;
+/// The budget for the calls of repeated runs, as a multiple of that for retries of the service itself. It
+/// uses a part of the margin, since without a retry the run fails that would make the calls.
+const CHARGED_PART: f64 = 1.2;
 /// Part of the budget that retries of trial requests may use. The rest is for requests that fail at
 /// instances that were thought healthy.
 const TRIAL_SHARE: f64 = 0.5;
@@ -40,8 +42,8 @@
     /// Multiple of `SLICE` at which the slice begins.
     number: u64,
     /// First attempts.
-    attempts: u32,
-    retries: u32,
+    attempts: f64,
+    retries: f64,
 }
 
 impl RetryBudget {
@@ -70,7 +72,7 @@
 
     /// Counts the first attempt of a request.
     pub fn record_attempt(&mut self, now: MonoTime) {
-        self.current_slice(now).attempts += 1;
+        self.current_slice(now).attempts += 1.0;
     }
 
     /// Takes one retry from the budget; returns false if it is exhausted.
@@ -78,10 +80,23 @@
         if !self.is_within(1.0, now) {
             return false;
         }
-        self.current_slice(now).retries += 1;
+        self.charge(1.0, now);
         true
     }
 
+    /// Whether calls that a repeated run of another service makes, which count as `retries`, stay within
+    /// the budget.
+    pub fn allows_charge(&mut self, retries: f64, now: MonoTime) -> bool {
+        let attempts = self.sum(now, |slice| slice.attempts);
+        let counted = self.sum(now, |slice| slice.retries);
+        counted + retries <= CHARGED_PART * (self.reserve + self.share * attempts)
+    }
+
+    /// Counts `retries` that are made in any case, or a fraction of one that is likely.
+    pub fn charge(&mut self, retries: f64, now: MonoTime) {
+        self.current_slice(now).retries += retries;
+    }
+
     /// Whether the budget allows a trial request, which is likely to need a retry.
     pub fn allows_trial(&mut self, now: MonoTime) -> bool {
         self.is_within(TRIAL_SHARE, now)
@@ -95,7 +110,7 @@
     }
 
     /// Sums a count over the window, after dropping the slices that have left it.
-    fn sum(&mut self, now: MonoTime, count: impl Fn(&WindowSlice) -> u32) -> f64 {
+    fn sum(&mut self, now: MonoTime, count: impl Fn(&WindowSlice) -> f64) -> f64 {
         let oldest = slice_number(now).saturating_sub(slice_count(WINDOW) - 1);
         while self
             .slices
@@ -104,7 +119,7 @@
         {
             self.slices.pop_front();
         }
-        f64::from(self.slices.iter().map(count).sum::<u32>())
+        self.slices.iter().map(count).sum()
     }
 
     fn current_slice(&mut self, now: MonoTime) -> &mut WindowSlice {
@@ -112,8 +127,8 @@
         if self.slices.back().is_none_or(|last| last.number < number) {
             self.slices.push_back(WindowSlice {
                 number,
-                attempts: 0,
-                retries: 0,
+                attempts: 0.0,
+                retries: 0.0,
             });
         }
         let last = self.slices.len() - 1;
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -5,6 +5,7 @@
 use crate::retry::RetryBudget;
 use crate::time::MonoTime;
 use crate::units::Percent;
+use crate::wire::CallRate;
 
 /// The service whose budget is meant, and the size of that budget.
 #[derive(Debug, Clone, Copy)]
@@ -17,15 +18,18 @@
     pub daemons: usize,
 }
 
-/// The retry budgets of the services.
+/// The retry budgets, and what the services are known to call.
 ///
 /// Where the fleet has a reserve, its retries are bound by the requests that callers send. Then the
-/// calls of instances add nothing to the budget of the service that is called, though their retries are
-/// taken from it: the more requests are repeated, the more calls there are.
+/// calls of instances add nothing to the budget of the service that is called, and those that a
+/// repeated run is likely to make are taken from it: both are more work for that service. A request is
+/// not retried whose calls would exceed the budget of a service that it calls.
 #[derive(Debug, Default)]
 pub struct ServiceBudgets {
     fleet_reserve: Option<u32>,
     budgets: FastMap<ServiceId, RetryBudget>,
+    /// Calls of the instances of a service, by its last response, and the shares of the services called.
+    calls: FastMap<ServiceId, Vec<(CallRate, Percent)>>,
 }
 
 impl ServiceBudgets {
@@ -50,7 +54,31 @@
 
     /// Takes one retry from the budget of the service; returns false if it is exhausted.
     pub fn try_retry(&mut self, scope: &BudgetScope<'_>, now: MonoTime) -> bool {
-        self.budget(scope).try_retry(now)
+        if self.fleet_reserve.is_none() {
+            return self.budget(scope).try_retry(now);
+        }
+        let calls = self.calls.get(scope.service).cloned().unwrap_or_default();
+        let called: Vec<_> = calls
+            .iter()
+            .map(|(rate, share)| {
+                let called = BudgetScope {
+                    service: &rate.service,
+                    share: *share,
+                    daemons: scope.daemons,
+                };
+                (called, f64::from(rate.calls_per_thousand) / 1_000.0)
+            })
+            .collect();
+        let allows = |(called, calls): &(BudgetScope<'_>, f64)| {
+            self.budget(called).allows_charge(*calls, now)
+        };
+        if !called.iter().all(allows) || !self.budget(scope).try_retry(now) {
+            return false;
+        }
+        for (called, calls) in &called {
+            self.budget(called).charge(*calls, now);
+        }
+        true
     }
 
     /// Whether the budget allows a trial request, which is likely to need a retry.
@@ -58,6 +86,24 @@
         self.budget(scope).allows_trial(now)
     }
 
+    /// Takes in what a response says of the calls of the service; `share_of` returns the retries per first
+    /// attempt of a service that is called.
+    pub fn learn_calls(
+        &mut self,
+        service: &ServiceId,
+        calls: &[CallRate],
+        share_of: impl Fn(&ServiceId) -> Percent,
+    ) {
+        let known = self.calls.get(service).into_iter().flatten();
+        if known.map(|(rate, _)| rate).eq(calls) {
+            return;
+        }
+        let calls = calls
+            .iter()
+            .map(|rate| (rate.clone(), share_of(&rate.service)));
+        self.calls.insert(service.clone(), calls.collect());
+    }
+
     fn budget(&mut self, scope: &BudgetScope<'_>) -> &mut RetryBudget {
         let budgets = &mut self.budgets;
         let budget = budgets
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -52,7 +52,8 @@
     pub zone_overflow: ZoneOverflow,
     /// Retries that the whole fleet may make for a service within ten seconds, in addition to the
     /// share that `retry_budget` allows. A fraction is rounded down. With it, calls of instances do not
-    /// count as first attempts. If absent, each daemon has a small reserve of its own.
+    /// count as first attempts, and the calls of repeated runs are taken from the budget of the service
+    /// called. If absent, each daemon has a small reserve of its own.
     #[serde(deserialize_with = "whole_count")]
     pub retry_reserve: Option<u32>,
     /// Instances that must have ended while they ran a request until it is refused; 0 turns this off.
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::execution_verdict::ExecutionVerdict;
-use crate::wire::{InstanceLoad, RunReport};
+use crate::wire::{CallRate, InstanceLoad, RunReport};
 
 /// A message from the egress to the ingress.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -58,6 +58,8 @@
     pub length: Option<u64>,
     /// The instance's load, including this request.
     pub load: InstanceLoad,
+    /// The services that instances beside the egress call while they run requests.
+    pub calls: Vec<CallRate>,
 }
 
 /// Why an egress refused a request. Nothing was executed.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The order of fields and enum variants is part of the encoding.
 
+mod call_rate;
 mod codec;
 mod config_call;
 mod egress_message;
@@ -22,6 +23,7 @@
 mod request_offer;
 mod run_report;
 
+pub use call_rate::CallRate;
 pub use codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
 pub use config_call::{
     ConfigCall, ConfigReply, ConfigState, SnapshotCursor, SnapshotItem, SnapshotKey, SnapshotPage,
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::cell::RefCell;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -14,7 +15,8 @@
 use wagtailtrack::instances::LocalInstance;
 use wagtailtrack::metrics::MetricsExport;
 use wagtailtrack::peers::{FleetKey, PeerHandler, PeerListener, PeerPool};
-use wagtailtrack::time::ProcessClock;
+use wagtailtrack::retry::CallRates;
+use wagtailtrack::time::{MonoTime, ProcessClock};
 use wagtailtrack::units::Slots;
 use wagtailtrack::wire::{EgressMessage, InstancePhase, PeerOpening, RequestDigest, RequestOffer};
 
@@ -73,6 +75,7 @@
         publish: Rc::new(|_, _, _, _| {}),
         zone_gate: Rc::new(|| ZoneGate::Open),
         suspects: suspects.clone(),
+        call_rates: Rc::new(RefCell::new(CallRates::open(MonoTime::ZERO))),
     });
     let mut local = LocalInstance {
         instance: "desk-1".parse().unwrap(),
--- a/tests/evacuation_gate.rs
+++ b/tests/evacuation_gate.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -17,7 +17,8 @@
 use wagtailtrack::instances::LocalInstance;
 use wagtailtrack::metrics::MetricsExport;
 use wagtailtrack::peers::{FleetKey, PeerHandler, PeerListener, PeerPool, PeerStream};
-use wagtailtrack::time::ProcessClock;
+use wagtailtrack::retry::CallRates;
+use wagtailtrack::time::{MonoTime, ProcessClock};
 use wagtailtrack::units::Slots;
 use wagtailtrack::wire::{
     EgressMessage, HealthState, IngressMessage, InstancePhase, PeerOpening, RefusalReason,
@@ -79,6 +80,7 @@
             publish: Rc::new(move |_, state, _, _| published.set(state)),
             zone_gate: Rc::new(move || source.get()),
             suspects: common::no_suspects(),
+            call_rates: Rc::new(RefCell::new(CallRates::open(MonoTime::ZERO))),
         });
         egress.apply_announcement(&LocalInstance {
             instance: "desk-1".parse().unwrap(),
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -6,6 +6,7 @@
 use wagtailtrack::retry::{BudgetScope, RetryBudget, ServiceBudgets};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::Percent;
+use wagtailtrack::wire::CallRate;
 
 fn share(value: u8) -> Percent {
     Percent::new(value).unwrap()
@@ -163,3 +164,114 @@
     let granted = (0..1_000).filter(|_| budgets.try_retry(&scope, MonoTime::ZERO));
     assert_eq!(granted.count(), 103);
 }
+
+/// Calls of a thousand runs of the calling service.
+const CALLS: u16 = 900;
+
+/// A fleet that passes on requests to a service and to another one whose instances call it. All
+/// instances fail.
+struct CallingFleet {
+    /// Budgets of each daemon, and how far its clock is ahead, in milliseconds.
+    daemons: Vec<(ServiceBudgets, u64)>,
+    calling: ServiceId,
+    called: ServiceId,
+    rng: fastrand::Rng,
+    /// Arrivals at the called service beyond the first of their requests, in milliseconds.
+    repeats: Vec<u64>,
+}
+
+impl CallingFleet {
+    fn open(count: usize, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let calling: ServiceId = "calling".parse().unwrap();
+        let called: ServiceId = "called".parse().unwrap();
+        let rate = CallRate {
+            service: called.clone(),
+            calls_per_thousand: CALLS,
+        };
+        let daemons = (0..count).map(|_| {
+            let mut budgets = ServiceBudgets::open(Some(RESERVE));
+            budgets.learn_calls(&calling, std::slice::from_ref(&rate), |_| share(SHARE));
+            (budgets, rng.u64(0..10_000))
+        });
+        let daemons = daemons.collect();
+        Self {
+            daemons,
+            calling,
+            called,
+            rng,
+            repeats: Vec::new(),
+        }
+    }
+
+    /// Sends one request through a daemon; its service sheds it or fails, so that it is retried while
+    /// the budget allows it.
+    fn send(&mut self, daemon: usize, is_calling: bool, is_call: bool, is_repeat: bool, now: u64) {
+        let count = self.daemons.len();
+        let service = match is_calling {
+            true => self.calling.clone(),
+            false => self.called.clone(),
+        };
+        let mut is_first = true;
+        for _ in 0..2 {
+            if !is_calling && (is_repeat || !is_first) {
+                self.repeats.push(now);
+            }
+            if is_calling && self.rng.u16(0..1_000) < CALLS {
+                // The call passes through the daemon beside the instance: one in five has one.
+                let beside = self.rng.usize(0..count.div_ceil(5));
+                self.send(beside, false, true, !is_first, now);
+            }
+            let (budgets, ahead) = &mut self.daemons[daemon];
+            let local = MonoTime::from_millis(now + *ahead);
+            let scope = BudgetScope {
+                service: &service,
+                share: share(SHARE),
+                daemons: count,
+            };
+            if is_first {
+                budgets.record_attempt(&scope, is_call, local);
+            }
+            if !is_first || !budgets.try_retry(&scope, local) {
+                return;
+            }
+            is_first = false;
+        }
+    }
+}
+
+/// Guards against a service that gets more repeats than its budget allows, because calls of instances
+/// enlarge it, or because the calls of repeated runs are not counted. A third of the callers' requests
+/// go to the service itself, and the windows of the daemons do not begin together.
+#[test]
+fn fleet_bound_with_calls() {
+    for (count, seed) in [(30, 1), (30, 2), (100, 3), (100, 4), (300, 5), (300, 6)] {
+        let mut fleet = CallingFleet::open(count, seed);
+        let mut requests = Vec::new();
+        // Four requests of callers a second at each daemon.
+        for turn in 0..160 * count as u64 {
+            let now = turn * 250 / count as u64;
+            let daemon = fleet.rng.usize(0..count);
+            let is_calling = fleet.rng.u8(0..3) > 0;
+            if !is_calling {
+                requests.push(now);
+            }
+            fleet.send(daemon, is_calling, false, false, now);
+        }
+        let inside = |times: &[u64], start: u64| {
+            let times = times
+                .iter()
+                .filter(|time| (start..start + 10_000).contains(*time));
+            f64::from(u32::try_from(times.count()).unwrap())
+        };
+        for start in (0..30_000).step_by(500) {
+            let allowed = 0.2 * inside(&requests, start) + f64::from(RESERVE);
+            let repeats = inside(&fleet.repeats, start);
+            assert!(
+                repeats <= allowed,
+                "{count} daemons, seed {seed}: {repeats} repeats from {start} ms, {allowed} allowed"
+            );
+        }
+        assert!(fleet.repeats.len() > 100, "{} repeats", fleet.repeats.len());
+    }
+}
