--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -70,7 +70,7 @@
             headers: options.headers.forwardable(headers),
             length,
             load: InstanceLoad::default(),
-            calls: Vec::new(),
+            calls: None,
         };
         Ok(Self {
             head,
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -366,6 +366,10 @@
     }
 
     fn learn_calls(&self, head: &BackendHead) {
+        // A daemon that has just started doesn't know; what others have told stays valid.
+        let Some(calls) = &head.calls else {
+            return;
+        };
         let catalog = self.ingress.sources.config.catalog();
         let share_of = |service: &ServiceId| {
             let spec = catalog.service(service);
@@ -373,7 +377,7 @@
         };
         let mut state = self.ingress.state.borrow_mut();
         let budgets = &mut state.budgets;
-        budgets.learn_calls(&self.plan.service, &head.calls, share_of);
+        budgets.learn_calls(&self.plan.service, calls, share_of);
     }
 
     fn record_completed(
--- a/src/retry/call_rates.rs
+++ b/src/retry/call_rates.rs
@@ -47,11 +47,11 @@
         *self.calls.entry(service.clone()).or_default() += 1.0;
     }
 
-    /// The services that runs call most, with the calls a run.
+    /// The services that runs call most, with the calls a run; none from too few runs.
     #[must_use]
-    pub fn rates(&self) -> Vec<CallRate> {
+    pub fn rates(&self) -> Option<Vec<CallRate>> {
         if self.runs < MIN_RUNS {
-            return Vec::new();
+            return None;
         }
         let rates = self.calls.iter().map(|(service, calls)| CallRate {
             service: service.clone(),
@@ -63,7 +63,7 @@
             order.then_with(|| left.service.cmp(&right.service))
         });
         rates.truncate(MAX_SERVICES);
-        rates
+        Some(rates)
     }
 
     fn halve(&mut self, now: MonoTime) {
--- a/src/wire/egress_message.rs
+++ b/src/wire/egress_message.rs
@@ -58,8 +58,9 @@
     pub length: Option<u64>,
     /// The instance's load, including this request.
     pub load: InstanceLoad,
-    /// The services that instances beside the egress call while they run requests.
-    pub calls: Vec<CallRate>,
+    /// The services that instances beside the egress call while they run requests; none while too few
+    /// have run since the start.
+    pub calls: Option<Vec<CallRate>>,
 }
 
 /// Why an egress refused a request. Nothing was executed.
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use wagtailtrack::ids::ServiceId;
-use wagtailtrack::retry::{BudgetScope, RetryBudget, ServiceBudgets};
+use wagtailtrack::retry::{BudgetScope, CallRates, RetryBudget, ServiceBudgets};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::Percent;
 use wagtailtrack::wire::CallRate;
@@ -275,3 +275,25 @@
         assert!(fleet.repeats.len() > 100, "{} repeats", fleet.repeats.len());
     }
 }
+
+/// Guards against a daemon that tells of no calls because it has just started, so that an ingress takes
+/// the calls of repeated runs for none.
+#[test]
+fn rates_of_few_runs() {
+    let service: ServiceId = "called".parse().unwrap();
+    let mut rates = CallRates::open(MonoTime::ZERO);
+    for run in 0..100_u64 {
+        let now = MonoTime::from_millis(run);
+        assert_eq!(rates.rates().is_some(), run >= 10, "after {run} runs");
+        rates.record_run(now);
+        if run % 2 == 0 {
+            rates.record_call(&service, now);
+        }
+    }
+    let told = rates.rates().unwrap();
+    assert_eq!(told.len(), 1);
+    assert_eq!(
+        (&told[0].service, told[0].calls_per_thousand),
+        (&service, 500)
+    );
+}
