Count the calls of a run over served runs

The calls of a run were a mean over all runs. While instances fail, many runs end before they make a call, and a repeat, which is likely to be served, makes more calls than the mean.

--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -17,7 +17,7 @@
 use crate::time::{Deadline, MonoTime, ProcessClock};
 use crate::units::Rate;
 use crate::wire::{
-    EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer, RunReport,
+    CallRate, EgressMessage, FailureCause, IngressMessage, RefusalReason, RequestOffer, RunReport,
 };
 
 /// Maximum size of the body that is read of a response that says that the request was not run, in
@@ -68,8 +68,6 @@
     /// The response whose head has arrived, or none if the request was cancelled.
     async fn send_to_instance(&mut self) -> Option<Result<BackendResponse, SendFailure>> {
         let address = self.dispatcher.borrow().local().address;
-        let rates = &self.egress.sources.call_rates;
-        rates.borrow_mut().record_run(self.clock.now());
         let sending = pin!(self.egress.client.send(address, &self.offer, self.deadline));
         let lost = pin!(wait_stream_end(&mut self.receiver));
         match select(sending, lost).await {
@@ -127,6 +125,16 @@
         refuse(&mut self.sender, reason, NOT_READY_RETRY_AFTER, load).await
     }
 
+    /// Counts the run if it is served, and returns the calls that runs make. Runs that fail often do so
+    /// before they make a call, and a repeat is likely to be served.
+    fn count_run(&self, status: u16) -> Option<Vec<CallRate>> {
+        let mut rates = self.egress.sources.call_rates.borrow_mut();
+        if status < 500 {
+            rates.record_run(self.clock.now());
+        }
+        rates.rates()
+    }
+
     /// Streams the response to the ingress. Time spent blocked by the ingress's backpressure does
     /// not count as service time.
     async fn forward(
@@ -137,7 +145,7 @@
     ) -> Result<(), PeerError> {
         let mut blocked = Duration::ZERO;
         response.head.load = self.dispatcher.borrow().load(self.clock.now());
-        response.head.calls = self.egress.sources.call_rates.borrow().rates();
+        response.head.calls = self.count_run(response.head.status);
         self.sender
             .send(&EgressMessage::Head(response.head.clone()))
             .await?;
--- a/src/retry/call_rates.rs
+++ b/src/retry/call_rates.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Counts a request that an instance runs.
+    /// Counts a request that an instance has served.
     pub fn record_run(&mut self, now: MonoTime) {
         self.halve(now);
         self.runs += 1.0;
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -16,7 +16,7 @@
 const DEFAULT_RESERVE: f64 = 3.0;
 /// Part of the share and of the fleet's reserve that is used. The rest is a margin: the calls of a
 /// repeated run are only estimated, and the windows of ingresses do not begin together.
-const FLEET_USED_SHARE: f64 = 0.75;
+const FLEET_USED_SHARE: f64 = 0.8;
 /// The budget for the calls of repeated runs, as a multiple of that for retries of the service itself. It
 /// uses a part of the margin, since without a retry the run fails that would make the calls.
 const CHARGED_PART: f64 = 1.1;
