Tell failing instances by the time in which failures come; empty their queues

Cause: an instance that begins to fail answers in 1 or 2 ms where the work takes 600 ms. On the other hand each single failure of a sound instance, one in eighty, took it out of use for 1.5 s and more: 7 to 9 of 15 instances were suspect at any time, about 4 or 5 of them failing, and the others had all slots in use.

Change: a failure within an eighth of the usual time opens the breaker, later ones only if three come within about ten responses. Requests that wait or hold a slot when it opens go to other instances. A trial that runs for longer than the failures took counts as good, and first offers of idempotent requests go to suspect instances, whose egress refuses them unless a trial is due.

--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -9,7 +9,7 @@
 use crate::ids::{InstanceId, ZoneId};
 use crate::time::{Deadline, MonoTime};
 use crate::units::{Percent, ZoneCost};
-use crate::wire::{InstanceLoad, InstancePhase, InstanceRecord};
+use crate::wire::{HealthState, InstanceLoad, InstancePhase, InstanceRecord};
 
 /// Weight of recent picks relative to the load per slot.
 const PICKS_WEIGHT: f64 = 0.4;
@@ -128,6 +128,33 @@
         })
     }
 
+    /// Picks a suspect instance at random and returns its index, one in the zone of the ingress if there
+    /// is one. While healthy slots are scarce, [`Self::pick`] uses suspect instances in any case.
+    pub fn pick_suspect(
+        &self,
+        records: &[InstanceRecord],
+        now: MonoTime,
+        rng: &mut fastrand::Rng,
+    ) -> Option<usize> {
+        if is_healthy_capacity_scarce(records) {
+            return None;
+        }
+        let is_suspect = |record: &InstanceRecord| {
+            record.phase == InstancePhase::Ready
+                && record.health == HealthState::Suspect
+                && self.is_reachable(record, now)
+        };
+        let indices = || (0..records.len()).filter(|index| is_suspect(&records[*index]));
+        let own: Vec<_> = indices()
+            .filter(|index| records[*index].zone == self.zone)
+            .collect();
+        let suspects = match own.is_empty() {
+            true => indices().collect(),
+            false => own,
+        };
+        (!suspects.is_empty()).then(|| suspects[rng.usize(0..suspects.len())])
+    }
+
     /// Counts a request that is sent to the instance.
     pub fn on_start(&mut self, instance: &InstanceId, now: MonoTime) {
         self.stats_mut(instance).on_pick(now);
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -142,6 +142,15 @@
         is_forced || (health.accepts(idempotent) && has_room)
     }
 
+    /// Whether the instance's health allows a request that was admitted earlier to start now. The trial
+    /// of a suspect instance may start.
+    #[must_use]
+    pub fn admits_start(&self, key: RequestKey, idempotent: bool, is_forced: bool) -> bool {
+        let health = self.health.published_state();
+        let has_room = health != HealthState::Suspect || self.trial == Some(key);
+        is_forced || (health.accepts(idempotent) && has_room)
+    }
+
     /// Takes a request from the limit that the instance states.
     ///
     /// # Errors
@@ -239,19 +248,30 @@
     }
 
     /// Updates the instance's health with the outcome of a request.
+    ///
+    /// When the instance no longer takes every request, the waiting ones are refused so that they can go
+    /// to other instances: an instance that fails at once would work off its whole queue in moments.
     pub fn observe(
         &mut self,
         sample: &ServiceSample,
         baseline: &ServiceBaseline,
         now: MonoTime,
     ) -> Option<HealthChange> {
-        self.health.observe(sample, baseline, now)
+        let took_all = self.health.published_state().accepts(false);
+        let change = self.health.observe(sample, baseline, now);
+        if took_all && !self.health.published_state().accepts(false) {
+            self.refuse_waiting();
+        }
+        change
     }
 
     /// Updates the queue and the health for the passage of time. Call it periodically.
     pub fn tick(&mut self, baseline: &ServiceBaseline, now: MonoTime) -> Option<HealthChange> {
         let actions = self.queue.tick(now);
         self.apply_actions(actions);
+        self.end_passed_trial(now);
+        self.health
+            .observe_running(self.running.values().copied(), now);
         let oldest = self.queue.oldest_running_age(now);
         self.health.tick(baseline, now, oldest)
     }
@@ -295,6 +315,17 @@
         })
     }
 
+    /// Lets another trial begin once the present one has run for longer than the failures took.
+    fn end_passed_trial(&mut self, now: MonoTime) {
+        let Some(pass_time) = self.health.trial_pass_time() else {
+            return;
+        };
+        let sent = self.trial.and_then(|trial| self.running.get(&trial));
+        if sent.is_some_and(|sent| now.since(*sent) > pass_time) {
+            self.trial = None;
+        }
+    }
+
     fn end_trial(&mut self, key: RequestKey) {
         if self.trial == Some(key) {
             self.trial = None;
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -216,13 +216,27 @@
             StartOutcome::Run if !self.is_dispatcher_current() => {
                 StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER)
             }
-            StartOutcome::Run => {
-                match suspect_refusal(self.egress, &self.dispatcher, &self.offer) {
-                    Some(reason) => StartOutcome::Refused(reason, SUSPECT_RETRY_AFTER),
-                    None => self.pass_cold(key),
+            outcome => match self.pass_health(outcome, key) {
+                StartOutcome::Run => {
+                    match suspect_refusal(self.egress, &self.dispatcher, &self.offer) {
+                        Some(reason) => StartOutcome::Refused(reason, SUSPECT_RETRY_AFTER),
+                        None => self.pass_cold(key),
+                    }
                 }
-            }
-            outcome => outcome,
+                outcome => outcome,
+            },
+        }
+    }
+
+    /// Refuses a request that would run now, or that left the queue, if the instance has failed others
+    /// since the offer.
+    fn pass_health(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
+        let offer = &self.offer;
+        let dispatcher = self.dispatcher.borrow();
+        let is_admitted = dispatcher.admits_start(key, offer.idempotent, offer.is_forced);
+        match outcome.has_left_queue() && !is_admitted {
+            true => StartOutcome::Refused(RefusalReason::Unhealthy, UNHEALTHY_RETRY_AFTER),
+            false => outcome,
         }
     }
 
@@ -236,10 +250,7 @@
     /// Refuses a request that would run now, or that left the queue, if the zone has been evacuated
     /// since the offer.
     fn pass_zone_gate(&self, outcome: StartOutcome) -> StartOutcome {
-        let has_left_queue = matches!(
-            outcome,
-            StartOutcome::Run | StartOutcome::Refused(RefusalReason::Overloaded, _)
-        );
+        let has_left_queue = outcome.has_left_queue();
         match self.egress.gate.refusal().filter(|_| has_left_queue) {
             Some(reason) => StartOutcome::Refused(reason, zone_retry_after(reason)),
             None => outcome,
@@ -376,6 +387,16 @@
     Abandoned,
 }
 
+impl StartOutcome {
+    /// Whether the request would run now, or the queue has turned it away.
+    const fn has_left_queue(&self) -> bool {
+        matches!(
+            self,
+            Self::Run | Self::Refused(RefusalReason::Overloaded, _)
+        )
+    }
+}
+
 fn event_of_decision(decision: SlotDecision, retry_after: &mut Duration) -> StartEvent {
     match decision {
         SlotDecision::Granted => StartEvent::SlotGranted,
--- a/src/health/class_normalizer.rs
+++ b/src/health/class_normalizer.rs
@@ -4,6 +4,8 @@
 
 /// Samples of a class before its service times are used.
 const MIN_SAMPLES: u32 = 20;
+/// Samples of a class before its median is used on its own.
+const MIN_MEDIAN_SAMPLES: u32 = 2;
 /// Samples of which the median is exact. Service times of classes can differ by a factor of
 /// hundreds: small steps from the first sample would never reach the median, and the medians of
 /// two instances would not be comparable.
@@ -35,6 +37,16 @@
         let shift = self.overall.value - median.value;
         (median.samples >= MIN_SAMPLES).then(|| (log_micros + shift).exp())
     }
+
+    /// The median of the service times of `class` in microseconds, or else of all classes; `None` until
+    /// one of them has `MIN_MEDIAN_SAMPLES` samples.
+    pub(super) fn median_micros(&self, class: RequestClass) -> Option<f64> {
+        let medians = [&self.classes[class as usize], &self.overall];
+        let known = medians
+            .iter()
+            .find(|median| median.samples >= MIN_MEDIAN_SAMPLES);
+        known.map(|median| median.value.exp())
+    }
 }
 
 /// A running median of logarithms: exact for the first samples, then moved by small steps, so
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -102,7 +102,8 @@
         }
         let is_slow = self.observe_time(sample, baseline, now);
         self.observe_outcome(sample.outcome, now);
-        self.breaker.observe(sample, now);
+        let usual_time = self.slowness.usual_time(sample.class, baseline);
+        self.breaker.observe(sample, usual_time, now);
         let is_good = sample.outcome == SampleOutcome::Good && !is_slow;
         match self.state {
             HealthState::Healthy => self.eject_if_faulty(baseline, now),
@@ -119,6 +120,14 @@
         }
     }
 
+    /// Takes in the requests that run, by the times at which they were sent. Call this at least every
+    /// 100 ms.
+    ///
+    /// Those that have run for longer than the failures of a suspect instance took count as good.
+    pub fn observe_running(&mut self, sent: impl Iterator<Item = MonoTime>, now: MonoTime) {
+        self.breaker.observe_running(sent, now);
+    }
+
     /// Advances timers and returns the change of state this causes, if any.
     ///
     /// `oldest_running_age` is the age of the oldest running request. Call this at least every
@@ -216,6 +225,12 @@
         self.breaker.allows_trial(now)
     }
 
+    /// Time after which a running trial counts as good, so that another one may begin.
+    #[must_use]
+    pub fn trial_pass_time(&self) -> Option<Duration> {
+        self.breaker.pass_time()
+    }
+
     /// The median of the latest service times, for the instance record; `None` until enough
     /// responses have arrived.
     ///
--- a/src/health/slowness_detector.rs
+++ b/src/health/slowness_detector.rs
@@ -148,6 +148,18 @@
         median.max(self.stalled_for)
     }
 
+    /// The time that a request of `class` usually takes: the median of the instance, or else the baseline
+    /// of its service; `None` until one of them is known.
+    pub(super) fn usual_time(
+        &self,
+        class: RequestClass,
+        baseline: &ServiceBaseline,
+    ) -> Option<Duration> {
+        let micros = self.normalizer.median_micros(class);
+        let median = micros.map(|micros| Duration::from_secs_f64(micros / 1e6));
+        median.or_else(|| baseline.median())
+    }
+
     /// The evidence that the instance is slow.
     pub(super) const fn detector(&self) -> &CusumDetector {
         &self.detector
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -74,7 +74,8 @@
             let begin = self.ingress.sources.clock.now();
             let outcome = self.attempt(&chosen, &history).await;
             self.log_attempt(record, &history, &outcome);
-            if let Some(zones) = &mut zones {
+            // An instance that is not healthy tells nothing of the room of its zone.
+            if let Some(zones) = zones.as_mut().filter(|_| !chosen.is_trial) {
                 self.record_zone_outcome(zones, &chosen, &outcome, begin);
             }
             match outcome {
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -8,6 +8,7 @@
 use crate::ids::{InstanceId, ZoneId};
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::offer_wait::OfferWait;
+use crate::ingress::zone_attempts::NO_WAIT;
 use crate::ingress::{AttemptFailure, AttemptHistory, RequestRefusal};
 use crate::logs::log_target;
 use crate::pressure::ServicePressure;
@@ -28,6 +29,8 @@
     /// Whether the ingress sends the request although it knows that the instance's health excludes it.
     pub(crate) is_forced: bool,
     pub(crate) wait: OfferWait,
+    /// Whether the offer finds out whether a suspect instance has recovered.
+    pub(crate) is_trial: bool,
 }
 
 impl CallerRequest<'_> {
@@ -90,6 +93,38 @@
                 || !record.health.accepts(self.plan.idempotent),
             record,
             wait,
+            is_trial: false,
+        })
+    }
+
+    /// Picks a suspect instance for the first offer of a request that can be repeated, in the own zone if
+    /// one is there: only such requests show that an instance has recovered. Its egress refuses the
+    /// request at once unless a trial is due, and the next offer goes to a healthy instance.
+    pub(crate) fn choose_trial(&self, history: &AttemptHistory) -> Option<ChosenInstance> {
+        let is_repeatable = self.plan.idempotent && !self.plan.class.is_bulk();
+        if !is_repeatable || !history.tried().is_empty() || self.plan.max_attempts == Some(1) {
+            return None;
+        }
+        if self.ingress.sources.baseline.round_robin
+            || !self.with_budget(ServiceBudgets::allows_trial)
+        {
+            return None;
+        }
+        let records = self.usable_instances();
+        let now = self.ingress.sources.clock.now();
+        let index = self
+            .ingress
+            .with_picker(&self.plan.service, |picker, rng| {
+                picker.retain(&records);
+                let index = picker.pick_suspect(&records, now, rng)?;
+                picker.on_start(&records[index].instance, now);
+                Some(index)
+            })?;
+        Some(ChosenInstance {
+            record: records[index].clone(),
+            is_forced: false,
+            wait: NO_WAIT,
+            is_trial: true,
         })
     }
 
@@ -115,6 +150,7 @@
             record,
             is_forced: false,
             wait: OfferWait::Unbounded,
+            is_trial: false,
         })
     }
 
@@ -175,6 +211,7 @@
             record,
             is_forced: true,
             wait,
+            is_trial: false,
         })
     }
 
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -87,6 +87,9 @@
         history: &mut AttemptHistory,
         attempts: Option<&mut ZoneAttempts>,
     ) -> Option<ChosenInstance> {
+        if let Some(chosen) = self.choose_trial(history) {
+            return Some(chosen);
+        }
         match attempts {
             Some(attempts) => self.next_zone_instance(history, attempts),
             None => self.next_instance(history),
