Let requests of a starting fleet wait for its configuration and its loans

Cause: after a restart of all daemons requests were refused for want of a configuration, which arrives within 0.2 s in the median, with a Retry-After of 1 s; then requests waited 500 ms for loans that come after 700 ms, when those of the run before have ended, and were refused.

Change: requests wait for the first configuration during the first second of a daemon, and up to 1.2 s for the first loans.

--- a/src/config/config_driver.rs
+++ b/src/config/config_driver.rs
@@ -17,7 +17,7 @@
 use crate::logs::log_target;
 use crate::peers::PeerError;
 use crate::platform::PlatformError;
-use crate::time::MonoTime;
+use crate::time::{Deadline, MonoTime};
 use crate::wire::{
     ConfigCall, ConfigReply, ConfigState, PeerCall, PeerReply, SnapshotCursor, SnapshotPage,
     WatchReply, WatchRequest,
@@ -50,6 +50,8 @@
     pub(super) evacuations: EvacuationFollower,
     /// Notified when a document comes into force or is confirmed.
     pub(super) changed: Notify,
+    /// Until when the daemon counts as starting.
+    pub(super) starting_until: Deadline,
 }
 
 impl ConfigDriver {
--- a/src/config/config_handle.rs
+++ b/src/config/config_handle.rs
@@ -46,6 +46,11 @@
     pub peer_addresses: Rc<dyn Fn() -> Vec<SocketAddr>>,
 }
 
+/// How long after its start a daemon lets requests wait for its first configuration.
+const STARTING_TIME: Duration = Duration::from_secs(1);
+/// How often such a request looks for the configuration.
+const LOAD_POLL: Duration = Duration::from_millis(10);
+
 /// Handle of the running configuration service; clones share it.
 #[derive(Clone)]
 pub struct ConfigHandle {
@@ -88,6 +93,7 @@
             silence: RefCell::default(),
             evacuations: EvacuationFollower::open(now),
             changed: Notify::new(),
+            starting_until: now.after(STARTING_TIME),
         })
     }
 
@@ -111,6 +117,17 @@
         follower.is_loaded() && is_known
     }
 
+    /// Waits until the configuration is loaded, or until the daemon no longer counts as starting.
+    ///
+    /// A daemon that starts has the configuration within moments, so that its first requests are better
+    /// held than refused.
+    pub async fn wait_loaded(&self) {
+        let clock = self.driver.sources.clock;
+        while !self.is_loaded() && !self.driver.starting_until.has_passed(clock.now()) {
+            actix_rt::time::sleep(LOAD_POLL).await;
+        }
+    }
+
     /// Whether the catalog is fresh enough to admit requests by it.
     #[must_use]
     pub fn is_fresh(&self, now: MonoTime) -> bool {
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -128,6 +128,7 @@
         return Err(RequestRefusal::Stopping);
     }
     let secret = bearer_secret(request.headers()).map(str::to_owned);
+    ingress.sources.config.wait_loaded().await;
     let plan = plan(ingress, request, secret.as_deref())?;
     let secret = secret.ok();
     let deadline = request_deadline(ingress, &plan, request.headers())?;
--- a/src/limits/admission_controller.rs
+++ b/src/limits/admission_controller.rs
@@ -16,7 +16,7 @@
 
 /// How long a request waits for a token at most. It must not be below the time in which a starting
 /// fleet lends its shares; otherwise requests within the rate are refused.
-const ADMIT_WAIT: Duration = Duration::from_millis(500);
+const ADMIT_WAIT: Duration = Duration::from_millis(1_200);
 
 /// While callers are told to come back, a request waits for this many answers at most.
 const SHORTAGE_WAIT_FACTOR: u32 = 2;
--- a/src/limits/home_state.rs
+++ b/src/limits/home_state.rs
@@ -18,9 +18,10 @@
 const BACKUP_PREFERENCE: Duration = Duration::from_millis(500);
 
 /// How long requests wait for a home that answers that it has no loans, at the start of a fleet and
-/// later. A starting fleet lends its shares in this time; later on, a home borrows those that are
-/// unused within a few messages, and has to wait for the others as long as a loan lasts.
-const STARTING_WAIT: Duration = Duration::from_millis(500);
+/// later. A starting fleet lends its shares in this time, also if the short loans of its run before must
+/// end first; later on, a home borrows those that are unused within a few messages, and has to wait for
+/// the others as long as a loan lasts.
+const STARTING_WAIT: Duration = Duration::from_millis(1_200);
 const BORROWING_WAIT: Duration = Duration::from_millis(100);
 
 /// State of one home, as its ingress sees it.
