--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -142,13 +142,11 @@
         is_forced || (health.accepts(idempotent) && has_room)
     }
 
-    /// Whether the instance's health allows a request that was admitted earlier to start now. The trial
-    /// of a suspect instance may start.
+    /// Whether a request that was admitted earlier may start now: not while the instance fails requests
+    /// early, unless it is the trial or forced.
     #[must_use]
-    pub fn admits_start(&self, key: RequestKey, idempotent: bool, is_forced: bool) -> bool {
-        let health = self.health.published_state();
-        let has_room = health != HealthState::Suspect || self.trial == Some(key);
-        is_forced || (health.accepts(idempotent) && has_room)
+    pub fn admits_start(&self, key: RequestKey, is_forced: bool) -> bool {
+        is_forced || !self.health.fails_early() || self.trial == Some(key)
     }
 
     /// Takes a request from the limit that the instance states.
@@ -249,17 +247,17 @@
 
     /// Updates the instance's health with the outcome of a request.
     ///
-    /// When the instance no longer takes every request, the waiting ones are refused so that they can go
-    /// to other instances: an instance that fails at once would work off its whole queue in moments.
+    /// When the instance begins to fail requests early, the waiting ones are refused so that they can go
+    /// to other instances: it would work off its whole queue in moments.
     pub fn observe(
         &mut self,
         sample: &ServiceSample,
         baseline: &ServiceBaseline,
         now: MonoTime,
     ) -> Option<HealthChange> {
-        let took_all = self.health.published_state().accepts(false);
+        let failed_early = self.health.fails_early();
         let change = self.health.observe(sample, baseline, now);
-        if took_all && !self.health.published_state().accepts(false) {
+        if !failed_early && self.health.fails_early() {
             self.refuse_waiting();
         }
         change
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -228,12 +228,11 @@
         }
     }
 
-    /// Refuses a request that would run now, or that left the queue, if the instance has failed others
-    /// since the offer.
+    /// Refuses a request that would run now, or that left the queue, if the instance has begun to fail
+    /// requests early since the offer.
     fn pass_health(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
-        let offer = &self.offer;
         let dispatcher = self.dispatcher.borrow();
-        let is_admitted = dispatcher.admits_start(key, offer.idempotent, offer.is_forced);
+        let is_admitted = dispatcher.admits_start(key, self.offer.is_forced);
         match outcome.has_left_queue() && !is_admitted {
             true => StartOutcome::Refused(RefusalReason::Unhealthy, UNHEALTHY_RETRY_AFTER),
             false => outcome,
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -225,6 +225,12 @@
         self.breaker.allows_trial(now)
     }
 
+    /// Whether the instance is suspect because it failed a request without doing its work.
+    #[must_use]
+    pub fn fails_early(&self) -> bool {
+        self.breaker.pass_time().is_some()
+    }
+
     /// Time after which a running trial counts as good, so that another one may begin.
     #[must_use]
     pub fn trial_pass_time(&self) -> Option<Duration> {
