Test the state of an endless instance by its breaker as well

Cause: the test waited for a refusal as sick, which comes only until the ingress has heard that the instance is suspect, about 100 ms; later filings are sent to it, since it is the only instance. On with a pause of 500 ms before that step it fails in the same way, so the fault is the test's.

The test now takes the refusal or an open breaker in the daemon's dump, and in the end requires the open breaker, which it did not before.

--- a/tests/process_endless.rs
+++ b/tests/process_endless.rs
@@ -12,7 +12,7 @@
 
 use awc::http::{Method, StatusCode};
 use common::{CallerClient, DeskFleet, eventually};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// A chunk whose size line never ends.
 const START: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;x=";
@@ -53,6 +53,15 @@
     assert!(answer.status.is_success(), "{}", answer.text());
 }
 
+/// Whether the circuit breaker of the instance is open, from the daemon's dump.
+fn is_doubted(desk: &DeskFleet) -> bool {
+    let output = desk.fleet.operate(0, &["dump"]).stdout;
+    let dump: Value = serde_json::from_slice(&output).unwrap();
+    let instances = dump["egress"]["instances"].as_array().unwrap();
+    let found = instances.iter().find(|one| one["instance"] == "raw-1");
+    !found.unwrap()["health"]["trust"]["doubt"].is_null()
+}
+
 /// Guards against a request that waits for its deadline at such an instance, that counts as not run,
 /// or that leaves the instance trusted or its connection open.
 #[actix_rt::test]
@@ -81,11 +90,16 @@
         is_cut
     })
     .await;
+    // A filing is refused until the ingress knows the state of the instance; later ones are sent to it,
+    // as there is no other.
     eventually("an instance that is not trusted", async || {
         let answer = file().await;
-        answer.status == StatusCode::SERVICE_UNAVAILABLE && answer.text().contains("sick")
+        let is_refused =
+            answer.status == StatusCode::SERVICE_UNAVAILABLE && answer.text().contains("sick");
+        is_refused || is_doubted(&desk)
     })
     .await;
+    assert!(is_doubted(&desk), "the breaker of the instance is closed");
     eventually("a closed connection", async || {
         closed.load(Ordering::SeqCst) > 0
     })
