--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -21,7 +21,7 @@
 use crate::limits::{Admission, AdmittedToken, RateRefusal};
 use crate::logs::log_target;
 use crate::resource::KeyHash;
-use crate::time::Deadline;
+use crate::time::{Deadline, MonoTime};
 use crate::wire::RequestDigest;
 
 /// Serves one request and records its verdict and duration. When the caller disconnects, the request
@@ -128,13 +128,12 @@
         return Err(RequestRefusal::Stopping);
     }
     let secret = bearer_secret(request.headers()).map(str::to_owned);
+    let arrived = ingress.sources.clock.now();
     ingress.sources.config.wait_loaded().await;
     let plan = plan(ingress, request, secret.as_deref())?;
     let secret = secret.ok();
-    let deadline = request_deadline(ingress, &plan, request.headers())?;
-    let goal = plan
-        .goal
-        .map(|span| ingress.sources.clock.now().after(span));
+    let deadline = request_deadline(ingress, &plan, request.headers(), arrived)?;
+    let goal = plan.goal.map(|span| arrived.after(span));
     let mut reservation = ingress.body_budget.reserve();
     let body = request_body(ingress, request, &mut reservation).await?;
     let target = request_target(request);
@@ -219,11 +218,13 @@
     name.to_ascii_lowercase().parse().ok()
 }
 
-/// Returns the caller's deadline, or the default, bounded by the settings and the route's timeout.
+/// Returns the deadline of a request that arrived at `arrived`: the caller's, or the default, bounded by the
+/// settings and the route's timeout.
 fn request_deadline(
     ingress: &IngressHandle,
     plan: &RequestPlan,
     headers: &HeaderMap,
+    arrived: MonoTime,
 ) -> Result<Deadline, RequestRefusal> {
     let proxy = &ingress.sources.proxy;
     let span = match headers.get(ingress.sources.headers.deadline()) {
@@ -238,7 +239,7 @@
         }
     };
     let span = plan.timeout.map_or(span, |timeout| span.min(timeout));
-    Ok(ingress.sources.clock.now().after(span))
+    Ok(arrived.after(span))
 }
 
 async fn request_body(
