Name the cause of a lost response in logs and metrics

An answer of the daemon's own to a request that may have run said only that the answer was lost. The log and the refusal now tell the time of the attempt, the connection to the egress, the shutdown and the egress's own report apart; responses_lost_total counts them by reason. A refused later attempt no longer hides the cause of the earlier one.

A request that ends at its deadline without a report of the egress gets 504 instead of 502, as it does with the report; both say that it may have run.

--- a/src/ingress/attempt_history.rs
+++ b/src/ingress/attempt_history.rs
@@ -5,8 +5,8 @@
 
 use crate::execution_verdict::ExecutionVerdict;
 use crate::ids::InstanceId;
-use crate::ingress::RequestRefusal;
-use crate::wire::{FailureCause, RefusalReason};
+use crate::ingress::{RequestRefusal, ResponseLoss};
+use crate::wire::RefusalReason;
 
 /// Most instances that one request may reach when its route sets no bound.
 pub const DEFAULT_MAX_ATTEMPTS: usize = 4;
@@ -28,8 +28,8 @@
     pub verdict: ExecutionVerdict,
     /// Why the egress refused the offer; none when it did not refuse.
     pub reason: Option<RefusalReason>,
-    /// What failed after the start, as reported by the egress; none when it reported nothing.
-    pub cause: Option<FailureCause>,
+    /// Why there is no response; none when the egress refused the offer or was not reached.
+    pub cause: Option<ResponseLoss>,
     /// How long the caller should wait before it retries; zero when unknown.
     pub retry_after: Duration,
 }
@@ -60,6 +60,8 @@
     /// Whether the busy instances were made eligible again.
     is_busy_retried: bool,
     may_have_run: bool,
+    /// Why the last response that is missing is lost.
+    loss: Option<ResponseLoss>,
     /// The last failure; none before the first.
     last: Option<AttemptFailure>,
 }
@@ -82,6 +84,7 @@
             busy: Vec::new(),
             is_busy_retried: false,
             may_have_run: false,
+            loss: None,
             last: None,
         }
     }
@@ -182,6 +185,7 @@
             self.unreached += 1;
         }
         self.may_have_run |= !matches!(failure.verdict, ExecutionVerdict::NotRun);
+        self.loss = failure.cause.or(self.loss);
         self.last = Some(failure);
     }
 
@@ -195,7 +199,7 @@
     #[must_use]
     pub fn refusal(&self, deadline_passed: bool) -> RequestRefusal {
         if self.may_have_run {
-            return RequestRefusal::ResponseLost(self.last.and_then(|failure| failure.cause));
+            return RequestRefusal::ResponseLost(self.loss);
         }
         match self.last {
             Some(_) if deadline_passed => RequestRefusal::DeadlinePassed,
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -14,6 +14,7 @@
 use crate::ingress::shutdown_signal::ShutdownSignal;
 use crate::ingress::{
     AttemptAction, AttemptEvent, AttemptFailure, AttemptMachine, BodyBudget, BodyReservation,
+    ResponseLoss,
 };
 use crate::logs::log_target;
 use crate::peers::{PeerError, PeerPool, PeerReceiver, PeerSender, TrafficPurpose};
@@ -95,17 +96,19 @@
             let exchange = actix_rt::time::timeout(timeout, exchange);
             let cut_off = self.shutdown.wait_answer_deadline(self.clock);
             match select(pin!(exchange), pin!(cut_off)).await {
-                Either::Left((Ok(result), _)) => result,
-                Either::Left((Err(_), _)) | Either::Right(_) => Err(PeerError::Timeout),
+                Either::Left((Ok(result), _)) => result.map_err(|error| self.loss_of(&error)),
+                Either::Left((Err(_), _)) => Err(Some(ResponseLoss::TimedOut)),
+                Either::Right(_) => Err(Some(ResponseLoss::ShutDown)),
             }
         };
-        match result {
-            Ok(outcome) => outcome,
-            Err(error) if error.is_undelivered() => {
-                lost_outcome(&mut machine, AttemptEvent::Refused)
-            }
-            Err(_) => lost_outcome(&mut machine, AttemptEvent::Lost),
-        }
+        result.unwrap_or_else(|cause| lost_outcome(&mut machine, cause))
+    }
+
+    /// Returns why the response is lost after a failure on the way to the egress; none if the offer
+    /// provably never arrived.
+    fn loss_of(&self, error: &PeerError) -> Option<ResponseLoss> {
+        log::debug!(target: log_target::INGRESS, egress:% = self.address, cause:% = error; "Stream to the egress failed.");
+        (!error.is_undelivered()).then_some(ResponseLoss::PathLost)
     }
 
     async fn exchange(
@@ -234,7 +237,7 @@
     let failure = AttemptFailure {
         verdict,
         reason: None,
-        cause: Some(cause),
+        cause: Some(ResponseLoss::Reported(cause)),
         retry_after: Duration::ZERO,
     };
     AttemptOutcome::Failed {
@@ -260,8 +263,13 @@
     }
 }
 
-/// Ends the attempt after a stream failure, with what the state machine says that it proves.
-fn lost_outcome(machine: &mut AttemptMachine, event: AttemptEvent) -> AttemptOutcome {
+/// Ends the attempt without a word of the egress, with what the state machine says that this proves.
+/// Without a `cause` the offer never arrived.
+fn lost_outcome(machine: &mut AttemptMachine, cause: Option<ResponseLoss>) -> AttemptOutcome {
+    let event = match cause {
+        Some(_) => AttemptEvent::Lost,
+        None => AttemptEvent::Refused,
+    };
     let verdict = match machine.handle_event(event) {
         AttemptAction::End(verdict) => verdict,
         AttemptAction::Wait | AttemptAction::SendGo => ExecutionVerdict::MayHaveRun,
@@ -269,7 +277,7 @@
     let failure = AttemptFailure {
         verdict,
         reason: None,
-        cause: None,
+        cause,
         retry_after: Duration::ZERO,
     };
     AttemptOutcome::Failed {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -18,6 +18,7 @@
 mod request_task;
 mod request_totals;
 mod response_body;
+mod response_loss;
 mod shutdown_signal;
 mod zone_attempts;
 mod zone_outcomes;
@@ -31,6 +32,7 @@
 pub use request_plan::{RequestFacts, RequestPlan};
 pub use request_refusal::RequestRefusal;
 pub use request_totals::RequestTotals;
+pub use response_loss::ResponseLoss;
 pub use shutdown_signal::ShutdownLimits;
 
 use actix_http::header::HeaderName;
--- a/src/ingress/request_refusal.rs
+++ b/src/ingress/request_refusal.rs
@@ -9,7 +9,7 @@
 
 use crate::execution_verdict::ExecutionVerdict;
 use crate::http::{self, BodyError};
-use crate::ingress::verdict_header;
+use crate::ingress::{ResponseLoss, verdict_header};
 use crate::limits::RateRefusal;
 use crate::resource::Priority;
 use crate::wire::{FailureCause, RefusalReason};
@@ -51,8 +51,8 @@
     DeadlinePassed,
     /// The caller closed its connection before the response was ready.
     CallerDisconnected,
-    /// The request may have run but its response is lost; holds the cause that the egress reported.
-    ResponseLost(Option<FailureCause>),
+    /// The request may have run but its response is lost; holds the cause, if it is known.
+    ResponseLost(Option<ResponseLoss>),
 }
 
 /// `Retry-After` of a temporary refusal that has no estimate of its own.
@@ -79,7 +79,9 @@
             | Self::NoCapacity(..)
             | Self::ServiceFull(..)
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
-            Self::ResponseLost(Some(FailureCause::Timeout)) => StatusCode::GATEWAY_TIMEOUT,
+            Self::ResponseLost(Some(
+                ResponseLoss::Reported(FailureCause::Timeout) | ResponseLoss::TimedOut,
+            )) => StatusCode::GATEWAY_TIMEOUT,
             Self::CallerDisconnected | Self::ResponseLost(_) => StatusCode::BAD_GATEWAY,
         }
     }
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -94,6 +94,9 @@
     if matches!(refusal, RequestRefusal::EndsInstances) {
         ingress.state.borrow_mut().totals.ends_instances += 1;
     }
+    if let RequestRefusal::ResponseLost(Some(loss)) = refusal {
+        ingress.state.borrow_mut().totals.record_loss(*loss);
+    }
     log::info!(
         target: log_target::INGRESS,
         request = name,
--- a/src/ingress/request_totals.rs
+++ b/src/ingress/request_totals.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use crate::execution_verdict::ExecutionVerdict;
+use crate::ingress::ResponseLoss;
 
 /// Requests since the daemon started, by execution verdict.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
@@ -15,6 +16,9 @@
     pub not_run: u64,
     /// Requests that may have run but got no response.
     pub may_have_run: u64,
+    /// Requests that the ingress answered itself although they may have run, in the order of
+    /// [`ResponseLoss::REASONS`].
+    pub lost: [u64; ResponseLoss::REASONS.len()],
     /// Requests refused because their client account exceeded its rate limit.
     pub over_rate: u64,
     /// Requests refused before an offer because their service had no room for their priority.
@@ -26,6 +30,11 @@
 }
 
 impl RequestTotals {
+    /// Counts a response that is lost.
+    pub const fn record_loss(&mut self, loss: ResponseLoss) {
+        self.lost[loss.reason_index()] += 1;
+    }
+
     /// Counts a finished request by its verdict.
     pub const fn record(&mut self, verdict: ExecutionVerdict) {
         match verdict {
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -11,7 +11,7 @@
 
 use crate::balance::ZoneLine;
 use crate::config::ConfirmationSource;
-use crate::ingress::{CreditLine, RequestTotals};
+use crate::ingress::{CreditLine, RequestTotals, ResponseLoss};
 use crate::metrics::DurationMetrics;
 use crate::peers::ZoneBytes;
 
@@ -135,6 +135,7 @@
     register_counter(meter, latest, "requests_may_have_run", |snapshot| {
         snapshot.totals.may_have_run
     });
+    register_losses(meter, latest);
     register_counter(meter, latest, "requests_over_rate", |snapshot| {
         snapshot.totals.over_rate
     });
@@ -222,6 +223,22 @@
         .build();
 }
 
+/// Registers the counter of lost responses, with one series per reason.
+fn register_losses(meter: &Meter, latest: &SharedSnapshot) {
+    let latest = Arc::clone(latest);
+    meter
+        .u64_observable_counter("responses_lost")
+        .with_callback(move |instrument| {
+            let Ok(snapshot) = latest.lock() else {
+                return;
+            };
+            for (reason, count) in ResponseLoss::REASONS.iter().zip(snapshot.totals.lost) {
+                instrument.observe(count, &[KeyValue::new("reason", *reason)]);
+            }
+        })
+        .build();
+}
+
 fn register_gauge(
     meter: &Meter,
     latest: &SharedSnapshot,
