Give each attempt the whole time of its request

Callers got 502 or 504 of a daemon's own, also while it stopped, for requests at which an instance was at work: an attempt of an idempotent request ended after 20 medians of its instance (250 ms at least), or half of the time left, whether or not another attempt could follow. The instance was told that time and ended the work at it.

Every attempt now has the request's own deadline. One that takes far longer than usual, or half of the time left, gets a backup attempt beside it if half of the retry budget is free, a healthy instance takes it at once and the daemon is not stopping; the first response that is no server error is returned. Nothing that works is broken off for less than a response.

AttemptHistory takes the instance of a failure, since two attempts may run; its tests assert what they did.

--- a/src/ingress/attempt_history.rs
+++ b/src/ingress/attempt_history.rs
@@ -173,13 +173,13 @@
         self.may_have_run = true;
     }
 
-    /// Records that the current attempt returned no response.
-    pub fn record_failure(&mut self, failure: AttemptFailure) {
+    /// Records that the attempt at `instance` returned no response.
+    pub fn record_failure(&mut self, instance: &InstanceId, failure: AttemptFailure) {
         if matches!(
             failure.reason,
             Some(RefusalReason::Busy | RefusalReason::SuspectRunning)
         ) {
-            self.busy.extend(self.tried.last().cloned());
+            self.busy.push(instance.clone());
         }
         if failure.is_unreached() {
             self.unreached += 1;
--- a/src/ingress/instance_choice.rs
+++ b/src/ingress/instance_choice.rs
@@ -7,6 +7,7 @@
 use crate::hash::rendezvous_score;
 use crate::ids::{InstanceId, ZoneId};
 use crate::ingress::caller_request::CallerRequest;
+use crate::ingress::offer_kind::OfferKind;
 use crate::ingress::offer_wait::OfferWait;
 use crate::ingress::zone_attempts::NO_WAIT;
 use crate::ingress::{AttemptFailure, AttemptHistory, RequestRefusal};
@@ -29,8 +30,7 @@
     /// Whether the ingress sends the request although it knows that the instance's health excludes it.
     pub(crate) is_forced: bool,
     pub(crate) wait: OfferWait,
-    /// Whether the offer finds out whether a suspect instance has recovered.
-    pub(crate) is_trial: bool,
+    pub(crate) kind: OfferKind,
 }
 
 impl CallerRequest<'_> {
@@ -93,7 +93,7 @@
                 || !record.health.accepts(self.plan.idempotent),
             record,
             wait,
-            is_trial: false,
+            kind: OfferKind::Regular,
         })
     }
 
@@ -124,7 +124,7 @@
             record: records[index].clone(),
             is_forced: false,
             wait: NO_WAIT,
-            is_trial: true,
+            kind: OfferKind::Trial,
         })
     }
 
@@ -150,7 +150,7 @@
             record,
             is_forced: false,
             wait: OfferWait::Unbounded,
-            is_trial: false,
+            kind: OfferKind::Regular,
         })
     }
 
@@ -211,7 +211,7 @@
             record,
             is_forced: true,
             wait,
-            is_trial: false,
+            kind: OfferKind::Regular,
         })
     }
 
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -2,8 +2,10 @@
 //! forwards each to the egress of an instance, with retries.
 
 mod attempt_history;
+mod attempt_loop;
 mod attempt_machine;
 mod attempt_task;
+mod backup_attempt;
 mod bearer_secret;
 mod body_budget;
 mod caller_request;
@@ -12,13 +14,16 @@
 mod held_body;
 mod ingress_handle;
 mod instance_choice;
+mod offer_kind;
 mod offer_wait;
+mod overdue_rule;
 mod request_plan;
 mod request_refusal;
 mod request_task;
 mod request_totals;
 mod response_body;
 mod response_loss;
+mod running_attempts;
 mod shutdown_signal;
 mod zone_attempts;
 mod zone_outcomes;
@@ -29,6 +34,7 @@
 pub use body_budget::{BodyBudget, BodyReservation};
 pub use credit_ledger::{CreditLedger, CreditLine};
 pub use ingress_handle::{IngressHandle, IngressSources};
+pub use overdue_rule::OverdueRule;
 pub use request_plan::{RequestFacts, RequestPlan};
 pub use request_refusal::RequestRefusal;
 pub use request_totals::RequestTotals;
--- a/src/ingress/request_totals.rs
+++ b/src/ingress/request_totals.rs
@@ -27,6 +27,8 @@
     pub ends_instances: u64,
     /// Attempts after the first of a request, without those that follow an offer refused as busy.
     pub retries: u64,
+    /// Attempts beside an overdue one.
+    pub backups: u64,
 }
 
 impl RequestTotals {
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -154,6 +154,9 @@
     register_counter(meter, latest, "request_retries", |snapshot| {
         snapshot.totals.retries
     });
+    register_counter(meter, latest, "request_backups", |snapshot| {
+        snapshot.totals.backups
+    });
     register_counter(meter, latest, "peer_messages_refused", |snapshot| {
         snapshot.refused_messages
     });
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -77,13 +77,18 @@
 
     /// Takes one retry from the budget; returns false if it is exhausted.
     pub fn try_retry(&mut self, now: MonoTime) -> bool {
-        if !self.is_within(1.0, now) {
+        if !self.allows_retry(now) {
             return false;
         }
         self.charge(1.0, now);
         true
     }
 
+    /// Whether the budget has a retry left.
+    pub fn allows_retry(&mut self, now: MonoTime) -> bool {
+        self.is_within(1.0, now)
+    }
+
     /// Whether calls that a repeated run of another service makes, which count as `retries`, stay within
     /// the budget.
     pub fn allows_charge(&mut self, retries: f64, now: MonoTime) -> bool {
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -32,6 +32,24 @@
     calls: FastMap<ServiceId, Vec<(CallRate, Percent)>>,
 }
 
+/// The calls to one service that a run makes on average.
+struct RunCalls {
+    service: ServiceId,
+    /// Retries per first attempt of that service.
+    share: Percent,
+    count: f64,
+}
+
+impl RunCalls {
+    const fn scope(&self, daemons: usize) -> BudgetScope<'_> {
+        BudgetScope {
+            service: &self.service,
+            share: self.share,
+            daemons,
+        }
+    }
+}
+
 impl ServiceBudgets {
     /// Creates the budgets of a daemon of a fleet with this reserve, if the settings name one.
     #[must_use]
@@ -52,35 +70,46 @@
         }
     }
 
+    /// Whether [`Self::try_retry`] would succeed now.
+    pub fn allows_retry(&mut self, scope: &BudgetScope<'_>, now: MonoTime) -> bool {
+        let calls = self.calls_of_run(scope);
+        self.allows_run(scope, &calls, now)
+    }
+
     /// Takes one retry from the budget of the service; returns false if it is exhausted.
     pub fn try_retry(&mut self, scope: &BudgetScope<'_>, now: MonoTime) -> bool {
-        if self.fleet_reserve.is_none() {
-            return self.budget(scope).try_retry(now);
-        }
-        let calls = self.calls.get(scope.service).cloned().unwrap_or_default();
-        let called: Vec<_> = calls
-            .iter()
-            .map(|(rate, share)| {
-                let called = BudgetScope {
-                    service: &rate.service,
-                    share: *share,
-                    daemons: scope.daemons,
-                };
-                (called, f64::from(rate.calls_per_thousand) / 1_000.0)
-            })
-            .collect();
-        let allows = |(called, calls): &(BudgetScope<'_>, f64)| {
-            self.budget(called).allows_charge(*calls, now)
-        };
-        if !called.iter().all(allows) || !self.budget(scope).try_retry(now) {
+        let calls = self.calls_of_run(scope);
+        if !self.allows_run(scope, &calls, now) {
             return false;
         }
-        for (called, calls) in &called {
-            self.budget(called).charge(*calls, now);
+        self.budget(scope).charge(1.0, now);
+        for call in &calls {
+            self.budget(&call.scope(scope.daemons))
+                .charge(call.count, now);
         }
         true
     }
 
+    fn allows_run(&mut self, scope: &BudgetScope<'_>, calls: &[RunCalls], now: MonoTime) -> bool {
+        let allows = |call: &RunCalls| {
+            self.budget(&call.scope(scope.daemons))
+                .allows_charge(call.count, now)
+        };
+        calls.iter().all(allows) && self.budget(scope).allows_retry(now)
+    }
+
+    /// The calls that a run of the service is likely to make, as far as they count.
+    fn calls_of_run(&self, scope: &BudgetScope<'_>) -> Vec<RunCalls> {
+        let known = self.calls.get(scope.service).into_iter().flatten();
+        let counted = known.filter(|_| self.fleet_reserve.is_some());
+        let calls = counted.map(|(rate, share)| RunCalls {
+            service: rate.service.clone(),
+            share: *share,
+            count: f64::from(rate.calls_per_thousand) / 1_000.0,
+        });
+        calls.collect()
+    }
+
     /// Whether the budget allows a trial request, which is likely to need a retry.
     pub fn allows_trial(&mut self, scope: &BudgetScope<'_>, now: MonoTime) -> bool {
         self.budget(scope).allows_trial(now)
--- a/tests/attempt_history.rs
+++ b/tests/attempt_history.rs
@@ -23,7 +23,7 @@
     let mut history = AttemptHistory::default();
     assert!(!history.may_wait());
     history.record_attempt("desk-1".parse().unwrap());
-    history.record_failure(busy());
+    history.record_failure(&"desk-1".parse().unwrap(), busy());
     assert!(!history.may_wait() && history.allows_retry(ExecutionVerdict::NotRun, false));
     assert!(
         history.retry_busy(),
@@ -34,7 +34,7 @@
     let mut history = AttemptHistory::default();
     for instance in ["desk-1", "desk-2"] {
         history.record_attempt(instance.parse().unwrap());
-        history.record_failure(busy());
+        history.record_failure(&instance.parse().unwrap(), busy());
     }
     assert!(history.may_wait());
 }
@@ -45,13 +45,16 @@
 fn possible_run_outlasts_refusal() {
     let mut history = AttemptHistory::default();
     history.record_attempt("desk-1".parse().unwrap());
-    history.record_failure(AttemptFailure {
-        verdict: ExecutionVerdict::MayHaveRun,
-        reason: None,
-        ..busy()
-    });
+    history.record_failure(
+        &"desk-1".parse().unwrap(),
+        AttemptFailure {
+            verdict: ExecutionVerdict::MayHaveRun,
+            reason: None,
+            ..busy()
+        },
+    );
     history.record_attempt("desk-2".parse().unwrap());
-    history.record_failure(busy());
+    history.record_failure(&"desk-2".parse().unwrap(), busy());
     assert_eq!(
         history.refusal(false).verdict(),
         ExecutionVerdict::MayHaveRun
@@ -64,7 +67,7 @@
 fn deadline_before_start() {
     let mut history = AttemptHistory::default();
     history.record_attempt("desk-1".parse().unwrap());
-    history.record_failure(busy());
+    history.record_failure(&"desk-1".parse().unwrap(), busy());
     let refusal = history.refusal(true);
     assert_eq!(refusal.verdict(), ExecutionVerdict::NotRun);
     assert_eq!(refusal.status().as_u16(), 503);
--- a/tests/zone_kit/zone_outcome.rs
+++ b/tests/zone_kit/zone_outcome.rs
@@ -24,12 +24,13 @@
         let ingress = &mut self.ingresses[request.ingress];
         let record = &self.records[request.instance];
         let is_home = self.instances[request.instance].home == ingress.home;
-        request.history.record_failure(AttemptFailure {
+        let failure = AttemptFailure {
             verdict: ExecutionVerdict::NotRun,
             reason,
             cause: None,
             retry_after: wait,
-        });
+        };
+        request.history.record_failure(&record.instance, failure);
         match reason {
             Some(RefusalReason::Busy) => request.choice.on_busy(&record.instance, is_home, wait),
             _ => request.choice.on_failure(&record.instance, is_home),
