Count requests of callers that left as ended in the picker

An ingress believed an instance busy for ever by one request for each caller that left, or attempt that was cancelled, while the instance was at work: the count of running requests fell only with an outcome. Such an instance got ever fewer requests until the daemon restarted. The attempt now takes its count back when it is dropped.

process_cancels callers_leave failed before (12 requests counted for 60 s, none running) and passes now. Found while looking for what a cancelled attempt leaves behind.

--- a/src/balance/instance_picker.rs
+++ b/src/balance/instance_picker.rs
@@ -181,6 +181,11 @@
         stats.path.on_failure(now);
     }
 
+    /// Notes that a request was cancelled before its outcome was known.
+    pub fn on_cancel(&mut self, instance: &InstanceId) {
+        self.stats_mut(instance).load.on_end();
+    }
+
     /// Drops the statistics of instances that are not in `records`.
     pub fn retain(&mut self, records: &[InstanceRecord]) {
         // Called before each pick, so the search is skipped unless instances have left.
--- a/src/ingress/backup_attempt.rs
+++ b/src/ingress/backup_attempt.rs
@@ -6,6 +6,7 @@
 use crate::crashes::RequestStanding;
 use crate::ingress::attempt_task::AttemptTask;
 use crate::ingress::caller_request::CallerRequest;
+use crate::ingress::counted_offer::CountedOffer;
 use crate::ingress::instance_choice::ChosenInstance;
 use crate::ingress::offer_kind::OfferKind;
 use crate::ingress::running_attempts::EndedAttempt;
@@ -35,7 +36,9 @@
             answer_budget: &self.ingress.answer_budget,
             suspects: &sources.suspects,
         };
+        let counted = CountedOffer::open(self, &chosen.record.instance);
         let outcome = task.run(self.offer(&chosen), self.body.clone()).await;
+        counted.end();
         EndedAttempt {
             chosen,
             begin,
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -10,6 +10,7 @@
 mod body_budget;
 mod caller_request;
 mod caller_response;
+mod counted_offer;
 mod credit_ledger;
 mod held_body;
 mod ingress_handle;
