Count a request as stalled when it is overdue, not when it is given up

Since attempts have the whole time of their request, an instance that hangs at a part of its requests was found out only when their deadlines had passed, or never where a backup or the caller ended them: a cancelled run told the health nothing. Found by review; process_hangs partly_hanging guards it.

--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -277,6 +277,7 @@
             receiver: self.receiver,
             clock: self.clock,
             deadline: self.deadline,
+            is_overdue: false,
         }
     }
 
