Return unused backups to the retry budget, and held responses in time

Found by review of the attempt loop: a backup that its instance refused kept its token, a server error that was held for a better response was returned after the deadline, an instance's 504 at the deadline bought a retry that could not end, a request whose body came in after the last answers were due was offered and cut off, and the time told to the instance did not count the opening of a connection.

--- a/src/ingress/attempt_loop.rs
+++ b/src/ingress/attempt_loop.rs
@@ -13,17 +13,24 @@
 use crate::ingress::held_body::HeldBody;
 use crate::ingress::ingress_handle::InFlightGuard;
 use crate::ingress::instance_choice::ChosenInstance;
+use crate::ingress::offer_kind::OfferKind;
 use crate::ingress::running_attempts::{AttemptStep, EndedAttempt, RunningAttempts};
 use crate::ingress::zone_attempts::ZoneAttempts;
 use crate::ingress::{AttemptFailure, AttemptHistory, RequestRefusal};
 use crate::logs::log_target;
 use crate::retry::ServiceBudgets;
+use crate::time::Deadline;
 use crate::wire::{BackendHead, InstanceLoad, RefusalReason};
 
+/// Time after which it is checked again whether an overdue attempt gets a backup.
+const BACKUP_RECHECK: Duration = Duration::from_millis(250);
+/// How long before the deadline a held response is returned, so that it reaches the caller in time.
+const RETURN_RESERVE: Duration = Duration::from_millis(50);
+
 /// The attempts at one request.
 pub(crate) struct AttemptLoop<'a> {
-    request: &'a CallerRequest<'a>,
-    history: AttemptHistory,
+    pub(super) request: &'a CallerRequest<'a>,
+    pub(super) history: AttemptHistory,
     /// None where zone-local routing is off.
     zones: Option<ZoneAttempts>,
     running: RunningAttempts<'a>,
@@ -32,15 +39,17 @@
 }
 
 /// What follows the end of an attempt.
-enum NextStep {
+enum FollowUp {
     /// The response is returned to the caller.
     Complete(BackendHead, HeldBody),
     /// The response is returned to the caller while it is received.
     Streaming(StreamingResponse),
     /// Another attempt follows after this time.
     Retry(Duration),
-    /// Nothing is started: another attempt is running, or none may follow.
+    /// Another attempt is running and may bring a response.
     Wait,
+    /// No attempt follows.
+    Nothing,
 }
 
 impl<'a> AttemptLoop<'a> {
@@ -68,6 +77,9 @@
         mut self,
         guard: InFlightGuard,
     ) -> Result<Response<BoxBody>, RequestRefusal> {
+        if self.request.is_cut_off() {
+            return Err(RequestRefusal::Stopping);
+        }
         let mut next = self.choose_next();
         loop {
             if let Some(chosen) = next.take() {
@@ -78,14 +90,18 @@
             };
             let ended = match step {
                 AttemptStep::Ended(ended) => *ended,
+                AttemptStep::Overdue if self.must_return_held() => {
+                    return self.end_without_response();
+                }
                 AttemptStep::Overdue => {
                     next = self.choose_backup();
+                    self.running.postpone(self.recheck_at());
                     continue;
                 }
             };
             match self.handle_end(ended) {
-                NextStep::Complete(head, body) => return Ok(complete_response(&head, body)),
-                NextStep::Streaming(response) => {
+                FollowUp::Complete(head, body) => return Ok(complete_response(&head, body)),
+                FollowUp::Streaming(response) => {
                     let ingress = self.request.ingress;
                     return Ok(streaming_response(
                         response,
@@ -95,13 +111,14 @@
                         &ingress.answer_budget,
                     ));
                 }
-                NextStep::Retry(pause) => {
+                FollowUp::Retry(pause) => {
                     if !pause.is_zero() {
                         actix_rt::time::sleep(pause).await;
                     }
                     next = self.choose_next();
                 }
-                NextStep::Wait => {}
+                FollowUp::Wait => self.running.postpone(self.recheck_at()),
+                FollowUp::Nothing => return self.end_without_response(),
             }
         }
     }
@@ -118,7 +135,6 @@
 
     /// Chooses the instance of a backup attempt, if one may run beside the overdue attempt.
     fn choose_backup(&mut self) -> Option<ChosenInstance> {
-        self.running.postpone(self.request.backup_recheck());
         if self.running.count() > 1 {
             return None;
         }
@@ -132,7 +148,7 @@
     }
 
     /// Records the end of an attempt and returns what follows.
-    fn handle_end(&mut self, ended: EndedAttempt) -> NextStep {
+    fn handle_end(&mut self, ended: EndedAttempt) -> FollowUp {
         self.log_attempt(&ended);
         let EndedAttempt {
             chosen,
@@ -147,28 +163,33 @@
         match outcome {
             AttemptOutcome::Complete { head, body, load } => {
                 self.take_response(&chosen, &head, load);
-                if self.is_improvable(&head)
-                    && let Some(step) = self.follow_up(ExecutionVerdict::MayHaveRun, false)
-                {
-                    self.history.record_response();
-                    self.last_response = Some((head, body));
-                    return step;
+                let follow_up = match self.is_improvable(&head) {
+                    true => self.follow_up(ExecutionVerdict::MayHaveRun, false),
+                    false => FollowUp::Nothing,
+                };
+                if matches!(follow_up, FollowUp::Nothing) {
+                    self.request
+                        .record_completed(&head, record, self.zones.as_ref());
+                    return FollowUp::Complete(head, body);
                 }
-                self.request
-                    .record_completed(&head, record, self.zones.as_ref());
-                NextStep::Complete(head, body)
+                self.history.record_response();
+                self.last_response = Some((head, body));
+                follow_up
             }
             AttemptOutcome::Streaming(response) => {
                 self.take_response(&chosen, &response.head, response.head.load);
                 self.request
                     .record_completed(&response.head, record, self.zones.as_ref());
-                NextStep::Streaming(response)
+                FollowUp::Streaming(response)
             }
             AttemptOutcome::Failed { failure, load } => {
                 self.request.update_load(&record.instance, load);
                 self.request.avoid_refusing(record, &failure);
                 self.history.record_failure(&record.instance, failure);
-                self.step_after_failure(&failure)
+                if chosen.kind == OfferKind::Backup && failure.is_unreached() {
+                    self.request.with_budget(ServiceBudgets::give_back);
+                }
+                self.follow_up_failure(&failure)
             }
         }
     }
@@ -179,77 +200,47 @@
         self.request.learn_calls(head);
     }
 
-    fn step_after_failure(&self, failure: &AttemptFailure) -> NextStep {
+    fn follow_up_failure(&self, failure: &AttemptFailure) -> FollowUp {
         match self.follow_up(failure.verdict, failure.is_unreached()) {
-            Some(NextStep::Retry(_)) if failure.reason == Some(RefusalReason::SuspectRunning) => {
-                NextStep::Retry(failure.retry_after)
+            FollowUp::Retry(_) if failure.reason == Some(RefusalReason::SuspectRunning) => {
+                FollowUp::Retry(failure.retry_after)
             }
-            step => step.unwrap_or(NextStep::Wait),
+            follow_up => follow_up,
         }
     }
 
-    /// Returns what follows an attempt whose outcome is not returned to the caller; none if nothing does.
-    fn follow_up(&self, verdict: ExecutionVerdict, is_unreached: bool) -> Option<NextStep> {
+    /// Returns what follows an attempt whose outcome is not returned to the caller.
+    fn follow_up(&self, verdict: ExecutionVerdict, is_unreached: bool) -> FollowUp {
         if self.running.count() > 0 {
-            return Some(NextStep::Wait);
+            return FollowUp::Wait;
+        }
+        match self.may_retry(verdict, is_unreached) {
+            true => FollowUp::Retry(Duration::ZERO),
+            false => FollowUp::Nothing,
         }
-        self.may_retry(verdict, is_unreached)
-            .then_some(NextStep::Retry(Duration::ZERO))
     }
 
-    /// Returns whether another attempt of an idempotent request may turn this server error into a success.
-    fn is_improvable(&self, head: &BackendHead) -> bool {
-        self.request.plan.idempotent && matches!(head.status, 500 | 502 | 503 | 504)
+    /// Returns when to check again whether an overdue attempt gets a backup, or a held response is due.
+    fn recheck_at(&self) -> Deadline {
+        let now = self.request.ingress.sources.clock.now();
+        let left = self.request.deadline.remaining(now);
+        let held = left.saturating_sub(RETURN_RESERVE);
+        match self.last_response {
+            Some(_) => now.after(held.min(BACKUP_RECHECK)),
+            None => now.after(BACKUP_RECHECK),
+        }
     }
 
-    /// Returns whether another attempt follows. A failed attempt that reached no instance takes
-    /// nothing from the retry budget.
-    fn may_retry(&self, verdict: ExecutionVerdict, is_unreached: bool) -> bool {
-        let (request, history) = (self.request, &self.history);
-        let obstacle = if !verdict.allows_retry(request.plan.idempotent) {
-            Some("the request may have run and is not idempotent")
-        } else if let Some(obstacle) = self.suspicion(is_unreached) {
-            Some(obstacle)
-        } else if history.is_last() {
-            Some("the maximum number of attempts is reached")
-        } else if request.deadline_passed() {
-            Some("the deadline has passed")
-        } else if request.is_cut_off() {
-            Some("the daemon shuts down")
-        } else if !is_unreached && !request.with_budget(ServiceBudgets::try_retry) {
-            Some("the retry budget is exhausted")
-        } else {
-            None
-        };
-        if let Some(obstacle) = obstacle {
-            log::info!(
-                target: log_target::INGRESS,
-                request = request.name,
-                route:% = request.plan.route,
-                service:% = request.plan.service,
-                attempts = history.tried().len(),
-                verdict:%,
-                obstacle;
-                "No further attempt."
-            );
-            return false;
-        }
-        if !history.last_was_busy() {
-            request.ingress.state.borrow_mut().totals.retries += 1;
-        }
-        true
+    /// Whether a response that is held for a better one must be returned now to reach the caller in time.
+    fn must_return_held(&self) -> bool {
+        let now = self.request.ingress.sources.clock.now();
+        let left = self.request.deadline.remaining(now);
+        self.last_response.is_some() && left <= RETURN_RESERVE
     }
 
-    /// Why a request that may end instances is not sent again. After one end it is, since most of the
-    /// requests that run when an instance ends are innocent.
-    fn suspicion(&self, is_unreached: bool) -> Option<&'static str> {
-        match self.request.standing() {
-            RequestStanding::Refused(_) => Some("the request ends the instances that run it"),
-            RequestStanding::Suspected(ends) if ends > 1 && !is_unreached => {
-                Some("several instances have ended while they ran the request")
-            }
-            RequestStanding::Suspected(_) | RequestStanding::Clear => None,
-        }
+    /// Returns whether another attempt of an idempotent request may turn this server error into a success.
+    fn is_improvable(&self, head: &BackendHead) -> bool {
+        self.request.plan.idempotent && matches!(head.status, 500 | 502 | 503 | 504)
     }
 
     fn end_without_response(self) -> Result<Response<BoxBody>, RequestRefusal> {
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -113,11 +113,14 @@
 
     async fn exchange(
         &self,
-        offer: RequestOffer,
+        mut offer: RequestOffer,
         body: Bytes,
         machine: &mut AttemptMachine,
     ) -> Result<AttemptOutcome, PeerError> {
         let stream = self.peers.open_stream(self.address).await?;
+        // Opening a connection can take a second, which the instance must not get on top.
+        let remaining = self.deadline.remaining(self.clock.now());
+        offer.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
         stream.set_purpose(TrafficPurpose::Requests);
         let (mut sender, mut receiver) = stream.split();
         machine.handle_event(AttemptEvent::OfferSent);
--- a/src/ingress/backup_attempt.rs
+++ b/src/ingress/backup_attempt.rs
@@ -18,9 +18,6 @@
 use crate::time::Deadline;
 use crate::wire::InstanceRecord;
 
-/// Time after which it is checked again whether an overdue attempt gets a backup.
-const BACKUP_RECHECK: Duration = Duration::from_millis(250);
-
 impl CallerRequest<'_> {
     /// Runs an attempt at the chosen instance.
     pub(crate) async fn attempt(&self, chosen: ChosenInstance) -> EndedAttempt {
@@ -57,11 +54,6 @@
         rule.overdue_at(now, self.deadline)
     }
 
-    /// Returns when to check again whether an overdue attempt gets a backup.
-    pub(crate) fn backup_recheck(&self) -> Deadline {
-        self.ingress.sources.clock.now().after(BACKUP_RECHECK)
-    }
-
     /// Chooses a healthy instance for a backup attempt, which runs only if a slot is free there, and counts the
     /// attempt as a retry.
     ///
@@ -100,12 +92,18 @@
         })
     }
 
+    /// Whether less time is left than half of the route's requests take.
+    pub(crate) fn is_too_late(&self) -> bool {
+        let left = self.deadline.remaining(self.ingress.sources.clock.now());
+        self.route_time().is_some_and(|time| left < time / 2)
+    }
+
     /// How long the request usually takes at the instance; none if unknown. The median of an instance mixes
-    /// all routes and can lie far below the time of one of them.
+    /// all routes, and of a stalled one it is the time of the stall, so the time of the route comes first.
     fn usual_time(&self, record: &InstanceRecord) -> Option<Duration> {
         let median = Duration::from_micros(u64::from(record.median_micros));
         let median = (!median.is_zero()).then_some(median);
-        median.max(self.route_time())
+        self.route_time().or(median)
     }
 
     /// How long requests of the route take, as zone-local routing has seen; none if it has not.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -24,6 +24,7 @@
 mod request_totals;
 mod response_body;
 mod response_loss;
+mod retry_decision;
 mod running_attempts;
 mod shutdown_signal;
 mod zone_attempts;
--- a/src/ingress/offer_wait.rs
+++ b/src/ingress/offer_wait.rs
@@ -32,7 +32,7 @@
         }
     }
 
-    /// The wait by which the timeout of an attempt is longer.
+    /// The wait by which an attempt is overdue later.
     pub(crate) const fn bound(self) -> Duration {
         match self {
             Self::AtMost(bound) => bound,
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -82,12 +82,22 @@
         if !self.allows_run(scope, &calls, now) {
             return false;
         }
-        self.budget(scope).charge(1.0, now);
-        for call in &calls {
+        self.charge_run(scope, 1.0, now);
+        true
+    }
+
+    /// Gives back a retry that [`Self::try_retry`] has taken, because it reached no instance.
+    pub fn give_back(&mut self, scope: &BudgetScope<'_>, now: MonoTime) {
+        self.charge_run(scope, -1.0, now);
+    }
+
+    /// Counts `runs` retries with the calls that they are likely to make.
+    fn charge_run(&mut self, scope: &BudgetScope<'_>, runs: f64, now: MonoTime) {
+        self.budget(scope).charge(runs, now);
+        for call in &self.calls_of_run(scope) {
             self.budget(&call.scope(scope.daemons))
-                .charge(call.count, now);
+                .charge(runs * call.count, now);
         }
-        true
     }
 
     fn allows_run(&mut self, scope: &BudgetScope<'_>, calls: &[RunCalls], now: MonoTime) -> bool {
