Count a caller's connection as in flight until its response is flushed

The number of requests in flight fell when a response had been handed to the HTTP/1 writer, and a connection counted as closing only if its response was produced after the shutdown began. A response begun before SIGTERM whose caller reads slowly was cut when the process exited.

Test `process_flush slow_reader` failed before the change: of 17 pipelined responses of 200 kB, the 15th ended early ("15/17: early eof"), 2.3 s after SIGTERM with `under_way=0`. It now gets all 17, and the daemon exits within 1 s of the last byte although another connection stays open and idle. `stalled_reader` passed before too and now covers the bound: a caller that reads nothing holds the exit up to the end of the shutdown only.

The state of a connection is shared by the wrapper of its response body and by its stream. The HTTP/1 dispatcher of actix-http 3.20 drops a body before it flushes its last bytes, and calls `poll_flush` of the stream only when its write buffer is empty, so the first completed flush after the drop means that the socket has accepted the whole response. The state replaces `ClosingGuard`; connections that were told to close count until they are closed, as before.

--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -15,7 +15,7 @@
 use futures_util::future::{LocalBoxFuture, select};
 use tokio::sync::oneshot;
 
-use crate::http::ClosingGuard;
+use crate::http::BusyConnection;
 use crate::http::signaling_stream::SignalingStream;
 use crate::logs::log_target;
 
@@ -55,8 +55,8 @@
 /// and open ones are served until they end.
 pub struct HttpServer {
     address: SocketAddr,
-    /// Number of connections that close after their current response.
-    closing: Rc<Cell<usize>>,
+    /// Number of busy connections.
+    busy: Rc<Cell<usize>>,
     /// Dropped with the server, which ends the accept loop.
     _listening: oneshot::Sender<()>,
 }
@@ -81,13 +81,13 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let closing = Rc::new(Cell::new(0));
+        let busy = Rc::new(Cell::new(0));
         let (listening, closed) = oneshot::channel();
-        let serving = serve_until_closed(listener, handler, timeouts, Rc::clone(&closing), closed);
+        let serving = serve_until_closed(listener, handler, timeouts, Rc::clone(&busy), closed);
         actix_rt::spawn(serving);
         Ok(Self {
             address,
-            closing,
+            busy,
             _listening: listening,
         })
     }
@@ -98,11 +98,11 @@
         self.address
     }
 
-    /// Returns the shared number of connections that were told to close and are still open. It
-    /// stays valid after the server is dropped.
+    /// Returns the shared number of connections whose response has not been flushed to the socket, or
+    /// that were told to close and are still open. It stays valid after the server is dropped.
     #[must_use]
-    pub fn closing_connections(&self) -> Rc<Cell<usize>> {
-        Rc::clone(&self.closing)
+    pub fn busy_connections(&self) -> Rc<Cell<usize>> {
+        Rc::clone(&self.busy)
     }
 }
 
@@ -110,18 +110,25 @@
     listener: TcpListener,
     handler: HttpHandler,
     timeouts: HttpTimeouts,
-    closing: Rc<Cell<usize>>,
+    busy: Rc<Cell<usize>>,
     closed: oneshot::Receiver<()>,
 ) {
     let request_service = fn_service(move |request: Request| {
+        let connection = request.conn_data::<BusyConnection>().cloned();
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(match connection {
+                Some(connection) => response.map_body(|_, body| connection.track(body)),
+                None => response,
+            })
+        }
     });
     let factory = HttpService::build()
         .keep_alive(timeouts.keep_alive)
         .client_request_timeout(timeouts.request_head)
         .on_connect_ext(move |stream: &SignalingStream, data| {
-            data.insert(ClosingGuard::open(Rc::clone(&closing)));
+            data.insert(stream.busy_connection());
             data.insert(stream.disconnect_signal());
         })
         .h1(request_service);
@@ -134,11 +141,11 @@
         // Nagle's algorithm would hold a small response back until a delayed acknowledgement.
         let _ = socket.set_nodelay(true);
         let service = Rc::clone(&service);
+        let busy = Rc::clone(&busy);
         actix_rt::spawn(async move {
             let peer = socket.peer_addr().ok();
-            let _ = service
-                .call((SignalingStream::open(socket, timeouts.write_progress), peer))
-                .await;
+            let stream = SignalingStream::open(socket, timeouts.write_progress, busy);
+            let _ = service.call((stream, peer)).await;
         });
     };
     {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,14 +1,15 @@
 //! HTTP/1.1 server over `actix-http`, with helpers for headers, bodies and client errors.
 
-mod closing_guard;
+mod busy_connection;
 mod disconnect_signal;
 pub mod header_rules;
 mod http_server;
 mod message_body;
 mod never_sent;
+mod pending_body;
 mod signaling_stream;
 
-pub use closing_guard::ClosingGuard;
+pub use busy_connection::BusyConnection;
 pub use disconnect_signal::DisconnectSignal;
 pub use header_rules::{HeaderList, HeaderRules};
 pub use http_server::{HttpHandler, HttpServer, HttpTimeouts};
--- a/src/http/signaling_stream.rs
+++ b/src/http/signaling_stream.rs
@@ -1,8 +1,10 @@
 //! TCP stream that detects a client that disconnects or reads nothing while it is being served.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -10,7 +12,7 @@
 use actix_rt::time::Sleep;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::http::DisconnectSignal;
+use crate::http::{BusyConnection, DisconnectSignal};
 use crate::logs::log_target;
 
 /// A TCP stream that sets a `DisconnectSignal` at the end of its input or on a read error, and fails
@@ -19,6 +21,7 @@
 pub(crate) struct SignalingStream {
     socket: TcpStream,
     disconnect_signal: DisconnectSignal,
+    busy_connection: BusyConnection,
     /// Longest time that the client may take no bytes.
     write_progress: Duration,
     /// Ends when the client has taken no bytes for `write_progress`; none while it takes them.
@@ -26,10 +29,12 @@
 }
 
 impl SignalingStream {
-    pub(crate) fn open(socket: TcpStream, write_progress: Duration) -> Self {
+    /// Wraps `socket`, which is counted in `busy` while it is busy.
+    pub(crate) fn open(socket: TcpStream, write_progress: Duration, busy: Rc<Cell<usize>>) -> Self {
         Self {
             socket,
             disconnect_signal: DisconnectSignal::default(),
+            busy_connection: BusyConnection::open(busy),
             write_progress,
             stalled: None,
         }
@@ -58,6 +63,10 @@
     pub(crate) fn disconnect_signal(&self) -> DisconnectSignal {
         self.disconnect_signal.clone()
     }
+
+    pub(crate) fn busy_connection(&self) -> BusyConnection {
+        self.busy_connection.clone()
+    }
 }
 
 impl AsyncRead for SignalingStream {
@@ -88,7 +97,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+        let flushed = Pin::new(&mut self.socket).poll_flush(context);
+        if let Poll::Ready(Ok(())) = flushed {
+            self.busy_connection.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -86,8 +86,8 @@
     pub(crate) state: Rc<RefCell<IngressState>>,
     /// The listener; none once it is closed.
     server: Rc<RefCell<Option<HttpServer>>>,
-    /// Connections that were told to close and are still open.
-    closing_connections: Rc<RefCell<Rc<Cell<usize>>>>,
+    /// Connections whose response is not flushed, or that were told to close and are still open.
+    busy_connections: Rc<RefCell<Rc<Cell<usize>>>>,
     /// Requests that are being served.
     in_flight: Rc<Cell<usize>>,
     pub(crate) shutdown: ShutdownSignal,
@@ -120,7 +120,7 @@
         let handle = Self {
             state: Rc::new(RefCell::new(state)),
             server: Rc::default(),
-            closing_connections: Rc::default(),
+            busy_connections: Rc::default(),
             in_flight: Rc::default(),
             shutdown: ShutdownSignal::default(),
             body_budget: BodyBudget::open(sources.proxy.body_memory),
@@ -134,7 +134,7 @@
         };
         let handler = handle.clone().handler();
         let server = HttpServer::bind_with(address, handler, timeouts).await?;
-        *handle.closing_connections.borrow_mut() = server.closing_connections();
+        *handle.busy_connections.borrow_mut() = server.busy_connections();
         *handle.server.borrow_mut() = Some(server);
         Ok(handle)
     }
@@ -156,11 +156,12 @@
         self.shutdown.has_begun()
     }
 
-    /// Returns the number of requests being served plus the connections that are still to close after
-    /// their last response.
+    /// Returns the number of requests being served plus the connections whose response has not been
+    /// flushed to the socket, or that are still to close after their last response. A request whose
+    /// response is being streamed counts in both.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.in_flight.get() + self.closing_connections.borrow().get()
+        self.in_flight.get() + self.busy_connections.borrow().get()
     }
 
     /// Returns the request counters since the start.
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{Either, select};
 
 use crate::execution_verdict::ExecutionVerdict;
-use crate::http::{ClosingGuard, DisconnectSignal, header_rules, read_body_with};
+use crate::http::{BusyConnection, DisconnectSignal, header_rules, read_body_with};
 use crate::ids::{HostName, RequestId};
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::ingress_handle::InFlightGuard;
@@ -54,8 +54,8 @@
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
-        if let Some(guard) = request.conn_data::<ClosingGuard>() {
-            guard.mark_closing();
+        if let Some(connection) = request.conn_data::<BusyConnection>() {
+            connection.mark_closing();
         }
     }
     response
