Keep a peer connection when one of its streams was cancelled early

The listener of a daemon ended the whole connection, with the streams of all other requests, when it could not answer one new stream. That happens when the peer has cancelled the stream before it was accepted, for example because the caller disconnected at once. Now only that stream ends.

Test `peer_closing cancelled_stream` failed before the change: a call on the same connection failed with "stream closed because of a broken pipe".

--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -145,7 +145,15 @@
         .await?;
     while let Some(accepted) = connection.accept().await {
         let (request, respond) = accepted?;
-        let stream = open_stream(&session, request.into_body(), respond, traffic.as_ref())?;
+        let stream = open_stream(&session, request.into_body(), respond, traffic.as_ref());
+        let stream = match stream {
+            Ok(stream) => stream,
+            // The peer may have cancelled the stream; the others go on.
+            Err(cause) => {
+                log::debug!(target: log_target::PEERS, cause:%; "Stream of a peer ended before it was accepted.");
+                continue;
+            }
+        };
         let (handler, count) = (Rc::clone(&handler), Rc::clone(&refused_messages));
         actix_rt::spawn(serve_stream(stream, handler, count));
     }
