Close the connections from other daemons in order on exit

A daemon exited when no request was in flight, that is, when the last responses had been handed to HTTP/2. Bytes in its buffers were lost, and so were bytes that the kernel had yet to send when a ping or a window update arrived afterwards, since the kernel then resets the connection.

`PeerListener::close` closes the listener and every incoming connection: GOAWAY, the remaining frames, the end of the sending side, and then what arrives is discarded until the peer has closed too. It returns when all connections have ended, or at the end of the shutdown. The service of a connection moved to its own file.

--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -45,7 +45,7 @@
     egress: EgressHandle,
     ingress: IngressHandle,
     stopping: Rc<Cell<bool>>,
-    _listener: Rc<PeerListener>,
+    listener: Rc<PeerListener>,
     _admin: AdminServer,
     _announce: Rc<AnnounceServer>,
 }
@@ -97,7 +97,7 @@
             egress,
             ingress,
             stopping: builder.stopping,
-            _listener: listener,
+            listener,
             _admin: admin,
             _announce: announce,
         })
@@ -139,6 +139,7 @@
         self.egress.stop();
         self.ingress.stop_listening();
         let status = self.drain_requests(deadline).await;
+        self.listener.close(deadline, self.clock).await;
         self.members.leave().await;
         status
     }
--- a/src/peers/counted_socket.rs
+++ b/src/peers/counted_socket.rs
@@ -1,10 +1,11 @@
 //! TCP connection between daemons that records arrivals, and counts its bytes if the peer is in another
 //! zone.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use actix_rt::net::TcpStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -12,25 +13,50 @@
 use crate::peers::ZoneTraffic;
 use crate::peers::last_arrival::LastArrival;
 
+/// Size of the reads whose bytes are discarded.
+const DISCARD_BYTES: usize = 4 * 1024;
+
 /// A connection that records when bytes arrive and counts its bytes; without counters it counts nothing.
 pub(crate) struct CountedSocket {
     socket: TcpStream,
     last_arrival: LastArrival,
     traffic: Option<Rc<ZoneTraffic>>,
+    /// Whether the shutdown of the sending side ends only when the peer has ended its side too.
+    discards_input: Rc<Cell<bool>>,
+    is_shut_down: bool,
 }
 
 impl CountedSocket {
-    pub(crate) fn open(socket: TcpStream, traffic: Option<Rc<ZoneTraffic>>) -> Self {
+    pub(crate) fn open(
+        socket: TcpStream,
+        last_arrival: LastArrival,
+        traffic: Option<Rc<ZoneTraffic>>,
+    ) -> Self {
         Self {
             socket,
-            last_arrival: LastArrival::open(),
+            last_arrival,
             traffic,
+            discards_input: Rc::default(),
+            is_shut_down: false,
         }
     }
 
-    /// Returns the record of arrivals, which stays current.
-    pub(crate) fn last_arrival(&self) -> LastArrival {
-        self.last_arrival.clone()
+    /// Returns the switch that makes the shutdown of the sending side discard what arrives until the
+    /// peer has ended its side too.
+    pub(crate) fn discards_input(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.discards_input)
+    }
+
+    /// Reads to the end of the input.
+    fn poll_discard(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut space = [0; DISCARD_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut space);
+            ready!(self.as_mut().poll_read(context, &mut buffer))?;
+            if buffer.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
     }
 
     fn count(&self, sent: usize, received: usize) {
@@ -91,6 +117,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+        if !self.is_shut_down {
+            ready!(Pin::new(&mut self.socket).poll_shutdown(context))?;
+            self.is_shut_down = true;
+        }
+        match self.discards_input.get() {
+            true => self.poll_discard(context),
+            false => Poll::Ready(Ok(())),
+        }
     }
 }
--- a/src/peers/last_arrival.rs
+++ b/src/peers/last_arrival.rs
@@ -21,9 +21,17 @@
         self.0.set(Instant::now());
     }
 
-    /// Returns once nothing has arrived for `span`, which begins at the call at the earliest.
+    /// Returns once nothing has arrived for `span`, which may have begun before the call.
     pub(crate) async fn wait_for_silence(&self, span: Duration) {
-        let mut silent_since = Instant::now();
+        self.wait_for_silence_from(self.0.get(), span).await;
+    }
+
+    /// Returns once nothing has arrived for `span`, which begins at the call at the earliest.
+    pub(crate) async fn wait_for_new_silence(&self, span: Duration) {
+        self.wait_for_silence_from(Instant::now(), span).await;
+    }
+
+    async fn wait_for_silence_from(&self, mut silent_since: Instant, span: Duration) {
         loop {
             actix_rt::time::sleep_until(silent_since + span).await;
             let last = self.0.get();
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,10 +1,12 @@
 //! Connections between daemons: HTTP/2 streams of `bincode` messages, each with a message
 //! authentication code.
 
+mod close_signal;
 mod connection_activity;
 mod counted_socket;
 mod fleet_key;
 mod frame_codec;
+mod incoming_connection;
 mod last_arrival;
 mod peer_connection;
 mod peer_error;
--- a/src/peers/peer_connection.rs
+++ b/src/peers/peer_connection.rs
@@ -71,8 +71,8 @@
             .await
             .map_err(PeerError::Connect)?;
         let traffic = count_hello(&key, traffic);
-        let socket = CountedSocket::open(socket, traffic.clone());
-        let last_arrival = socket.last_arrival();
+        let last_arrival = LastArrival::open();
+        let socket = CountedSocket::open(socket, last_arrival.clone(), traffic.clone());
         let (client, mut connection) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -166,7 +166,7 @@
         activity.wait_for_stream().await;
         actix_rt::time::sleep(PING_INTERVAL).await;
         let pong = pin!(pings.ping(h2::Ping::opaque()));
-        let silence = pin!(last_arrival.wait_for_silence(PING_TIMEOUT));
+        let silence = pin!(last_arrival.wait_for_new_silence(PING_TIMEOUT));
         match select(pong, silence).await {
             Either::Left((Ok(_), _)) => {}
             Either::Left((Err(_), _)) | Either::Right(_) => return,
--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -5,26 +5,17 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use actix_rt::net::{TcpListener, TcpStream};
-use bytes::Bytes;
+use actix_rt::net::TcpListener;
 use futures_util::future::LocalBoxFuture;
-use h2::RecvStream;
-use h2::server::{Connection, SendResponse};
+use tokio::sync::watch;
 
 use crate::logs::log_target;
-use crate::peers::counted_socket::CountedSocket;
-use crate::peers::frame_codec::StreamSide;
-use crate::peers::peer_connection::count_hello;
-use crate::peers::stream_receiver::StreamReceiver;
-use crate::peers::{
-    CONNECTION_WINDOW_BYTES, FleetKey, PeerError, PeerStream, STREAM_WINDOW_BYTES, SessionKey,
-    TrafficPurpose, ZoneTraffic,
-};
+use crate::peers::close_signal::CloseSignal;
+use crate::peers::incoming_connection::{IncomingShare, serve_connection};
+use crate::peers::{FleetKey, PeerStream, ZoneTraffic};
+use crate::time::{Deadline, ProcessClock};
 use crate::wire::PeerOpening;
 
-/// Maximum number of concurrent streams on one connection.
-const MAX_STREAMS: u32 = 4096;
-
 /// Callback that handles one stream. It gets the first message, which has been read already.
 pub type PeerHandler = Rc<dyn Fn(PeerOpening, PeerStream) -> LocalBoxFuture<'static, ()>>;
 
@@ -32,6 +23,8 @@
 pub struct PeerListener {
     address: SocketAddr,
     refused_messages: Rc<Cell<u64>>,
+    /// Tells the connections to close. Each holds a receiver until it has ended.
+    closing: watch::Sender<bool>,
     task: actix_rt::task::JoinHandle<()>,
 }
 
@@ -61,15 +54,39 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let refused_messages = Rc::new(Cell::new(0));
-        let count = Rc::clone(&refused_messages);
-        let task = actix_rt::spawn(accept_connections(listener, key, handler, count, traffic));
+        let (sender, closing) = CloseSignal::open();
+        let share = IncomingShare {
+            key,
+            handler,
+            refused_messages: Rc::clone(&refused_messages),
+            traffic,
+            closing,
+        };
+        let task = actix_rt::spawn(accept_connections(listener, share));
         Ok(Self {
             address,
             refused_messages,
+            closing: sender,
             task,
         })
     }
 
+    /// Closes the listener and each connection in order, so that its peer gets all that was sent to it:
+    /// the peer is told to open no more streams, the connection is flushed and its sending side shut
+    /// down, and what arrives is discarded until the peer has closed it too.
+    ///
+    /// Returns when all connections have ended, at the latest when `deadline` has passed. A connection
+    /// on which nothing arrives is not waited for.
+    pub async fn close(&self, deadline: Deadline, clock: ProcessClock) {
+        self.task.abort();
+        self.closing.send_replace(true);
+        let remaining = deadline.remaining(clock.now());
+        let closed = actix_rt::time::timeout(remaining, self.closing.closed()).await;
+        if closed.is_err() {
+            log::warn!(target: log_target::PEERS, "Connections from peers cut off: they were not closed in time.");
+        }
+    }
+
     /// The address that the listener is bound to.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
@@ -91,23 +108,11 @@
 }
 
 /// Accepts connections for as long as the listener exists.
-async fn accept_connections(
-    listener: TcpListener,
-    key: FleetKey,
-    handler: PeerHandler,
-    refused_messages: Rc<Cell<u64>>,
-    traffic: Rc<ZoneTraffic>,
-) {
+async fn accept_connections(listener: TcpListener, share: IncomingShare) {
     loop {
         match listener.accept().await {
             Ok((socket, peer)) => {
-                let serving = serve_connection(
-                    socket,
-                    key.clone(),
-                    Rc::clone(&handler),
-                    Rc::clone(&refused_messages),
-                    Rc::clone(&traffic),
-                );
+                let serving = serve_connection(socket, share.clone());
                 actix_rt::spawn(async move {
                     if let Err(cause) = serving.await {
                         log::debug!(target: log_target::PEERS, peer:%, cause:%; "Connection from a peer failed.");
@@ -122,81 +127,3 @@
         }
     }
 }
-
-/// Derives the connection's key and serves its streams until it ends.
-async fn serve_connection(
-    mut socket: TcpStream,
-    key: FleetKey,
-    handler: PeerHandler,
-    refused_messages: Rc<Cell<u64>>,
-    traffic: Rc<ZoneTraffic>,
-) -> Result<(), PeerError> {
-    socket.set_nodelay(true).map_err(PeerError::Connect)?;
-    let session = SessionKey::accept(&key, traffic.own_tag(), &mut socket)
-        .await
-        .map_err(PeerError::Connect)?;
-    let traffic = count_hello(&session, &traffic);
-    let socket = CountedSocket::open(socket, traffic.clone());
-    let mut connection: Connection<CountedSocket, Bytes> = h2::server::Builder::new()
-        .initial_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_concurrent_streams(MAX_STREAMS)
-        .handshake(socket)
-        .await?;
-    while let Some(accepted) = connection.accept().await {
-        let (request, respond) = accepted?;
-        let stream = open_stream(&session, request.into_body(), respond, traffic.as_ref());
-        let stream = match stream {
-            Ok(stream) => stream,
-            // The peer may have cancelled the stream; the others go on.
-            Err(cause) => {
-                log::debug!(target: log_target::PEERS, cause:%; "Stream of a peer ended before it was accepted.");
-                continue;
-            }
-        };
-        let (handler, count) = (Rc::clone(&handler), Rc::clone(&refused_messages));
-        actix_rt::spawn(serve_stream(stream, handler, count));
-    }
-    Ok(())
-}
-
-fn open_stream(
-    session: &SessionKey,
-    receiver: RecvStream,
-    mut respond: SendResponse<Bytes>,
-    traffic: Option<&Rc<ZoneTraffic>>,
-) -> Result<PeerStream, PeerError> {
-    let sender = respond.send_response(http::Response::new(()), false)?;
-    let receiver = StreamReceiver::Open(receiver);
-    Ok(PeerStream::open(
-        session.key(),
-        StreamSide::Acceptor,
-        sender,
-        receiver,
-        None,
-        traffic,
-    ))
-}
-
-/// Reads the first message and passes the stream to `handler`; resets the stream if the message is
-/// not valid.
-async fn serve_stream(
-    mut stream: PeerStream,
-    handler: PeerHandler,
-    refused_messages: Rc<Cell<u64>>,
-) {
-    match stream.receive_required().await {
-        Ok(opening) => {
-            stream.set_purpose(TrafficPurpose::of(&opening));
-            handler(opening, stream).await;
-        }
-        Err(
-            PeerError::AuthenticationFailed | PeerError::Codec(_) | PeerError::UnexpectedMessage,
-        ) => {
-            refused_messages.set(refused_messages.get() + 1);
-            log::warn!(target: log_target::PEERS, "Stream of a peer reset: its first message failed authentication or is malformed.");
-            stream.reset();
-        }
-        Err(_) => {}
-    }
-}
