Repeat elsewhere what a closing peer connection refused

A connection that its peer was closing stayed in the pool until its last stream had ended, and every new stream on it failed. Neither that error nor the error of a stream that the GOAWAY refused counted as undelivered, so a request that is not idempotent was answered as may-have-run instead of going to another instance.

- The pool opens a new connection when the present one opens no stream.
- `PeerError::Unsent`: the stream was not opened, or ended before its first message was handed over completely.
No peer processes a part of a message, so this is undelivered whatever the cause.

--- a/src/peers/peer_connection.rs
+++ b/src/peers/peer_connection.rs
@@ -92,7 +92,7 @@
         })
     }
 
-    /// Whether the connection is open and answers pings.
+    /// Whether the connection is open, answers pings and has opened all streams so far.
     #[must_use]
     pub fn is_alive(&self) -> bool {
         self.alive.get()
@@ -101,8 +101,16 @@
     /// Opens a stream on the connection.
     ///
     /// # Errors
-    /// `PeerError::Stream` if the connection is closed or broken.
+    /// `PeerError::Unsent` if the connection is closed, being closed by the peer, or broken. No further
+    /// stream can be opened then.
     pub async fn open_stream(&self) -> Result<PeerStream, PeerError> {
+        self.try_open_stream().await.map_err(|cause| {
+            self.alive.set(false);
+            PeerError::from(cause).unsent()
+        })
+    }
+
+    async fn try_open_stream(&self) -> Result<PeerStream, h2::Error> {
         let mut client = self.client.clone().ready().await?;
         let mut request = http::Request::new(());
         *request.method_mut() = http::Method::POST;
--- a/src/peers/peer_error.rs
+++ b/src/peers/peer_error.rs
@@ -21,6 +21,11 @@
             source(cause)
             from()
         }
+        /// The stream was not opened, or ended before its first message was sent completely.
+        Unsent(cause: Box<PeerError>) {
+            display("the first message to peer was not sent: {cause}")
+            source(cause)
+        }
         /// The peer ended the stream before or within an expected message, or while one was being
         /// sent.
         UnexpectedEnd {
@@ -52,9 +57,23 @@
     #[must_use]
     pub fn is_undelivered(&self) -> bool {
         match self {
-            Self::Connect(_) => true,
-            Self::Stream(cause) => cause.reason() == Some(h2::Reason::REFUSED_STREAM),
+            Self::Connect(_) | Self::Unsent(_) => true,
+            Self::Stream(cause) => is_refused(cause),
             _ => false,
         }
     }
+
+    /// Adds that the first message of the stream was not sent.
+    pub(crate) fn unsent(self) -> Self {
+        Self::Unsent(Box::new(self))
+    }
+}
+
+/// Whether the peer refused the stream before it processed anything of it: by a reset that says so, or
+/// by a GOAWAY. HTTP/2 fails a stream by a GOAWAY only if its ID is beyond those that the peer will
+/// process.
+fn is_refused(cause: &h2::Error) -> bool {
+    let refused_by_reset = cause.reason() == Some(h2::Reason::REFUSED_STREAM);
+    let is_closing = cause.reason() == Some(h2::Reason::NO_ERROR);
+    refused_by_reset || (is_closing && cause.is_go_away() && cause.is_remote())
 }
--- a/src/peers/peer_pool.rs
+++ b/src/peers/peer_pool.rs
@@ -46,12 +46,17 @@
         &self.traffic
     }
 
-    /// Opens a stream to the daemon at `address`.
+    /// Opens a stream to the daemon at `address`, on a new connection if the present one opens no more
+    /// streams.
     ///
     /// # Errors
-    /// `PeerError::Connect` or `PeerError::Stream` if the daemon cannot be reached.
+    /// `PeerError::Connect` or `PeerError::Unsent` if the daemon cannot be reached.
     pub async fn open_stream(&self, address: SocketAddr) -> Result<PeerStream, PeerError> {
-        self.connection(address).await?.open_stream().await
+        let connection = self.connection(address).await?;
+        match connection.open_stream().await {
+            Ok(stream) => Ok(stream),
+            Err(_) => self.connection(address).await?.open_stream().await,
+        }
     }
 
     /// Sends a call to the daemon at `address` and waits for the reply.
--- a/src/peers/peer_sender.rs
+++ b/src/peers/peer_sender.rs
@@ -17,6 +17,8 @@
     codec: FrameCodec,
     stream: SendStream<Bytes>,
     share: Rc<StreamShare>,
+    /// Whether the first message was handed over completely.
+    has_sent: bool,
 }
 
 impl PeerSender {
@@ -29,6 +31,7 @@
             codec,
             stream,
             share,
+            has_sent: false,
         }
     }
 
@@ -42,8 +45,18 @@
     /// Sends one message. Waits until flow control admits all of it.
     ///
     /// # Errors
-    /// `PeerError` if the message is larger than `MAX_MESSAGE_BYTES` or the stream fails.
+    /// `PeerError` if the message is larger than `MAX_MESSAGE_BYTES` or the stream fails; it is
+    /// `PeerError::Unsent` for the first message.
     pub async fn send<T: Encode>(&mut self, message: &T) -> Result<(), PeerError> {
+        let sent = self.send_message(message).await;
+        if self.has_sent {
+            return sent;
+        }
+        self.has_sent = sent.is_ok();
+        sent.map_err(PeerError::unsent)
+    }
+
+    async fn send_message<T: Encode>(&mut self, message: &T) -> Result<(), PeerError> {
         let payload = wire::encode(message)?;
         let mut frame = self.codec.encode(&payload)?;
         while !frame.is_empty() {
