--- a/src/peers/counted_socket.rs
+++ b/src/peers/counted_socket.rs
@@ -1,24 +1,62 @@
-//! TCP connection between daemons whose bytes are counted if the peer is in another zone.
+//! TCP connection between daemons that records arrivals, and counts its bytes if the peer is in another
+//! zone.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use actix_rt::net::TcpStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::peers::ZoneTraffic;
+use crate::peers::last_arrival::LastArrival;
 
-/// A connection that counts its bytes; without counters it counts nothing.
+/// Size of the reads whose bytes are discarded.
+const DISCARD_BYTES: usize = 4 * 1024;
+
+/// A connection that records when bytes arrive and counts its bytes; without counters it counts nothing.
 pub(crate) struct CountedSocket {
     socket: TcpStream,
+    last_arrival: LastArrival,
     traffic: Option<Rc<ZoneTraffic>>,
+    /// Whether the shutdown of the sending side ends only when the peer has ended its side too.
+    discards_input: Rc<Cell<bool>>,
+    is_shut_down: bool,
 }
 
 impl CountedSocket {
-    pub(crate) const fn open(socket: TcpStream, traffic: Option<Rc<ZoneTraffic>>) -> Self {
-        Self { socket, traffic }
+    pub(crate) fn open(
+        socket: TcpStream,
+        last_arrival: LastArrival,
+        traffic: Option<Rc<ZoneTraffic>>,
+    ) -> Self {
+        Self {
+            socket,
+            last_arrival,
+            traffic,
+            discards_input: Rc::default(),
+            is_shut_down: false,
+        }
+    }
+
+    /// Returns the switch that makes the shutdown of the sending side discard what arrives until the
+    /// peer has ended its side too.
+    pub(crate) fn discards_input(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.discards_input)
+    }
+
+    /// Reads to the end of the input.
+    fn poll_discard(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut space = [0; DISCARD_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut space);
+            ready!(self.as_mut().poll_read(context, &mut buffer))?;
+            if buffer.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
     }
 
     fn count(&self, sent: usize, received: usize) {
@@ -36,7 +74,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
-        self.count(0, buffer.filled().len() - before);
+        let received = buffer.filled().len() - before;
+        if received > 0 {
+            self.last_arrival.record();
+        }
+        self.count(0, received);
         polled
     }
 }
@@ -75,6 +117,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+        if !self.is_shut_down {
+            ready!(Pin::new(&mut self.socket).poll_shutdown(context))?;
+            self.is_shut_down = true;
+        }
+        match self.discards_input.get() {
+            true => self.poll_discard(context),
+            false => Poll::Ready(Ok(())),
+        }
     }
 }
