Return the rate limits beside the other steps of a shutdown

DaemonHandle::stop awaited the return of the leased rate limits before anything else. That return calls the platform, each call for up to platform.timeout, and other daemons. While the platform was silent, the instances drained when these calls had ended, and little or nothing of proxy.shutdown was left for the requests in flight.

The return now runs beside the other steps. What has not been answered when the requests have ended is abandoned with a log line; the leases expire by themselves.

The settings of a test fleet take further fields of the table platform for it.

--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -117,8 +117,9 @@
         );
     }
 
-    /// Shuts down gracefully: returns the leased rate limits, drains the instances once callers had time
-    /// to leave, finishes the requests in flight and leaves the membership.
+    /// Shuts down gracefully: drains the instances once callers had time to leave, finishes the requests
+    /// in flight and leaves the membership. Meanwhile it returns the leased rate limits, as far as the
+    /// platform and the other daemons answer in time.
     ///
     /// The instances are well and may run on, so they drain as late as their requests allow.
     ///
@@ -132,13 +133,18 @@
         let limits = ShutdownLimits::between(now, deadline);
         self.stopping.set(true);
         self.ingress.stop(limits);
-        self.limits.hand_over().await;
+        let lease_holder = self.limits.clone();
+        let hand_over = actix_rt::spawn(async move { lease_holder.hand_over().await });
         let accept_until = limits.accept_until.min(now.after(DRAIN_NOTICE));
         actix_rt::time::sleep(accept_until.remaining(self.clock.now())).await;
         log::info!(target: log_target::DAEMON, under_way = self.in_flight(); "The instances of this VM drain.");
         self.egress.stop();
         self.ingress.stop_listening();
         let status = self.drain_requests(deadline).await;
+        if !hand_over.is_finished() {
+            log::warn!(target: log_target::DAEMON, "Return of the rate limits abandoned: the platform or other daemons are slow. The leases expire by themselves.");
+            hand_over.abort();
+        }
         self.members.leave().await;
         status
     }
--- a/tests/common/daemon_process.rs
+++ b/tests/common/daemon_process.rs
@@ -24,6 +24,8 @@
     pub zone: String,
     /// The platform's address.
     pub platform: SocketAddr,
+    /// Further fields of the table `platform`.
+    pub platform_fields: String,
     /// Peers to ask first.
     pub seeds: Vec<SocketAddr>,
     /// Its own addresses: callers, peers, admin, announce.
@@ -43,6 +45,7 @@
             daemon: daemon.to_owned(),
             zone: zone.to_owned(),
             platform,
+            platform_fields: String::new(),
             seeds: Vec::new(),
             listen: [(); 4].map(|()| free_address()),
             advertised: None,
@@ -72,6 +75,7 @@
 
 [platform]
 address = "{platform}"
+{platform_fields}
 
 [operators]
 token_hash = "{token_hash}"
@@ -85,6 +89,7 @@
             zone = self.zone,
             fields = self.fields,
             platform = self.platform,
+            platform_fields = self.platform_fields,
             tables = self.tables,
         )
     }
--- a/tests/common/test_fleet.rs
+++ b/tests/common/test_fleet.rs
@@ -27,6 +27,8 @@
     pub has_relays: bool,
     /// Settings of every daemon before the first table.
     pub fields: String,
+    /// Further fields of the table `platform` of every daemon.
+    pub platform_fields: String,
     /// Further tables in the settings of every daemon.
     pub tables: String,
 }
@@ -153,6 +155,7 @@
     for daemon in &mut plans {
         daemon.seeds.clone_from(&seeds);
         daemon.fields.clone_from(&plan.fields);
+        daemon.platform_fields.clone_from(&plan.platform_fields);
         daemon.tables.clone_from(&plan.tables);
     }
     plans
--- /dev/null
+++ b/tests/process_stopping.rs
@@ -0,0 +1,53 @@
+//! Tests with real processes: a stopping daemon waits neither for the platform nor for other daemons.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{FleetPlan, TestFleet, eventually};
+use serde_json::Value;
+
+/// Logged when the instances beside the stopping daemon begin to drain.
+const DRAIN_LINE: &str = "The instances of this VM drain.";
+
+/// Waits until the instances beside the daemon `index` drain.
+async fn drained(fleet: &TestFleet, index: usize) {
+    let process = &fleet.daemons[index].process;
+    eventually("a drain", async || process.output().contains(DRAIN_LINE)).await;
+}
+
+/// Guards against a shutdown that waits for the platform and for other daemons to take the rate limits
+/// back: the instances drained too late, and the daemon was killed with its requests.
+#[actix_rt::test]
+async fn silent_platform() {
+    const SHUTDOWN: Duration = Duration::from_secs(6);
+    let plan = FleetPlan {
+        platform_fields: "timeout = \"20s\"".to_owned(),
+        tables: "[proxy]\nshutdown = \"6s\"\n".to_owned(),
+        ..FleetPlan::of(3)
+    };
+    let mut fleet = TestFleet::open("stop-silent-platform", plan).await;
+    eventually("leases of rates", async || held_shares(&fleet, 0) > 0).await;
+    fleet.platform_mode("{\"slow\":60000}").await;
+    fleet.daemons[2].process.pause();
+    let stopped_at = Instant::now();
+    fleet.daemons[0].process.terminate();
+    drained(&fleet, 0).await;
+    let drained_after = stopped_at.elapsed();
+    let status = fleet.daemons[0].process.ended().await;
+    let ended_after = stopped_at.elapsed();
+    assert!(
+        drained_after < SHUTDOWN / 2,
+        "drained after {drained_after:?}, ended after {ended_after:?}"
+    );
+    assert!(ended_after < SHUTDOWN, "ended after {ended_after:?}");
+    assert_eq!(status.code(), Some(0));
+}
+
+/// Returns the number of shares of the rates that the daemon `index` leases.
+fn held_shares(fleet: &TestFleet, index: usize) -> usize {
+    let output = fleet.operate(index, &["dump"]).stdout;
+    let dump: Value = serde_json::from_slice(&output).unwrap();
+    let held = &dump["limits"]["shares_leased"];
+    held.as_array().map_or(0, Vec::len)
+}
