Start no request at instances that drain in a shutdown

EgressHandle::stop refused new offers, but requests that waited for a slot went on to start whenever one was free, until the process exited and cut them off. Callers got 502, may have run, for requests that another instance would have served.

The waiting requests are now refused as not run when the egress stops, as at an announced drain, so that the ingress tries another instance. A request that holds a slot and waits for Go is refused at the same moment: Go may come at any time until the hold expires, with a long body until its deadline, and refusing it costs one round trip. A Go that crosses the refusal starts nothing, as after an expired hold, so "not run" stays true; random_faults of two_step draws the new event as well, and the model in spec/start.pml has the step already (Refuse while waiting, held or receiving). A last check before the start covers a slot that was granted in the same moment. The reason is "the instance takes no new work", not "no capacity in time", which would count against the zone.

--- a/spec/start.pml
+++ b/spec/start.pml
@@ -81,7 +81,7 @@
 #else
         state = held; say(to_ingress[self], ready)
 #endif
-    /* QueueRefused, or the hold or the deadline has passed: Refuse */
+    /* QueueRefused, EgressStopped, or the hold or the deadline has passed: Refuse */
     :: state == waiting || state == held || state == receiving ->
         state = refused_state; say(to_ingress[self], refused)
     /* StreamLost, or a crash: Abandon */
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde_json::json;
+use tokio::sync::watch;
 
 use crate::crashes::SuspectsHandle;
 use crate::egress::evacuation_gate::EvacuationGate;
@@ -81,7 +82,7 @@
     /// Announced instances whose service is not configured yet.
     unconfigured: Rc<RefCell<FastMap<InstanceId, LocalInstance>>>,
     pub(super) cold_watch: Rc<RefCell<ColdWatch>>,
-    stopping: Rc<Cell<bool>>,
+    stopping: Rc<watch::Sender<bool>>,
     in_flight: Rc<Cell<usize>>,
     pub(crate) gate: EvacuationGate,
 }
@@ -126,11 +127,13 @@
         self.publish(local);
     }
 
-    /// Refuses new offers from now on and publishes the instances' state. Requests in flight
-    /// continue.
+    /// Starts no further request from now on and publishes the instances' state. Requests that run
+    /// continue; those that wait for a slot or for `Go` are refused so that they can go to other
+    /// instances.
     pub fn stop(&self) {
-        self.stopping.set(true);
+        self.stopping.send_replace(true);
         for dispatcher in self.all_dispatchers() {
+            dispatcher.borrow_mut().refuse_waiting();
             self.publish_dispatcher(&dispatcher);
         }
     }
@@ -145,7 +148,13 @@
 
     /// Whether [`Self::stop`] was called.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        *self.stopping.borrow()
+    }
+
+    /// Waits until [`Self::stop`] is called.
+    pub(crate) async fn wait_stopping(&self) {
+        // The sender outlives this call, so the wait ends only with the stop.
+        let _ = self.stopping.subscribe().wait_for(|stops| *stops).await;
     }
 
     /// Serves a request offered by an ingress until its stream ends. `body_bytes` is the size of a
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -209,10 +209,10 @@
         self.into_execution().run(guard).await
     }
 
-    /// Lets a request that may run through the gates of the zone, of requests that end instances and of
+    /// Lets a request that may run through the gates of the shutdown, of the zone, of requests that end instances and of
     /// a cold instance, which may have closed while it waited. No request passes to the instance after this.
     fn pass_gates(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
-        match self.pass_zone_gate(outcome) {
+        match self.pass_zone_gate(self.pass_stop(outcome)) {
             StartOutcome::Run if !self.is_dispatcher_current() => {
                 StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER)
             }
@@ -228,6 +228,15 @@
         }
     }
 
+    /// Refuses a request that would run now, or that left the queue, if the daemon shuts down: its exit
+    /// might cut the request off.
+    fn pass_stop(&self, outcome: StartOutcome) -> StartOutcome {
+        match outcome.has_left_queue() && self.egress.is_stopping() {
+            true => StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER),
+            false => outcome,
+        }
+    }
+
     /// Refuses a request that would run now, or that left the queue, if the instance has begun to fail
     /// requests early since the offer.
     fn pass_health(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
@@ -351,8 +360,8 @@
         }
     }
 
-    /// Waits for the slot decision, a message from the ingress or `wake_at`. Stores what arrives of
-    /// the request body, and the retry-after time if the queue refuses.
+    /// Waits for the slot decision, a message from the ingress, the shutdown or `wake_at`. Stores what
+    /// arrives of the request body, and the retry-after time if the queue refuses.
     async fn next_event(
         &mut self,
         wake_at: Deadline,
@@ -362,12 +371,14 @@
         let decision = pin!(next_decision(waiting));
         let message = pin!(self.receiver.receive::<IngressMessage>());
         let timer = pin!(actix_rt::time::sleep(wake_at.remaining(self.clock.now())));
-        let message = match select(select(decision, message), timer).await {
+        let stop = pin!(self.egress.wait_stopping());
+        let message = match select(select(decision, message), select(stop, timer)).await {
             Either::Left((Either::Left((decision, _)), _)) => {
                 return event_of_decision(decision, retry_after);
             }
             Either::Left((Either::Right((message, _)), _)) => message,
-            Either::Right(_) => return StartEvent::Tick,
+            Either::Right((Either::Left(_), _)) => return StartEvent::EgressStopped,
+            Either::Right((Either::Right(_), _)) => return StartEvent::Tick,
         };
         match message {
             Ok(Some(message)) => self.body.add(message, &mut self.offer.body),
--- a/src/egress/start_machine.rs
+++ b/src/egress/start_machine.rs
@@ -31,6 +31,8 @@
     Go,
     /// A part of a long body arrived.
     BodyProgress,
+    /// The daemon shuts down and starts no further request.
+    EgressStopped,
     /// The stream to the ingress broke or was cancelled.
     StreamLost,
     /// The time returned by [`StartMachine::wake_at`] has come, or may have.
@@ -98,6 +100,7 @@
             (_, StartEvent::StreamLost) => self.abandon(),
             (_, _) if self.deadline.has_passed(now) => self.refuse(RefusalReason::DeadlinePassed),
             (_, StartEvent::QueueRefused) => self.refuse(RefusalReason::Overloaded),
+            (_, StartEvent::EgressStopped) => self.refuse(RefusalReason::NotReady),
             (StartState::Waiting, StartEvent::SlotGranted) => self.grant_slot(now),
             (StartState::Waiting, StartEvent::Go | StartEvent::BodyProgress | StartEvent::Tick) => {
                 StartAction::Wait
--- a/tests/process_stopping.rs
+++ b/tests/process_stopping.rs
@@ -1,10 +1,12 @@
-//! Tests with real processes: a stopping daemon waits neither for the platform nor for other daemons.
+//! Tests with real processes: a stopping daemon waits neither for the platform nor for other daemons, and
+//! starts nothing that its exit would cut off.
 
 mod common;
 
 use std::time::{Duration, Instant};
 
-use common::{FleetPlan, TestFleet, eventually};
+use awc::http::Method;
+use common::{DeskFleet, FleetPlan, TestFleet, eventually};
 use serde_json::Value;
 
 /// Logged when the instances beside the stopping daemon begin to drain.
@@ -51,3 +53,52 @@
     let held = &dump["limits"]["shares_leased"];
     held.as_array().map_or(0, Vec::len)
 }
+
+/// Guards against waiting requests that start while the daemon beside their instance ends, and are cut
+/// off by its exit: they go to another instance.
+#[actix_rt::test]
+async fn waiting_requests_move() {
+    const REQUESTS: usize = 24;
+    let plan = FleetPlan {
+        tables: "[proxy]\nshutdown = \"4s\"\n".to_owned(),
+        ..FleetPlan::of(2)
+    };
+    let mut desk = DeskFleet::open_with("stop-waiting", plan, |plan| {
+        plan.service_time = "1500ms".into();
+    })
+    .await;
+    let caller = desk.caller(0).with_header("x-deadline-ms", "30000");
+    let sent: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            let caller = caller.clone();
+            actix_rt::spawn(async move {
+                let tag = format!("filing-{number}");
+                let sending = caller.send(Method::POST, "/filings", &tag, b"filing");
+                let answer = sending.await.unwrap();
+                (tag, answer)
+            })
+        })
+        .collect();
+    eventually("a queue", async || offered(&desk, 1) >= REQUESTS / 3).await;
+    desk.fleet.daemons[1].process.terminate();
+    drained(&desk.fleet, 1).await;
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    let started = desk.fleet.backends[1].ran().await.len();
+    let status = desk.fleet.daemons[1].process.ended().await;
+    let total = desk.fleet.backends[1].ran().await.len();
+    assert_eq!(total, started, "requests started after the drain");
+    assert_eq!(status.code(), Some(0));
+    for request in sent {
+        let (tag, answer) = request.await.unwrap();
+        assert!(answer.answers(&tag, b"filing"), "{tag}: {}", answer.text());
+        assert_eq!(desk.times_ran(&tag).await, 1, "{tag}");
+    }
+}
+
+/// Returns the number of requests that wait or run beside the daemon `index`.
+fn offered(desk: &DeskFleet, index: usize) -> usize {
+    let output = desk.fleet.operate(index, &["dump"]).stdout;
+    let dump: Value = serde_json::from_slice(&output).unwrap();
+    let count = dump["egress"]["under_way"].as_u64().unwrap();
+    usize::try_from(count).unwrap()
+}
--- a/tests/two_step.rs
+++ b/tests/two_step.rs
@@ -140,7 +140,7 @@
 
     fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let index = u.choose_index(EGRESSES)?;
-        match u.int_in_range(0..=13)? {
+        match u.int_in_range(0..=14)? {
             0..=2 => self.deliver_to_egress(index),
             3..=5 => self.deliver_to_ingress(index),
             6 => self.handle_at_egress(index, StartEvent::SlotGranted),
@@ -150,6 +150,7 @@
             10 => self.now = self.now + Duration::from_millis(u.int_in_range(0..=700)?),
             11 => self.handle_at_ingress(AttemptEvent::Lost),
             12 => self.inject_fault(index, u)?,
+            13 => self.handle_at_egress(index, StartEvent::EgressStopped),
             _ => self.send_response(index, u.arbitrary()?),
         }
         Ok(())
