--- a/src/peers/peer_pool.rs
+++ b/src/peers/peer_pool.rs
@@ -1,9 +1,10 @@
 //! Pool of outgoing connections to other daemons: one for each address, opened on first use.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::lock::Mutex;
 
@@ -11,9 +12,21 @@
 use crate::peers::{FleetKey, PeerConnection, PeerError, PeerStream, TrafficPurpose, ZoneTraffic};
 use crate::wire::{PeerCall, PeerOpening, PeerReply};
 
-/// The connection to one address, if any. The lock is held while it is opened, so that concurrent
-/// users wait for one connection and don't open several.
-type ConnectionSlot = Rc<Mutex<Option<PeerConnection>>>;
+/// The connection to one address. The lock is held while it is opened, so that concurrent users wait for
+/// one connection and don't open several.
+type ConnectionSlot = Rc<Mutex<SlotState>>;
+
+/// What is known of the connection to one address.
+#[derive(Default)]
+enum SlotState {
+    /// It was never opened.
+    #[default]
+    Unused,
+    /// It was opened, and may have failed since.
+    Open(PeerConnection),
+    /// It could not be opened at this time, for this reason.
+    Failed(Instant, ErrorKind),
+}
 
 /// Pool of outgoing connections. Clones share the connections.
 #[derive(Clone)]
@@ -104,14 +117,35 @@
         stream.receive_required().await
     }
 
+    /// Returns the connection to `address`, opened if need be. Those who waited while it could not be
+    /// opened get the same error: each attempt of their own could take as long.
     async fn connection(&self, address: SocketAddr) -> Result<PeerConnection, PeerError> {
         let slot = Rc::clone(self.connections.borrow_mut().entry(address).or_default());
-        let mut held = slot.lock().await;
-        if let Some(connection) = held.as_ref().filter(|connection| connection.is_alive()) {
-            return Ok(connection.clone());
+        let asked_at = Instant::now();
+        let mut state = slot.lock().await;
+        match &*state {
+            SlotState::Open(connection) if connection.is_alive() => return Ok(connection.clone()),
+            SlotState::Failed(failed_at, kind) if *failed_at >= asked_at => {
+                return Err(PeerError::Connect((*kind).into()));
+            }
+            _ => {}
+        }
+        match PeerConnection::open(address, &self.key, &self.traffic).await {
+            Ok(connection) => {
+                *state = SlotState::Open(connection.clone());
+                Ok(connection)
+            }
+            Err(cause) => {
+                *state = SlotState::Failed(Instant::now(), error_kind(&cause));
+                Err(cause)
+            }
         }
-        let connection = PeerConnection::open(address, &self.key, &self.traffic).await?;
-        *held = Some(connection.clone());
-        Ok(connection)
+    }
+}
+
+fn error_kind(cause: &PeerError) -> ErrorKind {
+    match cause {
+        PeerError::Connect(cause) => cause.kind(),
+        _ => ErrorKind::ConnectionAborted,
     }
 }
