Keep a connection between daemons when many of its streams are cancelled at once

HTTP/2 counts streams that were reset before they were accepted and ended the connection beyond 20 of them: when many callers left at once, or a daemon was paused meanwhile, all other requests on the connection were lost with 502, may have run. peer_closing many_cancelled_streams failed before with 200 cancelled streams. Found by review.

--- a/src/peers/incoming_connection.rs
+++ b/src/peers/incoming_connection.rs
@@ -94,6 +94,8 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
+        // The default of 20 ended the connection, and all requests on it, when many callers left at once.
+        .max_pending_accept_reset_streams(MAX_STREAMS as usize)
         .handshake(socket)
         .await?;
     let mut closing = share.closing.clone();
--- a/tests/peer_closing.rs
+++ b/tests/peer_closing.rs
@@ -14,6 +14,8 @@
 
 const SECRET: &str = "0123456789abcdef";
 const PONG: PeerReply = PeerReply::Config(ConfigReply::Pong);
+/// Streams that are cancelled at once.
+const CANCELLED: usize = 200;
 /// Time that a call takes on a connection that is being closed.
 const CALL_TIME: Duration = Duration::from_millis(150);
 
@@ -161,3 +163,19 @@
     let reply = stream.as_mut().unwrap().receive_required::<PeerReply>();
     assert_eq!(reply.await.unwrap(), PONG);
 }
+
+/// Guards against a connection that ends, with all its streams, because many streams were cancelled at once:
+/// callers that leave together, while the peer is paused for a moment.
+#[actix_rt::test]
+async fn many_cancelled_streams() {
+    let (listener, _) = listen(free_address(), Duration::ZERO).await;
+    let pool = open_pool();
+    let mut stream = pool.open_call(listener.address(), ping()).await;
+    let mut cancelled = Vec::new();
+    for _ in 0..CANCELLED {
+        cancelled.push(pool.open_stream(listener.address()).await.unwrap());
+    }
+    drop(cancelled);
+    let reply = stream.as_mut().unwrap().receive_required::<PeerReply>();
+    assert_eq!(reply.await.unwrap(), PONG);
+}
