Serve the calls of running requests until a shutdown ends

A request that runs at an instance may call other services through the daemon beside it. A daemon that stops closed its listener 2 s after SIGTERM, so new connections of the instance were refused, and refused every request from half of proxy.shutdown on. Runs under way failed although both they and their calls could have ended in time.

ShutdownLimits decides now, without a clock or a network. A call (class internal-check) is accepted in the first half as before, and after it if its own deadline lies before answer_by. The listener stays open while requests run beside the daemon, at most until answer_by: no call ends in time after that.

Callers are still sent away. On connections accepted after the drain has begun, which were refused before, requests that are no calls get 503, not run, with Connection: close; from half of the shutdown on they get it on all connections. The exit waits as before for the requests in flight. Late connections on which no request has arrived get up to 300 ms after the listener is closed, at most until the end of the shutdown; they may carry a request already.

--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -31,8 +31,8 @@
 /// Part of the shutdown timeout that is reserved for leaving the membership, so that the daemon
 /// exits before it is killed.
 const LEAVE_RESERVE: Duration = Duration::from_millis(500);
-/// Minimum time that open connections are served after the listeners are closed, so that requests
-/// already sent by callers still arrive.
+/// Minimum time that open connections are served after the drain has begun, and connections without a
+/// request after the listener is closed, so that requests already sent by callers still arrive.
 const CONNECTION_GRACE: Duration = Duration::from_millis(300);
 
 /// A running daemon with its listeners and background tasks.
@@ -139,8 +139,8 @@
         actix_rt::time::sleep(accept_until.remaining(self.clock.now())).await;
         log::info!(target: log_target::DAEMON, under_way = self.in_flight(); "The instances of this VM drain.");
         self.egress.stop();
-        self.ingress.stop_listening();
-        let status = self.drain_requests(deadline).await;
+        self.ingress.listen_for_calls();
+        let status = self.drain_requests(limits, deadline).await;
         if !hand_over.is_finished() {
             log::warn!(target: log_target::DAEMON, "Return of the rate limits abandoned: the platform or other daemons are slow. The leases expire by themselves.");
             hand_over.abort();
@@ -149,11 +149,24 @@
         status
     }
 
-    /// Waits until no request is in flight and [`CONNECTION_GRACE`] has passed.
-    async fn drain_requests(&self, deadline: Deadline) -> ExitStatus {
-        let grace = self.clock.now().after(CONNECTION_GRACE);
-        while !(self.is_idle() && grace.has_passed(self.clock.now())) {
-            if deadline.has_passed(self.clock.now()) {
+    /// Waits until no request is in flight and [`CONNECTION_GRACE`] has passed. Closes the listener when
+    /// no request runs beside the daemon that may make calls.
+    async fn drain_requests(&self, limits: ShutdownLimits, deadline: Deadline) -> ExitStatus {
+        let drain_grace = self.clock.now().after(CONNECTION_GRACE);
+        let mut close_grace = None;
+        loop {
+            let now = self.clock.now();
+            if let Some(close_grace) = close_grace {
+                let is_silent = self.ingress.silent_connections() > 0;
+                let grace = if is_silent { close_grace } else { drain_grace };
+                if self.is_idle() && grace.has_passed(now) {
+                    break;
+                }
+            } else if !limits.keeps_listening(self.egress.in_flight() > 0, now) {
+                self.ingress.stop_listening();
+                close_grace = Some(now.after(CONNECTION_GRACE).min(deadline));
+            }
+            if deadline.has_passed(now) {
                 log::error!(target: log_target::DAEMON, under_way = self.in_flight(); "Stop took too long, work is cut off.");
                 return ExitStatus::ShutdownTimeout;
             }
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -15,8 +15,8 @@
 use futures_util::future::{LocalBoxFuture, select};
 use tokio::sync::oneshot;
 
-use crate::http::ClosingGuard;
 use crate::http::signaling_stream::SignalingStream;
+use crate::http::{ClosingGuard, LateConnections};
 use crate::logs::log_target;
 
 /// Pause after a failed `accept`, so that a lasting error, such as too many open files, does not
@@ -57,6 +57,7 @@
     address: SocketAddr,
     /// Number of connections that close after their current response.
     closing: Rc<Cell<usize>>,
+    late: LateConnections,
     /// Dropped with the server, which ends the accept loop.
     _listening: oneshot::Sender<()>,
 }
@@ -82,12 +83,15 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let closing = Rc::new(Cell::new(0));
+        let late = LateConnections::default();
         let (listening, closed) = oneshot::channel();
-        let serving = serve_until_closed(listener, handler, timeouts, Rc::clone(&closing), closed);
+        let counts = (Rc::clone(&closing), late.clone());
+        let serving = serve_until_closed(listener, handler, timeouts, counts, closed);
         actix_rt::spawn(serving);
         Ok(Self {
             address,
             closing,
+            late,
             _listening: listening,
         })
     }
@@ -104,13 +108,20 @@
     pub fn closing_connections(&self) -> Rc<Cell<usize>> {
         Rc::clone(&self.closing)
     }
+
+    /// Returns the connections that are accepted after the shutdown has begun. The value stays valid
+    /// after the server is dropped.
+    #[must_use]
+    pub fn late_connections(&self) -> LateConnections {
+        self.late.clone()
+    }
 }
 
 async fn serve_until_closed(
     listener: TcpListener,
     handler: HttpHandler,
     timeouts: HttpTimeouts,
-    closing: Rc<Cell<usize>>,
+    (closing, late): (Rc<Cell<usize>>, LateConnections),
     closed: oneshot::Receiver<()>,
 ) {
     let request_service = fn_service(move |request: Request| {
@@ -123,6 +134,9 @@
         .on_connect_ext(move |stream: &SignalingStream, data| {
             data.insert(ClosingGuard::open(Rc::clone(&closing)));
             data.insert(stream.disconnect_signal());
+            if let Some(connection) = late.accept() {
+                data.insert(connection);
+            }
         })
         .h1(request_service);
     let Ok(service) = factory.new_service(()).await else {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -13,7 +13,7 @@
 use crate::crashes::SuspectsHandle;
 use crate::evacuation::{AvoidedZones, RecordFilter};
 use crate::hash::FastMap;
-use crate::http::{HeaderRules, HttpHandler, HttpServer, HttpTimeouts};
+use crate::http::{HeaderRules, HttpHandler, HttpServer, HttpTimeouts, LateConnections};
 use crate::ids::{BootId, RequestId, RouteId, ServiceId, ZoneId};
 use crate::ingress::shutdown_signal::ShutdownSignal;
 use crate::ingress::{BodyBudget, CreditLedger, RequestTotals, ShutdownLimits, request_task};
@@ -88,6 +88,7 @@
     server: Rc<RefCell<Option<HttpServer>>>,
     /// Connections that were told to close and are still open.
     closing_connections: Rc<RefCell<Rc<Cell<usize>>>>,
+    late_connections: Rc<RefCell<LateConnections>>,
     /// Requests that are being served.
     in_flight: Rc<Cell<usize>>,
     pub(crate) shutdown: ShutdownSignal,
@@ -121,6 +122,7 @@
             state: Rc::new(RefCell::new(state)),
             server: Rc::default(),
             closing_connections: Rc::default(),
+            late_connections: Rc::default(),
             in_flight: Rc::default(),
             shutdown: ShutdownSignal::default(),
             body_budget: BodyBudget::open(sources.proxy.body_memory),
@@ -135,6 +137,7 @@
         let handler = handle.clone().handler();
         let server = HttpServer::bind_with(address, handler, timeouts).await?;
         *handle.closing_connections.borrow_mut() = server.closing_connections();
+        *handle.late_connections.borrow_mut() = server.late_connections();
         *handle.server.borrow_mut() = Some(server);
         Ok(handle)
     }
@@ -145,6 +148,19 @@
         self.shutdown.begin(limits);
     }
 
+    /// Accepts further connections only for the calls of requests that run beside the daemon. Other
+    /// requests on them are refused.
+    pub fn listen_for_calls(&self) {
+        self.late_connections.borrow().begin();
+    }
+
+    /// Returns the number of connections accepted since `listen_for_calls` on which no request has
+    /// arrived.
+    #[must_use]
+    pub fn silent_connections(&self) -> usize {
+        self.late_connections.borrow().silent()
+    }
+
     /// Closes the listener; requests on open connections are still served.
     pub fn stop_listening(&self) {
         *self.server.borrow_mut() = None;
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -33,7 +33,7 @@
 pub use request_refusal::RequestRefusal;
 pub use request_totals::RequestTotals;
 pub use response_loss::ResponseLoss;
-pub use shutdown_signal::ShutdownLimits;
+pub use shutdown_signal::{RequestArrival, ShutdownLimits};
 
 use actix_http::header::HeaderName;
 
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -11,12 +11,13 @@
 use futures_util::future::{Either, select};
 
 use crate::execution_verdict::ExecutionVerdict;
-use crate::http::{ClosingGuard, DisconnectSignal, header_rules, read_body_with};
+use crate::http::{ClosingGuard, DisconnectSignal, LateConnection, header_rules, read_body_with};
 use crate::ids::{HostName, RequestId};
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::ingress_handle::InFlightGuard;
 use crate::ingress::{
-    BodyReservation, IngressHandle, RequestFacts, RequestPlan, RequestRefusal, bearer_secret,
+    BodyReservation, IngressHandle, RequestArrival, RequestFacts, RequestPlan, RequestRefusal,
+    bearer_secret,
 };
 use crate::limits::{Admission, AdmittedToken, RateRefusal};
 use crate::logs::log_target;
@@ -127,15 +128,10 @@
     guard: InFlightGuard,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
     let rules = Rc::clone(&ingress.sources.headers);
-    if ingress.shutdown.refuses(ingress.sources.clock.now()) {
-        return Err(RequestRefusal::Stopping);
-    }
     let secret = bearer_secret(request.headers()).map(str::to_owned);
     let arrived = ingress.sources.clock.now();
-    ingress.sources.config.wait_loaded().await;
-    let plan = plan(ingress, request, secret.as_deref())?;
+    let (plan, deadline) = accept(ingress, request, secret.as_deref(), arrived).await?;
     let secret = secret.ok();
-    let deadline = request_deadline(ingress, &plan, request.headers(), arrived)?;
     let goal = plan.goal.map(|span| arrived.after(span));
     let mut reservation = ingress.body_budget.reserve();
     let body = request_body(ingress, request, &mut reservation).await?;
@@ -173,6 +169,38 @@
     result
 }
 
+/// Plans a request that arrived at `arrived` and returns its deadline, or refuses it because the daemon
+/// shuts down.
+async fn accept(
+    ingress: &IngressHandle,
+    request: &Request,
+    secret: Result<&str, &RequestRefusal>,
+    arrived: MonoTime,
+) -> Result<(RequestPlan, Deadline), RequestRefusal> {
+    let late_connection = request.conn_data::<LateConnection>();
+    let is_late = late_connection.map(LateConnection::mark_request).is_some();
+    let serves_only_calls = ingress.shutdown.serves_only_calls(arrived, is_late);
+    if !serves_only_calls {
+        ingress.sources.config.wait_loaded().await;
+    }
+    let planned = plan(ingress, request, secret).and_then(|plan| {
+        let deadline = request_deadline(ingress, &plan, request.headers(), arrived)?;
+        Ok((plan, deadline))
+    });
+    let is_accepted = |(plan, deadline): &(RequestPlan, Deadline)| {
+        ingress.shutdown.accepts(&RequestArrival {
+            at: arrived,
+            is_late,
+            class: plan.class,
+            deadline: *deadline,
+        })
+    };
+    match serves_only_calls && !planned.as_ref().is_ok_and(is_accepted) {
+        true => Err(RequestRefusal::Stopping),
+        false => planned,
+    }
+}
+
 /// Returns the request name that the instance sees: made from the boot and the request ID, as the
 /// caller's may not be unique, unless the settings keep the caller's.
 fn instance_name(ingress: &IngressHandle, id: RequestId, name: &str) -> String {
--- a/src/ingress/shutdown_signal.rs
+++ b/src/ingress/shutdown_signal.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::Notify;
 
+use crate::resource::RequestClass;
 use crate::time::{Deadline, MonoTime, ProcessClock};
 
 /// Time between the last answers and the end of the shutdown, in which they are written.
@@ -26,12 +27,26 @@
 /// Deadlines of a shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownLimits {
-    /// New requests are refused from then on, since they may not end in time.
+    /// New requests are refused from then on, since they may not end in time. Calls that end in time
+    /// are accepted.
     pub accept_until: Deadline,
     /// Every request has its answer by then.
     pub answer_by: Deadline,
 }
 
+/// What decides whether a request is accepted during a shutdown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestArrival {
+    /// When the request arrived.
+    pub at: MonoTime,
+    /// Whether its connection was accepted after the instances had begun to drain.
+    pub is_late: bool,
+    /// The class of its route.
+    pub class: RequestClass,
+    /// Its own deadline.
+    pub deadline: Deadline,
+}
+
 impl ShutdownLimits {
     /// Divides the time from `now` to `end`: requests are accepted in the first half.
     #[must_use]
@@ -42,6 +57,30 @@
             answer_by: now.after(span.saturating_sub(WRITE_RESERVE)),
         }
     }
+
+    /// Whether only calls may be accepted of the requests that arrive at `at`. `is_late` as in
+    /// [`RequestArrival`]: late connections are accepted for calls alone, and other callers on them are
+    /// to use another daemon.
+    #[must_use]
+    pub fn serves_only_calls(&self, at: MonoTime, is_late: bool) -> bool {
+        is_late || self.accept_until.has_passed(at)
+    }
+
+    /// Whether a request is accepted. Without its calls, a running request would fail.
+    #[must_use]
+    pub fn accepts(&self, arrival: &RequestArrival) -> bool {
+        if arrival.class != RequestClass::InternalCheck {
+            return !self.serves_only_calls(arrival.at, arrival.is_late);
+        }
+        !self.accept_until.has_passed(arrival.at) || arrival.deadline < self.answer_by
+    }
+
+    /// Whether the listener stays open at `now`, after the instances have begun to drain: while
+    /// requests run beside the daemon, which may make calls. No call ends in time after `answer_by`.
+    #[must_use]
+    pub fn keeps_listening(&self, has_runs: bool, now: MonoTime) -> bool {
+        has_runs && !self.answer_by.has_passed(now)
+    }
 }
 
 impl ShutdownSignal {
@@ -56,10 +95,16 @@
         self.state.limits.get().is_some()
     }
 
-    /// Whether a request that arrives at `now` is refused.
-    pub(crate) fn refuses(&self, now: MonoTime) -> bool {
+    /// Whether only calls may be accepted; see [`ShutdownLimits::serves_only_calls`].
+    pub(crate) fn serves_only_calls(&self, at: MonoTime, is_late: bool) -> bool {
+        let limits = self.state.limits.get();
+        limits.is_some_and(|limits| limits.serves_only_calls(at, is_late))
+    }
+
+    /// Whether a request is accepted; see [`ShutdownLimits::accepts`].
+    pub(crate) fn accepts(&self, arrival: &RequestArrival) -> bool {
         let limits = self.state.limits.get();
-        limits.is_some_and(|limits| limits.accept_until.has_passed(now))
+        limits.is_none_or(|limits| limits.accepts(arrival))
     }
 
     /// Whether requests without an answer are given up at `now`.
