Use the tokens of a loan up to its end

Ruled out: ingresses that ask a backup without loans for too long. Crediting the idle 100 ms to the next borrower was dropped without a trial: grants still out can use up the capacity, so the bound would break.

Change: - A loan that ends soon still adds tokens, but no capacity, so that grants backed by the others need not end with it. If all end soon, grants end with the first, down to a rest of 20 ms, several times a call within a region; the tokens would be lost otherwise. - A token that goes back to its home before the returns it could serve are due is not kept for them. - A home without tokens is followed by its backup if that had some within 500 ms. A backup without loans is no longer preferred to the home. - Pruning ends expired loans first; a bucket accrued for them before.

The bound: tokens in buckets and grants stay within the capacity of the shares whose loans outlast the grants, and a share accrues for its borrower until the loan ends, never after.

Lenders cut off, traced but not mended: ingresses that reach neither home nor backup each ask their own daemon; the shares of the lenders there often all go to the one that asks first, and its ingress alone uses them. Which daemon that is changes with any change of timing.

--- a/src/limits/admission_controller.rs
+++ b/src/limits/admission_controller.rs
@@ -338,7 +338,11 @@
             cache.returns.record_answer(false, now);
         }
         GrantOutcome::NoTokens { retry_micros } => {
-            state.record_empty(Duration::from_micros(u64::from(*retry_micros)), now);
+            state.record_empty(
+                call.target.role,
+                Duration::from_micros(u64::from(*retry_micros)),
+                now,
+            );
             cache.returns.record_answer(true, now);
         }
         GrantOutcome::Recorded | GrantOutcome::NotHome => {}
--- a/src/limits/home_state.rs
+++ b/src/limits/home_state.rs
@@ -35,7 +35,7 @@
     skipped_until: MonoTime,
     /// Until when the home counts as silent after a failed request.
     silent_until: MonoTime,
-    /// Until when the home, which answered that it has no loans, is given time to borrow.
+    /// Until when the home, which answered that it has no loans or no tokens, is given time to borrow.
     borrowing_until: MonoTime,
     /// Until when the backup is expected to have loans.
     backup_ready_until: MonoTime,
@@ -180,8 +180,16 @@
     }
 
     /// Records the answer that there are no tokens for `wait`.
-    pub fn record_empty(&mut self, wait: Duration, now: MonoTime) {
-        self.empty_until = now + wait;
+    ///
+    /// If the backup had tokens recently, it is called next: while loans pass between the two, each
+    /// has some of the shares.
+    pub fn record_empty(&mut self, role: HomeRole, wait: Duration, now: MonoTime) {
+        let is_backup_next = now >= self.borrowing_until && now < self.backup_ready_until;
+        if role == HomeRole::Home && is_backup_next {
+            self.borrowing_until = now + wait;
+        } else {
+            self.empty_until = now + wait;
+        }
     }
 
     /// Records the answer that the daemon is not the home of this half. It may become the home
@@ -195,8 +203,10 @@
             self.returned_at = Some(now);
         }
         self.served_by_backup = false;
-        if role == HomeRole::Home {
-            self.borrowing_until = now + BACKUP_PREFERENCE;
+        match role {
+            HomeRole::Home => self.borrowing_until = now + BACKUP_PREFERENCE,
+            // The backup has lost its loans, so that only the home can have them.
+            HomeRole::Backup => self.backup_ready_until = now,
         }
     }
 
--- a/src/limits/return_schedule.rs
+++ b/src/limits/return_schedule.rs
@@ -135,6 +135,12 @@
         self.count_until(now + URGENT_AHEAD, now)
     }
 
+    /// Number of tokens that callers need that were told to come until `end`.
+    #[must_use]
+    pub fn reserved_until(&self, end: MonoTime, now: MonoTime) -> u32 {
+        self.count_until(end, now)
+    }
+
     fn count_until(&self, horizon: MonoTime, now: MonoTime) -> u32 {
         let due = self.returns.iter().take_while(|at| **at <= horizon);
         let live = due.filter(|at| **at + LATE >= now);
--- a/src/limits/token_bucket.rs
+++ b/src/limits/token_bucket.rs
@@ -28,6 +28,9 @@
     level: u64,
     /// Number of the account's shares that are pooled here.
     pooled: u32,
+    /// Number of the pooled shares whose loans back grants. The others add tokens until their loans
+    /// expire, but no capacity, so that the tokens that are left then fit the remaining shares.
+    backing: u32,
     updated: MonoTime,
     grants: Vec<OpenGrant>,
     /// When the bucket last had no token for an ingress.
@@ -59,6 +62,7 @@
             placement,
             level: 0,
             pooled: 0,
+            backing: 0,
             updated: now,
             grants: Vec::new(),
             short_at: None,
@@ -92,6 +96,7 @@
         self.limit = limit;
         self.placement = placement;
         self.pooled = pooled;
+        self.backing = pooled;
         self.level = self.level.min(self.max_level());
     }
 
@@ -100,6 +105,7 @@
     pub fn add_share(&mut self, unused_for: Duration, now: MonoTime) {
         self.advance(now);
         self.pooled += 1;
+        self.backing += 1;
         let accrued = self.accrual(1, unused_for).min(self.share_capacity_parts());
         self.level = (self.level + accrued).min(self.max_level());
     }
@@ -107,6 +113,14 @@
     /// Removes a share. It accrues nothing for the time since the last update.
     pub fn remove_share(&mut self, now: MonoTime) {
         self.pooled = self.pooled.saturating_sub(1);
+        self.backing = self.backing.min(self.pooled);
+        self.advance(now);
+    }
+
+    /// Sets the number of pooled shares whose loans back grants, at most all of them, and accrues
+    /// tokens up to `now`.
+    pub fn set_backing(&mut self, backing: u32, now: MonoTime) {
+        self.backing = backing.min(self.pooled);
         self.advance(now);
     }
 
@@ -230,7 +244,7 @@
     }
 
     fn capacity_parts(&self) -> u64 {
-        self.share_capacity_parts() * u64::from(self.pooled)
+        self.share_capacity_parts() * u64::from(self.backing)
     }
 
     fn share_capacity_parts(&self) -> u64 {
--- a/src/limits/token_cache.rs
+++ b/src/limits/token_cache.rs
@@ -4,34 +4,17 @@
 use std::time::Duration;
 
 use crate::ids::BootId;
-use crate::limits::{AccountPlacement, DemandRate, HomeState, RateRefusal, ReturnSchedule};
+use crate::limits::{
+    AccountPlacement, DemandRate, HeldGrant, HomeState, RateRefusal, ReturnSchedule,
+};
 use crate::resource::RateLimit;
 use crate::time::{Deadline, MonoTime};
-use crate::wire::{GrantDemand, GrantUsage, TokenGrant};
+use crate::wire::{GrantDemand, TokenGrant};
 
 /// More tokens are requested when the cached ones last for less than this at the current demand.
 const REFILL_BELOW: Duration = Duration::from_millis(250);
 /// As many tokens are requested as last this long at the current demand.
 const REFILL_TO: Duration = Duration::from_millis(750);
-/// A grant with less than 1/4 of its life left is closed, and its unspent tokens return to the
-/// home.
-const CLOSING_DIVISOR: u32 = 4;
-
-/// A grant that the ingress may spend.
-#[derive(Debug)]
-pub struct HeldGrant {
-    half: u8,
-    home: BootId,
-    id: u64,
-    left: u32,
-    spent: u32,
-    /// Spent tokens that were reported to the home.
-    reported: u32,
-    until: Deadline,
-    life: Duration,
-    /// Whether spent tokens are reported at once, because the burst is short.
-    reports_at_once: bool,
-}
 
 /// A request that is due to one of the account's two homes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,9 +114,12 @@
 
     /// Spends a token of the unexpired grant that expires first. Returns the boot of the home and
     /// the id of the grant, or `None` if no token is left, or only reserved ones for a request that
-    /// did not come when told.
+    /// did not come when told. A token that is closed before a return is due is not reserved for it.
     pub fn spend(&mut self, was_told: bool, now: MonoTime) -> Option<(BootId, u64)> {
-        if !was_told && self.tokens_left(now) <= self.returns.reserved(now) {
+        if !was_told
+            && self.tokens_left(now) <= self.returns.reserved(now)
+            && !self.has_unmatched(now)
+        {
             return None;
         }
         let live = self
@@ -147,6 +133,18 @@
         Some((grant.home, grant.id))
     }
 
+    /// Whether some tokens are closed before the returns that could spend them are due.
+    fn has_unmatched(&self, now: MonoTime) -> bool {
+        let is_live = |grant: &&HeldGrant| grant.left > 0 && !grant.until.has_passed(now);
+        let live = self.grants.iter().filter(is_live);
+        let Some(end) = live.clone().map(|grant| grant.closes_at(now)).min() else {
+            return false;
+        };
+        let closing = live.filter(|grant| grant.closes_at(now) <= end);
+        let tokens: u32 = closing.map(|grant| grant.left).sum();
+        tokens > self.returns.reserved_until(end, now)
+    }
+
     /// Gives back the token of a request that provably did not run.
     ///
     /// Has no effect once the token was reported as spent: the home may have granted another in its
@@ -245,7 +243,7 @@
         self.homes[usize::from(half)].record_request(now);
         let grants = self.grants.iter_mut();
         let known = grants.filter(|grant| grant.half == half && grant.home == home);
-        let uses = known.filter_map(|grant| report(grant, now)).collect();
+        let uses = known.filter_map(|grant| grant.report(now)).collect();
         GrantDemand {
             account: self.limit.account.clone(),
             half,
@@ -303,7 +301,7 @@
 
     fn needs_report(&self, half: u8, now: MonoTime) -> bool {
         let mut grants = self.grants.iter().filter(|grant| grant.half == half);
-        grants.any(|grant| needs_report(grant, now))
+        grants.any(|grant| grant.needs_report(now))
     }
 
     /// Tokens to request for callers that are due to come back soon.
@@ -341,29 +339,3 @@
 fn initial_homes(placement: &AccountPlacement) -> [HomeState; 2] {
     [0, 1].map(|half| HomeState::open(!placement.half(half).is_empty()))
 }
-
-fn is_expiring(grant: &HeldGrant, now: MonoTime) -> bool {
-    grant.until.remaining(now) < grant.life / CLOSING_DIVISOR
-}
-
-fn needs_report(grant: &HeldGrant, now: MonoTime) -> bool {
-    let unspent = grant.left > 0 && is_expiring(grant, now);
-    let unreported = grant.spent > grant.reported && (grant.reports_at_once || grant.left == 0);
-    unspent || unreported
-}
-
-/// Builds the report of `grant` to its home, or `None` if nothing has changed. Closes the grant if
-/// it is about to expire.
-fn report(grant: &mut HeldGrant, now: MonoTime) -> Option<GrantUsage> {
-    let closed = is_expiring(grant, now) || grant.left == 0;
-    let is_changed = grant.spent > grant.reported || (closed && grant.left > 0);
-    if closed {
-        grant.left = 0;
-    }
-    grant.reported = grant.spent;
-    is_changed.then_some(GrantUsage {
-        grant: grant.id,
-        spent: grant.spent,
-        closed,
-    })
-}
--- a/src/limits/token_pool.rs
+++ b/src/limits/token_pool.rs
@@ -4,7 +4,7 @@
 
 use crate::hash::FastMap;
 use crate::ids::{AccountId, BootId, DaemonId};
-use crate::limits::{AccountPlacement, ShardId, ShareSet, TokenBucket};
+use crate::limits::{AccountPlacement, PooledLoan, ShardId, ShareSet, TokenBucket};
 use crate::resource::RateLimit;
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{GrantDemand, GrantOutcome, ReturnedLoan, TokenGrant};
@@ -13,27 +13,18 @@
 const PREFETCH_DIVISOR: u32 = 4;
 /// In a shortage, tokens below 1/8 of the capacity go only to waiting requests.
 const SPARE_DIVISOR: u32 = 8;
-/// No grant is issued from a loan that expires within 1/4 of the longest life of a grant.
+/// A loan that expires within 1/4 of the longest life of a grant backs no grant while another one can:
+/// it would shorten the lives of all grants.
 const CLOSING_DIVISOR: u32 = 4;
+/// Shortest rest of a loan that still backs grants if all loans expire soon. An ingress of the same
+/// region receives a grant in a few milliseconds and serves its waiting requests at once.
+const MIN_LAST_LIFE: Duration = Duration::from_millis(20);
 /// Longest wait for a batch of tokens before an ingress that found the bucket empty retries. It
 /// waits longer only while the bucket has not a single token.
 const MAX_BATCH_WAIT: Duration = Duration::from_millis(100);
 /// Shortest life of a grant: a shorter one could expire on its way to the ingress.
 const MIN_GRANT_LIFE: Duration = Duration::from_millis(100);
 
-/// A share that a lender has lent to this home.
-#[derive(Debug, Clone)]
-pub struct PooledLoan {
-    /// Number of the share.
-    pub share: u8,
-    /// The daemon that lent it.
-    pub lender: DaemonId,
-    /// Serial number of the lender's answer that last renewed the loan.
-    pub serial: u64,
-    /// When the loan expires by this home's clock, counted from when the request was sent.
-    pub until: Deadline,
-}
-
 /// Loans for one half of a shard and the buckets that they fill, by client account.
 #[derive(Debug, Default)]
 pub struct TokenPool {
@@ -79,7 +70,18 @@
 
     /// Removes expired loans.
     pub fn expire_loans(&mut self, now: MonoTime) {
-        self.remove_loans(now, |loan| loan.until.has_passed(now));
+        let buckets = &mut self.buckets;
+        self.loans.retain(|entry| {
+            if !entry.loan.until.has_passed(now) {
+                return true;
+            }
+            for bucket in buckets.values_mut() {
+                if bucket.placement().shares.contains(entry.loan.share) {
+                    bucket.remove_share(now);
+                }
+            }
+            false
+        });
     }
 
     /// Whether no loan is left.
@@ -152,16 +154,14 @@
         max_life: Duration,
         now: MonoTime,
     ) -> GrantOutcome {
-        let last = max_life / CLOSING_DIVISOR;
-        self.remove_loans(now, |loan| loan.until.remaining(now) <= last);
-        let Some(earliest) = self
-            .earliest_expiry(placement.shares)
-            .filter(|_| !self.closing)
+        self.expire_loans(now);
+        let Some((backing, earliest)) =
+            backing_loans(&self.loans, placement.shares, max_life, now).filter(|_| !self.closing)
         else {
             return GrantOutcome::NotHome;
         };
         let bucket = self.bucket(&want.account, limit, placement, now);
-        bucket.advance(now);
+        bucket.set_backing(backing, now);
         let most = tokens_to_grant(want, bucket);
         if want.waiting == 0 && want.prefetch == 0 {
             return GrantOutcome::Recorded;
@@ -184,35 +184,13 @@
 
     /// Drops full buckets: a new bucket would be full too.
     pub fn prune(&mut self, now: MonoTime) {
+        self.expire_loans(now);
         self.buckets.retain(|_, bucket| {
-            bucket.advance(now);
+            bucket.set_backing(u32::MAX, now);
             !bucket.is_full()
         });
     }
 
-    fn earliest_expiry(&self, shares: ShareSet) -> Option<Deadline> {
-        let loans = self.loans.iter().map(|entry| &entry.loan);
-        loans
-            .filter(|loan| shares.contains(loan.share))
-            .map(|loan| loan.until)
-            .min()
-    }
-
-    fn remove_loans(&mut self, now: MonoTime, ends: impl Fn(&PooledLoan) -> bool) {
-        let buckets = &mut self.buckets;
-        self.loans.retain(|entry| {
-            if !ends(&entry.loan) {
-                return true;
-            }
-            for bucket in buckets.values_mut() {
-                if bucket.placement().shares.contains(entry.loan.share) {
-                    bucket.remove_share(now);
-                }
-            }
-            false
-        });
-    }
-
     fn bucket(
         &mut self,
         account: &AccountId,
@@ -250,6 +228,25 @@
     bucket
 }
 
+/// Number of loans of `shares` that back a grant at `now`, and when the first of them expires: those
+/// that do not expire soon, or else all that last long enough for a grant to be used.
+fn backing_loans(
+    loans: &[LoanEntry],
+    shares: ShareSet,
+    max_life: Duration,
+    now: MonoTime,
+) -> Option<(u32, Deadline)> {
+    let lasting = |least: Duration| {
+        let loans = loans.iter().map(|entry| &entry.loan);
+        let own = loans.filter(|loan| shares.contains(loan.share));
+        let lasting = own.filter(|loan| loan.until.remaining(now) > least);
+        let ends = lasting.map(|loan| (1, loan.until));
+        ends.reduce(|(count, earliest), (_, end)| (count + 1, earliest.min(end)))
+    };
+    let closing = max_life / CLOSING_DIVISOR;
+    lasting(closing).or_else(|| lasting(closing.min(MIN_LAST_LIFE)))
+}
+
 fn pooled_count(loans: &[LoanEntry], shares: ShareSet) -> u32 {
     let pooled: ShareSet = loans.iter().map(|entry| entry.loan.share).collect();
     pooled.intersection(shares).len()
