Read the refusal of an egress that ends the stream while go is being sent

A filing that held a slot got 502, may have run, although it was refused as not run: the egress sends its refusal and ends the stream, sending go then fails, and the ingress took that for the loss of the connection. Long bodies had this right.

--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -132,8 +132,11 @@
         loop {
             match receiver.receive_required().await? {
                 EgressMessage::Ready => {
-                    if machine.handle_event(AttemptEvent::Ready) == AttemptAction::SendGo {
-                        send_body(&mut sender, &body).await?;
+                    if machine.handle_event(AttemptEvent::Ready) == AttemptAction::SendGo
+                        && let Err(cause) = send_body(&mut sender, &body).await
+                    {
+                        // The egress may have refused the request meanwhile; its last message says so.
+                        log::debug!(target: log_target::INGRESS, cause:%, bytes = body.len(); "Go or request body not sent completely.");
                     }
                 }
                 EgressMessage::Head(head) => {
@@ -220,12 +223,9 @@
     let go = IngressMessage::Go { body: Vec::new() };
     sender.send(&go).await?;
     for part in body.chunks(MAX_PART_BYTES) {
-        let message = IngressMessage::BodyPart(part.to_vec());
-        if let Err(cause) = sender.send(&message).await {
-            // The egress may have refused the request; its last message says so.
-            log::debug!(target: log_target::INGRESS, cause:%, bytes = body.len(); "Request body not sent completely.");
-            return Ok(());
-        }
+        sender
+            .send(&IngressMessage::BodyPart(part.to_vec()))
+            .await?;
     }
     Ok(())
 }
