Soak: planned stops of dozens of daemons, long work, slow readers

The soak had four daemons and requests of 20 ms, and took a 502 of a daemon's own for allowed. One request in seven now has work of 0.5 to 2.5 s, longer than 20 medians, and a caller of each daemon reads 240 kB slowly and holds a closed connection until the daemon has exited. A second kind of run stops overlapping groups of daemons and disturbs only the platform. There every 502 or 504 is a finding if the work of one of its runs ends before the deadline and before the last sixth of the stops of the two daemons on its way. A planned stop that takes longer than proxy.shutdown is a finding too. The existing checks are unchanged.

The stand-in takes the length of the work from the query and records when a run started; a loss cannot be told from work that outlasts the shutdown otherwise.

--- a/standins/backend/execution_record.rs
+++ b/standins/backend/execution_record.rs
@@ -27,6 +27,10 @@
     pub tag: String,
     /// Length of the request body, in bytes.
     pub body_bytes: usize,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Service time that it needs, in milliseconds.
+    pub work_ms: u64,
     /// Outcome so far.
     pub outcome: ExecutionOutcome,
 }
--- a/standins/backend/instance_handler.rs
+++ b/standins/backend/instance_handler.rs
@@ -2,7 +2,7 @@
 
 use std::future::pending;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
@@ -92,9 +92,10 @@
         Ok(None) => return shed(),
         Err(_) => return deadline_passed("the deadline passed in the queue"),
     };
-    let time = state.sample_service_time(slowdown(effect));
+    let time =
+        requested_work(request).unwrap_or_else(|| state.sample_service_time(slowdown(effect)));
     let left = time_left(request, arrived);
-    let entry = state.log.start(record(request, body));
+    let entry = state.log.start(record(request, body, time));
     if let Some(left) = left.filter(|left| *left < time) {
         sleep(left).await;
         return deadline_passed("the deadline passed");
@@ -144,8 +145,9 @@
     Some(Duration::from_millis(millis).saturating_sub(arrived.elapsed()))
 }
 
-fn record(request: &Request, body: &Bytes) -> ExecutionRecord {
+fn record(request: &Request, body: &Bytes, work: Duration) -> ExecutionRecord {
     let headers = request.headers();
+    let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     ExecutionRecord {
         method: request.method().to_string(),
         target: request.uri().to_string(),
@@ -160,17 +162,30 @@
             .collect(),
         tag: header_text(headers, TAG),
         body_bytes: body.len(),
+        started_ms: started.map_or(0, whole_millis),
+        work_ms: whole_millis(work),
         outcome: ExecutionOutcome::Running,
     }
 }
 
 /// The response length requested by `bytes=N` in the query, in bytes; 0 without it.
 fn requested_bytes(request: &Request) -> usize {
+    let bytes = query_number(request, "bytes").unwrap_or(0);
+    MAX_RESPONSE_BYTES.min(usize::try_from(bytes).unwrap_or(MAX_RESPONSE_BYTES))
+}
+
+/// The service time requested by `work=N` in the query, in milliseconds.
+fn requested_work(request: &Request) -> Option<Duration> {
+    query_number(request, "work").map(Duration::from_millis)
+}
+
+fn query_number(request: &Request, field: &str) -> Option<u64> {
     let query = request.uri().query().unwrap_or_default();
-    let bytes = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("bytes="))
-        .and_then(|count| count.parse().ok())
-        .unwrap_or(0);
-    MAX_RESPONSE_BYTES.min(bytes)
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(name, _)| *name == field)?;
+    value.parse().ok()
+}
+
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/tests/common/backend_process.rs
+++ b/tests/common/backend_process.rs
@@ -54,6 +54,10 @@
     pub tag: String,
     /// The length of its body.
     pub body_bytes: usize,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Service time that it needs, in milliseconds.
+    pub work_ms: u64,
     /// "running", "completed" or "cancelled".
     pub outcome: String,
 }
--- a/tests/common/desk_fleet.rs
+++ b/tests/common/desk_fleet.rs
@@ -33,6 +33,18 @@
 
     /// As `open`, with the plans changed.
     pub async fn open_with(name: &str, plan: FleetPlan, change: impl Fn(&mut BackendPlan)) -> Self {
+        let desk = Self::open_unsettled(name, plan, change).await;
+        desk.settle().await;
+        desk
+    }
+
+    /// As `open_with`, without the wait until every daemon reaches every instance, which takes minutes in a
+    /// fleet of dozens.
+    pub async fn open_unsettled(
+        name: &str,
+        plan: FleetPlan,
+        change: impl Fn(&mut BackendPlan),
+    ) -> Self {
         let daemons = plan.daemons;
         let mut fleet = TestFleet::open(name, plan).await;
         let secret = configure(&fleet).await;
@@ -41,9 +53,7 @@
             change(&mut plan);
             fleet.add_backend(index, plan).await;
         }
-        let desk = Self { fleet, secret };
-        desk.settle().await;
-        desk
+        Self { fleet, secret }
     }
 
     /// The key's secret.
--- a/tests/soak_kit/fault_series.rs
+++ b/tests/soak_kit/fault_series.rs
@@ -6,37 +6,69 @@
 
 use fastrand::Rng;
 
+use super::stop_times::StopTimes;
 use crate::common::{DaemonProcess, DeskFleet, RelayMode};
 
 /// Longest pause of a process or a link.
 const MAX_PAUSE_MILLIS: u64 = 1_500;
 /// Longest time between two faults of a series.
 const MAX_GAP_MILLIS: u64 = 2_500;
+/// Longest time between two stops of a group.
+const MAX_STAGGER_MILLIS: u64 = 500;
+/// A group has at most this part of the daemons.
+const GROUP_DIVISOR: usize = 6;
 
 /// A daemon of the fleet and what its series did to it.
 pub struct SoakDaemon {
     pub process: RefCell<DaemonProcess>,
     /// Number of faults other than planned stops that have begun or ended.
     pub disturbances: Cell<u64>,
+    /// Its planned stops.
+    pub stops: StopTimes,
+    /// Whether a group has it stopped or restarted now.
+    is_in_group: Cell<bool>,
+    /// Number of planned stops without a freeze that took longer than `proxy.shutdown`.
+    pub overruns: Cell<u64>,
 }
 
 impl SoakDaemon {
+    /// A daemon that no series has touched.
+    pub fn new(process: DaemonProcess) -> Self {
+        Self {
+            process: RefCell::new(process),
+            disturbances: Cell::default(),
+            stops: StopTimes::default(),
+            is_in_group: Cell::default(),
+            overruns: Cell::default(),
+        }
+    }
+
     fn disturb(&self) {
         self.disturbances.set(self.disturbances.get() + 1);
     }
 
-    /// Waits for the end of a planned stop, then starts the daemon again.
-    async fn end_and_restart(&self, rng: &mut Rng) {
+    fn begin_stop(&self) {
+        self.stops.begin();
+        self.process.borrow().process.terminate();
+    }
+
+    /// Waits for the end of a planned stop, then starts the daemon again. Returns whether the stop took
+    /// longer than `proxy.shutdown`.
+    async fn end_and_restart(&self, rng: &mut Rng) -> bool {
         while self.process.borrow_mut().process.is_running() {
             pause(20).await;
         }
+        let has_overrun = self.stops.end();
         pause(rng.u64(0..500)).await;
         self.process.borrow_mut().restart();
+        has_overrun
     }
 
     async fn stop(&self, rng: &mut Rng) {
-        self.process.borrow().process.terminate();
-        self.end_and_restart(rng).await;
+        self.begin_stop();
+        if self.end_and_restart(rng).await {
+            self.overruns.set(self.overruns.get() + 1);
+        }
     }
 
     async fn kill(&self, rng: &mut Rng) {
@@ -57,7 +89,7 @@
 
     /// Stops a daemon that is frozen meanwhile.
     async fn freeze_in_stop(&self, rng: &mut Rng) {
-        self.process.borrow().process.terminate();
+        self.begin_stop();
         pause(rng.u64(0..500)).await;
         if self.process.borrow_mut().process.is_running() {
             self.freeze(rng).await;
@@ -79,15 +111,53 @@
     }
 }
 
+/// One series of planned stops of groups of daemons. Groups overlap; a daemon
+/// that is not back yet is left out.
+pub async fn run_groups(daemons: Vec<Rc<SoakDaemon>>, mut rng: Rng, end: Instant) {
+    let mut stops = Vec::new();
+    while Instant::now() < end {
+        pause(rng.u64(0..MAX_GAP_MILLIS)).await;
+        let mut group = daemons.clone();
+        rng.shuffle(&mut group);
+        group.truncate(rng.usize(1..=daemons.len().div_ceil(GROUP_DIVISOR)));
+        for daemon in group {
+            pause(rng.u64(0..MAX_STAGGER_MILLIS)).await;
+            let mut rng = rng.fork();
+            if daemon.is_in_group.replace(true) {
+                continue;
+            }
+            stops.push(actix_rt::spawn(async move {
+                daemon.stop(&mut rng).await;
+                daemon.is_in_group.set(false);
+            }));
+        }
+    }
+    for stop in stops {
+        stop.await.unwrap();
+    }
+}
+
+/// One series of faults of the platform.
+pub async fn run_platform(desk: Rc<DeskFleet>, mut rng: Rng, end: Instant) {
+    while Instant::now() < end {
+        pause(rng.u64(0..MAX_GAP_MILLIS)).await;
+        disturb_platform(&desk, &mut rng).await;
+    }
+}
+
+async fn disturb_platform(desk: &DeskFleet, rng: &mut Rng) {
+    let mode = ["\"down\"", "{\"slow\":400}", "\"lose-answers\""][rng.usize(0..3)];
+    desk.fleet.platform_mode(mode).await;
+    pause(rng.u64(100..MAX_PAUSE_MILLIS)).await;
+    desk.fleet.platform_mode("\"up\"").await;
+}
+
 /// One series of faults of the links to an instance's daemon and of the platform.
 pub async fn run_links(desk: Rc<DeskFleet>, mut rng: Rng, end: Instant) {
     while Instant::now() < end {
         pause(rng.u64(0..MAX_GAP_MILLIS)).await;
         if rng.bool() {
-            let mode = ["\"down\"", "{\"slow\":400}", "\"lose-answers\""][rng.usize(0..3)];
-            desk.fleet.platform_mode(mode).await;
-            pause(rng.u64(100..MAX_PAUSE_MILLIS)).await;
-            desk.fleet.platform_mode("\"up\"").await;
+            disturb_platform(&desk, &mut rng).await;
             continue;
         }
         let mode = match rng.u8(0..6) {
--- a/tests/soak_kit/soak_run.rs
+++ b/tests/soak_kit/soak_run.rs
@@ -1,20 +1,25 @@
 //! One run of the soak: the fleet, its callers and the series of faults.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use awc::http::Method;
+use actix_rt::task::JoinHandle;
 use fastrand::Rng;
 
-use super::fault_series::{SoakDaemon, run_instances, run_links};
+use super::fault_series::{SoakDaemon, run_groups, run_instances, run_links, run_platform};
 use super::request_log::RequestLog;
-use crate::common::{CallerClient, DeskFleet, FleetPlan, eventually};
+use super::soak_caller::SoakCaller;
+use super::stop_times::SHUTDOWN;
+use crate::common::{BackendPlan, CallerClient, DeskFleet, FleetPlan, eventually};
 
-/// Callers of each daemon.
-const WORKERS: usize = 2;
-/// Deadline of each request, in milliseconds.
-const DEADLINE_MILLIS: &str = "3000";
+/// Callers of each daemon, beside one that reads slowly.
+const SENDERS: usize = 2;
+/// Series of planned stops of groups.
+const STOP_SERIES: usize = 2;
+/// Names the folder to which the logs of a run with findings are copied.
+const LOGS_VARIABLE: &str = "WAGTAILTRACK_SOAK_LOGS";
 /// Time within which a withdrawn key must be refused by every daemon: the freshness of the settings and
 /// one second for requests on their way.
 const KEY_LIFE: Duration = Duration::from_secs(11);
@@ -22,8 +27,18 @@
 const SERVED_AT_END: usize = 10;
 const PAUSE: Duration = Duration::from_millis(5);
 
+/// The kinds of fault of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SoakFaults {
+    /// Planned stops, kills, freezes, and faults of links, instances and the platform.
+    All,
+    /// Planned stops of groups of daemons, and faults of the platform, which no request passes.
+    Stops,
+}
+
 /// A fleet under load, with everything that a seed draws.
 pub struct SoakRun {
+    faults: SoakFaults,
     desk: Rc<DeskFleet>,
     daemons: Vec<Rc<SoakDaemon>>,
     log: Rc<RequestLog>,
@@ -33,38 +48,65 @@
 
 impl SoakRun {
     /// Starts `daemons` daemons with an instance each.
-    pub async fn open(seed: u64, daemons: usize) -> Self {
+    pub async fn open(seed: u64, daemons: usize, faults: SoakFaults) -> Self {
         let plan = FleetPlan {
             daemons,
             zones: 2,
-            has_relays: true,
-            tables: "[proxy]\nshutdown = \"6s\"\n".to_owned(),
+            has_relays: faults == SoakFaults::All,
+            tables: format!("[proxy]\nshutdown = \"{}s\"\n", SHUTDOWN.as_secs()),
             ..FleetPlan::default()
         };
-        let mut desk = DeskFleet::open_with(&format!("soak-{seed}"), plan, |plan| {
-            plan.service_time = "20ms".into();
-        })
-        .await;
+        let name = format!("soak-{seed}");
+        let change = |plan: &mut BackendPlan| plan.service_time = "20ms".into();
+        let mut desk = DeskFleet::open_unsettled(&name, plan, change).await;
         // Their own cells let each series hold its daemon while the fleet is shared.
-        let daemons = desk.fleet.daemons.drain(..).map(|process| {
-            Rc::new(SoakDaemon {
-                process: RefCell::new(process),
-                disturbances: Cell::default(),
-            })
-        });
-        Self {
+        let processes = desk.fleet.daemons.drain(..);
+        let daemons = processes.map(|process| Rc::new(SoakDaemon::new(process)));
+        let run = Self {
+            faults,
             daemons: daemons.collect(),
             desk: Rc::new(desk),
             log: Rc::default(),
             rng: Rng::with_seed(seed),
             is_over: Rc::default(),
-        }
+        };
+        run.recover().await;
+        run
     }
 
     /// Runs all series for `span`, waits for the recovery and returns what was found.
     pub async fn run(mut self, span: Duration) -> Vec<String> {
+        let callers = self.spawn_callers();
         let end = Instant::now() + span;
-        let workers = self.spawn_workers();
+        let series = match self.faults {
+            SoakFaults::All => self.spawn_faults(end),
+            SoakFaults::Stops => self.spawn_stops(end),
+        };
+        if self.faults == SoakFaults::All {
+            self.withdraw_key(end).await;
+        }
+        for one in series {
+            one.await.unwrap();
+        }
+        self.recover().await;
+        self.is_over.set(true);
+        for caller in callers {
+            caller.await.unwrap();
+        }
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        eprintln!("{:?}", self.log.outcomes());
+        let only_stops = self.faults == SoakFaults::Stops;
+        let findings = self
+            .log
+            .findings(&self.desk, &self.daemons, only_stops)
+            .await;
+        if !findings.is_empty() {
+            self.keep_logs();
+        }
+        findings
+    }
+
+    fn spawn_faults(&mut self, end: Instant) -> Vec<JoinHandle<()>> {
         let mut series = Vec::new();
         for daemon in self.daemons.iter().skip(1) {
             let (daemon, rng) = (Rc::clone(daemon), self.rng.fork());
@@ -83,32 +125,54 @@
             instances,
             end,
         )));
-        self.withdraw_key(end).await;
-        for one in series {
-            one.await.unwrap();
+        series
+    }
+
+    fn spawn_stops(&mut self, end: Instant) -> Vec<JoinHandle<()>> {
+        let mut series = Vec::new();
+        for _ in 0..STOP_SERIES {
+            let stops = run_groups(self.daemons.clone(), self.rng.fork(), end);
+            series.push(actix_rt::spawn(stops));
         }
-        self.recover().await;
-        self.is_over.set(true);
-        for worker in workers {
-            worker.await.unwrap();
+        let platform = run_platform(Rc::clone(&self.desk), self.rng.fork(), end);
+        series.push(actix_rt::spawn(platform));
+        series
+    }
+
+    fn spawn_callers(&mut self) -> Vec<JoinHandle<()>> {
+        let mut callers = Vec::new();
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            for worker in 0..=SENDERS {
+                let caller = SoakCaller {
+                    daemon: Rc::clone(daemon),
+                    index,
+                    name: format!("{index}-{worker}"),
+                    secret: self.desk.secret.clone(),
+                    log: Rc::clone(&self.log),
+                    rng: self.rng.fork(),
+                    is_over: Rc::clone(&self.is_over),
+                };
+                callers.push(match worker {
+                    SENDERS => actix_rt::spawn(caller.keep_reading()),
+                    _ => actix_rt::spawn(caller.keep_sending()),
+                });
+            }
         }
-        actix_rt::time::sleep(Duration::from_secs(1)).await;
-        eprintln!("{} of {} served", self.log.served(), self.log.total());
-        self.log.findings(&self.desk).await
+        callers
     }
 
-    fn spawn_workers(&self) -> Vec<actix_rt::task::JoinHandle<()>> {
-        let pairs = self.daemons.iter().enumerate();
-        let pairs = pairs.flat_map(|pair| (0..WORKERS).map(move |worker| (pair, worker)));
-        let spawn = |((index, daemon), worker): ((usize, &Rc<SoakDaemon>), usize)| {
-            let caller = daemon.process.borrow().caller();
-            let caller = caller.with_key(&self.desk.secret);
-            let (daemon, log) = (Rc::clone(daemon), Rc::clone(&self.log));
-            let is_over = Rc::clone(&self.is_over);
-            let name = format!("{index}-{worker}");
-            actix_rt::spawn(keep_sending(caller, daemon, log, is_over, name))
+    /// Copies the settings and logs of all processes to the folder that the environment names.
+    fn keep_logs(&self) {
+        let Ok(kept) = std::env::var(LOGS_VARIABLE) else {
+            return;
         };
-        pairs.map(spawn).collect()
+        let folder = self.desk.fleet.folder().path();
+        let kept = Path::new(&kept).join(folder.file_name().unwrap());
+        std::fs::create_dir_all(&kept).unwrap();
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            std::fs::copy(&path, kept.join(path.file_name().unwrap())).unwrap();
+        }
     }
 
     /// Issues a key, uses it through every daemon and withdraws it halfway.
@@ -159,33 +223,3 @@
         }
     }
 }
-
-/// Sends lookups and filings over kept connections until the run is over, whatever happens to the daemon.
-async fn keep_sending(
-    caller: CallerClient,
-    daemon: Rc<SoakDaemon>,
-    log: Rc<RequestLog>,
-    is_over: Rc<Cell<bool>>,
-    name: String,
-) {
-    let caller = caller.with_header("x-deadline-ms", DEADLINE_MILLIS);
-    let mut number = 0;
-    while !is_over.get() {
-        let tag = format!("{name}-{number}");
-        number += 1;
-        let is_filing = number % 2 == 0;
-        let before = daemon.disturbances.get();
-        let answer = match is_filing {
-            true => {
-                caller
-                    .send(Method::POST, "/filings", &tag, tag.as_bytes())
-                    .await
-            }
-            false => caller.send(Method::GET, "/lookups/1", &tag, b"").await,
-        };
-        // An odd count means that a fault is in progress.
-        let is_disturbed = before % 2 == 1 || before != daemon.disturbances.get();
-        log.record(&tag, is_filing, is_disturbed, answer);
-        actix_rt::time::sleep(PAUSE).await;
-    }
-}
