Revert the stall that was counted while a request runs

Its limit is 20 times the usual time of the request's class, and a class mixes routes of 1 ms and of 100 ms, so that well instances lost their filings. Instances that hang at a part of their requests are found out at the deadlines again.

--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -21,7 +21,7 @@
 use crate::logs::log_target;
 use crate::metrics::DurationMetrics;
 use crate::peers::PeerStream;
-use crate::resource::{RequestClass, ServiceSpec};
+use crate::resource::ServiceSpec;
 use crate::retry::CallRates;
 use crate::time::ProcessClock;
 use crate::units::Rate;
@@ -200,18 +200,6 @@
         self.publish_health_change(dispatcher, change, sample.outcome);
     }
 
-    /// Returns how long a request of `class` may run at the instance until it counts as stalled; none if
-    /// that is unknown.
-    pub(super) fn overdue_time(
-        &self,
-        dispatcher: &SharedDispatcher,
-        class: RequestClass,
-    ) -> Option<Duration> {
-        let baseline = self.baseline(&dispatcher.borrow().local().service);
-        let mut dispatcher = dispatcher.borrow_mut();
-        dispatcher.health_mut().overdue_time(class, &baseline)
-    }
-
     /// Logs the instance's health state if it is not the one logged last, and publishes it once the
     /// fleet should know it. Returns whether it was published. `change` and `outcome` go to the log
     /// only.
--- a/src/egress/execution_task.rs
+++ b/src/egress/execution_task.rs
@@ -1,6 +1,5 @@
 //! Sends an admitted request to its instance and streams the response back to the ingress.
 
-use std::cell::Cell;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -9,7 +8,6 @@
 
 use crate::egress::egress_handle::SharedDispatcher;
 use crate::egress::offer_task::{NOT_READY_RETRY_AFTER, refuse};
-use crate::egress::overdue_watch::OverdueWatch;
 use crate::egress::probe_task::{outcome_of_failure, outcome_of_status};
 use crate::egress::{BackendResponse, EgressHandle, SendFailure, SlotGuard};
 use crate::execution_verdict::ExecutionVerdict;
@@ -37,8 +35,6 @@
     pub(crate) receiver: PeerReceiver,
     pub(crate) clock: ProcessClock,
     pub(crate) deadline: Deadline,
-    /// Whether the health of the instance knows that the request takes longer than usual.
-    pub(crate) is_overdue: bool,
 }
 
 impl ExecutionTask<'_> {
@@ -47,7 +43,7 @@
     /// An idempotent request is cancelled when the stream from the ingress ends.
     pub(crate) async fn run(mut self, guard: SlotGuard) -> Result<(), PeerError> {
         let start = guard.sent_at().unwrap_or_else(|| self.clock.now());
-        let result = self.send_to_instance(start).await;
+        let result = self.send_to_instance().await;
         if let Some(Ok(response)) = &result {
             self.observe_statements(response, start);
         }
@@ -70,33 +66,15 @@
     }
 
     /// The response whose head has arrived, or none if the request was cancelled.
-    async fn send_to_instance(
-        &mut self,
-        start: MonoTime,
-    ) -> Option<Result<BackendResponse, SendFailure>> {
+    async fn send_to_instance(&mut self) -> Option<Result<BackendResponse, SendFailure>> {
         let address = self.dispatcher.borrow().local().address;
-        let watch = OverdueWatch {
-            egress: self.egress,
-            dispatcher: self.dispatcher.clone(),
-            class: self.offer.class,
-            start,
-            is_told: Cell::new(false),
-        };
         let sending = pin!(self.egress.client.send(address, &self.offer, self.deadline));
         let lost = pin!(wait_stream_end(&mut self.receiver));
-        let outcome = async {
-            match select(sending, lost).await {
-                Either::Left((result, _)) => Some(result),
-                Either::Right(((), _)) if self.offer.idempotent => None,
-                Either::Right(((), sending)) => Some(sending.await),
-            }
-        };
-        let result = match select(pin!(outcome), pin!(watch.run())).await {
-            Either::Left((result, _)) => result,
-            Either::Right((never, _)) => match never {},
-        };
-        self.is_overdue = watch.is_told.get();
-        result
+        match select(sending, lost).await {
+            Either::Left((result, _)) => Some(result),
+            Either::Right(((), _)) if self.offer.idempotent => None,
+            Either::Right(((), sending)) => Some(sending.await),
+        }
     }
 
     /// Takes in what the response states of the instance: that it leaves, its limit, and how long it
@@ -277,10 +255,7 @@
         };
         let durations = &self.egress.sources.durations;
         durations.record_instance(sample.class, outcome, sample.service_time);
-        // The stall of an overdue request has been counted already.
-        if outcome != SampleOutcome::Stalled || !self.is_overdue {
-            self.egress.observe(&self.dispatcher, &sample);
-        }
+        self.egress.observe(&self.dispatcher, &sample);
     }
 
     /// Uses the request's target for probes if it was an idempotent `GET` that succeeded.
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -18,7 +18,6 @@
 mod instance_end;
 mod offer_task;
 mod offered_body;
-mod overdue_watch;
 mod probe_task;
 mod request_bucket;
 mod running_digests;
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -286,7 +286,6 @@
             receiver: self.receiver,
             clock: self.clock,
             deadline: self.deadline,
-            is_overdue: false,
         }
     }
 
--- a/src/health/instance_health.rs
+++ b/src/health/instance_health.rs
@@ -9,7 +9,7 @@
 use crate::health::slowness_detector::SlownessDetector;
 use crate::health::stall_detector::StallDetector;
 use crate::health::{HealthCause, HealthChange, SampleOutcome, ServiceBaseline, ServiceSample};
-use crate::resource::{RecoveryRule, RequestClass};
+use crate::resource::RecoveryRule;
 use crate::time::MonoTime;
 use crate::wire::HealthState;
 
@@ -247,16 +247,6 @@
         self.slowness.median()
     }
 
-    /// How long a request of `class` may run until it counts as stalled; none while its usual time is unknown.
-    #[must_use]
-    pub fn overdue_time(
-        &self,
-        class: RequestClass,
-        baseline: &ServiceBaseline,
-    ) -> Option<Duration> {
-        self.slowness.overdue_time(class, baseline)
-    }
-
     /// Returns whether the median has changed enough to be published again, and if so takes it
     /// as published.
     ///
--- a/src/health/slowness_detector.rs
+++ b/src/health/slowness_detector.rs
@@ -16,10 +16,6 @@
 /// The same multiple during the first `COLD_TIME` of an instance, whose cold responses are slower.
 const COLD_RATIO: f64 = 6.0;
 const COLD_TIME: Duration = Duration::from_secs(10);
-/// Multiple of its usual time after which a running request counts as stalled.
-const OVERDUE_RATIO: u32 = 20;
-/// Lower limit of that time, for services with a very short one.
-const MIN_OVERDUE: Duration = Duration::from_millis(250);
 /// Log-likelihood ratio of a slow response, for "slow instance" against "healthy".
 const SLOW_EVIDENCE: f64 = 3.0;
 /// Log-likelihood ratio of a response that is not slow.
@@ -164,17 +160,6 @@
         median.or_else(|| baseline.median())
     }
 
-    /// How long a request of `class` may run until it counts as stalled; `None` while its usual time is
-    /// unknown.
-    pub(super) fn overdue_time(
-        &self,
-        class: RequestClass,
-        baseline: &ServiceBaseline,
-    ) -> Option<Duration> {
-        let usual_time = self.usual_time(class, baseline)?;
-        Some((usual_time * OVERDUE_RATIO).max(MIN_OVERDUE))
-    }
-
     /// The evidence that the instance is slow.
     pub(super) const fn detector(&self) -> &CusumDetector {
         &self.detector
