Accept no request after a stopping daemon's last check for requests

Cause: the shutdown looks for requests in flight until the first moment without one. Closing the connections from other daemons and leaving the membership take up to 200 ms after that, longer with a silent peer, and the ingress went on to accept what came on open connections.

Evidence: the logs show 'Stopped.' before the request arrives and the exit during its work.

Change: right after the last check, without another step of the event loop in between, the ingress closes its listener and the connections that wait for a request, without reading from them again. The egress needs no such step: since its stop it refuses offers as not run.

Test: process_closing request_after_last_check; before this change 'ran 1 times' without a response, after it the request is not read and does not run.

--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -143,6 +143,9 @@
         self.egress.stop();
         self.ingress.listen_for_calls();
         let status = self.drain_requests(limits, deadline).await;
+        // The egress starts nothing since its stop. From here on the ingress accepts nothing either, so
+        // the rest of the shutdown and the exit cut off no request.
+        self.ingress.close();
         if !hand_over.is_finished() {
             log::warn!(target: log_target::DAEMON, "Return of the rate limits abandoned: the platform or other daemons are slow. The leases expire by themselves.");
             hand_over.abort();
--- a/src/http/busy_connection.rs
+++ b/src/http/busy_connection.rs
@@ -8,7 +8,8 @@
 use crate::http::pending_body::PendingBody;
 
 /// Counts its connection as busy from a response until that is flushed to the socket, and from
-/// `mark_closing` until the connection is dropped. Clones share the state.
+/// `mark_closing` until the connection is dropped. It also knows whether a request is being handled,
+/// which whoever handles it counts. Clones share the state.
 ///
 /// The server attaches one to each connection. A graceful shutdown waits for the busy connections but
 /// not for the idle ones.
@@ -28,6 +29,8 @@
     /// Whether the server may have bytes of a response that the socket has not accepted.
     is_unflushed: Cell<bool>,
     is_closing: Cell<bool>,
+    /// Whether a request has been read whose response does not exist yet.
+    has_request: Cell<bool>,
 }
 
 impl BusyConnection {
@@ -40,6 +43,7 @@
             has_body: Cell::new(false),
             is_unflushed: Cell::new(false),
             is_closing: Cell::new(false),
+            has_request: Cell::new(false),
         };
         Self {
             state: Rc::new(state),
@@ -52,8 +56,20 @@
         self.state.update_count();
     }
 
+    /// Records that a request has been read. It is handled until `track` gets its response.
+    pub(crate) fn begin_request(&self) {
+        self.state.has_request.set(true);
+    }
+
+    /// Whether the connection waits for a request: every request read from it is answered, and the
+    /// responses are flushed to the socket.
+    pub(crate) fn is_idle(&self) -> bool {
+        !self.state.has_request.get() && !self.state.is_counted.get()
+    }
+
     /// Counts the connection as busy until `body` is dropped and the connection is flushed after that.
     pub(crate) fn track(&self, body: BoxBody) -> BoxBody {
+        self.state.has_request.set(false);
         self.state.has_body.set(true);
         self.state.update_count();
         BoxBody::new(PendingBody::open(body, self.clone()))
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -12,11 +12,11 @@
 use actix_http::{HttpService, Request, Response};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
-use futures_util::future::{LocalBoxFuture, select};
+use futures_util::future::{Either, LocalBoxFuture, select};
 use tokio::sync::oneshot;
 
 use crate::http::signaling_stream::SignalingStream;
-use crate::http::{BusyConnection, LateConnections};
+use crate::http::{BusyConnection, IdleClosing, LateConnections};
 use crate::logs::log_target;
 
 /// Pause after a failed `accept`, so that a lasting error, such as too many open files, does not
@@ -58,6 +58,7 @@
     /// Number of busy connections.
     busy: Rc<Cell<usize>>,
     late: LateConnections,
+    idle_closing: IdleClosing,
     /// Dropped with the server, which ends the accept loop.
     _listening: oneshot::Sender<()>,
 }
@@ -85,13 +86,19 @@
         let busy = Rc::new(Cell::new(0));
         let late = LateConnections::default();
         let (listening, closed) = oneshot::channel();
-        let counts = (Rc::clone(&busy), late.clone());
-        let serving = serve_until_closed(listener, handler, timeouts, counts, closed);
+        let idle_closing = IdleClosing::default();
+        let tracking = ConnectionTracking {
+            busy: Rc::clone(&busy),
+            late: late.clone(),
+            idle_closing: idle_closing.clone(),
+        };
+        let serving = serve_until_closed(listener, handler, timeouts, tracking, closed);
         actix_rt::spawn(serving);
         Ok(Self {
             address,
             busy,
             late,
+            idle_closing,
             _listening: listening,
         })
     }
@@ -115,17 +122,38 @@
     pub fn late_connections(&self) -> LateConnections {
         self.late.clone()
     }
+
+    /// Returns what closes the idle connections. The value stays valid after the server is dropped.
+    #[must_use]
+    pub fn idle_closing(&self) -> IdleClosing {
+        self.idle_closing.clone()
+    }
+}
+
+/// What the server knows of its connections.
+struct ConnectionTracking {
+    busy: Rc<Cell<usize>>,
+    late: LateConnections,
+    idle_closing: IdleClosing,
 }
 
 async fn serve_until_closed(
     listener: TcpListener,
     handler: HttpHandler,
     timeouts: HttpTimeouts,
-    (busy, late): (Rc<Cell<usize>>, LateConnections),
+    tracking: ConnectionTracking,
     closed: oneshot::Receiver<()>,
 ) {
+    let ConnectionTracking {
+        busy,
+        late,
+        idle_closing,
+    } = tracking;
     let request_service = fn_service(move |request: Request| {
         let connection = request.conn_data::<BusyConnection>().cloned();
+        if let Some(connection) = &connection {
+            connection.begin_request();
+        }
         let response = handler(request);
         async move {
             let response = response.await;
@@ -156,10 +184,18 @@
         let _ = socket.set_nodelay(true);
         let service = Rc::clone(&service);
         let busy = Rc::clone(&busy);
+        let idle_closing = idle_closing.clone();
         actix_rt::spawn(async move {
             let peer = socket.peer_addr().ok();
             let stream = SignalingStream::open(socket, timeouts.write_progress, busy);
-            let _ = service.call((stream, peer)).await;
+            let connection = stream.busy_connection();
+            let serving = pin!(service.call((stream, peer)));
+            let closing = pin!(idle_closing.wait());
+            if let Either::Right(((), serving)) = select(serving, closing).await
+                && !connection.is_idle()
+            {
+                let _ = serving.await;
+            }
         });
     };
     {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -13,7 +13,9 @@
 use crate::crashes::SuspectsHandle;
 use crate::evacuation::{AvoidedZones, RecordFilter};
 use crate::hash::FastMap;
-use crate::http::{HeaderRules, HttpHandler, HttpServer, HttpTimeouts, LateConnections};
+use crate::http::{
+    HeaderRules, HttpHandler, HttpServer, HttpTimeouts, IdleClosing, LateConnections,
+};
 use crate::ids::{BootId, RequestId, RouteId, ServiceId, ZoneId};
 use crate::ingress::shutdown_signal::ShutdownSignal;
 use crate::ingress::{BodyBudget, CreditLedger, RequestTotals, ShutdownLimits, request_task};
@@ -89,6 +91,7 @@
     /// Connections whose response is not flushed, or that were told to close and are still open.
     busy_connections: Rc<RefCell<Rc<Cell<usize>>>>,
     late_connections: Rc<RefCell<LateConnections>>,
+    idle_closing: Rc<RefCell<IdleClosing>>,
     /// Requests that are being served.
     in_flight: Rc<Cell<usize>>,
     pub(crate) shutdown: ShutdownSignal,
@@ -123,6 +126,7 @@
             server: Rc::default(),
             busy_connections: Rc::default(),
             late_connections: Rc::default(),
+            idle_closing: Rc::default(),
             in_flight: Rc::default(),
             shutdown: ShutdownSignal::default(),
             body_budget: BodyBudget::open(sources.proxy.body_memory),
@@ -138,6 +142,7 @@
         let server = HttpServer::bind_with(address, handler, timeouts).await?;
         *handle.busy_connections.borrow_mut() = server.busy_connections();
         *handle.late_connections.borrow_mut() = server.late_connections();
+        *handle.idle_closing.borrow_mut() = server.idle_closing();
         *handle.server.borrow_mut() = Some(server);
         Ok(handle)
     }
@@ -166,6 +171,13 @@
         *self.server.borrow_mut() = None;
     }
 
+    /// Accepts no request from now on: closes the listener and the connections on which no request is
+    /// being served. Responses under way are still sent.
+    pub fn close(&self) {
+        self.stop_listening();
+        self.idle_closing.borrow().begin();
+    }
+
     /// Returns whether `stop` was called.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/tests/process_closing.rs
+++ b/tests/process_closing.rs
@@ -1,4 +1,5 @@
-//! Tests with real processes: a daemon that exits delivers the last responses to other daemons.
+//! Tests with real processes: a daemon that exits delivers the last responses, and accepts no request that
+//! its exit would cut off.
 
 mod common;
 
@@ -6,6 +7,8 @@
 
 use awc::http::Method;
 use common::{DeskFleet, FleetPlan, RelayMode, eventually};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Requests that run at the same time.
 const REQUESTS: usize = 8;
@@ -15,6 +18,8 @@
 /// Rate of the link between the daemons. The responses take 4 s together, and the daemon beside the
 /// instance has nothing else to wait for after 2.3 s.
 const BYTES_PER_SECOND: u64 = 480_000;
+/// Median time that a request takes at an instance where that matters.
+const WORK: Duration = Duration::from_millis(600);
 
 /// Two daemons whose only ready instance is beside the second, with relays between the daemons.
 async fn open_desk(name: &str) -> DeskFleet {
@@ -75,3 +80,82 @@
 fn tag(number: usize) -> String {
     format!("last-{number}")
 }
+
+/// Guards against a request that a daemon accepts on a kept connection after it has seen that no request is
+/// left: an instance ran it, and the process ended without its response.
+#[actix_rt::test]
+async fn request_after_last_check() {
+    let plan = FleetPlan {
+        tables: "[proxy]\nshutdown = \"6s\"\n".to_owned(),
+        ..FleetPlan::of(3)
+    };
+    let mut desk = DeskFleet::open_with("closing-late-request", plan, |plan| {
+        plan.service_time = format!("{}ms", WORK.as_millis());
+    })
+    .await;
+    let key = unlimited_key(&desk).await;
+    let callers = desk.fleet.daemons[0].callers();
+    let mut socket = TcpStream::connect(callers).await.unwrap();
+    post(&mut socket, &key, "before").await.unwrap();
+    let before = read_head(&mut socket).await;
+    assert!(before.starts_with("HTTP/1.1 200"), "{before}");
+    for index in [0, 2] {
+        let order = "{\"phase\":\"draining\"}";
+        desk.fleet.backends[index].control(order).await;
+    }
+    // The stopping daemon waits for a connection of this one, on which nothing arrives.
+    desk.fleet.daemons[2].process.pause();
+    desk.fleet.daemons[0].process.terminate();
+    eventually("the last check", async || {
+        let output = desk.fleet.daemons[0].process.output();
+        output.contains("Stopped.")
+    })
+    .await;
+    let sent = post(&mut socket, &key, "after").await;
+    let after = read_head(&mut socket).await;
+    desk.fleet.daemons[2].process.resume();
+    // An instance records a request at the end of its work.
+    actix_rt::time::sleep(2 * WORK).await;
+    let runs = desk.times_ran("after").await;
+    let is_served = after.starts_with("HTTP/1.1 200");
+    assert!(
+        is_served || runs == 0,
+        "ran {runs} times: {sent:?} '{after}'"
+    );
+    let status = desk.fleet.daemons[0].process.ended().await;
+    assert!(status.success(), "{status}");
+}
+
+/// Issues a key of a client account without a limit: a stopping daemon has no tokens of the others.
+async fn unlimited_key(desk: &DeskFleet) -> String {
+    let resources = desk.fleet.resources(0);
+    let account = serde_json::json!({"id": "unlimited", "unlimited": true});
+    resources.create("account", account).await;
+    let key = resources.issue_key("unlimited", "unlimited").await;
+    let caller = desk.fleet.daemons[0].caller().with_key(&key);
+    eventually("the key in force", async || {
+        let answer = caller.get("/lookups/1").await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    })
+    .await;
+    key
+}
+
+async fn post(socket: &mut TcpStream, key: &str, tag: &str) -> std::io::Result<()> {
+    let request = format!(
+        "POST /filings HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\nx-tag: {tag}\r\ncontent-length: 0\r\n\r\n"
+    );
+    socket.write_all(request.as_bytes()).await
+}
+
+/// Reads the head of a response with what arrives beside it; empty if the connection ends first.
+async fn read_head(socket: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    while !bytes.windows(4).any(|part| part == b"\r\n\r\n") {
+        match socket.read_buf(&mut bytes).await {
+            Ok(0) | Err(_) => return String::new(),
+            Ok(_) => {}
+        }
+    }
+    String::from_utf8(bytes).unwrap()
+}
