Confirm instances that are new to a restarted daemon by a second announcement

Cause: what a daemon has acknowledged to an instance lives in the memory of its process. After a kill the new process takes a late announcement for the newest one and uses the instance for a lease of 12 s.

Change: an instance that is new to the process and may be older than it is used for good from its second announcement on, which an instance that has left never sends. For start_trust (3 s, on the users' platform stableWindowMs) after the start the first announcement is used until then, unless other daemons hold a record that the earlier process published the instance as gone, so that a restart of all daemons leaves no sound instance waiting.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::admin::{AdminServer, AdminSources};
 use crate::config::{ConfigHandle, ConfigSources, DocumentPeers};
@@ -17,7 +18,7 @@
 use crate::http::HeaderRules;
 use crate::ids::{BootId, DaemonId, ZoneId};
 use crate::ingress::{IngressHandle, IngressSources};
-use crate::instances::{AnnounceServer, AnnounceSources};
+use crate::instances::{AnnounceServer, AnnounceSources, RenewalRule};
 use crate::limits::{HomeCandidate, LimitsHandle, LimitsSources, MemberSource};
 use crate::members::{MemberSources, MembersHandle};
 use crate::metrics::MetricsExport;
@@ -227,11 +228,22 @@
     ) -> io::Result<Rc<AnnounceServer>> {
         let address = settings.listen.announce;
         let (egress, observer) = (egress.clone(), egress.clone());
+        let members = Rc::clone(&self.members);
         let stopping = Rc::clone(&self.stopping);
         let server = AnnounceServer::bind(AnnounceSources {
             address,
             reader: Rc::clone(&self.adapters.announcements),
             clock: self.clock,
+            renewal_rule: RenewalRule::open(
+                self.clock.now(),
+                unix_millis(),
+                settings.start_trust.get(),
+            ),
+            has_left: Rc::new(move |instance| {
+                members
+                    .get()
+                    .is_some_and(|members| members.has_left(instance))
+            }),
             on_change: Rc::new(move |local| egress.apply_announcement(&local)),
             on_announcement: Rc::new(move |instance, announcement| {
                 observer.observe_cold_announcement(instance, announcement);
@@ -303,6 +315,14 @@
     }
 }
 
+/// The Unix time in milliseconds; 0 if the wall clock is set to an earlier time.
+fn unix_millis() -> u64 {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    wall.map_or(0, |wall| {
+        u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Builds the error of a listener that cannot be bound, with the settings field that holds its
 /// address.
 pub(crate) fn bind_error(field: &str, address: SocketAddr, cause: &io::Error) -> io::Error {
--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -44,9 +44,10 @@
     /// The I/O error if the address cannot be bound.
     pub async fn bind(sources: AnnounceSources) -> io::Result<Self> {
         let address = sources.address;
+        let table = AnnounceTable::open(sources.renewal_rule.clone());
         let state = Rc::new(AnnounceState {
             sources,
-            table: RefCell::default(),
+            table: RefCell::new(table),
         });
         let handler_state = Rc::clone(&state);
         let handler: HttpHandler = Rc::new(move |request| {
@@ -111,7 +112,7 @@
         let now = state.sources.clock.now();
         let changed = state.table.borrow_mut().expire_leases(now);
         for local in changed {
-            log::warn!(target: log_target::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Lease missed.");
+            log::warn!(target: log_target::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Lease missed, or a first announcement not confirmed by a later one.");
             (state.sources.on_change)(local);
         }
     }
@@ -169,6 +170,9 @@
         if is_new && (self.sources.is_stopping)() {
             return Err(AnnounceError::Stopping);
         }
+        if is_new && (self.sources.has_left)(instance) {
+            self.table.borrow_mut().note_left(instance);
+        }
         let outcome = self
             .table
             .borrow_mut()
--- a/src/instances/announce_table.rs
+++ b/src/instances/announce_table.rs
@@ -4,7 +4,9 @@
 
 use crate::hash::FastMap;
 use crate::ids::InstanceId;
-use crate::instances::{AnnounceError, AnnounceOrder, Announcement, LocalInstance};
+use crate::instances::{
+    AnnounceError, AnnounceOrder, Announcement, FirstUse, LocalInstance, RenewalRule,
+};
 use crate::time::{Deadline, MonoTime};
 use crate::wire::InstancePhase;
 
@@ -26,6 +28,8 @@
     order: Option<AnnounceOrder>,
     /// When the instance moves on to the next phase, or is forgotten, unless the lease is renewed.
     expiry: Deadline,
+    /// Until when the instance is used unless a later announcement confirms it; none if it is confirmed.
+    unconfirmed_until: Option<Deadline>,
 }
 
 /// Derives the phase of each instance from its announcements and its lease.
@@ -33,12 +37,30 @@
 /// An instance that announced `draining` or `gone` does not become ready again until it announces
 /// `starting` or announces a later start of its process.
 /// So a renewal that was sent before the drain and arrives after it does not undo the drain.
+///
+/// An instance that is new to this process counts as draining while [`RenewalRule`] asks for a later
+/// announcement.
 #[derive(Debug, Default)]
 pub struct AnnounceTable {
     instances: FastMap<InstanceId, LeasedInstance>,
+    rule: RenewalRule,
 }
 
 impl AnnounceTable {
+    /// Creates an empty table that takes in new instances by `rule`.
+    #[must_use]
+    pub fn open(rule: RenewalRule) -> Self {
+        Self {
+            instances: FastMap::default(),
+            rule,
+        }
+    }
+
+    /// Takes in that an earlier process of this daemon published `instance` as gone.
+    pub fn note_left(&mut self, instance: &InstanceId) {
+        self.rule.note_left(instance);
+    }
+
     /// Applies an announcement. Returns the instance and whether anything but its lease changed.
     ///
     /// An announcement that is older than the newest one of the same run is ignored.
@@ -76,7 +98,16 @@
             true => announcement.phase,
             false => phase_after(known, announcement.phase),
         };
-        let leased = lease(instance, announcement, phase, now);
+        let mut leased = lease(instance, announcement, phase, now);
+        leased.unconfirmed_until = match known {
+            Some(known) if known.is_confirmed_by(announcement) => None,
+            Some(known) => known.unconfirmed_until,
+            None => match self.rule.first_use(instance, announcement, now) {
+                FirstUse::Confirmed => None,
+                FirstUse::Until(deadline) => Some(deadline),
+            },
+        };
+        leased.end_trust(now);
         let changed = restarted || known.is_none_or(|known| known.local != leased.local);
         let local = leased.local.clone();
         self.instances.insert(instance.clone(), leased);
@@ -133,11 +164,14 @@
         })
     }
 
-    /// Moves the instances whose lease has expired by `now` on to their next phase and returns
-    /// those that changed. Forgets the instances that have been gone for `GONE_RETENTION`.
+    /// Moves the instances whose lease has expired by `now` on to their next phase, takes those that no
+    /// announcement has confirmed in time out of use, and returns those that changed. Forgets the instances that have been gone for `GONE_RETENTION`.
     pub fn expire_leases(&mut self, now: MonoTime) -> Vec<LocalInstance> {
         let mut changed = Vec::new();
         self.instances.retain(|_, leased| {
+            if leased.end_trust(now) {
+                changed.push(leased.local.clone());
+            }
             if !leased.expiry.has_passed(now) {
                 return true;
             }
@@ -172,7 +206,8 @@
     pub fn accepts_work(&self, instance: &InstanceId, now: MonoTime) -> bool {
         let leased = self.instances.get(instance);
         leased.is_some_and(|leased| {
-            leased.local.phase == InstancePhase::Ready && !leased.expiry.has_passed(now)
+            let is_ready = leased.local.phase == InstancePhase::Ready;
+            is_ready && !leased.expiry.has_passed(now) && !leased.has_trust_ended(now)
         })
     }
 
@@ -201,6 +236,30 @@
         started_before(self.order, announcement.order)
     }
 
+    /// Whether `announcement` shows that the instance has not left before this process started: a later
+    /// one of the same run, or one of a later run.
+    fn is_confirmed_by(&self, announcement: &Announcement) -> bool {
+        match (self.order, announcement.order) {
+            (Some(known), Some(offered)) => known < offered,
+            _ => true,
+        }
+    }
+
+    fn has_trust_ended(&self, now: MonoTime) -> bool {
+        self.unconfirmed_until
+            .is_some_and(|deadline| deadline.has_passed(now))
+    }
+
+    /// Turns a ready instance to draining if it is not confirmed in time. Returns whether it did.
+    fn end_trust(&mut self, now: MonoTime) -> bool {
+        let is_ready = self.local.phase == InstancePhase::Ready;
+        let has_ended = is_ready && self.has_trust_ended(now);
+        if has_ended {
+            self.local.phase = InstancePhase::Draining;
+        }
+        has_ended
+    }
+
     /// Moves the instance to `Gone`, where it stays until it announces `starting` or a later start.
     fn mark_gone(&mut self, now: MonoTime) {
         self.local.phase = InstancePhase::Gone;
@@ -245,6 +304,7 @@
         order: announcement.order,
         is_leaving: matches!(phase, InstancePhase::Draining | InstancePhase::Gone),
         expiry: now.after(duration),
+        unconfirmed_until: None,
     }
 }
 
--- a/src/instances/mod.rs
+++ b/src/instances/mod.rs
@@ -7,6 +7,7 @@
 mod announce_table;
 mod announcement;
 mod local_instance;
+mod renewal_rule;
 
 pub use announce_error::AnnounceError;
 pub use announce_server::AnnounceServer;
@@ -14,3 +15,4 @@
 pub use announce_table::AnnounceTable;
 pub use announcement::{AnnounceOrder, Announcement, MAX_LEASE, MIN_LEASE};
 pub use local_instance::LocalInstance;
+pub use renewal_rule::{FirstUse, RenewalRule};
--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -211,6 +211,7 @@
     /// Tracks a record of an earlier boot, which is published as gone unless the instance
     /// announces itself again.
     fn track_earlier_boot(&mut self, record: &InstanceRecord, now: MonoTime) {
+        self.local_records.note_left(record);
         let known = self.view.records().get(&record.instance);
         let is_newer = known.is_none_or(|known| record.incarnation > known.incarnation);
         if is_newer && record.phase != InstancePhase::Gone {
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -43,6 +43,10 @@
     /// Time over which daemons that start together spread their first call to the platform.
     #[serde(default = "default_spread")]
     pub start_spread: TimeSpan,
+    /// Time after the start in which instances are used from their first announcement on, whatever an
+    /// earlier process of this daemon knew of them. Afterwards a later announcement must confirm them.
+    #[serde(default = "default_trust")]
+    pub start_trust: TimeSpan,
     /// Addresses on which the daemon listens.
     pub listen: ListenSettings,
     /// Address of the platform's service and limits on its use.
@@ -73,6 +77,10 @@
     TimeSpan::from_millis(0)
 }
 
+const fn default_trust() -> TimeSpan {
+    TimeSpan::from_secs(3)
+}
+
 const fn default_level() -> log::LevelFilter {
     log::LevelFilter::Info
 }
@@ -91,8 +99,8 @@
         Ok(settings)
     }
 
-    /// Names of the top-level fields in which `other` differs, except `log_level` and `start_spread`,
-    /// which only matters at the start.
+    /// Names of the top-level fields in which `other` differs, except `log_level`, and `start_spread` and
+    /// `start_trust`, which only matter at the start.
     #[must_use]
     pub fn changed_fields(&self, other: &Self) -> Vec<&'static str> {
         let pairs = self.field_texts().into_iter().zip(other.field_texts());
@@ -100,7 +108,7 @@
         changed.map(|((name, _), _)| name).collect()
     }
 
-    /// Name and debug text of each top-level field except `log_level` and `start_spread`; two texts
+    /// Name and debug text of each top-level field except those that `changed_fields` leaves out; two texts
     /// differ if the fields differ.
     fn field_texts(&self) -> [(&'static str, String); 15] {
         let text = |field: &dyn std::fmt::Debug| format!("{field:?}");
--- a/tests/instances_http.rs
+++ b/tests/instances_http.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use wagtailtrack::instances::{AnnounceServer, AnnounceSources, LocalInstance};
+use wagtailtrack::instances::{AnnounceServer, AnnounceSources, LocalInstance, RenewalRule};
 use wagtailtrack::time::ProcessClock;
 use wagtailtrack::wire::InstancePhase;
 
@@ -29,6 +29,8 @@
             reader: Rc::new(wagtailtrack::instances::Announcement::parse),
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             clock: ProcessClock::open(),
+            renewal_rule: RenewalRule::default(),
+            has_left: Rc::new(|_| false),
             on_change: Rc::new(move |local| reported.borrow_mut().push(local)),
             on_announcement: Rc::new(|_, _| {}),
             is_stopping: Rc::new(move || *is_stopping.borrow()),
--- a/tests/process_announce.rs
+++ b/tests/process_announce.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use awc::http::{Method, StatusCode};
-use common::{DeskFleet, FLEET_SECRET, FleetPlan, eventually, sample_offer};
+use common::{
+    CallerClient, DaemonProcess, DeskFleet, FLEET_SECRET, FleetPlan, eventually, sample_offer,
+};
 use serde_json::Value;
 use wagtailtrack::ids::{BootId, RequestId};
 use wagtailtrack::peers::{FleetKey, PeerPool};
@@ -254,3 +256,68 @@
     let response = desk.caller(0).get("/lookups/1").await.unwrap();
     assert_eq!(response.status, StatusCode::OK);
 }
+
+/// What happens to the daemons between a leave and a late announcement.
+#[derive(Debug, Clone, Copy)]
+enum Disruption {
+    KillOne,
+    KillAll,
+    Pause,
+}
+
+/// Guards against an instance that has left and that a late announcement brings back, because the process
+/// that acknowledged the leave was killed or paused.
+#[actix_rt::test]
+async fn late_announcement_after_restart() {
+    let disruptions = [Disruption::KillOne, Disruption::KillAll, Disruption::Pause];
+    for disruption in disruptions {
+        check_late_announcement(disruption).await;
+    }
+}
+
+async fn check_late_announcement(disruption: Disruption) {
+    const LEAVING: &str = "/v1/instances/desk-leaving";
+    let name = format!("announce-late-{disruption:?}").to_lowercase();
+    let mut desk = DeskFleet::open(&name, 2).await;
+    let address = desk.fleet.backends[1].address;
+    let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let started_millis = started.unwrap().as_millis();
+    let announce = async |desk: &DeskFleet, sequence: u32| {
+        let body = format!(
+            r#"{{"service":"desk","address":"{address}","phase":"ready","slots":3,"lease":"12s","order":{{"started_millis":{started_millis},"sequence":{sequence}}}}}"#
+        );
+        let client = CallerClient::open(desk.fleet.daemons[1].announce());
+        let answer = client.send(Method::PUT, LEAVING, "", body.as_bytes()).await;
+        answer.unwrap().status
+    };
+    assert_eq!(announce(&desk, 1).await, StatusCode::OK);
+    let client = CallerClient::open(desk.fleet.daemons[1].announce());
+    let left = client.send(Method::DELETE, LEAVING, "", b"").await.unwrap();
+    assert_eq!(left.status, StatusCode::OK);
+    match disruption {
+        Disruption::KillOne => desk.fleet.daemons[1].restart(),
+        Disruption::KillAll => desk
+            .fleet
+            .daemons
+            .iter_mut()
+            .for_each(DaemonProcess::restart),
+        Disruption::Pause => {
+            desk.fleet.daemons[1].process.pause();
+            actix_rt::time::sleep(Duration::from_secs(1)).await;
+            desk.fleet.daemons[1].process.resume();
+        }
+    }
+    for daemon in &mut desk.fleet.daemons {
+        daemon.ready().await;
+    }
+    announce(&desk, 2).await;
+    // As long as a daemon that has just started trusts first announcements.
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    let answer = client.get("/v1/instances").await.unwrap();
+    let instances: Vec<Value> = serde_json::from_slice(&answer.body).unwrap();
+    let leaving = instances
+        .iter()
+        .find(|instance| instance["instance"] == "desk-leaving");
+    let phase = leaving.map(|instance| instance["phase"].as_str().unwrap().to_owned());
+    assert_ne!(phase.as_deref(), Some("ready"), "{disruption:?}");
+}
