Bound what a lease row of another writer can do

Reported by operators of similar systems: one odd entry ends the processes that read the list. A row that cannot be read took its share from the fleet for good, and a row with the key limits/share/1 hid that of share 001, so that each renewal of the holder, with all its shares, conflicted.

Cause: a lease row is used as read, without a bound on its lease, and its key is parsed as a number.

Change: a row counts as readable only with a lease of at most a week, and only under the key that holders write. A row that cannot be read is logged once a version, and its share may be claimed when the row has not changed for a lease.

--- a/src/limits/lease_holder.rs
+++ b/src/limits/lease_holder.rs
@@ -5,6 +5,7 @@
 use crate::limits::held_lease::HeldLease;
 use crate::limits::seen_row::{SeenRow, claim_wait};
 use crate::limits::{LeaseChange, LeaseIdentity, LeasePlan, LeaseRow, ShareSet, clock_margin};
+use crate::logs::log_target;
 use crate::platform::TableRow;
 use crate::time::{Deadline, MonoTime};
 use crate::units::TimeSpan;
@@ -79,7 +80,10 @@
         let mut versions: FastMap<u8, (Version, Option<LeaseRow>)> = FastMap::default();
         for row in rows {
             if let Some(share) = LeaseRow::parse_key(&row.key) {
-                let value = serde_json::from_slice(&row.value).ok();
+                let value = LeaseRow::parse_value(&row.value);
+                if value.is_none() && !self.has_seen(share, row.version) {
+                    log::warn!(target: log_target::LIMITS, row:% = row.key.0, version:% = row.version; "Lease row cannot be read. Its share may be claimed after a lease unless the row changes.");
+                }
                 versions.insert(share, (row.version, value));
             }
         }
@@ -113,8 +117,12 @@
             .iter()
             .filter(|(share, _)| !self.held.contains_key(share));
         let lapses = others.filter_map(|(_, seen)| {
-            let row = seen.row.as_ref()?;
-            Some(seen.since.after(claim_wait(row.lease.get())))
+            let lease = match &seen.row {
+                Some(row) => row.lease,
+                None if seen.version == Version(0) => return None,
+                None => self.lease,
+            };
+            Some(seen.since.after(claim_wait(lease.get())))
         });
         lapses.filter(|lapse| !lapse.has_passed(now)).min()
     }
@@ -204,9 +212,13 @@
             .collect()
     }
 
+    fn has_seen(&self, share: u8, version: Version) -> bool {
+        let seen = self.seen.get(&share);
+        seen.is_some_and(|seen| seen.version == version)
+    }
+
     fn record_row(&mut self, share: u8, version: Version, row: Option<LeaseRow>, now: MonoTime) {
-        let known = self.seen.get(&share);
-        if known.is_none_or(|seen| seen.version != version) {
+        if !self.has_seen(share, version) {
             let since = now;
             self.seen.insert(
                 share,
@@ -331,8 +343,12 @@
     fn is_claimable(&self, seen: &SeenRow, now: MonoTime) -> bool {
         let Some(row) = &seen.row else {
             let wait = claim_wait(self.lease.get());
-            let is_lost = |at| now.since(at) < wait;
-            return seen.version == Version(0) && !self.restored_at.is_some_and(is_lost);
+            let is_recent = |at| now.since(at) < wait;
+            return match seen.version {
+                Version(0) => !self.restored_at.is_some_and(is_recent),
+                // The row cannot be read.
+                _ => !is_recent(seen.since),
+            };
         };
         let is_free = row.released || self.identity.wrote(row);
         let is_trusted = row.era == self.era();
--- a/src/limits/lease_row.rs
+++ b/src/limits/lease_row.rs
@@ -11,6 +11,9 @@
 /// Prefix of the keys of all lease rows.
 pub const SHARE_PREFIX: &str = "limits/share/";
 
+/// Longest lease of a row that is taken for one. Leases are hours long at most.
+const MAX_LEASE: TimeSpan = TimeSpan::from_secs(7 * 24 * 3600);
+
 /// The lease of one share.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -38,9 +41,18 @@
         RowKey(format!("{SHARE_PREFIX}{share:03}"))
     }
 
-    /// Parses the share from the key of a lease row. `None` if `key` is of another kind.
+    /// Parses the share from the key of a lease row. `None` if `key` is not the one that holders write.
     #[must_use]
     pub fn parse_key(key: &RowKey) -> Option<u8> {
-        key.0.strip_prefix(SHARE_PREFIX)?.parse().ok()
+        let share = key.0.strip_prefix(SHARE_PREFIX)?.parse().ok()?;
+        (Self::key(share) == *key).then_some(share)
+    }
+
+    /// Parses the value of a lease row. `None` if another writer may have left it: it cannot be read, or
+    /// its lease is longer than `MAX_LEASE`.
+    #[must_use]
+    pub fn parse_value(value: &[u8]) -> Option<Self> {
+        let row: Self = serde_json::from_slice(value).ok()?;
+        (row.lease <= MAX_LEASE).then_some(row)
     }
 }
