Send no request again on a connection on which it was refused

Cause: a response is matched with its request by the name alone, which the attempts of a request share, and the connection of a refusal goes back to the pool.

Where the settings say that instances name the request in every response (headers.echoes_request, set on the users' platform), a response without a name belongs to no request, so that an unnamed copy refuses nothing either.

Tests: backend_client repeated_refusal, which failed before (the second attempt counted as not run), and unnamed_response.

--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead, Uri};
+use actix_http::{Method, RequestHead, ResponseHead, Uri};
 
 use crate::egress::backend_connection::{BackendBody, BackendConnection};
 use crate::egress::backend_response::{self, BackendResponse};
@@ -132,11 +132,36 @@
         address: SocketAddr,
         offer: &RequestOffer,
         deadline: Deadline,
+    ) -> Result<BackendResponse, SendFailure> {
+        let requires_name = self.options.headers.echoes_request();
+        self.send_checked(address, offer, deadline, requires_name)
+            .await
+    }
+
+    /// Sends a health question like [`Self::send`]. Its response need not name the request.
+    ///
+    /// # Errors
+    /// As [`Self::send`].
+    pub(crate) async fn probe(
+        &self,
+        address: SocketAddr,
+        offer: &RequestOffer,
+        deadline: Deadline,
+    ) -> Result<BackendResponse, SendFailure> {
+        self.send_checked(address, offer, deadline, false).await
+    }
+
+    async fn send_checked(
+        &self,
+        address: SocketAddr,
+        offer: &RequestOffer,
+        deadline: Deadline,
+        requires_name: bool,
     ) -> Result<BackendResponse, SendFailure> {
         let head = self
             .request_head(address, offer, deadline)
             .ok_or(SendFailure::not_run(FailureCause::BadResponse))?;
-        let connection = match self.take_idle(address) {
+        let connection = match self.take_idle(address, &offer.request_name) {
             Some(connection) => connection,
             None => BackendConnection::open(address)
                 .await
@@ -144,7 +169,13 @@
         };
         let remaining = deadline.remaining(self.clock.now());
         let skipped = Cell::new(0);
-        let exchange = exchange(connection, head, offer, &self.options, &skipped);
+        let exchange = Exchange {
+            offer,
+            options: &self.options,
+            requires_name,
+            skipped: &skipped,
+        };
+        let exchange = exchange.run(connection, head);
         let result = actix_rt::time::timeout(remaining, exchange)
             .await
             .unwrap_or(Err(FailureCause::Timeout));
@@ -158,11 +189,16 @@
 
     /// Returns the connection of a complete response to the pool.
     ///
-    /// Closes it instead if it cannot be reused or the pool is full.
+    /// Closes it instead if it cannot be reused or the pool is full. A request that failed on it is not sent
+    /// on it again, since the response may arrive once more.
     pub fn release(&self, address: SocketAddr, response: BackendResponse) {
-        let Some(connection) = response.into_reusable() else {
+        let status = response.head.status;
+        let Some(mut connection) = response.into_reusable() else {
             return;
         };
+        if !connection.requests().end(status) {
+            return;
+        }
         let keep_alive = connection
             .keep_alive
             .unwrap_or(DEFAULT_IDLE_TIMEOUT + KEEP_ALIVE_MARGIN);
@@ -184,16 +220,16 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<BackendConnection> {
+    /// Takes the connection that was used last of those on which the request `name` may be sent.
+    fn take_idle(&self, address: SocketAddr, name: &str) -> Option<BackendConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some((connection, deadline)) = connections.pop() {
-            if !deadline.has_passed(now) && connection.is_usable() {
-                return Some(connection);
-            }
-        }
-        None
+        connections
+            .retain(|(connection, deadline)| !deadline.has_passed(now) && connection.is_usable());
+        let accepts = |(connection, _): &(BackendConnection, _)| connection.accepts(name);
+        let index = connections.iter().rposition(accepts)?;
+        Some(connections.remove(index).0)
     }
 
     /// The head to send, or none if the offer's method, target or headers are not valid HTTP.
@@ -236,30 +272,46 @@
     }
 }
 
-/// Sends the request and receives the head of its response.
-///
-/// Late or duplicate responses to other requests are skipped and counted in `skipped`.
-async fn exchange(
-    mut connection: BackendConnection,
-    head: RequestHead,
-    offer: &RequestOffer,
-    options: &ClientOptions,
-    skipped: &Cell<usize>,
-) -> Result<BackendResponse, FailureCause> {
-    connection
-        .send(head, &offer.body)
-        .await
-        .map_err(|_| FailureCause::ConnectionLost)?;
-    while skipped.get() < MAX_SKIPPED_RESPONSES {
-        let (head, body) = connection.receive().await?;
-        if !backend_response::is_mismatched(&head, options, &offer.request_name) {
-            return BackendResponse::open(&head, body, offer, options);
+/// One request and its response.
+struct Exchange<'a> {
+    offer: &'a RequestOffer,
+    options: &'a ClientOptions,
+    /// Whether a response that names no request is skipped.
+    requires_name: bool,
+    /// Number of responses to other requests that were skipped.
+    skipped: &'a Cell<usize>,
+}
+
+impl Exchange<'_> {
+    /// Sends the request and receives the head of its response. Late or duplicate responses to other
+    /// requests are skipped.
+    async fn run(
+        &self,
+        mut connection: BackendConnection,
+        head: RequestHead,
+    ) -> Result<BackendResponse, FailureCause> {
+        let offer = self.offer;
+        connection.requests().begin(&offer.request_name);
+        connection
+            .send(head, &offer.body)
+            .await
+            .map_err(|_| FailureCause::ConnectionLost)?;
+        while self.skipped.get() < MAX_SKIPPED_RESPONSES {
+            let (head, body) = connection.receive().await?;
+            if !self.is_mismatched(&head) {
+                return BackendResponse::open(&head, body, offer, self.options);
+            }
+            log::info!(target: log_target::EGRESS, request = offer.request_name, instance:% = offer.instance, status = head.status.as_u16(); "Response skipped: it names another request, or none.");
+            self.skipped.set(self.skipped.get() + 1);
+            connection = drain_body(body).await?;
         }
-        log::info!(target: log_target::EGRESS, request = offer.request_name, instance:% = offer.instance; "Response skipped: its request ID belongs to another request.");
-        skipped.set(skipped.get() + 1);
-        connection = drain_body(body).await?;
+        Err(FailureCause::BadResponse)
+    }
+
+    fn is_mismatched(&self, head: &ResponseHead) -> bool {
+        let name = &self.offer.request_name;
+        backend_response::is_mismatched(head, self.options, name, self.requires_name)
     }
-    Err(FailureCause::BadResponse)
 }
 
 /// Reads and discards a response body of at most `MAX_SKIPPED_BYTES`, so that the next response on the
--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -17,6 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::egress::ConnectionRequests;
 use crate::wire::FailureCause;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,6 +36,7 @@
     pub(crate) keep_alive: Option<Duration>,
     /// Whether the last request sent was a `HEAD` request, whose response has no body.
     is_head_request: bool,
+    requests: ConnectionRequests,
 }
 
 /// A connection in the middle of a response: the head was received, the body follows.
@@ -43,6 +45,7 @@
     buffer: BytesMut,
     codec: ClientPayloadCodec,
     keep_alive: Option<Duration>,
+    requests: ConnectionRequests,
     /// Whether the end of the connection marks the end of the body.
     ends_with_connection: bool,
     /// Whether the body was read to its end.
@@ -71,9 +74,20 @@
             codec: ClientCodec::default(),
             keep_alive: None,
             is_head_request: false,
+            requests: ConnectionRequests::default(),
         })
     }
 
+    /// The requests that were sent on this connection.
+    pub(crate) const fn requests(&mut self) -> &mut ConnectionRequests {
+        &mut self.requests
+    }
+
+    /// Whether the request `name` may be sent on this connection.
+    pub(crate) fn accepts(&self, name: &str) -> bool {
+        self.requests.accepts(name)
+    }
+
     /// Whether the connection is open and has no unread bytes. Bytes that arrive between two
     /// requests belong to no request, so the connection must not be reused.
     pub(crate) fn is_usable(&self) -> bool {
@@ -127,6 +141,7 @@
             buffer: self.buffer,
             codec: self.codec.into_payload_codec(),
             keep_alive: self.keep_alive,
+            requests: self.requests,
             ends_with_connection,
             is_complete: false,
         }
@@ -185,6 +200,7 @@
             codec: self.codec.into_message_codec(),
             keep_alive: self.keep_alive,
             is_head_request: false,
+            requests: self.requests,
         })
     }
 
--- a/src/egress/backend_response.rs
+++ b/src/egress/backend_response.rs
@@ -12,10 +12,15 @@
 use crate::wire::{BackendHead, FailureCause, InstanceLoad, RequestOffer};
 
 /// Whether the response names another request than `name` in its request ID header, because it
-/// is late or a duplicate. A response without the header is taken to match.
-pub(crate) fn is_mismatched(head: &ResponseHead, options: &ClientOptions, name: &str) -> bool {
+/// is late or a duplicate. A response without the header matches unless `requires_name` is set.
+pub(crate) fn is_mismatched(
+    head: &ResponseHead,
+    options: &ClientOptions,
+    name: &str,
+    requires_name: bool,
+) -> bool {
     let echoed = head.headers().get(options.headers.request());
-    echoed.is_some_and(|echoed| echoed.as_bytes() != name.as_bytes())
+    echoed.map_or(requires_name, |echoed| echoed.as_bytes() != name.as_bytes())
 }
 
 /// A response whose head has arrived and whose body can be read in chunks.
--- a/src/egress/cold_probe_task.rs
+++ b/src/egress/cold_probe_task.rs
@@ -15,7 +15,7 @@
     let sent = egress.sources.clock.now();
     let sending = async {
         let deadline = sent.after(PROBE_TIMEOUT);
-        let response = egress.client.send(address, &offer, deadline).await?;
+        let response = egress.client.probe(address, &offer, deadline).await?;
         let is_own = !response.is_from_other_instance();
         let cold = response.cold;
         read_to_end(response).await?;
--- a/src/egress/probe_task.rs
+++ b/src/egress/probe_task.rs
@@ -35,7 +35,7 @@
     let sending = async {
         let response = egress
             .client
-            .send(address, &offer, start.after(PROBE_TIMEOUT))
+            .probe(address, &offer, start.after(PROBE_TIMEOUT))
             .await?;
         if let Some(left) = response.cold
             && !response.is_from_other_instance()
--- a/src/http/header_rules.rs
+++ b/src/http/header_rules.rs
@@ -65,6 +65,12 @@
         self.settings.request.get()
     }
 
+    /// Returns whether a response without the request name belongs to no request.
+    #[must_use]
+    pub const fn echoes_request(&self) -> bool {
+        self.settings.echoes_request
+    }
+
     /// Returns the header in which a caller sends its deadline, in milliseconds from now.
     #[must_use]
     pub fn deadline(&self) -> HeaderName {
--- a/src/settings/header_settings.rs
+++ b/src/settings/header_settings.rs
@@ -65,6 +65,9 @@
 pub struct HeaderSettings {
     /// Header that carries the request's name.
     pub request: HeaderField,
+    /// Whether every response of a backend server names its request in `request`. One without the header
+    /// then belongs to no request. Responses to health questions are exempt.
+    pub echoes_request: bool,
     /// Header with which a caller sets the deadline, in milliseconds from the request on.
     pub deadline: HeaderField,
     /// Whether backend servers get the request name chosen by the caller instead of the one that the
@@ -104,6 +107,7 @@
         ];
         Self {
             request: HeaderField::from_static("x-request-id"),
+            echoes_request: false,
             deadline: HeaderField::from_static("x-deadline-ms"),
             keep_request_name: false,
             keep_host: false,
--- a/tests/backend_client.rs
+++ b/tests/backend_client.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use common::sample_offer;
 use wagtailtrack::egress::{BackendClient, BackendResponse, ClientOptions, SendFailure};
 use wagtailtrack::execution_verdict::ExecutionVerdict;
+use wagtailtrack::http::HeaderRules;
+use wagtailtrack::settings::HeaderSettings;
 use wagtailtrack::time::ProcessClock;
 use wagtailtrack::wire::{FailureCause, RequestOffer};
 
@@ -211,3 +214,68 @@
         assert_eq!(instance.connections(), connections, "surplus '{surplus}'");
     }
 }
+
+/// An instance that answers the first request on a connection with `refusal`, and sends the same once more
+/// when the next request has arrived there, before it runs that one.
+fn repeating_instance(refusal: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for (number, socket) in listener.incoming().enumerate() {
+            let mut socket = socket.unwrap();
+            std::thread::spawn(move || {
+                let mut request = [0; 4096];
+                while let Ok(1..) = socket.read(&mut request) {
+                    let served =
+                        format!("{HEAD}x-request-id: 7-9\r\ncontent-length: 4\r\n\r\nlane");
+                    let answer = if number == 0 { refusal } else { &served };
+                    let _ = socket.write_all(answer.as_bytes());
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a request that is told as not run although it runs: the instance sends the refusal of an
+/// earlier attempt once more, which has the same name.
+#[actix_rt::test]
+async fn repeated_refusal() {
+    let headers = HeaderSettings {
+        not_run: Some("x-not-run".parse().unwrap()),
+        ..HeaderSettings::default()
+    };
+    let options = ClientOptions {
+        headers: Rc::new(HeaderRules::open(&headers)),
+        ..ClientOptions::default()
+    };
+    let refusal =
+        "HTTP/1.1 503 Full\r\nx-request-id: 7-9\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let address = repeating_instance(refusal);
+    let client = BackendClient::open_with(ProcessClock::open(), options);
+    let first = send(&client, address).await.ok().unwrap();
+    assert!(first.is_not_run);
+    client.release(address, first);
+    let second = send(&client, address).await.ok().unwrap();
+    assert!(!second.is_not_run, "the refusal of the first attempt");
+}
+
+/// Guards against a response that names no request and is taken for that of the request that waits, where
+/// instances name the request in each response.
+#[actix_rt::test]
+async fn unnamed_response() {
+    let headers = HeaderSettings {
+        echoes_request: true,
+        ..HeaderSettings::default()
+    };
+    let options = ClientOptions {
+        headers: Rc::new(HeaderRules::open(&headers)),
+        ..ClientOptions::default()
+    };
+    let unnamed = format!("{HEAD}content-length: 0\r\n\r\n");
+    let instance = RawInstance::open(unnamed, false);
+    let client = BackendClient::open_with(ProcessClock::open(), options);
+    let failure = send(&client, instance.address).await.err().unwrap();
+    assert_eq!(failure.cause, FailureCause::BadResponse);
+    assert_eq!(failure.verdict, ExecutionVerdict::MayHaveRun);
+}
