Expect no body of a 304 or 204 that declares a length

The client waited for the declared body of a 304 until its deadline and reported a lost or timed-out response. RFC 9110 lets a 304 carry the Content-Length of the body that a 200 would have.

--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -121,9 +121,12 @@
             }
         };
         self.keep_alive = keep_alive_of(&head);
+        let is_bodiless = is_bodiless(self.is_head_request, &head);
         let body = match self.codec.message_type() {
+            // The codec expects the body that the headers of a 304 describe, so it is not used again.
+            MessageType::Payload | MessageType::Stream if is_bodiless => BackendBody::Empty(None),
             // The codec treats a response without a length as one without a body.
-            MessageType::None if !is_bodiless(self.is_head_request, &head) && !is_framed(&head) => {
+            MessageType::None if !is_bodiless && !is_framed(&head) => {
                 BackendBody::Streaming(self.into_body(true))
             }
             MessageType::None => BackendBody::Empty(self.into_reusable()),
