Demand what marks an instance's announcements and successes

Cause: the adapter demands only the fields that the daemon uses and takes null for absent, and a success is forwarded whoever sends it.

With headers.stamp, set on the users' platform, a success without that header is rejected as a wrong response, which may have run. Health questions are exempt.

platform_wire cold_fields: its sample heartbeat lacked zone and version and was no complete one; it has them now, and still guards against refusing heartbeats without coldLeftMs.

--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -133,12 +133,15 @@
         offer: &RequestOffer,
         deadline: Deadline,
     ) -> Result<BackendResponse, SendFailure> {
-        let requires_name = self.options.headers.echoes_request();
-        self.send_checked(address, offer, deadline, requires_name)
-            .await
+        let rules = &self.options.headers;
+        let marks = ResponseMarks {
+            requires_name: rules.echoes_request(),
+            stamp: rules.stamp(),
+        };
+        self.send_checked(address, offer, deadline, marks).await
     }
 
-    /// Sends a health question like [`Self::send`]. Its response need not name the request.
+    /// Sends a health question like [`Self::send`]. Its response need not have the marks of others.
     ///
     /// # Errors
     /// As [`Self::send`].
@@ -148,7 +151,8 @@
         offer: &RequestOffer,
         deadline: Deadline,
     ) -> Result<BackendResponse, SendFailure> {
-        self.send_checked(address, offer, deadline, false).await
+        let marks = ResponseMarks::default();
+        self.send_checked(address, offer, deadline, marks).await
     }
 
     async fn send_checked(
@@ -156,7 +160,7 @@
         address: SocketAddr,
         offer: &RequestOffer,
         deadline: Deadline,
-        requires_name: bool,
+        marks: ResponseMarks,
     ) -> Result<BackendResponse, SendFailure> {
         let head = self
             .request_head(address, offer, deadline)
@@ -172,7 +176,7 @@
         let exchange = Exchange {
             offer,
             options: &self.options,
-            requires_name,
+            marks,
             skipped: &skipped,
         };
         let exchange = exchange.run(connection, head);
@@ -272,12 +276,20 @@
     }
 }
 
+/// What shows that a response is the backend server's own.
+#[derive(Debug, Default)]
+struct ResponseMarks {
+    /// Whether a response that names no request is skipped.
+    requires_name: bool,
+    /// Header without which no success is one.
+    stamp: Option<HeaderName>,
+}
+
 /// One request and its response.
 struct Exchange<'a> {
     offer: &'a RequestOffer,
     options: &'a ClientOptions,
-    /// Whether a response that names no request is skipped.
-    requires_name: bool,
+    marks: ResponseMarks,
     /// Number of responses to other requests that were skipped.
     skipped: &'a Cell<usize>,
 }
@@ -299,6 +311,7 @@
         while self.skipped.get() < MAX_SKIPPED_RESPONSES {
             let (head, body) = connection.receive().await?;
             if !self.is_mismatched(&head) {
+                self.check_stamp(&head)?;
                 return BackendResponse::open(&head, body, offer, self.options);
             }
             log::info!(target: log_target::EGRESS, request = offer.request_name, instance:% = offer.instance, status = head.status.as_u16(); "Response skipped: it names another request, or none.");
@@ -310,7 +323,19 @@
 
     fn is_mismatched(&self, head: &ResponseHead) -> bool {
         let name = &self.offer.request_name;
-        backend_response::is_mismatched(head, self.options, name, self.requires_name)
+        backend_response::is_mismatched(head, self.options, name, self.marks.requires_name)
+    }
+
+    /// Rejects a success without the stamp: it may come from another process than the backend server.
+    fn check_stamp(&self, head: &ResponseHead) -> Result<(), FailureCause> {
+        let Some(stamp) = &self.marks.stamp else {
+            return Ok(());
+        };
+        if !head.status.is_success() || head.headers().contains_key(stamp) {
+            return Ok(());
+        }
+        log::info!(target: log_target::EGRESS, request = self.offer.request_name, instance:% = self.offer.instance, status = head.status.as_u16(); "Response rejected: a success without the backend server's stamp.");
+        Err(FailureCause::BadResponse)
     }
 }
 
--- a/src/http/header_rules.rs
+++ b/src/http/header_rules.rs
@@ -71,6 +71,12 @@
         self.settings.echoes_request
     }
 
+    /// Returns the header that every success of a backend server carries; none when they carry none.
+    #[must_use]
+    pub fn stamp(&self) -> Option<HeaderName> {
+        self.settings.stamp.as_ref().map(HeaderField::get)
+    }
+
     /// Returns the header in which a caller sends its deadline, in milliseconds from now.
     #[must_use]
     pub fn deadline(&self) -> HeaderName {
--- a/src/settings/header_settings.rs
+++ b/src/settings/header_settings.rs
@@ -68,6 +68,9 @@
     /// Whether every response of a backend server names its request in `request`. One without the header
     /// then belongs to no request. Responses to health questions are exempt.
     pub echoes_request: bool,
+    /// Response header that every success of a backend server carries. A success without it is not
+    /// forwarded. Responses to health questions are exempt.
+    pub stamp: Option<HeaderField>,
     /// Header with which a caller sets the deadline, in milliseconds from the request on.
     pub deadline: HeaderField,
     /// Whether backend servers get the request name chosen by the caller instead of the one that the
@@ -108,6 +111,7 @@
         Self {
             request: HeaderField::from_static("x-request-id"),
             echoes_request: false,
+            stamp: None,
             deadline: HeaderField::from_static("x-deadline-ms"),
             keep_request_name: false,
             keep_host: false,
--- a/tests/backend_client.rs
+++ b/tests/backend_client.rs
@@ -279,3 +279,34 @@
     assert_eq!(failure.cause, FailureCause::BadResponse);
     assert_eq!(failure.verdict, ExecutionVerdict::MayHaveRun);
 }
+
+/// Guards against a success of a process that is no instance of the service, where instances stamp each
+/// success: the caller must not take it for an answer to its request.
+#[actix_rt::test]
+async fn unstamped_success() {
+    let headers = HeaderSettings {
+        stamp: Some("x-stamp".parse().unwrap()),
+        ..HeaderSettings::default()
+    };
+    let options = ClientOptions {
+        headers: Rc::new(HeaderRules::open(&headers)),
+        ..ClientOptions::default()
+    };
+    let responses = [
+        ("HTTP/1.1 200 OK\r\n", false),
+        ("HTTP/1.1 204 No Content\r\n", false),
+        ("HTTP/1.1 200 OK\r\nx-stamp: 1\r\n", true),
+        ("HTTP/1.1 500 Failed\r\n", true),
+    ];
+    for (head, is_accepted) in responses {
+        let response = format!("{head}content-length: 0\r\n\r\n");
+        let instance = RawInstance::open(response, false);
+        let client = BackendClient::open_with(ProcessClock::open(), options.clone());
+        let result = send(&client, instance.address).await;
+        assert_eq!(result.is_ok(), is_accepted, "{head}");
+        if let Err(failure) = result {
+            assert_eq!(failure.cause, FailureCause::BadResponse);
+            assert_eq!(failure.verdict, ExecutionVerdict::MayHaveRun);
+        }
+    }
+}
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -13,6 +13,7 @@
 #[path = "../platform/store_wire.rs"]
 mod store_wire;
 
+use serde_json::{Value, json};
 use wagtailtrack::config::Catalog;
 use wagtailtrack::ids::{HostName, Version};
 use wagtailtrack::platform::{RowCheck, RowKey, RowWrite, Transaction};
@@ -102,18 +103,47 @@
         br#"{"service":"desk"}"#,
         br#"{"service":"desk","addr":"10.1.0.9:8080","slots":"3","state":"ready","seq":1}"#,
         br#"{"service":"desk","addr":"10.1.0.9:8080","slots":3,"state":"odd","seq":1}"#,
+        br#"{"service":"desk","addr":"10.1.0.9:8080","slots":3,"state":"ready","seq":1}"#,
     ] {
         assert!(heartbeat_wire::parse_announcement(malformed).is_err());
     }
 }
 
+/// Guards against the heartbeat of another writer that is taken for an instance: a field that every
+/// instance sends is missing, or a field is of another type.
+#[test]
+fn foreign_heartbeats() {
+    let whole = json!({"service": "desk", "addr": "10.1.0.9:8080", "zone": "z", "version": "v1",
+        "slots": 3, "state": "ready", "coldLeftMs": 0, "seq": 4, "born": 1_700_000_000_000_u64});
+    let parse = |heartbeat: &Value| {
+        heartbeat_wire::parse_announcement(heartbeat.to_string().as_bytes()).is_ok()
+    };
+    assert!(parse(&whole));
+    for field in [
+        "service", "addr", "zone", "version", "slots", "state", "seq",
+    ] {
+        let mut heartbeat = whole.clone();
+        heartbeat.as_object_mut().unwrap().remove(field);
+        assert!(!parse(&heartbeat), "without {field}");
+    }
+    let fields = whole.as_object().unwrap().keys();
+    for field in fields {
+        for value in [Value::Null, json!([]), json!({}), json!(true), json!(-7)] {
+            let mut heartbeat = whole.clone();
+            heartbeat[field.as_str()] = value.clone();
+            let is_negative_coldness = field == "coldLeftMs" && value == json!(-7);
+            assert_eq!(parse(&heartbeat), is_negative_coldness, "{field} {value}");
+        }
+    }
+}
+
 /// Guards against coldness and the rate of cold instances that are read wrongly, and against
 /// heartbeats and clusters without them that are refused.
 #[test]
 fn cold_fields() {
     let parse = |field: &str| {
         let heartbeat = format!(
-            r#"{{"service":"desk","addr":"10.1.0.9:8080","slots":3,"state":"ready"{field},"seq":4}}"#
+            r#"{{"service":"desk","addr":"10.1.0.9:8080","zone":"z","version":"v1","slots":3,"state":"ready"{field},"seq":4}}"#
         );
         let announcement = heartbeat_wire::parse_announcement(heartbeat.as_bytes()).unwrap();
         announcement.cold.map(|left| left.get().as_millis())
