--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -110,9 +110,14 @@
     loop {
         actix_rt::time::sleep(LEASE_CHECK_INTERVAL).await;
         let now = state.sources.clock.now();
+        let unconfirmed = state.table.borrow_mut().end_unconfirmed(now);
+        for local in unconfirmed {
+            log::warn!(target: log_target::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Instance out of use until it announces itself again: its first announcement since the start may be a late one.");
+            (state.sources.on_change)(local);
+        }
         let changed = state.table.borrow_mut().expire_leases(now);
         for local in changed {
-            log::warn!(target: log_target::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Lease missed, or a first announcement not confirmed by a later one.");
+            log::warn!(target: log_target::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Lease missed.");
             (state.sources.on_change)(local);
         }
     }
--- a/src/instances/announce_table.rs
+++ b/src/instances/announce_table.rs
@@ -164,14 +164,22 @@
         })
     }
 
-    /// Moves the instances whose lease has expired by `now` on to their next phase, takes those that no
-    /// announcement has confirmed in time out of use, and returns those that changed. Forgets the instances that have been gone for `GONE_RETENTION`.
+    /// Turns the instances to draining that no announcement has confirmed in time, and returns them.
+    pub fn end_unconfirmed(&mut self, now: MonoTime) -> Vec<LocalInstance> {
+        let mut ended = Vec::new();
+        for leased in self.instances.values_mut() {
+            if leased.end_trust(now) {
+                ended.push(leased.local.clone());
+            }
+        }
+        ended
+    }
+
+    /// Moves the instances whose lease has expired by `now` on to their next phase and returns
+    /// those that changed. Forgets the instances that have been gone for `GONE_RETENTION`.
     pub fn expire_leases(&mut self, now: MonoTime) -> Vec<LocalInstance> {
         let mut changed = Vec::new();
         self.instances.retain(|_, leased| {
-            if leased.end_trust(now) {
-                changed.push(leased.local.clone());
-            }
             if !leased.expiry.has_passed(now) {
                 return true;
             }
--- a/tests/announce_restart.rs
+++ b/tests/announce_restart.rs
@@ -58,7 +58,7 @@
         .unwrap();
     assert!(table.accepts_work(&desk(), after_start(2_700)));
     assert!(!table.accepts_work(&desk(), after_start(2_900)));
-    let changed = table.expire_leases(after_start(2_900));
+    let changed = table.end_unconfirmed(after_start(2_900));
     assert_eq!(changed[0].phase, InstancePhase::Draining);
     // Delivered a second time, or another late one that is older.
     for sequence in [5, 4] {
@@ -118,7 +118,7 @@
     table
         .announce(&desk(), &ready(6), after_start(2_700))
         .unwrap();
-    assert!(table.expire_leases(after_start(2_900)).is_empty());
+    assert!(table.end_unconfirmed(after_start(2_900)).is_empty());
     assert!(table.accepts_work(&desk(), after_start(9_000)));
 }
 
