--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::admin::{AdminServer, AdminSources};
 use crate::config::{ConfigHandle, ConfigSources, DocumentPeers};
@@ -26,7 +25,7 @@
 use crate::platform::{PlatformService, TimedPlatform};
 use crate::retry::CallRates;
 use crate::settings::DaemonSettings;
-use crate::time::ProcessClock;
+use crate::time::{ProcessClock, unix_millis};
 
 /// Dependencies that the components of one daemon share, and the steps that start each component.
 pub(crate) struct DaemonBuilder {
@@ -315,14 +314,6 @@
     }
 }
 
-/// The Unix time in milliseconds; 0 if the wall clock is set to an earlier time.
-fn unix_millis() -> u64 {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-    wall.map_or(0, |wall| {
-        u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 /// Builds the error of a listener that cannot be bound, with the settings field that holds its
 /// address.
 pub(crate) fn bind_error(field: &str, address: SocketAddr, cause: &io::Error) -> io::Error {
--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -200,7 +200,7 @@
         let Some(mut connection) = response.into_reusable() else {
             return;
         };
-        if !connection.requests().end(status) {
+        if !connection.requests.end(status) {
             return;
         }
         let keep_alive = connection
@@ -231,7 +231,7 @@
         let connections = idle.get_mut(&address)?;
         connections
             .retain(|(connection, deadline)| !deadline.has_passed(now) && connection.is_usable());
-        let accepts = |(connection, _): &(BackendConnection, _)| connection.accepts(name);
+        let accepts = |(connection, _): &(BackendConnection, _)| connection.requests.accepts(name);
         let index = connections.iter().rposition(accepts)?;
         Some(connections.remove(index).0)
     }
@@ -303,7 +303,7 @@
         head: RequestHead,
     ) -> Result<BackendResponse, FailureCause> {
         let offer = self.offer;
-        connection.requests().begin(&offer.request_name);
+        connection.requests.begin(&offer.request_name);
         connection
             .send(head, &offer.body)
             .await
--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -36,7 +36,7 @@
     pub(crate) keep_alive: Option<Duration>,
     /// Whether the last request sent was a `HEAD` request, whose response has no body.
     is_head_request: bool,
-    requests: ConnectionRequests,
+    pub(crate) requests: ConnectionRequests,
 }
 
 /// A connection in the middle of a response: the head was received, the body follows.
@@ -78,16 +78,6 @@
         })
     }
 
-    /// The requests that were sent on this connection.
-    pub(crate) const fn requests(&mut self) -> &mut ConnectionRequests {
-        &mut self.requests
-    }
-
-    /// Whether the request `name` may be sent on this connection.
-    pub(crate) fn accepts(&self, name: &str) -> bool {
-        self.requests.accepts(name)
-    }
-
     /// Whether the connection is open and has no unread bytes. Bytes that arrive between two
     /// requests belong to no request, so the connection must not be reused.
     pub(crate) fn is_usable(&self) -> bool {
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use actix_rt::net::UdpSocket;
 use serde_json::json;
@@ -13,6 +13,7 @@
 use crate::members::{
     DatagramCodec, GossipAction, GossipCore, LiveMember, MemberDirectory, MemberSources,
 };
+use crate::time::unix_millis;
 use crate::wire::{
     InstanceRecord, InstancesCall, InstancesReply, MemberRecord, MemberState, RunReport,
 };
@@ -238,12 +239,10 @@
 /// Builds the own record. The wall clock is only a first guess at an incarnation above those of
 /// earlier boots; `GossipCore` raises it when it hears of a higher one.
 fn own_record(sources: &MemberSources) -> MemberRecord {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = wall.map_or(0, |wall| wall.as_millis());
     MemberRecord {
         daemon: sources.daemon.clone(),
         boot: sources.boot,
-        incarnation: Incarnation(u64::try_from(millis).unwrap_or(0)),
+        incarnation: Incarnation(unix_millis()),
         address: sources.address,
         zone: sources.zone.clone(),
         region: sources.region.clone(),
