Check one idle connection for each request, not all

The choice of a connection that has not refused the request checked every idle connection of the instance, a read call each, where it had checked only the one that it takes. It looks at the names first again and checks the connection that it takes. Which connection is taken does not change.

--- a/src/egress/backend_client.rs
+++ b/src/egress/backend_client.rs
@@ -229,11 +229,14 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        connections
-            .retain(|(connection, deadline)| !deadline.has_passed(now) && connection.is_usable());
         let accepts = |(connection, _): &(BackendConnection, _)| connection.requests.accepts(name);
-        let index = connections.iter().rposition(accepts)?;
-        Some(connections.remove(index).0)
+        while let Some(index) = connections.iter().rposition(accepts) {
+            let (connection, deadline) = connections.remove(index);
+            if !deadline.has_passed(now) && connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     /// The head to send, or none if the offer's method, target or headers are not valid HTTP.
