Read one request of a connection at a time

Clients that sent many requests ahead on a few connections and read no answer ended the process: it ran out of memory.

Cause: the dispatcher of actix-http reads up to 128 KiB and decodes every request in them; its limit of 16 pipelined messages is looked at before that loop, not in it. The smallest requests take some hundred times their bytes once they are decoded, and the answers that are ready go to a write buffer without a limit. A body that its handler does not read was buffered too, in chunks of one byte at many times its size.

RequestGate lets the bytes of one request into the dispatcher; what a client sends ahead waits in its socket until the answer before it is flushed. The end of the input is read as before where nothing waits; behind bytes that wait, the socket's state is asked every 250 ms, so that a client that has left is noticed.

All listeners over HTTP use this server. A connection has no second request in work any more, so what BusyConnection knows of one request is the whole truth at a stop.

--- a/src/http/busy_connection.rs
+++ b/src/http/busy_connection.rs
@@ -3,10 +3,6 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use actix_http::body::BoxBody;
-
-use crate::http::pending_body::PendingBody;
-
 /// Counts its connection as busy from a response until that is flushed to the socket, and from
 /// `mark_closing` until the connection is dropped. It also knows whether a request is being handled,
 /// which whoever handles it counts. Clones share the state.
@@ -56,7 +52,7 @@
         self.state.update_count();
     }
 
-    /// Records that a request has been read. It is handled until `track` gets its response.
+    /// Records that a request has been read. It is handled until `begin_body`.
     pub(crate) fn begin_request(&self) {
         self.state.has_request.set(true);
     }
@@ -67,12 +63,12 @@
         !self.state.has_request.get() && !self.state.is_counted.get()
     }
 
-    /// Counts the connection as busy until `body` is dropped and the connection is flushed after that.
-    pub(crate) fn track(&self, body: BoxBody) -> BoxBody {
+    /// Records that the request has a response, which counts as busy until `end_body` and the flush after
+    /// that.
+    pub(crate) fn begin_body(&self) {
         self.state.has_request.set(false);
         self.state.has_body.set(true);
         self.state.update_count();
-        BoxBody::new(PendingBody::open(body, self.clone()))
     }
 
     /// Records that the server needs the response's body no more: its last bytes are in the write
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -15,6 +15,7 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use tokio::sync::oneshot;
 
+use crate::http::client_connection::ClientConnection;
 use crate::http::signaling_stream::SignalingStream;
 use crate::http::{BusyConnection, IdleClosing, LateConnections};
 use crate::logs::log_target;
@@ -149,10 +150,10 @@
         late,
         idle_closing,
     } = tracking;
-    let request_service = fn_service(move |request: Request| {
-        let connection = request.conn_data::<BusyConnection>().cloned();
+    let request_service = fn_service(move |mut request: Request| {
+        let connection = request.conn_data::<ClientConnection>().cloned();
         if let Some(connection) = &connection {
-            connection.begin_request();
+            connection.begin_request(&mut request);
         }
         let response = handler(request);
         async move {
@@ -167,7 +168,8 @@
         .keep_alive(timeouts.keep_alive)
         .client_request_timeout(timeouts.request_head)
         .on_connect_ext(move |stream: &SignalingStream, data| {
-            data.insert(stream.busy_connection());
+            data.insert(stream.connection());
+            data.insert(stream.connection().busy().clone());
             data.insert(stream.disconnect_signal());
             if let Some(connection) = late.accept() {
                 data.insert(connection);
@@ -187,12 +189,13 @@
         let idle_closing = idle_closing.clone();
         actix_rt::spawn(async move {
             let peer = socket.peer_addr().ok();
-            let stream = SignalingStream::open(socket, timeouts.write_progress, busy);
-            let connection = stream.busy_connection();
+            let connection = ClientConnection::open(BusyConnection::open(busy));
+            let busy = connection.busy().clone();
+            let stream = SignalingStream::open(socket, timeouts.write_progress, connection);
             let serving = pin!(service.call((stream, peer)));
             let closing = pin!(idle_closing.wait());
             if let Either::Right(((), serving)) = select(serving, closing).await
-                && !connection.is_idle()
+                && !busy.is_idle()
             {
                 let _ = serving.await;
             }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,7 +1,11 @@
 //! HTTP/1.1 server over `actix-http`, with helpers for headers, bodies and client errors.
 
 mod busy_connection;
+mod chunk_scanner;
+mod client_connection;
 mod disconnect_signal;
+mod gated_payload;
+mod head_scanner;
 pub mod header_rules;
 mod http_server;
 mod idle_closing;
@@ -9,6 +13,7 @@
 mod message_body;
 mod never_sent;
 mod pending_body;
+mod request_gate;
 mod signaling_stream;
 
 pub use busy_connection::BusyConnection;
@@ -20,3 +25,4 @@
 pub use late_connections::LateConnections;
 pub use message_body::{BodyError, json_response, read_body, read_body_with, text_response};
 pub use never_sent::never_sent;
+pub use request_gate::{BodyFraming, RequestGate};
--- a/src/http/signaling_stream.rs
+++ b/src/http/signaling_stream.rs
@@ -1,42 +1,57 @@
-//! TCP stream that detects a client that disconnects or reads nothing while it is being served.
+//! TCP stream that lets one request at a time into the server, and detects a client that disconnects or
+//! reads nothing while it is being served.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_rt::time::Sleep;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use bytes::{Buf, BytesMut};
+use futures_util::FutureExt;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 
-use crate::http::{BusyConnection, DisconnectSignal};
+use crate::http::DisconnectSignal;
+use crate::http::client_connection::ClientConnection;
 use crate::logs::log_target;
 
-/// A TCP stream that sets a `DisconnectSignal` at the end of its input or on a read error, and fails
-/// when the client takes no bytes of the response for too long.
-#[derive(Debug)]
+/// How often the end of the input is looked for behind bytes that wait. Where none wait, it is read at
+/// once.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A TCP stream that passes on what its connection's gate admits, sets a `DisconnectSignal` at the end of
+/// its input or on a read error, and fails when the client takes no bytes of the response for too long.
 pub(crate) struct SignalingStream {
     socket: TcpStream,
     disconnect_signal: DisconnectSignal,
-    busy_connection: BusyConnection,
+    connection: ClientConnection,
     /// Longest time that the client may take no bytes.
     write_progress: Duration,
+    /// Bytes that arrived and that the gate has yet to admit.
+    held: BytesMut,
     /// Ends when the client has taken no bytes for `write_progress`; none while it takes them.
-    stalled: Option<Pin<Box<Sleep>>>,
+    write_stalled: Option<Pin<Box<Sleep>>>,
+    /// Ends when the end of the input is to be looked for again; none while it is read.
+    end_check: Option<Pin<Box<Sleep>>>,
 }
 
 impl SignalingStream {
-    /// Wraps `socket`, which is counted in `busy` while it is busy.
-    pub(crate) fn open(socket: TcpStream, write_progress: Duration, busy: Rc<Cell<usize>>) -> Self {
+    /// Wraps `socket`, the stream of `connection`.
+    pub(crate) fn open(
+        socket: TcpStream,
+        write_progress: Duration,
+        connection: ClientConnection,
+    ) -> Self {
         Self {
             socket,
             disconnect_signal: DisconnectSignal::default(),
-            busy_connection: BusyConnection::open(busy),
+            connection,
             write_progress,
-            stalled: None,
+            held: BytesMut::new(),
+            write_stalled: None,
+            end_check: None,
         }
     }
 
@@ -46,15 +61,12 @@
         written: Poll<io::Result<usize>>,
         context: &mut Context<'_>,
     ) -> Poll<io::Result<usize>> {
-        if written.is_ready() {
-            self.stalled = None;
-            return written;
+        if let Poll::Ready(written) = written {
+            self.write_stalled = None;
+            return Poll::Ready(written);
         }
         let span = self.write_progress;
-        let stalled = self
-            .stalled
-            .get_or_insert_with(|| Box::pin(actix_rt::time::sleep(span)));
-        ready!(stalled.as_mut().poll(context));
+        ready!(poll_stall(&mut self.write_stalled, span, context));
         let peer = self.socket.peer_addr().ok();
         log::info!(target: log_target::INGRESS, peer:?, span_ms = span.as_millis(); "Connection closed: the client takes no bytes of its response.");
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
@@ -64,11 +76,75 @@
         self.disconnect_signal.clone()
     }
 
-    pub(crate) fn busy_connection(&self) -> BusyConnection {
-        self.busy_connection.clone()
+    pub(crate) fn connection(&self) -> ClientConnection {
+        self.connection.clone()
+    }
+
+    /// Reads into `buffer` what the gate admits.
+    fn poll_admitted(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if !self.connection.is_open() {
+            return self.poll_end(context, buffer);
+        }
+        self.end_check = None;
+        if !self.held.is_empty() {
+            let length = self.held.len().min(buffer.remaining());
+            let admitted = self.connection.admit(&self.held[..length]);
+            buffer.put_slice(&self.held[..admitted]);
+            self.held.advance(admitted);
+            return Poll::Ready(Ok(()));
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
+        let arrived = &buffer.filled()[before..];
+        let admitted = self.connection.admit(arrived);
+        self.held.extend_from_slice(&arrived[admitted..]);
+        buffer.set_filled(before + admitted);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Looks for the end of the input while the gate is closed. Without bytes that wait, it is read; behind
+    /// bytes that wait, only the socket's state shows it.
+    fn poll_end(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.connection.set_waker(context.waker());
+        if self.held.is_empty() {
+            let before = buffer.filled().len();
+            ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
+            self.held.extend_from_slice(&buffer.filled()[before..]);
+            buffer.set_filled(before);
+            if self.held.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        loop {
+            let state = self.socket.ready(Interest::READABLE).now_or_never();
+            if state.transpose()?.is_some_and(Ready::is_read_closed) {
+                return Poll::Ready(Ok(()));
+            }
+            ready!(poll_stall(&mut self.end_check, END_CHECK_INTERVAL, context));
+        }
     }
 }
 
+/// Waits until `stall`, which is set if there is none, has lasted for `span`; unsets it then.
+fn poll_stall(
+    stall: &mut Option<Pin<Box<Sleep>>>,
+    span: Duration,
+    context: &mut Context<'_>,
+) -> Poll<()> {
+    let sleep = stall.get_or_insert_with(|| Box::pin(actix_rt::time::sleep(span)));
+    ready!(sleep.as_mut().poll(context));
+    *stall = None;
+    Poll::Ready(())
+}
+
 impl AsyncRead for SignalingStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -76,7 +152,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.socket).poll_read(context, buffer);
+        let read = self.poll_admitted(context, buffer);
         match &read {
             Poll::Ready(Ok(())) if buffer.filled().len() > before => {}
             Poll::Ready(_) => self.disconnect_signal.notify(),
@@ -99,7 +175,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.socket).poll_flush(context);
         if let Poll::Ready(Ok(())) = flushed {
-            self.busy_connection.record_flush();
+            self.connection.record_flush();
         }
         flushed
     }
