Bound the time of every head, not only of the first

A client that had got one answer could begin a second head and keep its connection and buffer for as long as it liked: the timer of actix-http covers the first head of a connection, and the idle timer ends with the first byte.

The stream closes the connection when a head that has begun does not end within the time for heads. The first one still gets 408 from the dispatcher.

Evidence: slow_heads second_head_ends_in_time failed on the commit before, where the connection stayed open; both tests pass now.

--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -48,6 +48,10 @@
         self.share.gate.borrow().is_open()
     }
 
+    pub(crate) fn has_unfinished_head(&self) -> bool {
+        self.share.gate.borrow().unfinished_head().is_some()
+    }
+
     /// Returns how many of `bytes` go on to the server.
     pub(crate) fn admit(&self, bytes: &[u8]) -> usize {
         self.share.gate.borrow_mut().admit(bytes)
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -29,7 +29,7 @@
 pub struct HttpTimeouts {
     /// Longest time that a connection may be idle between requests.
     pub keep_alive: Duration,
-    /// Longest time that the client may take to send a request's head.
+    /// Longest time that the client may take to send a request's head, from its first byte on.
     pub request_head: Duration,
     /// Longest time that the client may take no bytes of a response.
     pub write_progress: Duration,
@@ -191,7 +191,7 @@
             let peer = socket.peer_addr().ok();
             let connection = ClientConnection::open(BusyConnection::open(busy));
             let busy = connection.busy().clone();
-            let stream = SignalingStream::open(socket, timeouts.write_progress, connection);
+            let stream = SignalingStream::open(socket, timeouts, connection);
             let serving = pin!(service.call((stream, peer)));
             let closing = pin!(idle_closing.wait());
             if let Either::Right(((), serving)) = select(serving, closing).await
--- a/src/http/request_gate.rs
+++ b/src/http/request_gate.rs
@@ -29,6 +29,8 @@
     state: GateState,
     /// Whether the response to the last request has been sent.
     is_answered: bool,
+    /// Bytes of the present head that went on.
+    head_bytes: usize,
     /// Bytes of the body that went on since its handler had read all.
     waiting_bytes: usize,
     /// Parts of the body that went on since its handler had read all.
@@ -54,6 +56,7 @@
         Self {
             state: GateState::Head(HeadScanner::default()),
             is_answered: true,
+            head_bytes: 0,
             waiting_bytes: 0,
             waiting_parts: 0,
             is_discarded: false,
@@ -75,6 +78,7 @@
             GateState::Head(scanner) => {
                 let end = scanner.advance(bytes);
                 let taken = end.unwrap_or(bytes.len());
+                self.head_bytes += taken;
                 if end.is_some() {
                     self.state = GateState::Parsing;
                 }
@@ -115,6 +119,15 @@
         }
     }
 
+    /// Bytes of a head that went on and has not ended; none if the server is at another part.
+    #[must_use]
+    pub const fn unfinished_head(&self) -> Option<usize> {
+        match self.state {
+            GateState::Head(_) if self.head_bytes > 0 => Some(self.head_bytes),
+            _ => None,
+        }
+    }
+
     /// The server begins a request whose body is framed by `framing`.
     pub fn begin_request(&mut self, framing: BodyFraming) {
         self.is_answered = false;
@@ -161,6 +174,7 @@
         self.state = GateState::Complete;
         if self.is_answered {
             self.state = GateState::Head(HeadScanner::default());
+            self.head_bytes = 0;
         }
     }
 }
--- a/src/http/signaling_stream.rs
+++ b/src/http/signaling_stream.rs
@@ -1,5 +1,5 @@
 //! TCP stream that lets one request at a time into the server, and detects a client that disconnects or
-//! reads nothing while it is being served.
+//! makes no progress.
 
 use std::future::Future;
 use std::io;
@@ -13,8 +13,8 @@
 use futures_util::FutureExt;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 
-use crate::http::DisconnectSignal;
 use crate::http::client_connection::ClientConnection;
+use crate::http::{DisconnectSignal, HttpTimeouts};
 use crate::logs::log_target;
 
 /// How often the end of the input is looked for behind bytes that wait. Where none wait, it is read at
@@ -22,17 +22,19 @@
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A TCP stream that passes on what its connection's gate admits, sets a `DisconnectSignal` at the end of
-/// its input or on a read error, and fails when the client takes no bytes of the response for too long.
+/// its input or on a read error, and fails when the client takes no bytes of the response, or does not end
+/// a head, for too long.
 pub(crate) struct SignalingStream {
     socket: TcpStream,
     disconnect_signal: DisconnectSignal,
     connection: ClientConnection,
-    /// Longest time that the client may take no bytes.
-    write_progress: Duration,
+    timeouts: HttpTimeouts,
     /// Bytes that arrived and that the gate has yet to admit.
     held: BytesMut,
     /// Ends when the client has taken no bytes for `write_progress`; none while it takes them.
     write_stalled: Option<Pin<Box<Sleep>>>,
+    /// Ends when a head has not ended within `request_head`; none outside a head.
+    head_stalled: Option<Pin<Box<Sleep>>>,
     /// Ends when the end of the input is to be looked for again; none while it is read.
     end_check: Option<Pin<Box<Sleep>>>,
 }
@@ -41,16 +43,17 @@
     /// Wraps `socket`, the stream of `connection`.
     pub(crate) fn open(
         socket: TcpStream,
-        write_progress: Duration,
+        timeouts: HttpTimeouts,
         connection: ClientConnection,
     ) -> Self {
         Self {
             socket,
             disconnect_signal: DisconnectSignal::default(),
             connection,
-            write_progress,
+            timeouts,
             held: BytesMut::new(),
             write_stalled: None,
+            head_stalled: None,
             end_check: None,
         }
     }
@@ -65,7 +68,7 @@
             self.write_stalled = None;
             return Poll::Ready(written);
         }
-        let span = self.write_progress;
+        let span = self.timeouts.write_progress;
         ready!(poll_stall(&mut self.write_stalled, span, context));
         let peer = self.socket.peer_addr().ok();
         log::info!(target: log_target::INGRESS, peer:?, span_ms = span.as_millis(); "Connection closed: the client takes no bytes of its response.");
@@ -131,6 +134,17 @@
             ready!(poll_stall(&mut self.end_check, END_CHECK_INTERVAL, context));
         }
     }
+
+    /// Fails when a head that has begun does not end in time.
+    fn poll_head_stall(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.connection.has_unfinished_head() {
+            self.head_stalled = None;
+            return Poll::Pending;
+        }
+        let span = self.timeouts.request_head;
+        ready!(poll_stall(&mut self.head_stalled, span, context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 /// Waits until `stall`, which is set if there is none, has lasted for `span`; unsets it then.
@@ -152,7 +166,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let read = self.poll_admitted(context, buffer);
+        let mut read = self.poll_admitted(context, buffer);
+        if read.is_pending() {
+            read = self.poll_head_stall(context);
+        }
         match &read {
             Poll::Ready(Ok(())) if buffer.filled().len() > before => {}
             Poll::Ready(_) => self.disconnect_signal.notify(),
