--- a/src/admin/admin_server.rs
+++ b/src/admin/admin_server.rs
@@ -14,7 +14,10 @@
 use crate::admin::{ApiError, ApiPath, ChangeHeaders, change_event};
 use crate::config::ConfigHandle;
 use crate::crashes::SuspectsHandle;
-use crate::http::{HttpServer, json_response, read_body, text_response};
+use crate::http::{
+    ConnectionLimits, HttpServer, HttpTimeouts, ServerConnections, json_response, read_body,
+    text_response,
+};
 use crate::ids::{Revision, ZoneId};
 use crate::resource::KeyHash;
 use crate::units::ByteSize;
@@ -60,6 +63,18 @@
     /// # Errors
     /// The I/O error when the address cannot be bound.
     pub async fn bind(sources: AdminSources) -> io::Result<Self> {
+        let limits = ConnectionLimits::control(None);
+        Self::bind_limited(sources, ServerConnections::open("admin", limits)).await
+    }
+
+    /// As `bind`, on `connections`.
+    ///
+    /// # Errors
+    /// As `bind`.
+    pub async fn bind_limited(
+        sources: AdminSources,
+        connections: ServerConnections,
+    ) -> io::Result<Self> {
         let address = sources.address;
         let api = ResourceApi::open(sources.config.clone(), Rc::clone(&sources.zones));
         let state = Rc::new(AdminState { sources, api });
@@ -67,7 +82,9 @@
             let state = Rc::clone(&state);
             Box::pin(async move { state.handle(request).await })
         };
-        let server = HttpServer::bind(address, Rc::new(handler)).await?;
+        let timeouts = HttpTimeouts::default();
+        let server =
+            HttpServer::bind_limited(address, Rc::new(handler), timeouts, connections).await?;
         Ok(Self { server })
     }
 
--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use rustix::process::{Resource, getrlimit};
+
 use crate::admin::{AdminServer, AdminSources};
 use crate::config::{ConfigHandle, ConfigSources, DocumentPeers};
 use crate::crashes::{CrashRules, SuspectsHandle};
@@ -14,7 +16,7 @@
 use crate::egress::{ClientOptions, EgressHandle, EgressSources};
 use crate::evacuation::RecordFilter;
 use crate::hash::FastMap;
-use crate::http::HeaderRules;
+use crate::http::{ConnectionLimits, HeaderRules, ServerConnections};
 use crate::ids::{BootId, DaemonId, ZoneId};
 use crate::ingress::{IngressHandle, IngressSources};
 use crate::instances::{AnnounceServer, AnnounceSources, RenewalRule};
@@ -41,6 +43,9 @@
     platform: Rc<dyn PlatformService>,
     adapters: ProtocolAdapters,
     metrics: Rc<MetricsExport>,
+    pub(crate) callers: ServerConnections,
+    pub(crate) admin: ServerConnections,
+    pub(crate) announcers: ServerConnections,
     /// Empty until the membership runs; configuration starts before it and reads it later.
     members: Rc<OnceCell<MembersHandle>>,
     /// Empty until the announcement listener is bound; the egress starts before it.
@@ -49,6 +54,9 @@
 
 impl DaemonBuilder {
     pub(crate) fn open(settings: &DaemonSettings, adapters: ProtocolAdapters) -> io::Result<Self> {
+        let descriptors = getrlimit(Resource::Nofile).current;
+        let caller_limits = settings.proxy.connection_limits(descriptors);
+        let caller_limits = caller_limits.map_err(io::Error::other)?;
         let key = FleetKey::open(&settings.fleet_secret);
         let clock = ProcessClock::open();
         let metrics = Rc::new(MetricsExport::open().map_err(io::Error::other)?);
@@ -71,11 +79,19 @@
             platform: Rc::new(TimedPlatform::open(platform, clock, metrics.durations())),
             adapters,
             metrics,
+            callers: ServerConnections::open("callers", caller_limits),
+            admin: ServerConnections::open("admin", ConnectionLimits::control(descriptors)),
+            announcers: ServerConnections::open("announce", ConnectionLimits::control(descriptors)),
             members: Rc::default(),
             announce: Rc::default(),
         })
     }
 
+    /// The connections of each listener.
+    pub(crate) fn listener_connections(&self) -> [ServerConnections; 3] {
+        [&self.callers, &self.admin, &self.announcers].map(Clone::clone)
+    }
+
     pub(crate) fn spawn_config(&self, settings: &DaemonSettings) -> ConfigHandle {
         let members = Rc::clone(&self.members);
         let own = settings.listen.peers;
@@ -229,7 +245,7 @@
         let (egress, observer) = (egress.clone(), egress.clone());
         let members = Rc::clone(&self.members);
         let stopping = Rc::clone(&self.stopping);
-        let server = AnnounceServer::bind(AnnounceSources {
+        let sources = AnnounceSources {
             address,
             reader: Rc::clone(&self.adapters.announcements),
             clock: self.clock,
@@ -248,8 +264,8 @@
                 observer.observe_cold_announcement(instance, announcement);
             }),
             is_stopping: Rc::new(move || stopping.get()),
-        });
-        let server = server
+        };
+        let server = AnnounceServer::bind_limited(sources, self.announcers.clone())
             .await
             .map_err(|cause| bind_error("listen.announce", address, &cause))?;
         let server = Rc::new(server);
@@ -282,7 +298,7 @@
             suspects: self.suspects.clone(),
             call_rates: Rc::clone(&self.call_rates),
         };
-        IngressHandle::bind(address, sources)
+        IngressHandle::bind(address, sources, self.callers.clone())
             .await
             .map_err(|cause| bind_error("listen.callers", address, &cause))
     }
@@ -299,7 +315,7 @@
         let stopping = Rc::clone(&self.stopping);
         let loaded = view.config.clone();
         let members = view.members.clone();
-        AdminServer::bind(AdminSources {
+        let sources = AdminSources {
             address,
             token_hash: settings.operators.token_hash,
             config: view.config.clone(),
@@ -308,9 +324,10 @@
             is_ready: Rc::new(move || loaded.is_loaded() && !stopping.get()),
             dump: Rc::new(move || shown.dump()),
             metrics: Rc::new(move || export.text(measured.metrics())),
-        })
-        .await
-        .map_err(|cause| bind_error("listen.admin", address, &cause))
+        };
+        AdminServer::bind_limited(sources, self.admin.clone())
+            .await
+            .map_err(|cause| bind_error("listen.admin", address, &cause))
     }
 }
 
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -88,6 +88,7 @@
             suspects: builder.suspects.clone(),
             settings: settings.clone(),
             boot: builder.boot,
+            connections: builder.listener_connections(),
         };
         let admin = builder.bind_admin(&settings, view).await?;
         Ok(Self {
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -1,17 +1,34 @@
-//! One connection of a client, and what of its input the server reads.
+//! One connection of a client: what of its input the server reads, and what it takes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::Waker;
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header::CONTENT_LENGTH;
 use actix_http::{HttpMessage, Payload, Request};
 
 use crate::http::BusyConnection;
+use crate::http::connection_table::{ConnectionWait, IDLE_BYTES};
 use crate::http::gated_payload::GatedPayload;
 use crate::http::pending_body::PendingBody;
 use crate::http::request_gate::{BodyFraming, RequestGate};
+use crate::http::server_connections::ConnectionPlace;
+use crate::time::MonoTime;
+
+/// Memory of a request that is handled, beside its head and body.
+const REQUEST_BYTES: usize = 24 * 1024;
+/// Memory of a header of a request, beside its text.
+const HEADER_BYTES: usize = 512;
+/// How often the bytes of a head are held: as received, as sent to the egress, and as buffers grow.
+const HEAD_COPIES: usize = 3;
+/// Memory of a body that goes through, at most. What is collected of it has a budget of its own.
+const BODY_BYTES: usize = 64 * 1024;
+/// Memory of a response that goes through, at most: the window of its stream from the egress. What is
+/// buffered of it has a budget of its own.
+const RESPONSE_BYTES: usize = 256 * 1024;
+/// Bytes that a client must send or read to count as going on.
+const PROGRESS_BYTES: usize = 4 * 1024;
 
 /// A connection of a client; clones share it.
 ///
@@ -24,16 +41,61 @@
 struct ConnectionShare {
     gate: RefCell<RequestGate>,
     busy: BusyConnection,
+    place: ConnectionPlace,
     /// Wakes the stream when the gate opens.
     waker: RefCell<Option<Waker>>,
+    /// Memory of the present request.
+    request_bytes: Cell<usize>,
+    /// Memory of the present response, beside the bytes that are not sent.
+    response_bytes: Cell<usize>,
+    /// Bytes of the response that the socket has not accepted.
+    unsent_bytes: Cell<usize>,
+    /// Bytes that arrived and wait outside the gate.
+    held_bytes: Cell<usize>,
+    is_write_blocked: Cell<bool>,
+    stage: Cell<ConnectionStage>,
+    since: Cell<MonoTime>,
+    /// Bytes sent or read by the client since `since`.
+    progress: Cell<usize>,
+    /// Memory as the table knows it.
+    bytes: Cell<usize>,
+}
+
+/// What a connection is at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionStage {
+    /// No byte of a request has arrived.
+    Idle,
+    /// A part of a head has arrived.
+    Head,
+    /// The server waits for more of a body.
+    Body,
+    /// The server works.
+    Work,
+    /// The client has yet to read what is sent.
+    Response,
 }
 
+/// Marks a request that is to be refused, because the connections take all that they may.
+pub(crate) struct ServerFull;
+
 impl ClientConnection {
-    pub(crate) fn open(busy: BusyConnection) -> Self {
+    pub(crate) fn open(place: ConnectionPlace, busy: BusyConnection) -> Self {
+        let since = place.now();
         let share = ConnectionShare {
             gate: RefCell::default(),
             busy,
+            place,
             waker: RefCell::default(),
+            request_bytes: Cell::default(),
+            response_bytes: Cell::default(),
+            unsent_bytes: Cell::default(),
+            held_bytes: Cell::default(),
+            is_write_blocked: Cell::default(),
+            stage: Cell::new(ConnectionStage::Idle),
+            since: Cell::new(since),
+            progress: Cell::default(),
+            bytes: Cell::new(IDLE_BYTES),
         };
         Self {
             share: Rc::new(share),
@@ -54,7 +116,16 @@
 
     /// Returns how many of `bytes` go on to the server.
     pub(crate) fn admit(&self, bytes: &[u8]) -> usize {
-        self.share.gate.borrow_mut().admit(bytes)
+        let taken = self.share.gate.borrow_mut().admit(bytes);
+        self.add_progress(taken);
+        taken
+    }
+
+    /// Sets the bytes that wait outside the gate. Returns false if there is no memory for the part of a
+    /// head that has arrived.
+    pub(crate) fn set_held(&self, bytes: usize) -> bool {
+        self.share.held_bytes.set(bytes);
+        self.update() || self.share.stage.get() != ConnectionStage::Head
     }
 
     /// Keeps what wakes the stream when the gate opens.
@@ -66,7 +137,7 @@
         }
     }
 
-    /// Begins a request: its body goes on as it is read.
+    /// Begins a request: its body goes on as it is read, and the request is marked if it is to be refused.
     pub(crate) fn begin_request(&self, request: &mut Request) {
         let framing = body_framing(request);
         if framing != BodyFraming::Empty {
@@ -75,25 +146,70 @@
                 payload: Box::pin(payload),
             };
         }
-        self.share.busy.begin_request();
-        self.share.gate.borrow_mut().begin_request(framing);
+        let share = &self.share;
+        share.busy.begin_request();
+        share.gate.borrow_mut().begin_request(framing);
+        let head_bytes = share.gate.borrow().head_bytes() * HEAD_COPIES;
+        let header_bytes = request.headers().len() * HEADER_BYTES;
+        let body_bytes = match framing {
+            BodyFraming::Empty => 0,
+            BodyFraming::Sized(length) => bounded_bytes(length, BODY_BYTES),
+            BodyFraming::Chunked | BodyFraming::Unframed => BODY_BYTES,
+        };
+        share
+            .request_bytes
+            .set(REQUEST_BYTES + head_bytes + header_bytes + body_bytes);
+        let fits = self.update();
+        if !fits {
+            share.place.count_refusal();
+        }
+        if !fits || share.place.is_refused {
+            request.extensions_mut().insert(ServerFull);
+        }
         self.wake();
     }
 
     /// Follows a response's body until it is sent.
     pub(crate) fn track(&self, body: BoxBody) -> BoxBody {
+        let length = match body.size() {
+            BodySize::None => 0,
+            BodySize::Sized(length) => length,
+            BodySize::Stream => u64::MAX,
+        };
+        let response_bytes = bounded_bytes(length, RESPONSE_BYTES);
+        self.share.response_bytes.set(response_bytes);
         self.share.busy.begin_body();
+        self.update();
         BoxBody::new(PendingBody::open(body, self.clone()))
     }
 
+    /// Counts bytes of a response that the server took.
+    pub(crate) fn add_unsent(&self, bytes: usize) {
+        let unsent = &self.share.unsent_bytes;
+        unsent.set(unsent.get() + bytes);
+        self.update();
+    }
+
+    /// Records that the client takes no bytes at present, or that it took `written` bytes.
+    pub(crate) fn record_write(&self, written: Option<usize>) {
+        self.share.is_write_blocked.set(written.is_none());
+        self.add_progress(written.unwrap_or(0));
+        self.update();
+    }
+
     /// Records that the socket has accepted all bytes.
     pub(crate) fn record_flush(&self) {
         let share = &self.share;
         share.busy.record_flush();
+        share.unsent_bytes.set(0);
+        share.is_write_blocked.set(false);
         if share.busy.is_idle() {
+            share.request_bytes.set(0);
+            share.response_bytes.set(0);
             share.gate.borrow_mut().finish_response();
             self.wake();
         }
+        self.update();
     }
 
     /// The handler has read all of the body that went on.
@@ -116,6 +232,75 @@
             waker.wake();
         }
     }
+
+    /// Counts bytes that the client sent or read; enough of them start its wait anew.
+    fn add_progress(&self, bytes: usize) {
+        let share = &self.share;
+        let progress = share.progress.get() + bytes;
+        share.progress.set(progress);
+        let is_message = matches!(
+            share.stage.get(),
+            ConnectionStage::Body | ConnectionStage::Response
+        );
+        if is_message && progress >= PROGRESS_BYTES {
+            self.begin_stage(share.stage.get());
+        }
+    }
+
+    /// Brings the table up to date. Returns whether there is memory for the connection.
+    fn update(&self) -> bool {
+        let share = &self.share;
+        let stage = self.stage();
+        if stage != share.stage.get() {
+            self.begin_stage(stage);
+        }
+        let head_bytes = share.gate.borrow().unfinished_head().unwrap_or(0);
+        let bytes = IDLE_BYTES
+            + head_bytes * HEAD_COPIES
+            + share.held_bytes.get()
+            + share.request_bytes.get()
+            + share.response_bytes.get()
+            + share.unsent_bytes.get();
+        if bytes == share.bytes.replace(bytes) {
+            return true;
+        }
+        share.place.set_bytes(bytes)
+    }
+
+    fn begin_stage(&self, stage: ConnectionStage) {
+        let share = &self.share;
+        let now = share.place.now();
+        share.stage.set(stage);
+        share.since.set(now);
+        share.progress.set(0);
+        share.place.set_wait(match stage {
+            ConnectionStage::Idle => ConnectionWait::NextRequest(now),
+            ConnectionStage::Work => ConnectionWait::Server,
+            ConnectionStage::Head | ConnectionStage::Body | ConnectionStage::Response => {
+                ConnectionWait::Client(now)
+            }
+        });
+    }
+
+    fn stage(&self) -> ConnectionStage {
+        let share = &self.share;
+        let gate = share.gate.borrow();
+        if share.is_write_blocked.get() {
+            ConnectionStage::Response
+        } else if gate.unfinished_head().is_some() {
+            ConnectionStage::Head
+        } else if gate.awaits_body() && gate.is_open() {
+            ConnectionStage::Body
+        } else if share.busy.is_idle() {
+            ConnectionStage::Idle
+        } else {
+            ConnectionStage::Work
+        }
+    }
+}
+
+fn bounded_bytes(length: u64, most: usize) -> usize {
+    usize::try_from(length).map_or(most, |length| length.min(most))
 }
 
 fn body_framing(request: &mut Request) -> BodyFraming {
--- /dev/null
+++ b/src/http/connection_limits.rs
@@ -0,0 +1,40 @@
+//! What the connections of a listener may take together.
+
+use crate::units::ByteSize;
+
+/// Limits on the connections of a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Maximum number of connections. An eighth more are accepted to refuse their requests.
+    pub connections: usize,
+    /// Memory for the connections together: buffers, heads, and what waits to be read.
+    pub memory: ByteSize,
+}
+
+impl ConnectionLimits {
+    /// Returns the limits of a listener for operators, probes or instances, which few clients use, in a
+    /// process that may have `descriptors`; none stands for any number.
+    #[must_use]
+    pub fn control(descriptors: Option<u64>) -> Self {
+        Self {
+            connections: share_of(descriptors, 16, 128),
+            memory: ByteSize::from_kib(8 * 1024),
+        }
+    }
+}
+
+impl Default for ConnectionLimits {
+    /// Returns 1,000 connections in 32 MiB.
+    fn default() -> Self {
+        Self {
+            connections: 1_000,
+            memory: ByteSize::from_kib(32 * 1024),
+        }
+    }
+}
+
+/// One part in `parts` of the descriptors, at most `most`.
+fn share_of(descriptors: Option<u64>, parts: u64, most: usize) -> usize {
+    let share = descriptors.and_then(|descriptors| usize::try_from(descriptors / parts).ok());
+    share.map_or(most, |share| share.clamp(1, most))
+}
--- /dev/null
+++ b/src/http/connection_table.rs
@@ -0,0 +1,228 @@
+//! Which connections a server keeps when they take more than they may.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::hash::FastMap;
+use crate::http::ConnectionLimits;
+use crate::time::MonoTime;
+
+/// Part of the limit that is accepted beyond it so that the requests can be refused.
+const REFUSED_PART: usize = 8;
+/// Time for which a client that is in the middle of a request or a response may do nothing before its
+/// connection can be closed for others. It is not waited for when the memory is exceeded by a quarter.
+const STALL: Duration = Duration::from_secs(1);
+/// Memory of a connection without a request.
+pub const IDLE_BYTES: usize = 8 * 1024;
+
+/// Number of a connection in its table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ConnectionId(u64);
+
+/// What a connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionWait {
+    /// The server: it handles a request.
+    Server,
+    /// The client, since this time, to begin a request.
+    NextRequest(MonoTime),
+    /// The client, since this time, to send more of a request or to read more of a response.
+    Client(MonoTime),
+}
+
+/// A connection that was accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AcceptedConnection {
+    /// Its number.
+    pub id: ConnectionId,
+    /// Whether its requests are refused.
+    pub is_refused: bool,
+    /// Connections that are to be closed for it.
+    pub closed: Vec<ConnectionId>,
+}
+
+/// The outcome of a change of a connection's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemoryChange {
+    /// Whether all connections together take no more than they may.
+    pub fits: bool,
+    /// Connections that are to be closed for it.
+    pub closed: Vec<ConnectionId>,
+}
+
+/// Counters of a table since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct ConnectionCounts {
+    /// Open connections.
+    pub open: u64,
+    /// Memory that the open ones are expected to take, in bytes.
+    pub bytes: u64,
+    /// Connections closed for others.
+    pub closed: u64,
+    /// Connections and requests refused because nothing could be closed for them.
+    pub refused: u64,
+}
+
+#[derive(Debug)]
+struct ConnectionEntry {
+    bytes: usize,
+    wait: ConnectionWait,
+}
+
+/// The connections of a server, with their memory and what they wait for.
+///
+/// When a connection needs what is not there, those that have waited for their clients longest are closed:
+/// an idle one at once, one in the middle of a message after a second without progress. If there is none,
+/// the newcomer is refused. A client that opens or blocks all connections thus shuts nobody out for long.
+#[derive(Debug)]
+pub struct ConnectionTable {
+    limits: ConnectionLimits,
+    entries: FastMap<ConnectionId, ConnectionEntry>,
+    next: u64,
+    bytes: usize,
+    closed: u64,
+    refused: u64,
+}
+
+impl ConnectionTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn open(limits: ConnectionLimits) -> Self {
+        Self {
+            limits,
+            entries: FastMap::default(),
+            next: 0,
+            bytes: 0,
+            closed: 0,
+            refused: 0,
+        }
+    }
+
+    /// Adds a connection; none if it is to be closed at once.
+    pub fn accept(&mut self, now: MonoTime) -> Option<AcceptedConnection> {
+        let mut closed = Vec::new();
+        while !self.has_room() {
+            match self.close_longest_wait(now, None) {
+                Some(id) => closed.push(id),
+                None => break,
+            }
+        }
+        let is_refused = !self.has_room();
+        if is_refused {
+            self.refused += 1;
+            let refused = self.limits.connections / REFUSED_PART + 1;
+            if self.entries.len() >= self.limits.connections + refused {
+                return None;
+            }
+        }
+        let id = ConnectionId(self.next);
+        self.next += 1;
+        let entry = ConnectionEntry {
+            bytes: IDLE_BYTES,
+            wait: match is_refused {
+                true => ConnectionWait::Client(now),
+                false => ConnectionWait::NextRequest(now),
+            },
+        };
+        self.entries.insert(id, entry);
+        self.bytes += IDLE_BYTES;
+        Some(AcceptedConnection {
+            id,
+            is_refused,
+            closed,
+        })
+    }
+
+    /// Removes a connection that has ended. One that the table has closed is gone already.
+    pub fn end(&mut self, id: ConnectionId) {
+        if let Some(entry) = self.entries.remove(&id) {
+            self.bytes -= entry.bytes;
+        }
+    }
+
+    /// Sets what a connection waits for.
+    pub fn set_wait(&mut self, id: ConnectionId, wait: ConnectionWait) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.wait = wait;
+        }
+    }
+
+    /// Sets the memory of a connection.
+    pub fn set_bytes(&mut self, id: ConnectionId, bytes: usize, now: MonoTime) -> MemoryChange {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return MemoryChange {
+                fits: false,
+                closed: Vec::new(),
+            };
+        };
+        let grows = bytes > entry.bytes;
+        self.bytes = self.bytes - entry.bytes + bytes;
+        entry.bytes = bytes;
+        let mut closed = Vec::new();
+        while grows && self.bytes > self.limits.memory.as_usize() {
+            match self.close_longest_wait(now, Some(id)) {
+                Some(id) => closed.push(id),
+                None => break,
+            }
+        }
+        MemoryChange {
+            fits: !grows || self.bytes <= self.limits.memory.as_usize(),
+            closed,
+        }
+    }
+
+    /// Counts a request that was refused for want of memory.
+    pub const fn count_refusal(&mut self) {
+        self.refused += 1;
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn counts(&self) -> ConnectionCounts {
+        ConnectionCounts {
+            open: self.entries.len() as u64,
+            bytes: self.bytes as u64,
+            closed: self.closed,
+            refused: self.refused,
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.entries.len() < self.limits.connections
+            && self.bytes + IDLE_BYTES <= self.limits.memory.as_usize()
+    }
+
+    /// Removes the connection other than `keep` that has waited for its client longest.
+    fn close_longest_wait(
+        &mut self,
+        now: MonoTime,
+        keep: Option<ConnectionId>,
+    ) -> Option<ConnectionId> {
+        let memory = self.limits.memory.as_usize();
+        let stall = match self.bytes > memory + memory / 4 {
+            true => Duration::ZERO,
+            false => STALL,
+        };
+        let waits = self.entries.iter().filter_map(|(id, entry)| {
+            let since = entry.wait.closable_since(now, stall)?;
+            (Some(*id) != keep).then_some((since, *id))
+        });
+        let (_, id) = waits.min_by_key(|(since, id)| (*since, id.0))?;
+        self.end(id);
+        self.closed += 1;
+        Some(id)
+    }
+}
+
+impl ConnectionWait {
+    /// The time since when the connection has waited for its client; none if it may not be closed. One in
+    /// the middle of a message may be closed after `stall`.
+    fn closable_since(self, now: MonoTime, stall: Duration) -> Option<MonoTime> {
+        match self {
+            Self::NextRequest(since) => Some(since),
+            Self::Client(since) if now.since(since) >= stall => Some(since),
+            Self::Client(_) | Self::Server => None,
+        }
+    }
+}
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -17,7 +17,9 @@
 
 use crate::http::client_connection::ClientConnection;
 use crate::http::signaling_stream::SignalingStream;
-use crate::http::{BusyConnection, IdleClosing, LateConnections};
+use crate::http::{
+    BusyConnection, ConnectionLimits, IdleClosing, LateConnections, ServerConnections,
+};
 use crate::logs::log_target;
 
 /// Pause after a failed `accept`, so that a lasting error, such as too many open files, does not
@@ -81,6 +83,20 @@
         address: SocketAddr,
         handler: HttpHandler,
         timeouts: HttpTimeouts,
+    ) -> io::Result<Self> {
+        let connections = ServerConnections::open("http", ConnectionLimits::default());
+        Self::bind_limited(address, handler, timeouts, connections).await
+    }
+
+    /// Binds `address` and serves requests by `handler`, with `timeouts`, on `connections`.
+    ///
+    /// # Errors
+    /// The I/O error if `address` cannot be bound.
+    pub async fn bind_limited(
+        address: SocketAddr,
+        handler: HttpHandler,
+        timeouts: HttpTimeouts,
+        connections: ServerConnections,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -92,6 +108,7 @@
             busy: Rc::clone(&busy),
             late: late.clone(),
             idle_closing: idle_closing.clone(),
+            connections,
         };
         let serving = serve_until_closed(listener, handler, timeouts, tracking, closed);
         actix_rt::spawn(serving);
@@ -136,6 +153,7 @@
     busy: Rc<Cell<usize>>,
     late: LateConnections,
     idle_closing: IdleClosing,
+    connections: ServerConnections,
 }
 
 async fn serve_until_closed(
@@ -149,6 +167,7 @@
         busy,
         late,
         idle_closing,
+        connections,
     } = tracking;
     let request_service = fn_service(move |mut request: Request| {
         let connection = request.conn_data::<ClientConnection>().cloned();
@@ -182,6 +201,9 @@
     };
     let service = Rc::new(service);
     let serve = |socket: TcpStream| {
+        let Some((place, closed)) = connections.accept() else {
+            return;
+        };
         // Nagle's algorithm would hold a small response back until a delayed acknowledgement.
         let _ = socket.set_nodelay(true);
         let service = Rc::clone(&service);
@@ -189,16 +211,20 @@
         let idle_closing = idle_closing.clone();
         actix_rt::spawn(async move {
             let peer = socket.peer_addr().ok();
-            let connection = ClientConnection::open(BusyConnection::open(busy));
-            let busy = connection.busy().clone();
+            let busy = BusyConnection::open(busy);
+            let connection = ClientConnection::open(place, busy.clone());
             let stream = SignalingStream::open(socket, timeouts, connection);
-            let serving = pin!(service.call((stream, peer)));
             let closing = pin!(idle_closing.wait());
-            if let Either::Right(((), serving)) = select(serving, closing).await
-                && !busy.is_idle()
-            {
-                let _ = serving.await;
-            }
+            let serving = pin!(async {
+                let serving = pin!(service.call((stream, peer)));
+                if let Either::Right(((), serving)) = select(serving, closing).await
+                    && !busy.is_idle()
+                {
+                    let _ = serving.await;
+                }
+            });
+            // The other side is dropped with the connection's place in the table.
+            select(serving, closed).await;
         });
     };
     {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,8 @@
 mod busy_connection;
 mod chunk_scanner;
 mod client_connection;
+mod connection_limits;
+mod connection_table;
 mod disconnect_signal;
 mod gated_payload;
 mod head_scanner;
@@ -14,9 +16,16 @@
 mod never_sent;
 mod pending_body;
 mod request_gate;
+mod server_connections;
 mod signaling_stream;
 
 pub use busy_connection::BusyConnection;
+pub(crate) use client_connection::ServerFull;
+pub use connection_limits::ConnectionLimits;
+pub use connection_table::{
+    AcceptedConnection, ConnectionCounts, ConnectionId, ConnectionTable, ConnectionWait,
+    IDLE_BYTES, MemoryChange,
+};
 pub use disconnect_signal::DisconnectSignal;
 pub use header_rules::{HeaderList, HeaderRules};
 pub use http_server::{HttpHandler, HttpServer, HttpTimeouts};
@@ -26,3 +35,4 @@
 pub use message_body::{BodyError, json_response, read_body, read_body_with, text_response};
 pub use never_sent::never_sent;
 pub use request_gate::{BodyFraming, RequestGate};
+pub use server_connections::{ConnectionLine, ServerConnections};
--- a/src/http/pending_body.rs
+++ b/src/http/pending_body.rs
@@ -11,7 +11,7 @@
 /// Longest part that the server takes at once; it copies each into its write buffer.
 const MAX_PART: usize = 32 * 1024;
 
-/// A body that tells its connection when the server drops it.
+/// A body that tells its connection what the server takes, and when the server drops it.
 pub(crate) struct PendingBody {
     body: BoxBody,
     /// The rest of a part that was longer than `MAX_PART`.
@@ -48,6 +48,7 @@
         }
         let length = self.rest.len().min(MAX_PART);
         let part = self.rest.split_to(length);
+        self.connection.add_unsent(length);
         Poll::Ready(Some(Ok(part)))
     }
 }
--- a/src/http/request_gate.rs
+++ b/src/http/request_gate.rs
@@ -128,6 +128,21 @@
         }
     }
 
+    /// Bytes of the last head that went on.
+    #[must_use]
+    pub const fn head_bytes(&self) -> usize {
+        self.head_bytes
+    }
+
+    /// Whether a part of a request's body has yet to arrive.
+    #[must_use]
+    pub const fn awaits_body(&self) -> bool {
+        matches!(
+            self.state,
+            GateState::SizedBody(_) | GateState::ChunkedBody(_) | GateState::UnframedBody
+        )
+    }
+
     /// The server begins a request whose body is framed by `framing`.
     pub fn begin_request(&mut self, framing: BodyFraming) {
         self.is_answered = false;
--- /dev/null
+++ b/src/http/server_connections.rs
@@ -0,0 +1,170 @@
+//! The open connections of a running server.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use crate::hash::FastMap;
+use crate::http::ConnectionLimits;
+use crate::http::connection_table::{
+    ConnectionCounts, ConnectionId, ConnectionTable, ConnectionWait,
+};
+use crate::logs::log_target;
+use crate::time::{Deadline, MonoTime, ProcessClock};
+
+/// Minimum time between two log lines about connections that were closed or refused.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The connections of a server; clones share them.
+#[derive(Clone)]
+pub struct ServerConnections {
+    share: Rc<ConnectionsShare>,
+}
+
+struct ConnectionsShare {
+    clock: ProcessClock,
+    /// What the log calls the listener.
+    listener: &'static str,
+    table: RefCell<ConnectionTable>,
+    /// Dropping one closes its connection.
+    closers: RefCell<FastMap<ConnectionId, oneshot::Sender<()>>>,
+    /// When the next line may be logged.
+    next_log: Cell<Deadline>,
+}
+
+/// The counters of a listener's connections.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct ConnectionLine {
+    /// What the log calls the listener.
+    pub listener: &'static str,
+    /// The counters.
+    pub counts: ConnectionCounts,
+}
+
+/// The place of one connection; dropping it frees the place.
+pub(crate) struct ConnectionPlace {
+    connections: ServerConnections,
+    id: ConnectionId,
+    /// Whether the connection's requests are refused.
+    pub(crate) is_refused: bool,
+}
+
+impl ServerConnections {
+    /// Creates the state of a listener without connections.
+    pub(crate) fn open(listener: &'static str, limits: ConnectionLimits) -> Self {
+        let clock = ProcessClock::open();
+        let share = ConnectionsShare {
+            clock,
+            listener,
+            table: RefCell::new(ConnectionTable::open(limits)),
+            closers: RefCell::default(),
+            next_log: Cell::new(Deadline::at(clock.now())),
+        };
+        Self {
+            share: Rc::new(share),
+        }
+    }
+
+    /// Adds a connection that was accepted. Returns its place and what ends when it is to be closed; none
+    /// if it is to be closed at once.
+    pub(crate) fn accept(&self) -> Option<(ConnectionPlace, oneshot::Receiver<()>)> {
+        let now = self.share.clock.now();
+        let accepted = self.share.table.borrow_mut().accept(now);
+        let is_refused = accepted.as_ref().is_none_or(|place| place.is_refused);
+        let closed = accepted.as_ref().map_or(&[][..], |place| &place.closed);
+        if is_refused || !closed.is_empty() {
+            self.close(closed);
+            self.log_pressure();
+        }
+        let accepted = accepted?;
+        let (closer, closing) = oneshot::channel();
+        self.share.closers.borrow_mut().insert(accepted.id, closer);
+        let place = ConnectionPlace {
+            connections: self.clone(),
+            id: accepted.id,
+            is_refused: accepted.is_refused,
+        };
+        Some((place, closing))
+    }
+
+    /// Returns the counters with the listener's name.
+    #[must_use]
+    pub fn line(&self) -> ConnectionLine {
+        ConnectionLine {
+            listener: self.share.listener,
+            counts: self.counts(),
+        }
+    }
+
+    /// Returns the counters since the start.
+    #[must_use]
+    pub fn counts(&self) -> ConnectionCounts {
+        self.share.table.borrow().counts()
+    }
+
+    fn close(&self, closed: &[ConnectionId]) {
+        let mut closers = self.share.closers.borrow_mut();
+        for id in closed {
+            closers.remove(id);
+        }
+    }
+
+    fn log_pressure(&self) {
+        let now = self.share.clock.now();
+        if !self.share.next_log.get().has_passed(now) {
+            return;
+        }
+        self.share.next_log.set(now.after(LOG_INTERVAL));
+        let counts = self.counts();
+        log::warn!(
+            target: log_target::DAEMON,
+            listener = self.share.listener,
+            open = counts.open,
+            bytes = counts.bytes,
+            closed_total = counts.closed,
+            refused_total = counts.refused;
+            "Clients take all connections or their memory: those that wait for their clients longest are closed, others refused."
+        );
+    }
+}
+
+impl ConnectionPlace {
+    pub(crate) fn now(&self) -> MonoTime {
+        self.connections.share.clock.now()
+    }
+
+    pub(crate) fn set_wait(&self, wait: ConnectionWait) {
+        let mut table = self.connections.share.table.borrow_mut();
+        table.set_wait(self.id, wait);
+    }
+
+    /// Sets the memory of the connection, for which others may be closed. Returns whether there is room
+    /// for it.
+    pub(crate) fn set_bytes(&self, bytes: usize) -> bool {
+        let share = &self.connections.share;
+        let now = share.clock.now();
+        let change = share.table.borrow_mut().set_bytes(self.id, bytes, now);
+        if !change.closed.is_empty() {
+            self.connections.close(&change.closed);
+            self.connections.log_pressure();
+        }
+        change.fits
+    }
+
+    /// Counts a request that is refused for want of memory.
+    pub(crate) fn count_refusal(&self) {
+        self.connections.share.table.borrow_mut().count_refusal();
+        self.connections.log_pressure();
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        let share = &self.connections.share;
+        share.table.borrow_mut().end(self.id);
+        share.closers.borrow_mut().remove(&self.id);
+    }
+}
--- a/src/http/signaling_stream.rs
+++ b/src/http/signaling_stream.rs
@@ -66,8 +66,11 @@
     ) -> Poll<io::Result<usize>> {
         if let Poll::Ready(written) = written {
             self.write_stalled = None;
+            self.connection
+                .record_write(Some(*written.as_ref().unwrap_or(&0)));
             return Poll::Ready(written);
         }
+        self.connection.record_write(None);
         let span = self.timeouts.write_progress;
         ready!(poll_stall(&mut self.write_stalled, span, context));
         let peer = self.socket.peer_addr().ok();
@@ -98,7 +101,7 @@
             let admitted = self.connection.admit(&self.held[..length]);
             buffer.put_slice(&self.held[..admitted]);
             self.held.advance(admitted);
-            return Poll::Ready(Ok(()));
+            return Poll::Ready(self.check_memory());
         }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
@@ -106,7 +109,7 @@
         let admitted = self.connection.admit(arrived);
         self.held.extend_from_slice(&arrived[admitted..]);
         buffer.set_filled(before + admitted);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.check_memory())
     }
 
     /// Looks for the end of the input while the gate is closed. Without bytes that wait, it is read; behind
@@ -125,6 +128,7 @@
             if self.held.is_empty() {
                 return Poll::Ready(Ok(()));
             }
+            self.connection.set_held(self.held.len());
         }
         loop {
             let state = self.socket.ready(Interest::READABLE).now_or_never();
@@ -135,6 +139,14 @@
         }
     }
 
+    /// An error if there is no memory for what has arrived of a head.
+    fn check_memory(&self) -> io::Result<()> {
+        match self.connection.set_held(self.held.len()) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::OutOfMemory.into()),
+        }
+    }
+
     /// Fails when a head that has begun does not end in time.
     fn poll_head_stall(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if !self.connection.has_unfinished_head() {
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -15,6 +15,7 @@
 use crate::hash::FastMap;
 use crate::http::{
     HeaderRules, HttpHandler, HttpServer, HttpTimeouts, IdleClosing, LateConnections,
+    ServerConnections,
 };
 use crate::ids::{BootId, RequestId, RouteId, ServiceId, ZoneId};
 use crate::ingress::shutdown_signal::ShutdownSignal;
@@ -101,11 +102,15 @@
 }
 
 impl IngressHandle {
-    /// Binds `address` and serves callers' requests.
+    /// Binds `address` and serves callers' requests on `connections`.
     ///
     /// # Errors
     /// The I/O error if `address` cannot be bound.
-    pub async fn bind(address: SocketAddr, sources: IngressSources) -> io::Result<Self> {
+    pub async fn bind(
+        address: SocketAddr,
+        sources: IngressSources,
+        connections: ServerConnections,
+    ) -> io::Result<Self> {
         let state = IngressState {
             pickers: FastMap::default(),
             budgets: ServiceBudgets::open(sources.proxy.retry_reserve),
@@ -139,7 +144,7 @@
             ..HttpTimeouts::default()
         };
         let handler = handle.clone().handler();
-        let server = HttpServer::bind_with(address, handler, timeouts).await?;
+        let server = HttpServer::bind_limited(address, handler, timeouts, connections).await?;
         *handle.busy_connections.borrow_mut() = server.busy_connections();
         *handle.late_connections.borrow_mut() = server.late_connections();
         *handle.idle_closing.borrow_mut() = server.idle_closing();
--- a/src/ingress/request_refusal.rs
+++ b/src/ingress/request_refusal.rs
@@ -41,6 +41,8 @@
     NotConfigured,
     /// The daemon is shutting down.
     Stopping,
+    /// Clients take all connections that the daemon may have, or all memory for them.
+    ServerFull,
     /// No instance accepted the request; holds the last refusal's reason, if any, and when to retry.
     NoCapacity(Option<RefusalReason>, Duration),
     /// The service has no room in time for requests of this priority; holds when to retry.
@@ -76,6 +78,7 @@
             // again, which it may not after 504.
             Self::NotConfigured
             | Self::Stopping
+            | Self::ServerFull
             | Self::NoCapacity(..)
             | Self::ServiceFull(..)
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
@@ -104,6 +107,7 @@
             Self::NoCapacity(_, span) | Self::ServiceFull(_, span) => Some(*span),
             Self::NotConfigured
             | Self::Stopping
+            | Self::ServerFull
             | Self::BadBody(BodyError::NoMemory)
             | Self::DeadlinePassed => Some(DEFAULT_RETRY_AFTER),
             _ => None,
@@ -192,6 +196,9 @@
                 formatter.write_str("this daemon has no current configuration yet")
             }
             Self::Stopping => formatter.write_str("this daemon is stopping; use another"),
+            Self::ServerFull => formatter.write_str(
+                "this daemon has no connection or memory left for the request; send it again later",
+            ),
             Self::NoCapacity(Some(reason), _) => write!(formatter, "no capacity: {reason}"),
             Self::NoCapacity(None, _) => {
                 formatter.write_str("no instance of the service is available")
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -11,7 +11,9 @@
 use futures_util::future::{Either, select};
 
 use crate::execution_verdict::ExecutionVerdict;
-use crate::http::{BusyConnection, DisconnectSignal, LateConnection, header_rules, read_body_with};
+use crate::http::{
+    BusyConnection, DisconnectSignal, LateConnection, ServerFull, header_rules, read_body_with,
+};
 use crate::ids::{HostName, RequestId};
 use crate::ingress::caller_request::CallerRequest;
 use crate::ingress::ingress_handle::InFlightGuard;
@@ -36,7 +38,11 @@
     let id = ingress.next_request_id();
     let name = request_name(ingress, id, request.headers());
     let begin = ingress.sources.clock.now();
-    let result = serve_until_disconnect(ingress, id, &name, &mut request, guard).await;
+    let is_full = request.extensions().contains::<ServerFull>();
+    let result = match is_full {
+        true => Err(RequestRefusal::ServerFull),
+        false => serve_until_disconnect(ingress, id, &name, &mut request, guard).await,
+    };
     let duration = ingress.sources.clock.now().since(begin);
     let (verdict, mut response) = match result {
         Ok(response) => (ExecutionVerdict::Ran, response),
@@ -51,6 +57,11 @@
         let header = ingress.sources.headers.request();
         response.headers_mut().insert(header, value);
     }
+    if is_full {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
     if ingress.is_stopping() {
         response
             .head_mut()
--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -11,7 +11,9 @@
 use actix_http::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
-use crate::http::{self, HttpHandler, HttpServer};
+use crate::http::{
+    self, ConnectionLimits, HttpHandler, HttpServer, HttpTimeouts, ServerConnections,
+};
 use crate::ids::InstanceId;
 use crate::instances::{
     AnnounceError, AnnounceSources, AnnounceTable, Announcement, LocalInstance,
@@ -43,6 +45,18 @@
     /// # Errors
     /// The I/O error if the address cannot be bound.
     pub async fn bind(sources: AnnounceSources) -> io::Result<Self> {
+        let limits = ConnectionLimits::control(None);
+        Self::bind_limited(sources, ServerConnections::open("announce", limits)).await
+    }
+
+    /// As `bind`, on `connections`.
+    ///
+    /// # Errors
+    /// As `bind`.
+    pub async fn bind_limited(
+        sources: AnnounceSources,
+        connections: ServerConnections,
+    ) -> io::Result<Self> {
         let address = sources.address;
         let table = AnnounceTable::open(sources.renewal_rule.clone());
         let state = Rc::new(AnnounceState {
@@ -54,7 +68,8 @@
             let state = Rc::clone(&handler_state);
             Box::pin(async move { state.handle_request(request).await })
         });
-        let server = HttpServer::bind(address, handler).await?;
+        let timeouts = HttpTimeouts::default();
+        let server = HttpServer::bind_limited(address, handler, timeouts, connections).await?;
         let lease_task = actix_rt::spawn(expire_leases(Rc::clone(&state)));
         Ok(Self {
             state,
--- a/src/metrics/metrics_export.rs
+++ b/src/metrics/metrics_export.rs
@@ -11,6 +11,7 @@
 
 use crate::balance::ZoneLine;
 use crate::config::ConfirmationSource;
+use crate::http::ConnectionLine;
 use crate::ingress::{CreditLine, RequestTotals, ResponseLoss};
 use crate::metrics::DurationMetrics;
 use crate::peers::ZoneBytes;
@@ -60,6 +61,8 @@
     pub zones: Vec<ZoneLine>,
     /// Bytes exchanged with other zones by purpose, since the daemon started.
     pub zone_bytes: Vec<ZoneBytes>,
+    /// Connections by listener.
+    pub connections: Vec<ConnectionLine>,
 }
 
 /// Registry of all metrics with the latest snapshot.
@@ -121,6 +124,9 @@
 /// The snapshot of the latest scrape, which all callbacks read.
 type SharedSnapshot = Arc<Mutex<MetricsSnapshot>>;
 
+/// Reads a value of a listener's connections.
+type ReadConnections = fn(&ConnectionLine) -> u64;
+
 /// Registers a callback for each counter and gauge.
 fn register_all(meter: &Meter, latest: &SharedSnapshot) {
     register_counter(meter, latest, "requests_taken", |snapshot| {
@@ -211,6 +217,7 @@
     register_zone_share(meter, latest);
     register_zone_bytes(meter, latest, "zone_bytes_sent", |line| line.sent);
     register_zone_bytes(meter, latest, "zone_bytes_received", |line| line.received);
+    register_connections(meter, latest);
 }
 
 fn register_counter(
@@ -359,6 +366,45 @@
     }
 }
 
+/// Registers the gauges and counters of connections, with one series per listener.
+fn register_connections(meter: &Meter, latest: &SharedSnapshot) {
+    let gauges: [(_, ReadConnections); 2] = [
+        ("connections_open", |line| line.counts.open),
+        ("connection_bytes_held", |line| line.counts.bytes),
+    ];
+    for (name, read) in gauges {
+        let latest = Arc::clone(latest);
+        meter
+            .u64_observable_gauge(name)
+            .with_callback(move |instrument| observe_connections(instrument, &latest, read))
+            .build();
+    }
+    let counters: [(_, ReadConnections); 2] = [
+        ("connections_closed_for_others", |line| line.counts.closed),
+        ("connections_refused", |line| line.counts.refused),
+    ];
+    for (name, read) in counters {
+        let latest = Arc::clone(latest);
+        meter
+            .u64_observable_counter(name)
+            .with_callback(move |instrument| observe_connections(instrument, &latest, read))
+            .build();
+    }
+}
+
+fn observe_connections(
+    instrument: &dyn AsyncInstrument<u64>,
+    latest: &SharedSnapshot,
+    read: ReadConnections,
+) {
+    let Ok(snapshot) = latest.lock() else {
+        return;
+    };
+    for line in &snapshot.connections {
+        instrument.observe(read(line), &[KeyValue::new("listener", line.listener)]);
+    }
+}
+
 /// Registers a counter with one series per purpose of the bytes between zones.
 fn register_zone_bytes(
     meter: &Meter,
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -197,6 +197,8 @@
                 "make it no longer than proxy.max_deadline",
             ));
         }
+        // The descriptors of the process that checks may differ from the daemon's, which checks again.
+        self.proxy.connection_limits(None)?;
         Ok(())
     }
 
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -3,13 +3,26 @@
 use serde::de::{Error, Unexpected};
 use serde::{Deserialize, Deserializer};
 
-use crate::settings::ZoneOverflow;
+use crate::http::ConnectionLimits;
+use crate::settings::{SettingsError, ZoneOverflow};
 use crate::units::{ByteSize, TimeSpan, ZoneCost};
 
+/// Number of callers' connections if the settings name none and the process may have twice as many
+/// descriptors.
+const DEFAULT_CONNECTIONS: u32 = 1_000;
+/// Lower bound of `proxy.connection_memory`.
+const MIN_CONNECTION_MEMORY: ByteSize = ByteSize::from_kib(1024);
+
 /// Sizes, deadlines, buffering and retries of proxied requests.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ProxySettings {
+    /// Maximum number of callers' connections. If absent, 1,000, or half of the process's descriptors if
+    /// these are fewer than 2,000.
+    pub max_connections: Option<u32>,
+    /// Memory for callers' connections together: buffers, heads, and what waits to be read. Bodies and
+    /// responses that are held have budgets of their own.
+    pub connection_memory: ByteSize,
     /// Maximum size of a request body.
     pub max_request: ByteSize,
     /// Memory for the bodies of all requests together.
@@ -65,6 +78,8 @@
 impl Default for ProxySettings {
     fn default() -> Self {
         Self {
+            max_connections: None,
+            connection_memory: ConnectionLimits::default().memory,
             max_request: ByteSize::from_kib(1024),
             body_memory: ByteSize::from_kib(32 * 1024),
             body_progress: TimeSpan::from_secs(10),
@@ -89,6 +104,43 @@
     }
 }
 
+impl ProxySettings {
+    /// Returns the limits on callers' connections of a process that may have `descriptors`; none stands
+    /// for any number. The other half of the descriptors is for instances, other daemons and the platform.
+    ///
+    /// # Errors
+    /// `SettingsError` if a limit is out of bounds.
+    pub fn connection_limits(
+        &self,
+        descriptors: Option<u64>,
+    ) -> Result<ConnectionLimits, SettingsError> {
+        if self.connection_memory < MIN_CONNECTION_MEMORY {
+            return Err(SettingsError::Value(
+                "proxy.connection_memory",
+                self.connection_memory.to_string(),
+                "use at least 1MiB",
+            ));
+        }
+        let half = descriptors.map_or(u64::MAX, |descriptors| descriptors / 2);
+        let half = u32::try_from(half).unwrap_or(u32::MAX);
+        let connections = match self.max_connections {
+            None => DEFAULT_CONNECTIONS.min(half),
+            Some(count) if (1..=half).contains(&count) => count,
+            Some(count) => {
+                return Err(SettingsError::Value(
+                    "proxy.max_connections",
+                    count.to_string(),
+                    "use at least 1 and at most half of the descriptors that the process may have",
+                ));
+            }
+        };
+        Ok(ConnectionLimits {
+            connections: connections as usize,
+            memory: self.connection_memory,
+        })
+    }
+}
+
 /// Reads a count that may have a fraction, which is rounded down, so that a limit is never exceeded.
 fn whole_count<'de, D: Deserializer<'de>>(source: D) -> Result<Option<u32>, D::Error> {
     let count = f64::deserialize(source)?;
--- /dev/null
+++ b/tests/connection_table.rs
@@ -0,0 +1,118 @@
+//! Which connections a server closes or refuses when clients take all that it may have.
+
+use wagtailtrack::http::{
+    AcceptedConnection, ConnectionId, ConnectionLimits, ConnectionTable, ConnectionWait, IDLE_BYTES,
+};
+use wagtailtrack::time::MonoTime;
+use wagtailtrack::units::ByteSize;
+
+const CONNECTIONS: usize = 4;
+const MEMORY: u64 = 1024 * 1024;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn table() -> ConnectionTable {
+    ConnectionTable::open(ConnectionLimits {
+        connections: CONNECTIONS,
+        memory: ByteSize::from_bytes(MEMORY),
+    })
+}
+
+fn accept(table: &mut ConnectionTable, millis: u64) -> AcceptedConnection {
+    table.accept(at(millis)).unwrap()
+}
+
+/// A full table, whose connections were accepted at 0, 1, 2 and 3 ms, with what each waits for.
+fn full_table(wait: impl Fn(u64) -> ConnectionWait) -> (ConnectionTable, Vec<ConnectionId>) {
+    let mut table = table();
+    let ids: Vec<_> = (0..CONNECTIONS as u64)
+        .map(|millis| {
+            let id = accept(&mut table, millis).id;
+            table.set_wait(id, wait(millis));
+            id
+        })
+        .collect();
+    (table, ids)
+}
+
+#[test]
+fn longest_idle_is_closed() {
+    let (mut table, ids) = full_table(|millis| ConnectionWait::NextRequest(at(millis)));
+    table.set_wait(ids[0], ConnectionWait::NextRequest(at(4)));
+    let accepted = accept(&mut table, 5);
+    assert_eq!(accepted.closed, [ids[1]]);
+    assert!(!accepted.is_refused);
+    assert_eq!(table.counts().open, CONNECTIONS as u64);
+    assert_eq!(table.counts().closed, 1);
+}
+
+/// Guards against connections closed while the server works for their clients.
+#[test]
+fn newcomer_is_refused_beside_work() {
+    let (mut table, _) = full_table(|_| ConnectionWait::Server);
+    let accepted = accept(&mut table, 60_000);
+    assert!(accepted.is_refused && accepted.closed.is_empty());
+    assert!(table.accept(at(60_001)).is_none());
+    assert_eq!(table.counts().refused, 2);
+    table.end(accepted.id);
+    assert!(accept(&mut table, 60_002).is_refused);
+}
+
+/// Guards against a client that blocks all connections and so shuts others out for good.
+#[test]
+fn stalled_client_is_closed() {
+    let (mut table, ids) = full_table(|millis| ConnectionWait::Client(at(millis)));
+    let early = accept(&mut table, 999);
+    assert!(early.is_refused);
+    table.end(early.id);
+    let accepted = accept(&mut table, 1_000);
+    assert!(!accepted.is_refused);
+    assert_eq!(accepted.closed, [ids[0]]);
+}
+
+#[test]
+fn memory_of_stalled_clients_is_taken() {
+    let (mut table, ids) = full_table(|millis| ConnectionWait::Client(at(millis)));
+    let third = MEMORY as usize / 3;
+    for id in &ids[..2] {
+        assert!(table.set_bytes(*id, third, at(10)).fits);
+    }
+    let early = table.set_bytes(ids[2], third, at(500));
+    assert!(!early.fits && early.closed.is_empty());
+    let late = table.set_bytes(ids[2], third + 1, at(1_500));
+    assert!(late.fits);
+    assert_eq!(late.closed, [ids[0]]);
+}
+
+/// Guards against memory far over the limit, where clients stall at the same moment.
+#[test]
+fn memory_is_bounded_at_once() {
+    let (mut table, ids) = full_table(|millis| ConnectionWait::Client(at(millis)));
+    for id in &ids {
+        table.set_bytes(*id, MEMORY as usize / 2, at(10));
+        assert!(table.counts().bytes <= MEMORY + MEMORY / 4);
+    }
+}
+
+#[test]
+fn ended_connections_free_their_memory() {
+    let (mut table, ids) = full_table(|_| ConnectionWait::Server);
+    table.set_bytes(ids[0], 5 * IDLE_BYTES, at(4));
+    assert_eq!(table.counts().bytes, 8 * IDLE_BYTES as u64);
+    for id in ids {
+        table.end(id);
+        table.end(id);
+    }
+    assert_eq!(table.counts().bytes, 0);
+}
+
+/// Guards against limits that a process with few descriptors cannot hold on all listeners together.
+#[test]
+fn limits_follow_descriptors() {
+    for descriptors in [64, 256, 4_100, 100_000] {
+        let control = ConnectionLimits::control(Some(descriptors)).connections as u64;
+        assert!(2 * control <= descriptors / 8);
+    }
+}
--- a/tests/process_settings.rs
+++ b/tests/process_settings.rs
@@ -78,6 +78,37 @@
     );
 }
 
+#[test]
+fn more_connections_than_half_of_the_descriptors() {
+    let text = format!("{VALID}\n[proxy]\nmax_connections = 4000000000\n");
+    let words = [
+        "proxy.max_connections",
+        "4000000000",
+        "half of the descriptors",
+    ];
+    assert_refused("connections", &text, &words);
+}
+
+#[test]
+fn no_connections() {
+    let text = format!("{VALID}\n[proxy]\nmax_connections = 0\n");
+    assert_refused(
+        "none",
+        &text,
+        &["proxy.max_connections", "'0'", "at least 1"],
+    );
+}
+
+#[test]
+fn little_connection_memory() {
+    let text = format!("{VALID}\n[proxy]\nconnection_memory = \"64KiB\"\n");
+    assert_refused(
+        "memory",
+        &text,
+        &["proxy.connection_memory", "64KiB", "at least 1MiB"],
+    );
+}
+
 #[test]
 fn missing_file() {
     let output = Command::new(env!("CARGO_BIN_EXE_wagtailtrackd"))
