Bound connections from strangers between daemons

Clients that know no fleet secret could end a daemon through listen.peers: each stream of a connection may send 4 MiB before its first message is complete and checked, on up to 4,096 streams; and connections without a message could take every descriptor.

Cause: only messages are authenticated, and neither connections, streams nor bytes before the first one were counted.

Headers of streams, which say nothing, are limited to 4 KiB.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -46,6 +46,7 @@
     pub(crate) callers: ServerConnections,
     pub(crate) admin: ServerConnections,
     pub(crate) announcers: ServerConnections,
+    pub(crate) strangers: ServerConnections,
     /// Empty until the membership runs; configuration starts before it and reads it later.
     members: Rc<OnceCell<MembersHandle>>,
     /// Empty until the announcement listener is bound; the egress starts before it.
@@ -82,14 +83,21 @@
             callers: ServerConnections::open("callers", caller_limits),
             admin: ServerConnections::open("admin", ConnectionLimits::control(descriptors)),
             announcers: ServerConnections::open("announce", ConnectionLimits::control(descriptors)),
+            strangers: ServerConnections::open("peers", ConnectionLimits::strangers(descriptors)),
             members: Rc::default(),
             announce: Rc::default(),
         })
     }
 
     /// The connections of each listener.
-    pub(crate) fn listener_connections(&self) -> [ServerConnections; 3] {
-        [&self.callers, &self.admin, &self.announcers].map(Clone::clone)
+    pub(crate) fn listener_connections(&self) -> [ServerConnections; 4] {
+        [
+            &self.callers,
+            &self.admin,
+            &self.announcers,
+            &self.strangers,
+        ]
+        .map(Clone::clone)
     }
 
     pub(crate) fn spawn_config(&self, settings: &DaemonSettings) -> ConfigHandle {
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -69,7 +69,8 @@
         let peers_address = settings.listen.peers;
         let key = builder.key.clone();
         let traffic = Rc::clone(&builder.zone_traffic);
-        let listener = PeerListener::bind_counted(peers_address, key, handler, traffic)
+        let strangers = builder.strangers.clone();
+        let listener = PeerListener::bind_limited(peers_address, key, handler, traffic, strangers)
             .await
             .map_err(|cause| bind_error("listen.peers", peers_address, &cause))?;
         let listener = Rc::new(listener);
--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -31,7 +31,7 @@
     pub(crate) settings: DaemonSettings,
     pub(crate) boot: BootId,
     /// The connections of each listener.
-    pub(crate) connections: [ServerConnections; 3],
+    pub(crate) connections: [ServerConnections; 4],
 }
 
 impl DaemonView {
--- a/src/peers/counted_socket.rs
+++ b/src/peers/counted_socket.rs
@@ -12,6 +12,7 @@
 
 use crate::peers::ZoneTraffic;
 use crate::peers::last_arrival::LastArrival;
+use crate::peers::stranger_place::StrangerPlace;
 
 /// Size of the reads whose bytes are discarded.
 const DISCARD_BYTES: usize = 4 * 1024;
@@ -21,6 +22,8 @@
     socket: TcpStream,
     last_arrival: LastArrival,
     traffic: Option<Rc<ZoneTraffic>>,
+    /// Limits what arrives on an incoming connection; none on an outgoing one.
+    stranger: Option<StrangerPlace>,
     /// Whether the shutdown of the sending side ends only when the peer has ended its side too.
     discards_input: Rc<Cell<bool>>,
     is_shut_down: bool,
@@ -36,11 +39,18 @@
             socket,
             last_arrival,
             traffic,
+            stranger: None,
             discards_input: Rc::default(),
             is_shut_down: false,
         }
     }
 
+    /// Counts what arrives for `stranger`.
+    pub(crate) fn limited_by(mut self, stranger: StrangerPlace) -> Self {
+        self.stranger = Some(stranger);
+        self
+    }
+
     /// Returns the switch that makes the shutdown of the sending side discard what arrives until the
     /// peer has ended its side too.
     pub(crate) fn discards_input(&self) -> Rc<Cell<bool>> {
@@ -79,6 +89,9 @@
             self.last_arrival.record();
         }
         self.count(0, received);
+        if let Some(stranger) = &self.stranger {
+            stranger.add_bytes(received)?;
+        }
         polled
     }
 }
--- a/src/peers/incoming_connection.rs
+++ b/src/peers/incoming_connection.rs
@@ -12,6 +12,7 @@
 use h2::server::{Connection, SendResponse};
 use http::Request;
 
+use crate::http::ServerConnections;
 use crate::logs::log_target;
 use crate::peers::close_signal::CloseSignal;
 use crate::peers::counted_socket::CountedSocket;
@@ -19,6 +20,7 @@
 use crate::peers::last_arrival::LastArrival;
 use crate::peers::peer_connection::count_hello;
 use crate::peers::peer_listener::PeerHandler;
+use crate::peers::stranger_place::StrangerPlace;
 use crate::peers::stream_receiver::StreamReceiver;
 use crate::peers::{
     CONNECTION_WINDOW_BYTES, FleetKey, PeerError, PeerStream, STREAM_WINDOW_BYTES, SessionKey,
@@ -27,6 +29,8 @@
 
 /// Maximum number of concurrent streams on one connection.
 const MAX_STREAMS: u32 = 4096;
+/// Maximum size of the headers of a stream, which say nothing.
+const MAX_HEADER_BYTES: u32 = 4 * 1024;
 /// Time for the calls that run when the connections are closed. Calls that are held until there is
 /// news would run for longer.
 const CALL_GRACE: Duration = Duration::from_millis(200);
@@ -48,6 +52,8 @@
     pub(crate) refused_messages: Rc<Cell<u64>>,
     pub(crate) traffic: Rc<ZoneTraffic>,
     pub(crate) closing: CloseSignal,
+    /// The connections whose peers have not shown that they belong to the fleet.
+    pub(crate) strangers: ServerConnections,
 }
 
 /// Serves a connection until it ends. Once the listener closes its connections, this one ends in order
@@ -55,6 +61,7 @@
 pub(crate) async fn serve_connection(
     socket: TcpStream,
     share: IncomingShare,
+    stranger: StrangerPlace,
 ) -> Result<(), PeerError> {
     let last_arrival = LastArrival::open();
     let mut closing = share.closing.clone();
@@ -63,7 +70,7 @@
         actix_rt::time::sleep(CLOSE_GRACE).await;
         last_arrival.wait_for_silence(CLOSE_SILENCE).await;
     });
-    let serving = pin!(serve_streams(socket, share, last_arrival.clone()));
+    let serving = pin!(serve_streams(socket, share, last_arrival.clone(), stranger));
     match select(serving, silence).await {
         Either::Left((result, _)) => result,
         Either::Right(_) => {
@@ -82,6 +89,7 @@
     mut socket: TcpStream,
     share: IncomingShare,
     last_arrival: LastArrival,
+    stranger: StrangerPlace,
 ) -> Result<(), PeerError> {
     socket.set_nodelay(true).map_err(PeerError::Connect)?;
     let session = SessionKey::accept(&share.key, share.traffic.own_tag(), &mut socket)
@@ -89,11 +97,13 @@
         .map_err(PeerError::Connect)?;
     let traffic = count_hello(&session, &share.traffic);
     let socket = CountedSocket::open(socket, last_arrival, traffic.clone());
+    let socket = socket.limited_by(stranger.clone());
     let discards_input = socket.discards_input();
     let mut connection: Connection<CountedSocket, Bytes> = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_BYTES)
         // The default of 20 ended the connection, and all requests on it, when many callers left at once.
         .max_pending_accept_reset_streams(MAX_STREAMS as usize)
         .handshake(socket)
@@ -101,9 +111,10 @@
     let mut closing = share.closing.clone();
     while let Some(accepted) = next_stream(&mut connection, &mut closing, &discards_input).await {
         let (request, respond) = accepted?;
+        stranger.add_stream().map_err(PeerError::Connect)?;
         match open_stream(&session, request.into_body(), respond, traffic.as_ref()) {
             Ok(stream) => {
-                actix_rt::spawn(serve_stream(stream, share.clone()));
+                actix_rt::spawn(serve_stream(stream, share.clone(), stranger.clone()));
             }
             // The peer may have cancelled the stream; the others go on.
             Err(cause) => {
@@ -152,20 +163,21 @@
 }
 
 /// Handles one stream, for at most `CALL_GRACE` once the listener closes its connections.
-async fn serve_stream(stream: PeerStream, share: IncomingShare) {
+async fn serve_stream(stream: PeerStream, share: IncomingShare, stranger: StrangerPlace) {
     let mut closing = share.closing.clone();
     let cut_off = pin!(async {
         closing.wait().await;
         actix_rt::time::sleep(CALL_GRACE).await;
     });
-    select(pin!(handle_stream(stream, share)), cut_off).await;
+    select(pin!(handle_stream(stream, share, stranger)), cut_off).await;
 }
 
 /// Reads the first message and passes the stream to the handler; resets the stream if the message is
 /// not valid.
-async fn handle_stream(mut stream: PeerStream, share: IncomingShare) {
+async fn handle_stream(mut stream: PeerStream, share: IncomingShare, stranger: StrangerPlace) {
     match stream.receive_required().await {
         Ok(opening) => {
+            stranger.trust();
             stream.set_purpose(TrafficPurpose::of(&opening));
             (share.handler)(opening, stream).await;
         }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -16,6 +16,7 @@
 mod peer_sender;
 mod peer_stream;
 mod session_key;
+mod stranger_place;
 mod stream_receiver;
 mod stream_traffic;
 mod traffic_purpose;
--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -3,15 +3,18 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 
 use actix_rt::net::TcpListener;
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{Either, LocalBoxFuture, select};
 use tokio::sync::watch;
 
+use crate::http::{ConnectionLimits, ServerConnections};
 use crate::logs::log_target;
 use crate::peers::close_signal::CloseSignal;
 use crate::peers::incoming_connection::{IncomingShare, serve_connection};
+use crate::peers::stranger_place::StrangerPlace;
 use crate::peers::{FleetKey, PeerStream, ZoneTraffic};
 use crate::time::{Deadline, ProcessClock};
 use crate::wire::PeerOpening;
@@ -50,6 +53,21 @@
         key: FleetKey,
         handler: PeerHandler,
         traffic: Rc<ZoneTraffic>,
+    ) -> io::Result<Self> {
+        let strangers = ServerConnections::open("peers", ConnectionLimits::strangers(None));
+        Self::bind_limited(address, key, handler, traffic, strangers).await
+    }
+
+    /// As `bind_counted`; connections are `strangers` until a message on them is authenticated.
+    ///
+    /// # Errors
+    /// As `bind`.
+    pub async fn bind_limited(
+        address: SocketAddr,
+        key: FleetKey,
+        handler: PeerHandler,
+        traffic: Rc<ZoneTraffic>,
+        strangers: ServerConnections,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -61,6 +79,7 @@
             refused_messages: Rc::clone(&refused_messages),
             traffic,
             closing,
+            strangers,
         };
         let task = actix_rt::spawn(accept_connections(listener, share));
         Ok(Self {
@@ -112,9 +131,16 @@
     loop {
         match listener.accept().await {
             Ok((socket, peer)) => {
-                let serving = serve_connection(socket, share.clone());
+                let Some((place, closed)) = share.strangers.accept() else {
+                    continue;
+                };
+                let stranger = StrangerPlace::open(place);
+                let serving = serve_connection(socket, share.clone(), stranger.clone());
                 actix_rt::spawn(async move {
-                    if let Err(cause) = serving.await {
+                    let closing = stranger.closed(closed);
+                    if let Either::Left((Err(cause), _)) =
+                        select(pin!(serving), pin!(closing)).await
+                    {
                         log::debug!(target: log_target::PEERS, peer:%, cause:%; "Connection from a peer failed.");
                     }
                 });
--- /dev/null
+++ b/src/peers/stranger_place.rs
@@ -0,0 +1,74 @@
+//! Limits what a connection takes before its peer has shown that it belongs to the fleet.
+
+use std::cell::RefCell;
+use std::future::pending;
+use std::io;
+use std::rc::Rc;
+
+use tokio::sync::oneshot;
+
+use crate::http::{ConnectionPlace, IDLE_BYTES};
+
+/// Memory of a stream whose first message has not arrived.
+const STREAM_BYTES: usize = 4 * 1024;
+
+/// The place of a connection among those of strangers, until a message on it is authenticated. Clones share
+/// it.
+#[derive(Clone)]
+pub(crate) struct StrangerPlace {
+    state: Rc<RefCell<Option<StrangerState>>>,
+}
+
+struct StrangerState {
+    place: ConnectionPlace,
+    bytes: usize,
+}
+
+impl StrangerPlace {
+    pub(crate) fn open(place: ConnectionPlace) -> Self {
+        let state = StrangerState {
+            place,
+            bytes: IDLE_BYTES,
+        };
+        Self {
+            state: Rc::new(RefCell::new(Some(state))),
+        }
+    }
+
+    /// A message on the connection was authenticated: it is no longer limited.
+    pub(crate) fn trust(&self) {
+        self.state.borrow_mut().take();
+    }
+
+    /// Counts bytes that were received.
+    ///
+    /// # Errors
+    /// `OutOfMemory` if strangers take all the memory that they may.
+    pub(crate) fn add_bytes(&self, bytes: usize) -> io::Result<()> {
+        let mut state = self.state.borrow_mut();
+        let Some(state) = &mut *state else {
+            return Ok(());
+        };
+        state.bytes += bytes;
+        match state.place.set_bytes(state.bytes) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::OutOfMemory.into()),
+        }
+    }
+
+    /// Counts a stream that was opened.
+    ///
+    /// # Errors
+    /// As `add_bytes`.
+    pub(crate) fn add_stream(&self) -> io::Result<()> {
+        self.add_bytes(STREAM_BYTES)
+    }
+
+    /// Ends when the connection is to be closed for others, which no longer happens once it is trusted.
+    pub(crate) async fn closed(&self, closing: oneshot::Receiver<()>) {
+        let _ = closing.await;
+        if self.state.borrow().is_none() {
+            pending::<()>().await;
+        }
+    }
+}
