Forward no status that HTTP does not have

Statuses of 600 to 999 did reach the caller, from the instance beside its daemon and through another one.

BackendConnection::receive rejects these too: the caller gets 502, since the request may have run. Informational responses without end were bounded already.

--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -23,6 +23,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of a response's head, in bytes, with the informational responses before it.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Highest status that HTTP has. The codec rejects those below 100 but not those above this one.
+const MAX_STATUS: u16 = 599;
 /// Maximum number of bytes between two parts of a body: size, extension and end of a chunk, or the
 /// trailers.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
@@ -98,13 +100,16 @@
     }
 
     /// Receives a response head, skipping informational (1xx) responses. Fails if it is larger than
-    /// `MAX_HEAD_BYTES`.
+    /// `MAX_HEAD_BYTES` or has a status that HTTP does not have.
     pub(crate) async fn receive(mut self) -> Result<(ResponseHead, BackendBody), FailureCause> {
         let mut received = self.buffer.len();
         let head = loop {
             let decoded = self.codec.decode(&mut self.buffer);
             match decoded.map_err(|_| FailureCause::BadResponse)? {
                 Some(head) if head.status.is_informational() => {}
+                Some(head) if head.status.as_u16() > MAX_STATUS => {
+                    return Err(FailureCause::BadResponse);
+                }
                 Some(head) => break head,
                 None if received > MAX_HEAD_BYTES => return Err(FailureCause::BadResponse),
                 None => received += read_more(&mut self.socket, &mut self.buffer).await?,
