Close no connection where that makes no room

A newcomer that found the memory taken by requests in work had every idle connection closed for it, 8 KiB each, and was refused all the same. Found in the read-through.

The table looks for enough connections first and closes none if there are not. Evidence: connection_table none_is_closed_in_vain describes the case; the others pass as before.

--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -101,14 +101,10 @@
 
     /// Adds a connection; none if it is to be closed at once.
     pub fn accept(&mut self, now: MonoTime) -> Option<AcceptedConnection> {
-        let mut closed = Vec::new();
-        while !self.has_room() {
-            match self.close_longest_wait(now, None) {
-                Some(id) => closed.push(id),
-                None => break,
-            }
-        }
-        let is_refused = !self.has_room();
+        let connections = (self.entries.len() + 1).saturating_sub(self.limits.connections);
+        let bytes = self.excess_bytes(IDLE_BYTES);
+        let closed = self.make_room(connections, bytes, now, None);
+        let is_refused = closed.is_empty() && (connections > 0 || bytes > 0);
         if is_refused {
             self.refused += 1;
             let refused = self.limits.connections / REFUSED_PART + 1;
@@ -159,15 +155,10 @@
         let grows = bytes > entry.bytes;
         self.bytes = self.bytes - entry.bytes + bytes;
         entry.bytes = bytes;
-        let mut closed = Vec::new();
-        while grows && self.bytes > self.limits.memory.as_usize() {
-            match self.close_longest_wait(now, Some(id)) {
-                Some(id) => closed.push(id),
-                None => break,
-            }
-        }
+        let excess = if grows { self.excess_bytes(0) } else { 0 };
+        let closed = self.make_room(0, excess, now, Some(id));
         MemoryChange {
-            fits: !grows || self.bytes <= self.limits.memory.as_usize(),
+            fits: excess == 0 || !closed.is_empty(),
             closed,
         }
     }
@@ -188,17 +179,47 @@
         }
     }
 
-    fn has_room(&self) -> bool {
-        self.entries.len() < self.limits.connections
-            && self.bytes + IDLE_BYTES <= self.limits.memory.as_usize()
+    /// Bytes by which the connections exceed their memory if they take `more`.
+    fn excess_bytes(&self, more: usize) -> usize {
+        (self.bytes + more).saturating_sub(self.limits.memory.as_usize())
     }
 
-    /// Removes the connection other than `keep` that has waited for its client longest.
-    fn close_longest_wait(
+    /// Removes the connections other than `keep` that have waited for their clients longest, until as many
+    /// and as many bytes are freed; none if there are not enough.
+    fn make_room(
         &mut self,
+        connections: usize,
+        bytes: usize,
         now: MonoTime,
         keep: Option<ConnectionId>,
-    ) -> Option<ConnectionId> {
+    ) -> Vec<ConnectionId> {
+        if connections == 0 && bytes == 0 {
+            return Vec::new();
+        }
+        let mut freed = 0;
+        let mut closed = Vec::new();
+        for (id, freeable) in self.closable(now) {
+            if Some(id) == keep {
+                continue;
+            }
+            freed += freeable;
+            closed.push(id);
+            if closed.len() >= connections && freed >= bytes {
+                break;
+            }
+        }
+        if closed.len() < connections || freed < bytes {
+            return Vec::new();
+        }
+        for id in &closed {
+            self.end(*id);
+        }
+        self.closed += closed.len() as u64;
+        closed
+    }
+
+    /// The connections that may be closed with their bytes, those that have waited longest first.
+    fn closable(&self, now: MonoTime) -> Vec<(ConnectionId, usize)> {
         let memory = self.limits.memory.as_usize();
         let stall = match self.bytes > memory + memory / 4 {
             true => Duration::ZERO,
@@ -206,12 +227,14 @@
         };
         let waits = self.entries.iter().filter_map(|(id, entry)| {
             let since = entry.wait.closable_since(now, stall)?;
-            (Some(*id) != keep).then_some((since, *id))
+            Some((since, id.0, entry.bytes))
         });
-        let (_, id) = waits.min_by_key(|(since, id)| (*since, id.0))?;
-        self.end(id);
-        self.closed += 1;
-        Some(id)
+        let mut waits: Vec<_> = waits.collect();
+        waits.sort_unstable();
+        let closable = waits.into_iter();
+        closable
+            .map(|(_, id, bytes)| (ConnectionId(id), bytes))
+            .collect()
     }
 }
 
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -96,6 +96,17 @@
     }
 }
 
+/// Guards against idle connections that are closed where that makes no room.
+#[test]
+fn none_is_closed_in_vain() {
+    let (mut table, ids) = full_table(|millis| ConnectionWait::NextRequest(at(millis)));
+    table.set_wait(ids[3], ConnectionWait::Server);
+    let change = table.set_bytes(ids[3], MEMORY as usize + 1, at(10));
+    assert!(!change.fits && change.closed.is_empty());
+    assert!(accept(&mut table, 11).is_refused);
+    assert_eq!(table.counts().closed, 0);
+}
+
 #[test]
 fn ended_connections_free_their_memory() {
     let (mut table, ids) = full_table(|_| ConnectionWait::Server);
