Count a client that reads a few bytes as one that stalls

A client that takes a few bytes now and then began a new wait with each of them, so that its connection was never the one to close; and bytes that it had read counted as held until everything before it was sent. Found in the read-through.

A connection waits for its reader from the first refused write until everything is sent, and 4 KiB start the wait anew; what the socket accepts no longer counts. slow_clients read_bytes_are_not_counted guards the second part; it passed before as well, since loopback sockets accept whole buffers.

--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -14,7 +14,6 @@
 use crate::http::pending_body::PendingBody;
 use crate::http::request_gate::{BodyFraming, RequestGate};
 use crate::http::server_connections::ConnectionPlace;
-use crate::time::MonoTime;
 
 /// Memory of a request that is handled, beside its head and body.
 const REQUEST_BYTES: usize = 24 * 1024;
@@ -52,10 +51,10 @@
     unsent_bytes: Cell<usize>,
     /// Bytes that arrived and wait outside the gate.
     held_bytes: Cell<usize>,
+    /// Whether the socket has refused bytes of the response and has not accepted all since.
     is_write_blocked: Cell<bool>,
     stage: Cell<ConnectionStage>,
-    since: Cell<MonoTime>,
-    /// Bytes sent or read by the client since `since`.
+    /// Bytes sent or read by the client since the stage began, or since it last counted as going on.
     progress: Cell<usize>,
     /// Memory as the table knows it.
     bytes: Cell<usize>,
@@ -81,7 +80,6 @@
 
 impl ClientConnection {
     pub(crate) fn open(place: ConnectionPlace, busy: BusyConnection) -> Self {
-        let since = place.now();
         let share = ConnectionShare {
             gate: RefCell::default(),
             busy,
@@ -93,7 +91,6 @@
             held_bytes: Cell::default(),
             is_write_blocked: Cell::default(),
             stage: Cell::new(ConnectionStage::Idle),
-            since: Cell::new(since),
             progress: Cell::default(),
             bytes: Cell::new(IDLE_BYTES),
         };
@@ -190,10 +187,17 @@
         self.update();
     }
 
-    /// Records that the client takes no bytes at present, or that it took `written` bytes.
-    pub(crate) fn record_write(&self, written: Option<usize>) {
-        self.share.is_write_blocked.set(written.is_none());
-        self.add_progress(written.unwrap_or(0));
+    /// Records that the socket accepted bytes. While others wait, the client still has to read.
+    pub(crate) fn record_write(&self, bytes: usize) {
+        let unsent = &self.share.unsent_bytes;
+        unsent.set(unsent.get().saturating_sub(bytes));
+        self.add_progress(bytes);
+        self.update();
+    }
+
+    /// Records that the socket accepts no bytes at present.
+    pub(crate) fn record_blocked_write(&self) {
+        self.share.is_write_blocked.set(true);
         self.update();
     }
 
@@ -271,7 +275,6 @@
         let share = &self.share;
         let now = share.place.now();
         share.stage.set(stage);
-        share.since.set(now);
         share.progress.set(0);
         share.place.set_wait(match stage {
             ConnectionStage::Idle => ConnectionWait::NextRequest(now),
--- a/src/http/server_connections.rs
+++ b/src/http/server_connections.rs
@@ -54,7 +54,8 @@
 
 impl ServerConnections {
     /// Creates the state of a listener without connections.
-    pub(crate) fn open(listener: &'static str, limits: ConnectionLimits) -> Self {
+    #[must_use]
+    pub fn open(listener: &'static str, limits: ConnectionLimits) -> Self {
         let clock = ProcessClock::open();
         let share = ConnectionsShare {
             clock,
--- a/src/http/signaling_stream.rs
+++ b/src/http/signaling_stream.rs
@@ -66,11 +66,12 @@
     ) -> Poll<io::Result<usize>> {
         if let Poll::Ready(written) = written {
             self.write_stalled = None;
-            self.connection
-                .record_write(Some(*written.as_ref().unwrap_or(&0)));
+            if let Ok(bytes) = &written {
+                self.connection.record_write(*bytes);
+            }
             return Poll::Ready(written);
         }
-        self.connection.record_write(None);
+        self.connection.record_blocked_write();
         let span = self.timeouts.write_progress;
         ready!(poll_stall(&mut self.write_stalled, span, context));
         let peer = self.socket.peer_addr().ok();
