Take for a response what memory there is

A request or a head can be refused, so nothing is closed for it in vain; a response that is there takes its memory in any case, so what may be closed for it is closed. MemoryGrowth tells them apart. Evidence: connection_table response_takes_what_there_is and none_is_closed_in_vain.

--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -9,7 +9,7 @@
 use actix_http::{HttpMessage, Payload, Request};
 
 use crate::http::BusyConnection;
-use crate::http::connection_table::{ConnectionWait, IDLE_BYTES};
+use crate::http::connection_table::{ConnectionWait, IDLE_BYTES, MemoryGrowth};
 use crate::http::gated_payload::GatedPayload;
 use crate::http::pending_body::PendingBody;
 use crate::http::request_gate::{BodyFraming, RequestGate};
@@ -122,7 +122,7 @@
     /// head that has arrived.
     pub(crate) fn set_held(&self, bytes: usize) -> bool {
         self.share.held_bytes.set(bytes);
-        self.update() || self.share.stage.get() != ConnectionStage::Head
+        self.update(MemoryGrowth::Refusable) || self.share.stage.get() != ConnectionStage::Head
     }
 
     /// Keeps what wakes the stream when the gate opens.
@@ -156,7 +156,7 @@
         share
             .request_bytes
             .set(REQUEST_BYTES + head_bytes + header_bytes + body_bytes);
-        let fits = self.update();
+        let fits = self.update(MemoryGrowth::Refusable);
         if !fits {
             share.place.count_refusal();
         }
@@ -176,7 +176,7 @@
         let response_bytes = bounded_bytes(length, RESPONSE_BYTES);
         self.share.response_bytes.set(response_bytes);
         self.share.busy.begin_body();
-        self.update();
+        self.update(MemoryGrowth::Unavoidable);
         BoxBody::new(PendingBody::open(body, self.clone()))
     }
 
@@ -184,7 +184,7 @@
     pub(crate) fn add_unsent(&self, bytes: usize) {
         let unsent = &self.share.unsent_bytes;
         unsent.set(unsent.get() + bytes);
-        self.update();
+        self.update(MemoryGrowth::Unavoidable);
     }
 
     /// Records that the socket accepted bytes. While others wait, the client still has to read.
@@ -192,13 +192,13 @@
         let unsent = &self.share.unsent_bytes;
         unsent.set(unsent.get().saturating_sub(bytes));
         self.add_progress(bytes);
-        self.update();
+        self.update(MemoryGrowth::Unavoidable);
     }
 
     /// Records that the socket accepts no bytes at present.
     pub(crate) fn record_blocked_write(&self) {
         self.share.is_write_blocked.set(true);
-        self.update();
+        self.update(MemoryGrowth::Unavoidable);
     }
 
     /// Records that the socket has accepted all bytes.
@@ -213,7 +213,7 @@
             share.gate.borrow_mut().finish_response();
             self.wake();
         }
-        self.update();
+        self.update(MemoryGrowth::Unavoidable);
     }
 
     /// The handler has read all of the body that went on.
@@ -252,7 +252,7 @@
     }
 
     /// Brings the table up to date. Returns whether there is memory for the connection.
-    fn update(&self) -> bool {
+    fn update(&self, growth: MemoryGrowth) -> bool {
         let share = &self.share;
         let stage = self.stage();
         if stage != share.stage.get() {
@@ -268,7 +268,7 @@
         if bytes == share.bytes.replace(bytes) {
             return true;
         }
-        share.place.set_bytes(bytes)
+        share.place.set_bytes(bytes, growth)
     }
 
     fn begin_stage(&self, stage: ConnectionStage) {
--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -42,6 +42,15 @@
     pub closed: Vec<ConnectionId>,
 }
 
+/// Whether a connection that needs more memory can be refused it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryGrowth {
+    /// It can: nothing is closed for it in vain.
+    Refusable,
+    /// It cannot: a response that is there takes its memory. Whatever may be closed for it is closed.
+    Unavoidable,
+}
+
 /// The outcome of a change of a connection's memory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemoryChange {
@@ -104,6 +113,7 @@
         let connections = (self.entries.len() + 1).saturating_sub(self.limits.connections);
         let bytes = self.excess_bytes(IDLE_BYTES);
         let closed = self.make_room(connections, bytes, now, None);
+        let closed = self.close(closed.unwrap_or_default());
         let is_refused = closed.is_empty() && (connections > 0 || bytes > 0);
         if is_refused {
             self.refused += 1;
@@ -144,8 +154,14 @@
         }
     }
 
-    /// Sets the memory of a connection.
-    pub fn set_bytes(&mut self, id: ConnectionId, bytes: usize, now: MonoTime) -> MemoryChange {
+    /// Sets the memory of a connection. If it does not fit, `growth` says what is closed for it.
+    pub fn set_bytes(
+        &mut self,
+        id: ConnectionId,
+        bytes: usize,
+        growth: MemoryGrowth,
+        now: MonoTime,
+    ) -> MemoryChange {
         let Some(entry) = self.entries.get_mut(&id) else {
             return MemoryChange {
                 fits: false,
@@ -156,11 +172,13 @@
         self.bytes = self.bytes - entry.bytes + bytes;
         entry.bytes = bytes;
         let excess = if grows { self.excess_bytes(0) } else { 0 };
-        let closed = self.make_room(0, excess, now, Some(id));
-        MemoryChange {
-            fits: excess == 0 || !closed.is_empty(),
-            closed,
-        }
+        let room = self.make_room(0, excess, now, Some(id));
+        let fits = room.is_ok();
+        let closed = match (room, growth) {
+            (Ok(closed), _) | (Err(closed), MemoryGrowth::Unavoidable) => self.close(closed),
+            (Err(_), MemoryGrowth::Refusable) => Vec::new(),
+        };
+        MemoryChange { fits, closed }
     }
 
     /// Counts a request that was refused for want of memory.
@@ -184,20 +202,20 @@
         (self.bytes + more).saturating_sub(self.limits.memory.as_usize())
     }
 
-    /// Removes the connections other than `keep` that have waited for their clients longest, until as many
-    /// and as many bytes are freed; none if there are not enough.
+    /// Returns the connections other than `keep` that have waited for their clients longest and whose end
+    /// frees as many connections and bytes; as an error all that may be closed, if they are not enough.
     fn make_room(
-        &mut self,
+        &self,
         connections: usize,
         bytes: usize,
         now: MonoTime,
         keep: Option<ConnectionId>,
-    ) -> Vec<ConnectionId> {
-        if connections == 0 && bytes == 0 {
-            return Vec::new();
-        }
+    ) -> Result<Vec<ConnectionId>, Vec<ConnectionId>> {
         let mut freed = 0;
         let mut closed = Vec::new();
+        if connections == 0 && bytes == 0 {
+            return Ok(closed);
+        }
         for (id, freeable) in self.closable(now) {
             if Some(id) == keep {
                 continue;
@@ -205,12 +223,14 @@
             freed += freeable;
             closed.push(id);
             if closed.len() >= connections && freed >= bytes {
-                break;
+                return Ok(closed);
             }
         }
-        if closed.len() < connections || freed < bytes {
-            return Vec::new();
-        }
+        Err(closed)
+    }
+
+    /// Removes connections that are to be closed for others.
+    fn close(&mut self, closed: Vec<ConnectionId>) -> Vec<ConnectionId> {
         for id in &closed {
             self.end(*id);
         }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -24,7 +24,7 @@
 pub use connection_limits::ConnectionLimits;
 pub use connection_table::{
     AcceptedConnection, ConnectionCounts, ConnectionId, ConnectionTable, ConnectionWait,
-    IDLE_BYTES, MemoryChange,
+    IDLE_BYTES, MemoryChange, MemoryGrowth,
 };
 pub use disconnect_signal::DisconnectSignal;
 pub use header_rules::{HeaderList, HeaderRules};
--- a/src/http/server_connections.rs
+++ b/src/http/server_connections.rs
@@ -10,7 +10,7 @@
 use crate::hash::FastMap;
 use crate::http::ConnectionLimits;
 use crate::http::connection_table::{
-    ConnectionCounts, ConnectionId, ConnectionTable, ConnectionWait,
+    ConnectionCounts, ConnectionId, ConnectionTable, ConnectionWait, MemoryGrowth,
 };
 use crate::logs::log_target;
 use crate::time::{Deadline, MonoTime, ProcessClock};
@@ -144,10 +144,12 @@
 
     /// Sets the memory of the connection, for which others may be closed. Returns whether there is room
     /// for it.
-    pub(crate) fn set_bytes(&self, bytes: usize) -> bool {
+    pub(crate) fn set_bytes(&self, bytes: usize, growth: MemoryGrowth) -> bool {
         let share = &self.connections.share;
         let now = share.clock.now();
-        let change = share.table.borrow_mut().set_bytes(self.id, bytes, now);
+        let mut table = share.table.borrow_mut();
+        let change = table.set_bytes(self.id, bytes, growth, now);
+        drop(table);
         if !change.closed.is_empty() {
             self.connections.close(&change.closed);
             self.connections.log_pressure();
--- a/src/peers/stranger_place.rs
+++ b/src/peers/stranger_place.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::http::{ConnectionPlace, IDLE_BYTES};
+use crate::http::{ConnectionPlace, IDLE_BYTES, MemoryGrowth};
 
 /// Memory of a stream whose first message has not arrived.
 const STREAM_BYTES: usize = 4 * 1024;
@@ -50,7 +50,10 @@
             return Ok(());
         };
         state.bytes += bytes;
-        match state.place.set_bytes(state.bytes) {
+        match state
+            .place
+            .set_bytes(state.bytes, MemoryGrowth::Unavoidable)
+        {
             true => Ok(()),
             false => Err(io::ErrorKind::OutOfMemory.into()),
         }
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -1,7 +1,8 @@
 //! Which connections a server closes or refuses when clients take all that it may have.
 
 use wagtailtrack::http::{
-    AcceptedConnection, ConnectionId, ConnectionLimits, ConnectionTable, ConnectionWait, IDLE_BYTES,
+    AcceptedConnection, ConnectionId, ConnectionLimits, ConnectionTable, ConnectionWait,
+    IDLE_BYTES, MemoryGrowth,
 };
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::ByteSize;
@@ -77,11 +78,15 @@
     let (mut table, ids) = full_table(|millis| ConnectionWait::Client(at(millis)));
     let third = MEMORY as usize / 3;
     for id in &ids[..2] {
-        assert!(table.set_bytes(*id, third, at(10)).fits);
+        assert!(
+            table
+                .set_bytes(*id, third, MemoryGrowth::Refusable, at(10))
+                .fits
+        );
     }
-    let early = table.set_bytes(ids[2], third, at(500));
+    let early = table.set_bytes(ids[2], third, MemoryGrowth::Refusable, at(500));
     assert!(!early.fits && early.closed.is_empty());
-    let late = table.set_bytes(ids[2], third + 1, at(1_500));
+    let late = table.set_bytes(ids[2], third + 1, MemoryGrowth::Refusable, at(1_500));
     assert!(late.fits);
     assert_eq!(late.closed, [ids[0]]);
 }
@@ -91,7 +96,7 @@
 fn memory_is_bounded_at_once() {
     let (mut table, ids) = full_table(|millis| ConnectionWait::Client(at(millis)));
     for id in &ids {
-        table.set_bytes(*id, MEMORY as usize / 2, at(10));
+        table.set_bytes(*id, MEMORY as usize / 2, MemoryGrowth::Refusable, at(10));
         assert!(table.counts().bytes <= MEMORY + MEMORY / 4);
     }
 }
@@ -101,16 +106,28 @@
 fn none_is_closed_in_vain() {
     let (mut table, ids) = full_table(|millis| ConnectionWait::NextRequest(at(millis)));
     table.set_wait(ids[3], ConnectionWait::Server);
-    let change = table.set_bytes(ids[3], MEMORY as usize + 1, at(10));
+    let change = table.set_bytes(ids[3], MEMORY as usize + 1, MemoryGrowth::Refusable, at(10));
     assert!(!change.fits && change.closed.is_empty());
+    table.set_bytes(ids[3], MEMORY as usize, MemoryGrowth::Refusable, at(10));
     assert!(accept(&mut table, 11).is_refused);
     assert_eq!(table.counts().closed, 0);
 }
 
+/// Guards against memory that stays over the limit because what can be freed is not all that is needed.
+#[test]
+fn response_takes_what_there_is() {
+    let (mut table, ids) = full_table(|millis| ConnectionWait::NextRequest(at(millis)));
+    table.set_wait(ids[3], ConnectionWait::Server);
+    let bytes = MEMORY as usize + 1;
+    let change = table.set_bytes(ids[3], bytes, MemoryGrowth::Unavoidable, at(10));
+    assert!(!change.fits);
+    assert_eq!(change.closed, ids[..3]);
+}
+
 #[test]
 fn ended_connections_free_their_memory() {
     let (mut table, ids) = full_table(|_| ConnectionWait::Server);
-    table.set_bytes(ids[0], 5 * IDLE_BYTES, at(4));
+    table.set_bytes(ids[0], 5 * IDLE_BYTES, MemoryGrowth::Refusable, at(4));
     assert_eq!(table.counts().bytes, 8 * IDLE_BYTES as u64);
     for id in ids {
         table.end(id);
