--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -23,9 +23,9 @@
 const HEAD_COPIES: usize = 3;
 /// Memory of a body that goes through, at most. What is collected of it has a budget of its own.
 const BODY_BYTES: usize = 64 * 1024;
-/// Memory of a response that goes through, at most: the window of its stream from the egress. What is
-/// buffered of it has a budget of its own.
-const RESPONSE_BYTES: usize = 256 * 1024;
+/// Memory of a response that goes through, at most: the window of its stream from the egress, and the part
+/// on its way to the write buffer. What is buffered of it has a budget of its own.
+const RESPONSE_BYTES: usize = 128 * 1024;
 /// Bytes that a client must send or read to count as going on.
 const PROGRESS_BYTES: usize = 4 * 1024;
 
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -35,7 +35,7 @@
 pub use zone_traffic::{ZoneBytes, ZoneTraffic};
 
 /// HTTP/2 flow control window of a stream, in bytes.
-pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
 
 /// HTTP/2 flow control window of a connection, in bytes.
 ///
