--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -46,7 +46,7 @@
     pub(crate) callers: ServerConnections,
     pub(crate) admin: ServerConnections,
     pub(crate) announcers: ServerConnections,
-    pub(crate) strangers: ServerConnections,
+    pub(crate) unauthenticated: ServerConnections,
     /// Empty until the membership runs; configuration starts before it and reads it later.
     members: Rc<OnceCell<MembersHandle>>,
     /// Empty until the announcement listener is bound; the egress starts before it.
@@ -83,7 +83,10 @@
             callers: ServerConnections::open("callers", caller_limits),
             admin: ServerConnections::open("admin", ConnectionLimits::control(descriptors)),
             announcers: ServerConnections::open("announce", ConnectionLimits::control(descriptors)),
-            strangers: ServerConnections::open("peers", ConnectionLimits::strangers(descriptors)),
+            unauthenticated: ServerConnections::open(
+                "peers",
+                ConnectionLimits::unauthenticated(descriptors),
+            ),
             members: Rc::default(),
             announce: Rc::default(),
         })
@@ -95,7 +98,7 @@
             &self.callers,
             &self.admin,
             &self.announcers,
-            &self.strangers,
+            &self.unauthenticated,
         ]
         .map(Clone::clone)
     }
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -69,10 +69,11 @@
         let peers_address = settings.listen.peers;
         let key = builder.key.clone();
         let traffic = Rc::clone(&builder.zone_traffic);
-        let strangers = builder.strangers.clone();
-        let listener = PeerListener::bind_limited(peers_address, key, handler, traffic, strangers)
-            .await
-            .map_err(|cause| bind_error("listen.peers", peers_address, &cause))?;
+        let unauthenticated = builder.unauthenticated.clone();
+        let listener =
+            PeerListener::bind_limited(peers_address, key, handler, traffic, unauthenticated)
+                .await
+                .map_err(|cause| bind_error("listen.peers", peers_address, &cause))?;
         let listener = Rc::new(listener);
         let ingress = builder
             .bind_ingress(&settings, &config, &limits, &members)
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -13,7 +13,7 @@
 use crate::http::gated_payload::GatedPayload;
 use crate::http::pending_body::PendingBody;
 use crate::http::request_gate::{BodyFraming, RequestGate};
-use crate::http::server_connections::ConnectionPlace;
+use crate::http::server_connections::ConnectionSlot;
 
 /// Memory of a request that is handled, beside its head and body.
 const REQUEST_BYTES: usize = 24 * 1024;
@@ -40,7 +40,7 @@
 struct ConnectionShare {
     gate: RefCell<RequestGate>,
     busy: BusyConnection,
-    place: ConnectionPlace,
+    slot: ConnectionSlot,
     /// Wakes the stream when the gate opens.
     waker: RefCell<Option<Waker>>,
     /// Memory of the present request.
@@ -79,11 +79,11 @@
 pub(crate) struct ServerFull;
 
 impl ClientConnection {
-    pub(crate) fn open(place: ConnectionPlace, busy: BusyConnection) -> Self {
+    pub(crate) fn open(slot: ConnectionSlot, busy: BusyConnection) -> Self {
         let share = ConnectionShare {
             gate: RefCell::default(),
             busy,
-            place,
+            slot,
             waker: RefCell::default(),
             request_bytes: Cell::default(),
             response_bytes: Cell::default(),
@@ -158,9 +158,9 @@
             .set(REQUEST_BYTES + head_bytes + header_bytes + body_bytes);
         let fits = self.update(MemoryGrowth::Refusable);
         if !fits {
-            share.place.count_refusal();
+            share.slot.count_refusal();
         }
-        if !fits || share.place.is_refused {
+        if !fits || share.slot.is_refused {
             request.extensions_mut().insert(ServerFull);
         }
         self.wake();
@@ -268,15 +268,15 @@
         if bytes == share.bytes.replace(bytes) {
             return true;
         }
-        share.place.set_bytes(bytes, growth)
+        share.slot.set_bytes(bytes, growth)
     }
 
     fn begin_stage(&self, stage: ConnectionStage) {
         let share = &self.share;
-        let now = share.place.now();
+        let now = share.slot.now();
         share.stage.set(stage);
         share.progress.set(0);
-        share.place.set_wait(match stage {
+        share.slot.set_wait(match stage {
             ConnectionStage::Idle => ConnectionWait::NextRequest(now),
             ConnectionStage::Work => ConnectionWait::Server,
             ConnectionStage::Head | ConnectionStage::Body | ConnectionStage::Response => {
--- a/src/http/connection_limits.rs
+++ b/src/http/connection_limits.rs
@@ -25,7 +25,7 @@
     /// Returns the limits of the connections from other daemons that have yet to show that they belong to
     /// the fleet, in a process that may have `descriptors`; none stands for any number.
     #[must_use]
-    pub fn strangers(descriptors: Option<u64>) -> Self {
+    pub fn unauthenticated(descriptors: Option<u64>) -> Self {
         Self {
             connections: share_of(descriptors, 8, 1_000),
             memory: ByteSize::from_kib(16 * 1024),
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -201,7 +201,7 @@
     };
     let service = Rc::new(service);
     let serve = |socket: TcpStream| {
-        let Some((place, closed)) = connections.accept() else {
+        let Some((slot, closed)) = connections.accept() else {
             return;
         };
         // Nagle's algorithm would hold a small response back until a delayed acknowledgement.
@@ -212,7 +212,7 @@
         actix_rt::spawn(async move {
             let peer = socket.peer_addr().ok();
             let busy = BusyConnection::open(busy);
-            let connection = ClientConnection::open(place, busy.clone());
+            let connection = ClientConnection::open(slot, busy.clone());
             let stream = SignalingStream::open(socket, timeouts, connection);
             let closing = pin!(idle_closing.wait());
             let serving = pin!(async {
@@ -223,7 +223,7 @@
                     let _ = serving.await;
                 }
             });
-            // The other side is dropped with the connection's place in the table.
+            // The other side is dropped with the connection's slot in the table.
             select(serving, closed).await;
         });
     };
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -35,5 +35,5 @@
 pub use message_body::{BodyError, json_response, read_body, read_body_with, text_response};
 pub use never_sent::never_sent;
 pub use request_gate::{BodyFraming, RequestGate};
-pub(crate) use server_connections::ConnectionPlace;
+pub(crate) use server_connections::ConnectionSlot;
 pub use server_connections::{ConnectionLine, ServerConnections};
--- a/src/http/server_connections.rs
+++ b/src/http/server_connections.rs
@@ -44,8 +44,8 @@
     pub counts: ConnectionCounts,
 }
 
-/// The place of one connection; dropping it frees the place.
-pub(crate) struct ConnectionPlace {
+/// The slot of one connection in its listener's table; dropping it frees the slot.
+pub(crate) struct ConnectionSlot {
     connections: ServerConnections,
     id: ConnectionId,
     /// Whether the connection's requests are refused.
@@ -69,13 +69,15 @@
         }
     }
 
-    /// Adds a connection that was accepted. Returns its place and what ends when it is to be closed; none
+    /// Adds a connection that was accepted. Returns its slot and what ends when it is to be closed; none
     /// if it is to be closed at once.
-    pub(crate) fn accept(&self) -> Option<(ConnectionPlace, oneshot::Receiver<()>)> {
+    pub(crate) fn accept(&self) -> Option<(ConnectionSlot, oneshot::Receiver<()>)> {
         let now = self.share.clock.now();
         let accepted = self.share.table.borrow_mut().accept(now);
-        let is_refused = accepted.as_ref().is_none_or(|place| place.is_refused);
-        let closed = accepted.as_ref().map_or(&[][..], |place| &place.closed);
+        let is_refused = accepted.as_ref().is_none_or(|accepted| accepted.is_refused);
+        let closed = accepted
+            .as_ref()
+            .map_or(&[][..], |accepted| &accepted.closed);
         if is_refused || !closed.is_empty() {
             self.close(closed);
             self.log_pressure();
@@ -83,12 +85,12 @@
         let accepted = accepted?;
         let (closer, closing) = oneshot::channel();
         self.share.closers.borrow_mut().insert(accepted.id, closer);
-        let place = ConnectionPlace {
+        let slot = ConnectionSlot {
             connections: self.clone(),
             id: accepted.id,
             is_refused: accepted.is_refused,
         };
-        Some((place, closing))
+        Some((slot, closing))
     }
 
     /// Returns the counters with the listener's name.
@@ -132,7 +134,7 @@
     }
 }
 
-impl ConnectionPlace {
+impl ConnectionSlot {
     pub(crate) fn now(&self) -> MonoTime {
         self.connections.share.clock.now()
     }
@@ -164,7 +166,7 @@
     }
 }
 
-impl Drop for ConnectionPlace {
+impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         let share = &self.connections.share;
         share.table.borrow_mut().end(self.id);
--- a/src/peers/counted_socket.rs
+++ b/src/peers/counted_socket.rs
@@ -12,7 +12,7 @@
 
 use crate::peers::ZoneTraffic;
 use crate::peers::last_arrival::LastArrival;
-use crate::peers::stranger_place::StrangerPlace;
+use crate::peers::peer_admission::PeerAdmission;
 
 /// Size of the reads whose bytes are discarded.
 const DISCARD_BYTES: usize = 4 * 1024;
@@ -23,7 +23,7 @@
     last_arrival: LastArrival,
     traffic: Option<Rc<ZoneTraffic>>,
     /// Limits what arrives on an incoming connection; none on an outgoing one.
-    stranger: Option<StrangerPlace>,
+    admission: Option<PeerAdmission>,
     /// Whether the shutdown of the sending side ends only when the peer has ended its side too.
     discards_input: Rc<Cell<bool>>,
     is_shut_down: bool,
@@ -39,15 +39,15 @@
             socket,
             last_arrival,
             traffic,
-            stranger: None,
+            admission: None,
             discards_input: Rc::default(),
             is_shut_down: false,
         }
     }
 
-    /// Counts what arrives for `stranger`.
-    pub(crate) fn limited_by(mut self, stranger: StrangerPlace) -> Self {
-        self.stranger = Some(stranger);
+    /// Counts what arrives for `admission`.
+    pub(crate) fn limited_by(mut self, admission: PeerAdmission) -> Self {
+        self.admission = Some(admission);
         self
     }
 
@@ -89,8 +89,8 @@
             self.last_arrival.record();
         }
         self.count(0, received);
-        if let Some(stranger) = &self.stranger {
-            stranger.add_bytes(received)?;
+        if let Some(admission) = &self.admission {
+            admission.add_bytes(received)?;
         }
         polled
     }
--- a/src/peers/incoming_connection.rs
+++ b/src/peers/incoming_connection.rs
@@ -18,9 +18,9 @@
 use crate::peers::counted_socket::CountedSocket;
 use crate::peers::frame_codec::StreamSide;
 use crate::peers::last_arrival::LastArrival;
+use crate::peers::peer_admission::PeerAdmission;
 use crate::peers::peer_connection::count_hello;
 use crate::peers::peer_listener::PeerHandler;
-use crate::peers::stranger_place::StrangerPlace;
 use crate::peers::stream_receiver::StreamReceiver;
 use crate::peers::{
     CONNECTION_WINDOW_BYTES, FleetKey, PeerError, PeerStream, STREAM_WINDOW_BYTES, SessionKey,
@@ -53,7 +53,7 @@
     pub(crate) traffic: Rc<ZoneTraffic>,
     pub(crate) closing: CloseSignal,
     /// The connections whose peers have not shown that they belong to the fleet.
-    pub(crate) strangers: ServerConnections,
+    pub(crate) unauthenticated: ServerConnections,
 }
 
 /// Serves a connection until it ends. Once the listener closes its connections, this one ends in order
@@ -61,7 +61,7 @@
 pub(crate) async fn serve_connection(
     socket: TcpStream,
     share: IncomingShare,
-    stranger: StrangerPlace,
+    admission: PeerAdmission,
 ) -> Result<(), PeerError> {
     let last_arrival = LastArrival::open();
     let mut closing = share.closing.clone();
@@ -70,7 +70,12 @@
         actix_rt::time::sleep(CLOSE_GRACE).await;
         last_arrival.wait_for_silence(CLOSE_SILENCE).await;
     });
-    let serving = pin!(serve_streams(socket, share, last_arrival.clone(), stranger));
+    let serving = pin!(serve_streams(
+        socket,
+        share,
+        last_arrival.clone(),
+        admission
+    ));
     match select(serving, silence).await {
         Either::Left((result, _)) => result,
         Either::Right(_) => {
@@ -89,7 +94,7 @@
     mut socket: TcpStream,
     share: IncomingShare,
     last_arrival: LastArrival,
-    stranger: StrangerPlace,
+    admission: PeerAdmission,
 ) -> Result<(), PeerError> {
     socket.set_nodelay(true).map_err(PeerError::Connect)?;
     let session = SessionKey::accept(&share.key, share.traffic.own_tag(), &mut socket)
@@ -97,7 +102,7 @@
         .map_err(PeerError::Connect)?;
     let traffic = count_hello(&session, &share.traffic);
     let socket = CountedSocket::open(socket, last_arrival, traffic.clone());
-    let socket = socket.limited_by(stranger.clone());
+    let socket = socket.limited_by(admission.clone());
     let discards_input = socket.discards_input();
     let mut connection: Connection<CountedSocket, Bytes> = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
@@ -111,10 +116,10 @@
     let mut closing = share.closing.clone();
     while let Some(accepted) = next_stream(&mut connection, &mut closing, &discards_input).await {
         let (request, respond) = accepted?;
-        stranger.add_stream().map_err(PeerError::Connect)?;
+        admission.add_stream().map_err(PeerError::Connect)?;
         match open_stream(&session, request.into_body(), respond, traffic.as_ref()) {
             Ok(stream) => {
-                actix_rt::spawn(serve_stream(stream, share.clone(), stranger.clone()));
+                actix_rt::spawn(serve_stream(stream, share.clone(), admission.clone()));
             }
             // The peer may have cancelled the stream; the others go on.
             Err(cause) => {
@@ -163,21 +168,21 @@
 }
 
 /// Handles one stream, for at most `CALL_GRACE` once the listener closes its connections.
-async fn serve_stream(stream: PeerStream, share: IncomingShare, stranger: StrangerPlace) {
+async fn serve_stream(stream: PeerStream, share: IncomingShare, admission: PeerAdmission) {
     let mut closing = share.closing.clone();
     let cut_off = pin!(async {
         closing.wait().await;
         actix_rt::time::sleep(CALL_GRACE).await;
     });
-    select(pin!(handle_stream(stream, share, stranger)), cut_off).await;
+    select(pin!(handle_stream(stream, share, admission)), cut_off).await;
 }
 
 /// Reads the first message and passes the stream to the handler; resets the stream if the message is
 /// not valid.
-async fn handle_stream(mut stream: PeerStream, share: IncomingShare, stranger: StrangerPlace) {
+async fn handle_stream(mut stream: PeerStream, share: IncomingShare, admission: PeerAdmission) {
     match stream.receive_required().await {
         Ok(opening) => {
-            stranger.trust();
+            admission.trust();
             stream.set_purpose(TrafficPurpose::of(&opening));
             (share.handler)(opening, stream).await;
         }
--- a/src/peers/stranger_place.rs
+++ b/src/peers/peer_admission.rs
@@ -7,27 +7,27 @@
 
 use tokio::sync::oneshot;
 
-use crate::http::{ConnectionPlace, IDLE_BYTES, MemoryGrowth};
+use crate::http::{ConnectionSlot, IDLE_BYTES, MemoryGrowth};
 
 /// Memory of a stream whose first message has not arrived.
 const STREAM_BYTES: usize = 4 * 1024;
 
-/// The place of a connection among those of strangers, until a message on it is authenticated. Clones share
-/// it.
+/// The slot of an incoming connection among the unauthenticated ones, until a message on it is authenticated.
+/// Clones share it.
 #[derive(Clone)]
-pub(crate) struct StrangerPlace {
-    state: Rc<RefCell<Option<StrangerState>>>,
+pub(crate) struct PeerAdmission {
+    state: Rc<RefCell<Option<AdmissionState>>>,
 }
 
-struct StrangerState {
-    place: ConnectionPlace,
+struct AdmissionState {
+    slot: ConnectionSlot,
     bytes: usize,
 }
 
-impl StrangerPlace {
-    pub(crate) fn open(place: ConnectionPlace) -> Self {
-        let state = StrangerState {
-            place,
+impl PeerAdmission {
+    pub(crate) fn open(slot: ConnectionSlot) -> Self {
+        let state = AdmissionState {
+            slot,
             bytes: IDLE_BYTES,
         };
         Self {
@@ -43,17 +43,14 @@
     /// Counts bytes that were received.
     ///
     /// # Errors
-    /// `OutOfMemory` if strangers take all the memory that they may.
+    /// `OutOfMemory` if unauthenticated connections take all the memory that they may.
     pub(crate) fn add_bytes(&self, bytes: usize) -> io::Result<()> {
         let mut state = self.state.borrow_mut();
         let Some(state) = &mut *state else {
             return Ok(());
         };
         state.bytes += bytes;
-        match state
-            .place
-            .set_bytes(state.bytes, MemoryGrowth::Unavoidable)
-        {
+        match state.slot.set_bytes(state.bytes, MemoryGrowth::Unavoidable) {
             true => Ok(()),
             false => Err(io::ErrorKind::OutOfMemory.into()),
         }
--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -14,7 +14,7 @@
 use crate::logs::log_target;
 use crate::peers::close_signal::CloseSignal;
 use crate::peers::incoming_connection::{IncomingShare, serve_connection};
-use crate::peers::stranger_place::StrangerPlace;
+use crate::peers::peer_admission::PeerAdmission;
 use crate::peers::{FleetKey, PeerStream, ZoneTraffic};
 use crate::time::{Deadline, ProcessClock};
 use crate::wire::PeerOpening;
@@ -54,11 +54,12 @@
         handler: PeerHandler,
         traffic: Rc<ZoneTraffic>,
     ) -> io::Result<Self> {
-        let strangers = ServerConnections::open("peers", ConnectionLimits::strangers(None));
-        Self::bind_limited(address, key, handler, traffic, strangers).await
+        let unauthenticated =
+            ServerConnections::open("peers", ConnectionLimits::unauthenticated(None));
+        Self::bind_limited(address, key, handler, traffic, unauthenticated).await
     }
 
-    /// As `bind_counted`; connections are `strangers` until a message on them is authenticated.
+    /// As `bind_counted`; `unauthenticated` bounds the connections on which no message is authenticated yet.
     ///
     /// # Errors
     /// As `bind`.
@@ -67,7 +68,7 @@
         key: FleetKey,
         handler: PeerHandler,
         traffic: Rc<ZoneTraffic>,
-        strangers: ServerConnections,
+        unauthenticated: ServerConnections,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -79,7 +80,7 @@
             refused_messages: Rc::clone(&refused_messages),
             traffic,
             closing,
-            strangers,
+            unauthenticated,
         };
         let task = actix_rt::spawn(accept_connections(listener, share));
         Ok(Self {
@@ -131,13 +132,13 @@
     loop {
         match listener.accept().await {
             Ok((socket, peer)) => {
-                let Some((place, closed)) = share.strangers.accept() else {
+                let Some((slot, closed)) = share.unauthenticated.accept() else {
                     continue;
                 };
-                let stranger = StrangerPlace::open(place);
-                let serving = serve_connection(socket, share.clone(), stranger.clone());
+                let admission = PeerAdmission::open(slot);
+                let serving = serve_connection(socket, share.clone(), admission.clone());
                 actix_rt::spawn(async move {
-                    let closing = stranger.closed(closed);
+                    let closing = admission.closed(closed);
                     if let Either::Left((Err(cause), _)) =
                         select(pin!(serving), pin!(closing)).await
                     {
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -141,7 +141,8 @@
 fn limits_follow_descriptors() {
     for descriptors in [64, 256, 4_100, 100_000] {
         let control = ConnectionLimits::control(Some(descriptors)).connections as u64;
-        let strangers = ConnectionLimits::strangers(Some(descriptors)).connections as u64;
-        assert!(2 * control + strangers <= descriptors / 4);
+        let unauthenticated =
+            ConnectionLimits::unauthenticated(Some(descriptors)).connections as u64;
+        assert!(2 * control + unauthenticated <= descriptors / 4);
     }
 }
