Keep one copy of the limits on connections and bodies

The callers' default of 1,000 connections, or half of the descriptors, stood in the settings and in ConnectionLimits, and the window of a body in RequestGate and in what ClientConnection counts. Each has one place now. A discarded body needs no window of parts either, as it needs none of bytes; the gate let one chunk at a time through where that window had been full. The comment on HttpTimeouts::request_head tells the first head from later ones, as they are handled.

--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -12,7 +12,7 @@
 use crate::http::connection_table::{ConnectionWait, IDLE_BYTES, MemoryGrowth};
 use crate::http::gated_payload::GatedPayload;
 use crate::http::pending_body::PendingBody;
-use crate::http::request_gate::{BodyFraming, RequestGate};
+use crate::http::request_gate::{BODY_WINDOW, BodyFraming, RequestGate};
 use crate::http::server_connections::ConnectionSlot;
 
 /// Memory of a request that is handled, beside its head and body.
@@ -21,8 +21,6 @@
 const HEADER_BYTES: usize = 512;
 /// How often the bytes of a head are held: as received, as sent to the egress, and as buffers grow.
 const HEAD_COPIES: usize = 3;
-/// Memory of a body that goes through, at most. What is collected of it has a budget of its own.
-const BODY_BYTES: usize = 64 * 1024;
 /// Memory of a response that goes through, at most: the window of its stream from the egress, and the part
 /// on its way to the write buffer. What is buffered of it has a budget of its own.
 const RESPONSE_BYTES: usize = 128 * 1024;
@@ -150,8 +148,9 @@
         let header_bytes = request.headers().len() * HEADER_BYTES;
         let body_bytes = match framing {
             BodyFraming::Empty => 0,
-            BodyFraming::Sized(length) => bounded_bytes(length, BODY_BYTES),
-            BodyFraming::Chunked | BodyFraming::Unframed => BODY_BYTES,
+            // What the handler collects of the body has a budget of its own.
+            BodyFraming::Sized(length) => bounded_bytes(length, BODY_WINDOW),
+            BodyFraming::Chunked | BodyFraming::Unframed => BODY_WINDOW,
         };
         share
             .request_bytes
--- a/src/http/connection_limits.rs
+++ b/src/http/connection_limits.rs
@@ -12,6 +12,16 @@
 }
 
 impl ConnectionLimits {
+    /// Returns the limits of the callers' listener if the settings name none, in a process that may have
+    /// `descriptors`; none stands for any number.
+    #[must_use]
+    pub fn callers(descriptors: Option<u64>) -> Self {
+        Self {
+            connections: share_of(descriptors, 2, 1_000),
+            memory: ByteSize::from_kib(32 * 1024),
+        }
+    }
+
     /// Returns the limits of a listener for operators, probes or instances, which few clients use, in a
     /// process that may have `descriptors`; none stands for any number.
     #[must_use]
@@ -34,12 +44,9 @@
 }
 
 impl Default for ConnectionLimits {
-    /// Returns 1,000 connections in 32 MiB.
+    /// Returns the limits of a callers' listener in a process with any number of descriptors.
     fn default() -> Self {
-        Self {
-            connections: 1_000,
-            memory: ByteSize::from_kib(32 * 1024),
-        }
+        Self::callers(None)
     }
 }
 
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -31,7 +31,8 @@
 pub struct HttpTimeouts {
     /// Longest time that a connection may be idle between requests.
     pub keep_alive: Duration,
-    /// Longest time that the client may take to send a request's head, from its first byte on.
+    /// Longest time that the client may take to send a request's head: the first one from the accepted
+    /// connection on, others from their first byte on.
     pub request_head: Duration,
     /// Longest time that the client may take no bytes of a response.
     pub write_progress: Duration,
@@ -187,8 +188,9 @@
         .keep_alive(timeouts.keep_alive)
         .client_request_timeout(timeouts.request_head)
         .on_connect_ext(move |stream: &SignalingStream, data| {
-            data.insert(stream.connection());
-            data.insert(stream.connection().busy().clone());
+            let connection = stream.connection();
+            data.insert(connection.busy().clone());
+            data.insert(connection);
             data.insert(stream.disconnect_signal());
             if let Some(connection) = late.accept() {
                 data.insert(connection);
--- a/src/http/request_gate.rs
+++ b/src/http/request_gate.rs
@@ -4,7 +4,7 @@
 use crate::http::head_scanner::HeadScanner;
 
 /// Bytes of a body that may wait to be read by its handler.
-const BODY_WINDOW: usize = 64 * 1024;
+pub(crate) const BODY_WINDOW: usize = 64 * 1024;
 /// Parts of a body that may wait to be read by its handler. Each takes memory beside its bytes.
 const PARTS_WINDOW: usize = 512;
 
@@ -70,9 +70,12 @@
         if !self.is_open() {
             return 0;
         }
-        let window = match self.is_discarded {
-            true => usize::MAX,
-            false => BODY_WINDOW - self.waiting_bytes,
+        let (window, parts_window) = match self.is_discarded {
+            true => (usize::MAX, usize::MAX),
+            false => (
+                BODY_WINDOW.saturating_sub(self.waiting_bytes),
+                PARTS_WINDOW.saturating_sub(self.waiting_parts),
+            ),
         };
         let (taken, parts) = match &mut self.state {
             GateState::Head(scanner) => {
@@ -91,8 +94,8 @@
                 (taken, 1)
             }
             GateState::ChunkedBody(scanner) => {
-                let most = PARTS_WINDOW - self.waiting_parts.min(PARTS_WINDOW - 1);
-                let (taken, chunks) = scanner.advance(&bytes[..bytes.len().min(window)], most);
+                let part = &bytes[..bytes.len().min(window)];
+                let (taken, chunks) = scanner.advance(part, parts_window);
                 (taken, chunks + 1)
             }
             GateState::UnframedBody => (bytes.len().min(window), 1),
--- a/src/settings/proxy_settings.rs
+++ b/src/settings/proxy_settings.rs
@@ -7,9 +7,6 @@
 use crate::settings::{SettingsError, ZoneOverflow};
 use crate::units::{ByteSize, TimeSpan, ZoneCost};
 
-/// Number of callers' connections if the settings name none and the process may have twice as many
-/// descriptors.
-const DEFAULT_CONNECTIONS: u32 = 1_000;
 /// Lower bound of `proxy.connection_memory`.
 const MIN_CONNECTION_MEMORY: ByteSize = ByteSize::from_kib(1024);
 
@@ -122,10 +119,9 @@
             ));
         }
         let half = descriptors.map_or(u64::MAX, |descriptors| descriptors / 2);
-        let half = u32::try_from(half).unwrap_or(u32::MAX);
         let connections = match self.max_connections {
-            None => DEFAULT_CONNECTIONS.min(half),
-            Some(count) if (1..=half).contains(&count) => count,
+            None => ConnectionLimits::callers(descriptors).connections,
+            Some(count) if (1..=half).contains(&u64::from(count)) => count as usize,
             Some(count) => {
                 return Err(SettingsError::Value(
                     "proxy.max_connections",
@@ -135,7 +131,7 @@
             }
         };
         Ok(ConnectionLimits {
-            connections: connections as usize,
+            connections,
             memory: self.connection_memory,
         })
     }
