Keep the connections of the listeners together

The builder held four ServerConnections, an array of them for the view, and the reading of the process's descriptors. ListenerConnections has them, with the counters that the dump and the metrics show. No change of behaviour.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -5,18 +5,17 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use rustix::process::{Resource, getrlimit};
-
 use crate::admin::{AdminServer, AdminSources};
 use crate::config::{ConfigHandle, ConfigSources, DocumentPeers};
 use crate::crashes::{CrashRules, SuspectsHandle};
 use crate::daemon::ProtocolAdapters;
 use crate::daemon::daemon_view::DaemonView;
+use crate::daemon::listener_connections::ListenerConnections;
 use crate::daemon::record_publisher::RecordPublisher;
 use crate::egress::{ClientOptions, EgressHandle, EgressSources};
 use crate::evacuation::RecordFilter;
 use crate::hash::FastMap;
-use crate::http::{ConnectionLimits, HeaderRules, ServerConnections};
+use crate::http::HeaderRules;
 use crate::ids::{BootId, DaemonId, ZoneId};
 use crate::ingress::{IngressHandle, IngressSources};
 use crate::instances::{AnnounceServer, AnnounceSources, RenewalRule};
@@ -43,10 +42,7 @@
     platform: Rc<dyn PlatformService>,
     adapters: ProtocolAdapters,
     metrics: Rc<MetricsExport>,
-    pub(crate) callers: ServerConnections,
-    pub(crate) admin: ServerConnections,
-    pub(crate) announcers: ServerConnections,
-    pub(crate) unauthenticated: ServerConnections,
+    pub(crate) connections: ListenerConnections,
     /// Empty until the membership runs; configuration starts before it and reads it later.
     members: Rc<OnceCell<MembersHandle>>,
     /// Empty until the announcement listener is bound; the egress starts before it.
@@ -55,9 +51,6 @@
 
 impl DaemonBuilder {
     pub(crate) fn open(settings: &DaemonSettings, adapters: ProtocolAdapters) -> io::Result<Self> {
-        let descriptors = getrlimit(Resource::Nofile).current;
-        let caller_limits = settings.proxy.connection_limits(descriptors);
-        let caller_limits = caller_limits.map_err(io::Error::other)?;
         let key = FleetKey::open(&settings.fleet_secret);
         let clock = ProcessClock::open();
         let metrics = Rc::new(MetricsExport::open().map_err(io::Error::other)?);
@@ -80,29 +73,12 @@
             platform: Rc::new(TimedPlatform::open(platform, clock, metrics.durations())),
             adapters,
             metrics,
-            callers: ServerConnections::open("callers", caller_limits),
-            admin: ServerConnections::open("admin", ConnectionLimits::control(descriptors)),
-            announcers: ServerConnections::open("announce", ConnectionLimits::control(descriptors)),
-            unauthenticated: ServerConnections::open(
-                "peers",
-                ConnectionLimits::unauthenticated(descriptors),
-            ),
+            connections: ListenerConnections::open(&settings.proxy).map_err(io::Error::other)?,
             members: Rc::default(),
             announce: Rc::default(),
         })
     }
 
-    /// The connections of each listener.
-    pub(crate) fn listener_connections(&self) -> [ServerConnections; 4] {
-        [
-            &self.callers,
-            &self.admin,
-            &self.announcers,
-            &self.unauthenticated,
-        ]
-        .map(Clone::clone)
-    }
-
     pub(crate) fn spawn_config(&self, settings: &DaemonSettings) -> ConfigHandle {
         let members = Rc::clone(&self.members);
         let own = settings.listen.peers;
@@ -276,7 +252,7 @@
             }),
             is_stopping: Rc::new(move || stopping.get()),
         };
-        let server = AnnounceServer::bind_limited(sources, self.announcers.clone())
+        let server = AnnounceServer::bind_limited(sources, self.connections.announce.clone())
             .await
             .map_err(|cause| bind_error("listen.announce", address, &cause))?;
         let server = Rc::new(server);
@@ -309,7 +285,7 @@
             suspects: self.suspects.clone(),
             call_rates: Rc::clone(&self.call_rates),
         };
-        IngressHandle::bind(address, sources, self.callers.clone())
+        IngressHandle::bind(address, sources, self.connections.callers.clone())
             .await
             .map_err(|cause| bind_error("listen.callers", address, &cause))
     }
@@ -336,7 +312,7 @@
             dump: Rc::new(move || shown.dump()),
             metrics: Rc::new(move || export.text(measured.metrics())),
         };
-        AdminServer::bind_limited(sources, self.admin.clone())
+        AdminServer::bind_limited(sources, self.connections.admin.clone())
             .await
             .map_err(|cause| bind_error("listen.admin", address, &cause))
     }
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -69,7 +69,7 @@
         let peers_address = settings.listen.peers;
         let key = builder.key.clone();
         let traffic = Rc::clone(&builder.zone_traffic);
-        let unauthenticated = builder.unauthenticated.clone();
+        let unauthenticated = builder.connections.peers.clone();
         let listener =
             PeerListener::bind_limited(peers_address, key, handler, traffic, unauthenticated)
                 .await
@@ -90,7 +90,7 @@
             suspects: builder.suspects.clone(),
             settings: settings.clone(),
             boot: builder.boot,
-            connections: builder.listener_connections(),
+            connections: builder.connections.clone(),
         };
         let admin = builder.bind_admin(&settings, view).await?;
         Ok(Self {
--- a/src/daemon/daemon_view.rs
+++ b/src/daemon/daemon_view.rs
@@ -6,8 +6,8 @@
 
 use crate::config::ConfigHandle;
 use crate::crashes::SuspectsHandle;
+use crate::daemon::listener_connections::ListenerConnections;
 use crate::egress::EgressHandle;
-use crate::http::{ConnectionLine, ServerConnections};
 use crate::ids::BootId;
 use crate::ingress::IngressHandle;
 use crate::instances::AnnounceServer;
@@ -30,8 +30,7 @@
     pub(crate) suspects: SuspectsHandle,
     pub(crate) settings: DaemonSettings,
     pub(crate) boot: BootId,
-    /// The connections of each listener.
-    pub(crate) connections: [ServerConnections; 4],
+    pub(crate) connections: ListenerConnections,
 }
 
 impl DaemonView {
@@ -51,7 +50,7 @@
             "suspects": self.suspects.suspects(),
             "refused_messages": self.listener.refused_messages(),
             "zone_bytes": self.zone_bytes(),
-            "connections": self.connections(),
+            "connections": self.connections.lines(),
         })
     }
 
@@ -64,13 +63,6 @@
         Value::Object(lines.collect())
     }
 
-    fn connections(&self) -> Vec<ConnectionLine> {
-        self.connections
-            .iter()
-            .map(ServerConnections::line)
-            .collect()
-    }
-
     /// Reads the current values of the exported metrics.
     pub(crate) fn metrics(&self) -> MetricsSnapshot {
         MetricsSnapshot {
@@ -94,7 +86,7 @@
             refused_messages: self.listener.refused_messages(),
             zones: self.ingress.zone_lines(),
             zone_bytes: self.zone_traffic.bytes().to_vec(),
-            connections: self.connections(),
+            connections: self.connections.lines(),
         }
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod daemon_builder;
 mod daemon_handle;
 mod daemon_view;
+mod listener_connections;
 mod peer_calls;
 mod protocol_adapters;
 mod record_publisher;
