Refuse a request of a full server where others are refused

handle_request looked at ServerFull twice, before the request and for Connection: close after it. The check stands with the one for callers that leave, and the refusal's own response closes the connection. No change of behaviour.

--- a/src/ingress/request_refusal.rs
+++ b/src/ingress/request_refusal.rs
@@ -5,7 +5,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
-use actix_http::{Response, StatusCode};
+use actix_http::{ConnectionType, Response, StatusCode};
 
 use crate::execution_verdict::ExecutionVerdict;
 use crate::http::{self, BodyError};
@@ -132,6 +132,11 @@
         if let Some(span) = self.retry_after() {
             set_retry_after(&mut response, span, exact);
         }
+        if matches!(self, Self::ServerFull) {
+            response
+                .head_mut()
+                .set_connection_type(ConnectionType::Close);
+        }
         if self.status() == StatusCode::UNAUTHORIZED {
             let scheme = HeaderValue::from_static("Bearer");
             let name = HeaderName::from_static("www-authenticate");
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -38,11 +38,7 @@
     let id = ingress.next_request_id();
     let name = request_name(ingress, id, request.headers());
     let begin = ingress.sources.clock.now();
-    let is_full = request.extensions().contains::<ServerFull>();
-    let result = match is_full {
-        true => Err(RequestRefusal::ServerFull),
-        false => serve_until_disconnect(ingress, id, &name, &mut request, guard).await,
-    };
+    let result = serve_until_disconnect(ingress, id, &name, &mut request, guard).await;
     let duration = ingress.sources.clock.now().since(begin);
     let (verdict, mut response) = match result {
         Ok(response) => (ExecutionVerdict::Ran, response),
@@ -57,11 +53,6 @@
         let header = ingress.sources.headers.request();
         response.headers_mut().insert(header, value);
     }
-    if is_full {
-        response
-            .head_mut()
-            .set_connection_type(ConnectionType::Close);
-    }
     if ingress.is_stopping() {
         response
             .head_mut()
@@ -73,7 +64,7 @@
     response
 }
 
-/// Serves the request, or cancels it when the caller disconnects.
+/// Serves the request unless the server has no room for it, or cancels it when the caller disconnects.
 async fn serve_until_disconnect(
     ingress: &IngressHandle,
     id: RequestId,
@@ -81,6 +72,9 @@
     request: &mut Request,
     guard: InFlightGuard,
 ) -> Result<Response<BoxBody>, RequestRefusal> {
+    if request.extensions().contains::<ServerFull>() {
+        return Err(RequestRefusal::ServerFull);
+    }
     let Some(signal) = request.conn_data::<DisconnectSignal>().cloned() else {
         return serve(ingress, id, name, request, guard).await;
     };
