--- a/tests/common/daemon_process.rs
+++ b/tests/common/daemon_process.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use awc::http::Method;
 use wagtailtrack::resource::KeyHash;
 
 use super::caller_client::CallerClient;
@@ -162,6 +163,24 @@
         self.plan.listen[3]
     }
 
+    /// Announces the instance `name` of `service` at `address`, ready with `slots` for a minute.
+    pub async fn announce_instance(
+        &self,
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        slots: u32,
+    ) {
+        let body = format!(
+            r#"{{"service":"{service}","address":"{address}","phase":"ready","slots":{slots},"lease":"60s"}}"#
+        );
+        let client = CallerClient::open(self.announce());
+        let target = format!("/v1/instances/{name}");
+        let sending = client.send(Method::PUT, &target, "", body.as_bytes());
+        let answer = sending.await.unwrap();
+        assert!(answer.status.is_success(), "{}", answer.text());
+    }
+
     /// A client of its callers' listener.
     pub fn caller(&self) -> CallerClient {
         CallerClient::open(self.callers())
--- a/tests/process_cut_heads.rs
+++ b/tests/process_cut_heads.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use awc::http::Method;
-use common::{CallerClient, DeskFleet, FleetPlan, eventually};
+use common::{DeskFleet, FleetPlan, eventually};
 
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nx-instance: cutter\r\nx-a: b\r\n\r\nlane";
 /// Requests on whole responses between two cut ones, so that the instance stays in use.
@@ -26,15 +26,8 @@
     let length = Arc::new(AtomicUsize::new(RESPONSE.len()));
     let served = Arc::new(AtomicUsize::new(0));
     let address = spawn_instance(Arc::clone(&length), Arc::clone(&served));
-    let announce = CallerClient::open(desk.fleet.daemons[0].announce());
-    let body = format!(
-        r#"{{"service":"desk","address":"{address}","phase":"ready","slots":3,"lease":"60s"}}"#
-    );
-    let target = "/v1/instances/cutter";
-    announce
-        .send(Method::PUT, target, "", body.as_bytes())
-        .await
-        .unwrap();
+    let daemon = &desk.fleet.daemons[0];
+    daemon.announce_instance("cutter", "desk", address, 3).await;
     let draining = "{\"phase\":\"draining\"}";
     desk.fleet.backends[0].control(draining).await;
     let caller = desk.caller(0).with_header("x-deadline-ms", "1000");
--- a/tests/process_endless.rs
+++ b/tests/process_endless.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use awc::http::{Method, StatusCode};
-use common::{CallerClient, DeskFleet, eventually};
-use serde_json::{Value, json};
+use common::{DeskFleet, eventually};
+use serde_json::Value;
 
 /// A chunk whose size line never ends.
 const START: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;x=";
@@ -43,16 +43,6 @@
     while socket.write_all(&[b'x'; 4096]).is_ok() {}
 }
 
-async fn announce(desk: &DeskFleet, address: SocketAddr) {
-    let body = json!({"service": "raw", "address": address, "phase": "ready", "slots": 2,
-        "lease": "60s"});
-    let client = CallerClient::open(desk.fleet.daemons[0].announce());
-    let body = body.to_string().into_bytes();
-    let sending = client.send(Method::PUT, "/v1/instances/raw-1", "", &body);
-    let answer = sending.await.unwrap();
-    assert!(answer.status.is_success(), "{}", answer.text());
-}
-
 /// Whether the circuit breaker of the instance is open, from the daemon's dump.
 fn is_doubted(desk: &DeskFleet) -> bool {
     let output = desk.fleet.operate(0, &["dump"]).stdout;
@@ -71,7 +61,8 @@
     resources.create_service("raw", 2).await;
     resources.create_route("raws", "raw", "filing").await;
     let (address, closed) = open_instance();
-    announce(&desk, address).await;
+    let daemon = &desk.fleet.daemons[0];
+    daemon.announce_instance("raw-1", "raw", address, 2).await;
     let millis = DEADLINE.as_millis().to_string();
     let caller = desk.caller(0).with_header("x-deadline-ms", &millis);
     let file = async || {
--- a/tests/process_odd_statuses.rs
+++ b/tests/process_odd_statuses.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 
 use awc::http::Method;
-use common::{CallerClient, DeskFleet, FleetPlan, eventually};
+use common::{DeskFleet, FleetPlan, eventually};
 
 /// Requests on whole responses between two odd ones, so that the instance stays in use.
 const WHOLE_BETWEEN: usize = 4;
@@ -20,7 +20,8 @@
     let desk = DeskFleet::open_with("odd-statuses", FleetPlan::of(2), |_| {}).await;
     let status = Arc::new(AtomicU16::new(200));
     let address = spawn_instance(Arc::clone(&status));
-    announce(&desk, address).await;
+    let daemon = &desk.fleet.daemons[0];
+    daemon.announce_instance("odd", "desk", address, 3).await;
     for backend in &desk.fleet.backends {
         backend.control("{\"phase\":\"draining\"}").await;
     }
@@ -65,13 +66,3 @@
     });
     address
 }
-
-async fn announce(desk: &DeskFleet, address: SocketAddr) {
-    let announce = CallerClient::open(desk.fleet.daemons[0].announce());
-    let body = format!(
-        r#"{{"service":"desk","address":"{address}","phase":"ready","slots":3,"lease":"60s"}}"#
-    );
-    let target = "/v1/instances/odd";
-    let announced = announce.send(Method::PUT, target, "", body.as_bytes());
-    assert!(announced.await.unwrap().status.is_success());
-}
--- a/tests/process_stopping.rs
+++ b/tests/process_stopping.rs
@@ -178,16 +178,10 @@
     resources.create_route("entries", "ledger", "filing").await;
     let instance = CallingInstance::default();
     let daemon = &desk.fleet.daemons[0];
-    let (callers, announce) = (daemon.callers(), daemon.announce());
-    let server = instance.listen(callers, desk.secret.clone()).await;
-    let announcement = format!(
-        r#"{{"service":"ledger","address":"{}","phase":"ready","slots":3,"lease":"60s"}}"#,
-        server.address()
-    );
-    let client = CallerClient::open(announce);
-    let target = "/v1/instances/ledger-1";
-    let announced = client.send(Method::PUT, target, "", announcement.as_bytes());
-    assert!(announced.await.unwrap().status.is_success());
+    let server = instance.listen(daemon.callers(), desk.secret.clone()).await;
+    daemon
+        .announce_instance("ledger-1", "ledger", server.address(), 3)
+        .await;
     let caller = desk.caller(1);
     instance.is_released.set(true);
     eventually("a run at the instance", async || {
