Show bursts of connections, and bytes that the kernel holds for a crowd

What callers see: a daemon that 400 idle clients press has no descriptor left for instances, peers and the store when 120 more connect at one moment; 1,200 clients that send ahead take 147 to 166 MiB, where the smallest machine has 160 and its limit counts what was received and not read.

The tests, on with the debug build, x86-64: closed_connections_go_first 60 connections instead of at most 20; connections_at_once 256 descriptors instead of at most 192; requests_of_many_connections_sent_ahead 166 MiB and bytes_behind_long_requests 147 MiB instead of at most 100.

--- a/tests/process_crowds.rs
+++ b/tests/process_crowds.rs
@@ -246,6 +246,78 @@
     desk.check(crowd).await;
 }
 
+/// Guards against connections that are accepted before those that are closed for them have gone.
+#[actix_rt::test]
+async fn connections_at_once() {
+    let mut desk = CrowdDesk::open_small("crowd-at-once").await;
+    let daemon = &desk.desk.fleet.daemons[0];
+    let listeners = [
+        daemon.callers(),
+        daemon.admin(),
+        daemon.announce(),
+        daemon.peers(),
+    ];
+    for listener in listeners {
+        let idle = desk.press(listener, 400, &CrowdInput::once("")).await;
+        let crowd = desk.connect_at_once(listener).await;
+        drop(idle);
+        desk.check(crowd).await;
+    }
+}
+
+/// Guards against memory of the kernel for what many clients send ahead, which counts for the process.
+#[actix_rt::test]
+async fn requests_of_many_connections_sent_ahead() {
+    press_callers("crowd-many", LARGE_CROWD, |key| {
+        CrowdInput::repeat(&usual_head(key, "GET", "/lookups/1", ""), MOST)
+    })
+    .await;
+}
+
+/// As above, behind requests that are being served.
+#[actix_rt::test]
+async fn bytes_behind_long_requests() {
+    let change = |plan: &mut common::BackendPlan| plan.slots = 200;
+    let mut desk = CrowdDesk::open_with("crowd-behind", change).await;
+    let head = usual_head(desk.desk.key(), "GET", "/lookups/1?work=20000", "");
+    let start = head.replace("ms: 4000", "ms: 30000");
+    let input = CrowdInput::begin(&start, &start, MOST);
+    let crowd = desk.press(desk.callers(), LARGE_CROWD, &input).await;
+    desk.check(crowd).await;
+}
+
+/// Guards against changes of the configuration that a crowd keeps away.
+#[actix_rt::test]
+async fn changes_beside_crowd() {
+    let mut desk = CrowdDesk::open("crowd-changes").await;
+    let head = usual_head(desk.desk.key(), "GET", "/lookups/1", "");
+    let input = CrowdInput::repeat(&head, MOST);
+    for round in 0..3 {
+        let crowd = desk.press(desk.callers(), CROWD, &input).await;
+        let resources = desk.desk.fleet.resources(0);
+        let route = format!("added-{round}");
+        resources.create_route(&route, "desk", "lookup").await;
+        let target = format!("/{route}/1");
+        desk.check_answered(&target).await;
+        desk.check(crowd).await;
+    }
+}
+
+/// Guards against instances whose announcements a crowd keeps away.
+#[actix_rt::test]
+async fn restarts_beside_crowd() {
+    let mut desk = CrowdDesk::open("crowd-restarts").await;
+    let head = usual_head(desk.desk.key(), "GET", "/lookups/1", "");
+    let input = CrowdInput::repeat(&head, MOST);
+    for round in 0..3 {
+        let crowd = desk.press(desk.callers(), CROWD, &input).await;
+        desk.desk.fleet.backends[round].process.kill();
+        let plan = common::BackendPlan::new("desk", &format!("desk-again-{round}"));
+        desk.desk.fleet.add_backend(0, plan).await;
+        desk.check(crowd).await;
+    }
+}
+
 /// Guards against streams of strangers whose first message never ends.
 #[actix_rt::test]
 async fn unfinished_messages_to_peers() {
