Accept no connection before those closed for others have gone

What callers saw: with more idle connections than a daemon may have, a burst of further ones took every descriptor, so that the daemon reached neither instance, peer nor store for that moment, and the log said 'Too many open files'.

Cause: a connection closed for another one is gone only when its task has run, while the accept loop went on to accept up to a whole queue in one turn of the event loop.

Both accept loops, and the one that empties the queue at a stop, now wait until the sockets of closed connections are gone. The wait lasts one turn of the event loop, and nothing waits where none was closed. The last loop also ends after as many connections as a queue can hold.

--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -26,6 +26,9 @@
 /// cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Connections that a listener's queue holds at most. More of them came while the queue was drained.
+const MAX_QUEUED: usize = 4096;
+
 /// How long the server waits for a client's next step.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpTimeouts {
@@ -203,7 +206,7 @@
     };
     let service = Rc::new(service);
     let serve = |socket: TcpStream| {
-        let Some((slot, closed)) = connections.accept() else {
+        let Some((slot, mut connection_closing)) = connections.accept() else {
             return;
         };
         // Nagle's algorithm would hold a small response back until a delayed acknowledgement.
@@ -225,19 +228,24 @@
                     let _ = serving.await;
                 }
             });
-            // The other side is dropped with the connection's slot in the table.
-            select(serving, closed).await;
+            let closing_for_others = pin!(connection_closing.wait());
+            select(serving, closing_for_others).await;
         });
     };
     {
-        let accepting = pin!(accept_loop(&listener, &serve));
+        let accepting = pin!(accept_loop(&listener, &connections, &serve));
         select(accepting, closed).await;
     }
-    drain_accept_queue(listener, &serve);
+    drain_accept_queue(listener, &connections, &serve).await;
 }
 
-async fn accept_loop(listener: &TcpListener, serve: &impl Fn(TcpStream)) {
+async fn accept_loop(
+    listener: &TcpListener,
+    connections: &ServerConnections,
+    serve: &impl Fn(TcpStream),
+) {
     loop {
+        connections.wait_for_closed().await;
         match listener.accept().await {
             Ok((socket, _)) => serve(socket),
             Err(cause) => {
@@ -249,11 +257,19 @@
 }
 
 /// Serves the connections in the accept queue, which closing the listener would reset.
-fn drain_accept_queue(listener: TcpListener, serve: &impl Fn(TcpStream)) {
+async fn drain_accept_queue(
+    listener: TcpListener,
+    connections: &ServerConnections,
+    serve: &impl Fn(TcpStream),
+) {
     let Ok(listener) = listener.into_std() else {
         return;
     };
-    while let Ok((socket, _)) = listener.accept() {
+    for _ in 0..MAX_QUEUED {
+        connections.wait_for_closed().await;
+        let Ok((socket, _)) = listener.accept() else {
+            return;
+        };
         if socket.set_nonblocking(true).is_ok()
             && let Ok(socket) = TcpStream::from_std(socket)
         {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod busy_connection;
 mod chunk_scanner;
 mod client_connection;
+mod connection_closing;
 mod connection_limits;
 mod connection_table;
 mod disconnect_signal;
@@ -21,6 +22,7 @@
 
 pub use busy_connection::BusyConnection;
 pub(crate) use client_connection::ServerFull;
+pub(crate) use connection_closing::ConnectionClosing;
 pub use connection_limits::ConnectionLimits;
 pub use connection_table::{
     AcceptedConnection, ConnectionCounts, ConnectionId, ConnectionTable, ConnectionWait,
--- a/src/http/server_connections.rs
+++ b/src/http/server_connections.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
-use crate::hash::FastMap;
+use crate::hash::{FastMap, FastSet};
 use crate::http::ConnectionLimits;
+use crate::http::connection_closing::ConnectionClosing;
 use crate::http::connection_table::{
     ConnectionCounts, ConnectionId, ConnectionTable, ConnectionWait, MemoryGrowth,
 };
@@ -31,6 +32,10 @@
     table: RefCell<ConnectionTable>,
     /// Dropping one closes its connection.
     closers: RefCell<FastMap<ConnectionId, oneshot::Sender<()>>>,
+    /// Connections that are being closed for others and whose sockets are still open.
+    closing: RefCell<FastSet<ConnectionId>>,
+    /// Notified when the last of them has gone.
+    closed: Notify,
     /// When the next line may be logged.
     next_log: Cell<Deadline>,
 }
@@ -62,6 +67,8 @@
             listener,
             table: RefCell::new(ConnectionTable::open(limits)),
             closers: RefCell::default(),
+            closing: RefCell::default(),
+            closed: Notify::new(),
             next_log: Cell::new(Deadline::at(clock.now())),
         };
         Self {
@@ -71,7 +78,7 @@
 
     /// Adds a connection that was accepted. Returns its slot and what ends when it is to be closed; none
     /// if it is to be closed at once.
-    pub(crate) fn accept(&self) -> Option<(ConnectionSlot, oneshot::Receiver<()>)> {
+    pub(crate) fn accept(&self) -> Option<(ConnectionSlot, ConnectionClosing)> {
         let now = self.share.clock.now();
         let accepted = self.share.table.borrow_mut().accept(now);
         let is_refused = accepted.as_ref().is_none_or(|accepted| accepted.is_refused);
@@ -83,8 +90,9 @@
             self.log_pressure();
         }
         let accepted = accepted?;
-        let (closer, closing) = oneshot::channel();
-        self.share.closers.borrow_mut().insert(accepted.id, closer);
+        let (sender, closer) = oneshot::channel();
+        self.share.closers.borrow_mut().insert(accepted.id, sender);
+        let closing = ConnectionClosing::open(self.clone(), accepted.id, closer);
         let slot = ConnectionSlot {
             connections: self.clone(),
             id: accepted.id,
@@ -93,6 +101,22 @@
         Some((slot, closing))
     }
 
+    /// Waits until the sockets of the connections that were closed for others have gone. Without this wait
+    /// before each further one is accepted, a burst of connections takes descriptors beyond the limit.
+    pub(crate) async fn wait_for_closed(&self) {
+        while !self.share.closing.borrow().is_empty() {
+            self.share.closed.notified().await;
+        }
+    }
+
+    /// Records that a connection's socket has gone, or that it is kept after all.
+    pub(crate) fn finish_closing(&self, id: ConnectionId) {
+        let mut closing = self.share.closing.borrow_mut();
+        if closing.remove(&id) && closing.is_empty() {
+            self.share.closed.notify_one();
+        }
+    }
+
     /// Returns the counters with the listener's name.
     #[must_use]
     pub fn line(&self) -> ConnectionLine {
@@ -110,8 +134,11 @@
 
     fn close(&self, closed: &[ConnectionId]) {
         let mut closers = self.share.closers.borrow_mut();
+        let mut closing = self.share.closing.borrow_mut();
         for id in closed {
-            closers.remove(id);
+            if closers.remove(id).is_some() {
+                closing.insert(*id);
+            }
         }
     }
 
@@ -171,5 +198,6 @@
         let share = &self.connections.share;
         share.table.borrow_mut().end(self.id);
         share.closers.borrow_mut().remove(&self.id);
+        self.connections.finish_closing(self.id);
     }
 }
--- a/src/peers/peer_admission.rs
+++ b/src/peers/peer_admission.rs
@@ -5,9 +5,7 @@
 use std::io;
 use std::rc::Rc;
 
-use tokio::sync::oneshot;
-
-use crate::http::{ConnectionSlot, IDLE_BYTES, MemoryGrowth};
+use crate::http::{ConnectionClosing, ConnectionSlot, IDLE_BYTES, MemoryGrowth};
 
 /// Memory of a stream whose first message has not arrived.
 const STREAM_BYTES: usize = 4 * 1024;
@@ -65,8 +63,8 @@
     }
 
     /// Ends when the connection is to be closed for others, which no longer happens once it is trusted.
-    pub(crate) async fn closed(&self, closing: oneshot::Receiver<()>) {
-        let _ = closing.await;
+    pub(crate) async fn closed(&self, mut closing: ConnectionClosing) {
+        closing.wait().await;
         if self.state.borrow().is_none() {
             pending::<()>().await;
         }
--- a/src/peers/peer_listener.rs
+++ b/src/peers/peer_listener.rs
@@ -130,15 +130,16 @@
 /// Accepts connections for as long as the listener exists.
 async fn accept_connections(listener: TcpListener, share: IncomingShare) {
     loop {
+        share.unauthenticated.wait_for_closed().await;
         match listener.accept().await {
             Ok((socket, peer)) => {
-                let Some((slot, closed)) = share.unauthenticated.accept() else {
+                let Some((slot, connection_closing)) = share.unauthenticated.accept() else {
                     continue;
                 };
                 let admission = PeerAdmission::open(slot);
                 let serving = serve_connection(socket, share.clone(), admission.clone());
                 actix_rt::spawn(async move {
-                    let closing = admission.closed(closed);
+                    let closing = admission.closed(connection_closing);
                     if let Either::Left((Err(cause), _)) =
                         select(pin!(serving), pin!(closing)).await
                     {
