Close a connection that sends ahead for clients that were refused

What callers saw: a client that sent its requests ahead on all connections that a daemon allows kept every other caller out, with 503, for as long as it went on.

Cause: a connection is closed for others while it is idle or its client stalls. One with the next request already there is neither: its request begins in the same turn of the event loop in which the response before it is flushed.

After a refusal, for each one and for two seconds, a connection that has bytes waiting outside its gate is now closed when its response has been flushed, instead of reading the next request. Nothing of that request was read, and connections of clients that wait for their answers are left alone.

--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -226,8 +226,11 @@
         if share.busy.is_idle() {
             share.request_bytes.set(0);
             share.response_bytes.set(0);
-            share.gate.borrow_mut().finish_response();
-            self.wake();
+            // The gate of a connection that makes way stays closed: its next request is not read.
+            if share.held_bytes.get() == 0 || !share.slot.make_way() {
+                share.gate.borrow_mut().finish_response();
+                self.wake();
+            }
         }
         self.update(MemoryGrowth::Unavoidable);
     }
--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -13,6 +13,9 @@
 /// Time for which a client that is in the middle of a request or a response may do nothing before its
 /// connection can be closed for others. It is not waited for when the memory is exceeded by a quarter.
 const STALL: Duration = Duration::from_secs(1);
+/// Time after a refusal in which connections make way: the refused client is told to come back after a
+/// second.
+const MAKE_WAY: Duration = Duration::from_secs(2);
 /// Memory of a connection without a request.
 pub const IDLE_BYTES: usize = 8 * 1024;
 
@@ -92,6 +95,10 @@
     bytes: usize,
     closed: u64,
     refused: u64,
+    /// Refusals for which no connection has made way, up to the number of connections.
+    unmet: usize,
+    /// When the last of them was counted.
+    last_refusal: MonoTime,
 }
 
 impl ConnectionTable {
@@ -105,6 +112,8 @@
             bytes: 0,
             closed: 0,
             refused: 0,
+            unmet: 0,
+            last_refusal: MonoTime::default(),
         }
     }
 
@@ -116,7 +125,7 @@
         let closed = self.close(closed.unwrap_or_default());
         let is_refused = closed.is_empty() && (connections > 0 || bytes > 0);
         if is_refused {
-            self.refused += 1;
+            self.count_refusal(now);
             let refused = self.limits.connections / REFUSED_PART + 1;
             if self.entries.len() >= self.limits.connections + refused {
                 return None;
@@ -181,9 +190,26 @@
         MemoryChange { fits, closed }
     }
 
-    /// Counts a request that was refused for want of memory.
-    pub const fn count_refusal(&mut self) {
+    /// Counts a connection or a request that is refused for want of room.
+    pub fn count_refusal(&mut self, now: MonoTime) {
         self.refused += 1;
+        self.unmet = (self.unmet + 1).min(self.limits.connections);
+        self.last_refusal = now;
+    }
+
+    /// Whether a connection that has sent its next request ahead makes way for clients that were refused a
+    /// moment ago; it has been closed then. Such a connection is never idle.
+    pub fn make_way(&mut self, id: ConnectionId, now: MonoTime) -> bool {
+        if self.unmet == 0 || !self.entries.contains_key(&id) {
+            return false;
+        }
+        if now.since(self.last_refusal) > MAKE_WAY {
+            self.unmet = 0;
+            return false;
+        }
+        self.unmet -= 1;
+        self.close(vec![id]);
+        true
     }
 
     /// Returns the counters.
--- a/src/http/server_connections.rs
+++ b/src/http/server_connections.rs
@@ -215,9 +215,26 @@
 
     /// Counts a request that is refused for want of memory.
     pub(crate) fn count_refusal(&self) {
-        self.connections.share.table.borrow_mut().count_refusal();
+        let now = self.now();
+        self.connections.share.table.borrow_mut().count_refusal(now);
         self.connections.log_pressure();
     }
+
+    /// Closes the connection, which has sent its next request ahead, if clients were refused a moment ago.
+    /// Returns whether it did.
+    pub(crate) fn make_way(&self) -> bool {
+        let now = self.now();
+        let makes_way = self
+            .connections
+            .share
+            .table
+            .borrow_mut()
+            .make_way(self.id, now);
+        if makes_way {
+            self.connections.close(&[self.id]);
+        }
+        makes_way
+    }
 }
 
 impl Drop for ConnectionSlot {
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -146,3 +146,24 @@
         assert!(2 * control + unauthenticated <= descriptors / 4);
     }
 }
+
+/// Guards against a client that sends its requests ahead, so that its connection is never idle, and keeps
+/// others out; and against connections that are closed when nobody was refused.
+#[test]
+fn one_makes_way_for_each_refusal() {
+    let (mut table, ids) = full_table(|_| ConnectionWait::Server);
+    assert!(!table.make_way(ids[0], at(10)));
+    assert!(accept(&mut table, 20).is_refused);
+    assert!(table.make_way(ids[0], at(2_000)));
+    assert!(!table.make_way(ids[1], at(2_000)));
+    assert_eq!(table.counts().closed, 1);
+}
+
+/// Guards against connections that are closed for clients refused long ago.
+#[test]
+fn none_makes_way_late() {
+    let (mut table, ids) = full_table(|_| ConnectionWait::Server);
+    assert!(accept(&mut table, 20).is_refused);
+    assert!(!table.make_way(ids[0], at(5_000)));
+    assert!(!table.make_way(ids[0], at(100)));
+}
--- a/tests/process_full.rs
+++ b/tests/process_full.rs
@@ -36,3 +36,27 @@
     .await;
     assert_eq!(desk.times_ran("long").await, 1);
 }
+
+/// Guards against a client that sends its requests ahead, so that its connection is never idle, and keeps
+/// every other caller out.
+#[actix_rt::test]
+async fn requests_sent_ahead_make_way() {
+    let plan = FleetPlan {
+        tables: "[proxy]\nmax_connections = 1\n".to_owned(),
+        ..FleetPlan::of(1)
+    };
+    let desk = DeskFleet::open_with("full-ahead", plan, |_| {}).await;
+    let mut greedy = TcpStream::connect(desk.fleet.daemons[0].callers()).unwrap();
+    let request = format!(
+        "GET /lookups/ahead?work=500 HTTP/1.1\r\nhost: x\r\nx-tag: ahead\r\nauthorization: Bearer {}\r\n\r\n",
+        desk.secret
+    );
+    // Far more than are served within the test.
+    greedy.write_all(request.repeat(400).as_bytes()).unwrap();
+    eventually("the run", async || desk.times_ran("ahead").await > 0).await;
+    eventually("the response to another caller", async || {
+        let answer = desk.caller(0).get("/lookups/1").await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    })
+    .await;
+}
--- a/tests/receive_windows.rs
+++ b/tests/receive_windows.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpMessage, Request, Response};
+use actix_http::{Request, Response};
 use futures_util::StreamExt;
 use wagtailtrack::http::{
     ConnectionLimits, HttpHandler, HttpServer, HttpTimeouts, ServerConnections,
