Read responses of instances in parts of 8 KiB

What was seen: on x86-64, responses_of_many_connections_unread took 107 to 111 MiB in each of six runs, with a bound of 100; on arm64 it had taken 36 to 50.

Cause: of each response that streams through, several copies of one part exist at a time: as read, as encoded, as a frame, as received and as decoded. The parts were as long as the buffer had grown, 32 KiB for most. A count of live allocations by size showed 45 MB in those of 32 to 64 KiB at the peak, for 264 responses. The encoded message was kept beside its frame until the frame was sent.

Parts are 8 KiB at most now, and the encoded message is dropped.

--- a/src/egress/backend_connection.rs
+++ b/src/egress/backend_connection.rs
@@ -13,7 +13,7 @@
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead};
 use actix_rt::net::TcpStream;
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -29,6 +29,9 @@
 /// trailers.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
 
+/// Longest part of a response that is read at once. Several copies of a part exist on its way to the caller.
+const MAX_READ_BYTES: usize = 8 * 1024;
+
 /// A connection on which a request can be sent or a response head received.
 pub(crate) struct BackendConnection {
     socket: TcpStream,
@@ -177,7 +180,8 @@
 
     async fn next_unframed(&mut self) -> Result<Option<Bytes>, FailureCause> {
         if self.buffer.is_empty() {
-            match self.socket.read_buf(&mut self.buffer).await {
+            let mut buffer = (&mut self.buffer).limit(MAX_READ_BYTES);
+            match self.socket.read_buf(&mut buffer).await {
                 Ok(0) => return Ok(None),
                 Ok(_) => {}
                 Err(_) => return Err(FailureCause::ConnectionLost),
@@ -231,7 +235,7 @@
 
 /// Reads more bytes into `buffer` and returns their number.
 async fn read_more(socket: &mut TcpStream, buffer: &mut BytesMut) -> Result<usize, FailureCause> {
-    match socket.read_buf(buffer).await {
+    match socket.read_buf(&mut buffer.limit(MAX_READ_BYTES)).await {
         Ok(0) | Err(_) => Err(FailureCause::ConnectionLost),
         Ok(count) => Ok(count),
     }
--- a/src/peers/peer_sender.rs
+++ b/src/peers/peer_sender.rs
@@ -57,8 +57,7 @@
     }
 
     async fn send_message<T: Encode>(&mut self, message: &T) -> Result<(), PeerError> {
-        let payload = wire::encode(message)?;
-        let mut frame = self.codec.encode(&payload)?;
+        let mut frame = self.codec.encode(&wire::encode(message)?)?;
         while !frame.is_empty() {
             self.stream.reserve_capacity(frame.len());
             let granted = poll_fn(|context| self.stream.poll_capacity(context))
