Discard the rest of an unread body before the connection closes

Cause: the server closed the connection as soon as the response was flushed. The kernel resets a connection that is closed with unread bytes, or that gets more after that, and the client cannot write on, or loses what it has not read.

The HTTP server now discards what still arrives, for up to two seconds, unless the client closes first. Such a connection is idle for a stop and can be closed for others when its client stalls.

--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -27,6 +27,10 @@
 /// cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest time in which the rest of a body that nobody reads is discarded after its answer. A connection that
+/// is closed while the client sends is reset, and the client loses the answer.
+const UNREAD_BODY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How long the server waits for a client's next step.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpTimeouts {
@@ -188,6 +192,7 @@
     let factory = HttpService::build()
         .keep_alive(timeouts.keep_alive)
         .client_request_timeout(timeouts.request_head)
+        .client_disconnect_timeout(UNREAD_BODY_TIMEOUT)
         .on_connect_ext(move |stream: &SignalingStream, data| {
             let connection = stream.connection();
             data.insert(connection.busy().clone());
