--- a/tests/crowd_kit/crowd_desk.rs
+++ b/tests/crowd_kit/crowd_desk.rs
@@ -168,6 +168,16 @@
         .await;
     }
 
+    /// Requires that the daemon answers that it is ready.
+    pub async fn check_ready(&self) {
+        let admin = CallerClient::open(self.desk.fleet.daemons[0].admin());
+        eventually("the response to a probe", async || {
+            let answer = admin.get("/readyz").await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await;
+    }
+
     /// Records the descriptors and the memory of this moment.
     fn observe(&self) {
         let descriptors = count_descriptors(self.pid());
