Keep leaves of instances beyond the end of their daemon

Cause: a second announcement of the same run counted as a proof that the instance had not left. Announcements that were sent before the leave may arrive after it, however many. The leave itself ended with the process; other daemons held it by the id of the instance alone.

A run that has left stays out of use; a later run of the same id is used at once.

announce_restart second_announcement_confirms asserted the fault, that two announcements lift a known leave. It holds for unknown leaves now; known ones are covered by left_run_stays_out, which is stricter.

Evidence: process_announce late_announcement_after_restart with three late announcements failed before and passes now; members_order leaves_outlive_restart fails if other daemons do not keep the leave.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -18,8 +18,9 @@
 use crate::http::HeaderRules;
 use crate::ids::{BootId, DaemonId, ZoneId};
 use crate::ingress::{IngressHandle, IngressSources};
-use crate::instances::{AnnounceServer, AnnounceSources, RenewalRule};
+use crate::instances::{AnnounceServer, AnnounceSources, LeaveJournal, LeftRuns, RenewalRule};
 use crate::limits::{HomeCandidate, LimitsHandle, LimitsSources, MemberSource};
+use crate::logs::log_target;
 use crate::members::{MemberSources, MembersHandle};
 use crate::metrics::MetricsExport;
 use crate::peers::{FleetKey, PeerPool, ZoneTraffic};
@@ -39,6 +40,8 @@
     peers: PeerPool,
     pub(crate) suspects: SuspectsHandle,
     call_rates: Rc<RefCell<CallRates>>,
+    left_runs: LeftRuns,
+    pub(crate) journal: LeaveJournal,
     platform: Rc<dyn PlatformService>,
     adapters: ProtocolAdapters,
     metrics: Rc<MetricsExport>,
@@ -55,6 +58,15 @@
         let clock = ProcessClock::open();
         let metrics = Rc::new(MetricsExport::open().map_err(io::Error::other)?);
         let platform = Rc::clone(&adapters.platform);
+        let platform: Rc<dyn PlatformService> =
+            Rc::new(TimedPlatform::open(platform, clock, metrics.durations()));
+        let left_runs = LeftRuns::default();
+        let journal = LeaveJournal::open(
+            Rc::clone(&platform),
+            &settings.daemon,
+            left_runs.clone(),
+            clock,
+        );
         let rules = CrashRules {
             limit: settings.proxy.crash_limit as usize,
             hold: settings.proxy.crash_hold.get(),
@@ -70,7 +82,9 @@
             key,
             stopping: Rc::default(),
             headers: Rc::new(HeaderRules::open(&settings.headers)),
-            platform: Rc::new(TimedPlatform::open(platform, clock, metrics.durations())),
+            left_runs,
+            journal,
+            platform,
             adapters,
             metrics,
             connections: ListenerConnections::open(&settings.proxy).map_err(io::Error::other)?,
@@ -117,6 +131,7 @@
     ) -> io::Result<MembersHandle> {
         let own = config.clone();
         let announced = config.clone();
+        let (left_runs, clock) = (self.left_runs.clone(), self.clock);
         let sources = MemberSources {
             daemon: settings.daemon.clone(),
             boot: self.boot,
@@ -133,6 +148,11 @@
                 announced.revision_announced(revision, from)
             }),
             suspects: self.suspects.clone(),
+            on_left: Rc::new(move |instance, run| {
+                if left_runs.recall(instance, run, clock.now()) {
+                    log::info!(target: log_target::INSTANCES, instance:%, run:%; "Instance has left before the start, as other daemons report.");
+                }
+            }),
             start_spread: settings.start_spread.get(),
             seed: fastrand::u64(..),
         };
@@ -190,6 +210,7 @@
         let publisher = RecordPublisher {
             settings: settings.clone(),
             members: members.clone(),
+            left_runs: self.left_runs.clone(),
         };
         EgressHandle::spawn(EgressSources {
             clock: self.clock,
@@ -230,7 +251,6 @@
     ) -> io::Result<Rc<AnnounceServer>> {
         let address = settings.listen.announce;
         let (egress, observer) = (egress.clone(), egress.clone());
-        let members = Rc::clone(&self.members);
         let stopping = Rc::clone(&self.stopping);
         let sources = AnnounceSources {
             address,
@@ -241,11 +261,7 @@
                 unix_millis(),
                 settings.start_trust.get(),
             ),
-            has_left: Rc::new(move |instance| {
-                members
-                    .get()
-                    .is_some_and(|members| members.has_left(instance))
-            }),
+            journal: self.journal.clone(),
             on_change: Rc::new(move |local| egress.apply_announcement(&local)),
             on_announcement: Rc::new(move |instance, announcement| {
                 observer.observe_cold_announcement(instance, announcement);
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join;
+use futures_util::future::join3;
 
 use crate::admin::AdminServer;
 use crate::config::ConfigHandle;
@@ -16,7 +16,7 @@
 use crate::egress::EgressHandle;
 use crate::exit::ExitStatus;
 use crate::ingress::{IngressHandle, ShutdownLimits};
-use crate::instances::AnnounceServer;
+use crate::instances::{AnnounceServer, LeaveJournal};
 use crate::limits::LimitsHandle;
 use crate::logs::log_target;
 use crate::members::MembersHandle;
@@ -50,6 +50,7 @@
     listener: Rc<PeerListener>,
     _admin: AdminServer,
     _announce: Rc<AnnounceServer>,
+    journal: LeaveJournal,
 }
 
 impl DaemonHandle {
@@ -105,6 +106,7 @@
             listener,
             _admin: admin,
             _announce: announce,
+            journal: builder.journal,
         })
     }
 
@@ -154,7 +156,7 @@
             hand_over.abort();
         }
         let closing = self.listener.close(deadline, self.clock);
-        join(closing, self.members.leave()).await;
+        join3(closing, self.members.leave(), self.journal.delete()).await;
         status
     }
 
--- a/src/daemon/record_publisher.rs
+++ b/src/daemon/record_publisher.rs
@@ -1,7 +1,7 @@
 //! Builds the records of this VM's instances for the membership.
 
 use crate::ids::Incarnation;
-use crate::instances::LocalInstance;
+use crate::instances::{LeftRuns, LocalInstance};
 use crate::members::MembersHandle;
 use crate::settings::DaemonSettings;
 use crate::units::Rate;
@@ -11,6 +11,7 @@
 pub(crate) struct RecordPublisher {
     pub(crate) settings: DaemonSettings,
     pub(crate) members: MembersHandle,
+    pub(crate) left_runs: LeftRuns,
 }
 
 impl RecordPublisher {
@@ -43,6 +44,7 @@
                 u32::try_from(median.as_micros()).unwrap_or(u32::MAX)
             }),
             cold_rate,
+            left_run: self.left_runs.newest(&local.instance),
         }
     }
 }
--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -58,7 +58,8 @@
         connections: ServerConnections,
     ) -> io::Result<Self> {
         let address = sources.address;
-        let table = AnnounceTable::open(sources.renewal_rule.clone());
+        let left_runs = sources.journal.left_runs();
+        let table = AnnounceTable::open(sources.renewal_rule.clone(), left_runs);
         let state = Rc::new(AnnounceState {
             sources,
             table: RefCell::new(table),
@@ -100,7 +101,8 @@
 
     /// Drains `instance`, which said in a response that it leaves; its next announcement may be late.
     pub fn drain_leaving(&self, instance: &InstanceId) {
-        let drained = self.state.table.borrow_mut().drain_leaving(instance);
+        let now = self.state.sources.clock.now();
+        let drained = self.state.table.borrow_mut().drain_leaving(instance, now);
         if let Some(local) = drained {
             log::info!(target: log_target::INSTANCES, instance:%, service:% = local.service, phase:? = local.phase; "Instance says in a response that it leaves.");
             (self.state.sources.on_change)(local);
@@ -125,6 +127,11 @@
     loop {
         actix_rt::time::sleep(LEASE_CHECK_INTERVAL).await;
         let now = state.sources.clock.now();
+        let drained = state.table.borrow_mut().drain_left(now);
+        for local in drained {
+            log::warn!(target: log_target::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Instance out of use: it left before this process started, and its announcement was a late one.");
+            (state.sources.on_change)(local);
+        }
         let unconfirmed = state.table.borrow_mut().end_unconfirmed(now);
         for local in unconfirmed {
             log::warn!(target: log_target::INSTANCES, instance:% = local.instance, phase:? = local.phase; "Instance out of use until it announces itself again: its first announcement since the start may be a late one.");
@@ -152,7 +159,7 @@
                 }
             }
             (Method::DELETE, Some(rest)) if rest.len() > 1 && rest.starts_with('/') => {
-                match self.remove(&rest[1..], &request) {
+                match self.remove(&rest[1..], &request).await {
                     Ok(local) => http::json_response(StatusCode::OK, &local),
                     Err(error) => refuse(&error),
                 }
@@ -177,7 +184,9 @@
         if !is_on_this_vm(announcement.address.ip()) {
             return Err(AnnounceError::AddressNotLocal(announcement.address));
         }
-        self.apply(&instance, &announcement)
+        let local = self.apply(&instance, &announcement)?;
+        self.record_leave(&instance).await;
+        Ok(local)
     }
 
     fn apply(
@@ -190,9 +199,11 @@
         if is_new && (self.sources.is_stopping)() {
             return Err(AnnounceError::Stopping);
         }
-        if is_new && (self.sources.has_left)(instance) {
-            self.table.borrow_mut().note_left(instance);
+        let table = self.table.borrow();
+        if table.may_be_late(instance, announcement, now) {
+            self.sources.journal.recall();
         }
+        drop(table);
         let outcome = self
             .table
             .borrow_mut()
@@ -214,7 +225,7 @@
     }
 
     /// Marks the instance as gone; it gets no further requests.
-    fn remove(&self, name: &str, request: &Request) -> Result<LocalInstance, AnnounceError> {
+    async fn remove(&self, name: &str, request: &Request) -> Result<LocalInstance, AnnounceError> {
         check_client(request.peer_addr())?;
         let instance: InstanceId = name.parse()?;
         let now = self.sources.clock.now();
@@ -222,8 +233,17 @@
         let local = removed.ok_or_else(|| AnnounceError::UnknownInstance(instance.clone()))?;
         log::info!(target: log_target::INSTANCES, instance:%; "Instance removed at its own request.");
         (self.sources.on_change)(local.clone());
+        self.record_leave(&instance).await;
         Ok(local)
     }
+
+    /// Has the leave of `instance` written, if it has announced one, before it is acknowledged.
+    async fn record_leave(&self, instance: &InstanceId) {
+        let run = self.table.borrow().leaving_run(instance);
+        if let Some(run) = run {
+            self.sources.journal.record(instance, run).await;
+        }
+    }
 }
 
 fn refuse(error: &AnnounceError) -> Response<BoxBody> {
--- a/src/instances/announce_sources.rs
+++ b/src/instances/announce_sources.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::ids::InstanceId;
-use crate::instances::{AnnounceError, Announcement, LocalInstance, RenewalRule};
+use crate::instances::{AnnounceError, Announcement, LeaveJournal, LocalInstance, RenewalRule};
 use crate::time::ProcessClock;
 
 /// Parses the body of an HTTP request into an announcement.
@@ -25,9 +25,8 @@
     pub clock: ProcessClock,
     /// Decides from which announcement on new instances are used.
     pub renewal_rule: RenewalRule,
-    /// Whether an earlier process of this daemon published the instance as gone, as far as other daemons
-    /// have reported.
-    pub has_left: Rc<dyn Fn(&InstanceId) -> bool>,
+    /// Keeps which instances have left.
+    pub journal: LeaveJournal,
     /// Called at once with each instance that changed. A renewal that changes nothing but the lease
     /// is not reported.
     pub on_change: Rc<dyn Fn(LocalInstance)>,
--- a/src/instances/announce_table.rs
+++ b/src/instances/announce_table.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use crate::hash::FastMap;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, InstanceRun};
 use crate::instances::{
-    AnnounceError, AnnounceOrder, Announcement, FirstUse, LocalInstance, RenewalRule,
+    AnnounceError, AnnounceOrder, Announcement, FirstUse, LATE_ANNOUNCEMENTS, LeftRuns,
+    LocalInstance, RenewalRule,
 };
 use crate::time::{Deadline, MonoTime};
 use crate::wire::InstancePhase;
@@ -15,9 +16,8 @@
 /// How long an instance counts as draining after its lease expired, so that its last requests can
 /// end.
 const DRAIN_AFTER_EXPIRY: Duration = Duration::from_secs(10);
-/// How long an instance that is gone is kept, to recognize its late announcements. These are a few
-/// seconds old at most.
-const GONE_RETENTION: Duration = Duration::from_secs(30);
+/// How long an instance that is gone is kept, to recognize its late announcements.
+const GONE_RETENTION: Duration = LATE_ANNOUNCEMENTS;
 
 #[derive(Debug, Clone)]
 struct LeasedInstance {
@@ -36,7 +36,8 @@
 ///
 /// An instance that announced `draining` or `gone` does not become ready again until it announces
 /// `starting` or announces a later start of its process.
-/// So a renewal that was sent before the drain and arrives after it does not undo the drain.
+/// So a renewal that was sent before the drain and arrives after it does not undo the drain, also when
+/// [`LeftRuns`] knows of the drain from an earlier process of this daemon.
 ///
 /// An instance that is new to this process counts as draining while [`RenewalRule`] asks for a later
 /// announcement.
@@ -44,21 +45,31 @@
 pub struct AnnounceTable {
     instances: FastMap<InstanceId, LeasedInstance>,
     rule: RenewalRule,
+    left_runs: LeftRuns,
 }
 
 impl AnnounceTable {
-    /// Creates an empty table that takes in new instances by `rule`.
+    /// Creates an empty table that takes in new instances by `rule`, but no run of `left_runs`, to which it
+    /// adds the runs that announce their leave.
     #[must_use]
-    pub fn open(rule: RenewalRule) -> Self {
+    pub fn open(rule: RenewalRule, left_runs: LeftRuns) -> Self {
         Self {
             instances: FastMap::default(),
             rule,
+            left_runs,
         }
     }
 
-    /// Takes in that an earlier process of this daemon published `instance` as gone.
-    pub fn note_left(&mut self, instance: &InstanceId) {
-        self.rule.note_left(instance);
+    /// Whether `announcement` is the first one of `instance` and may be from before its leave.
+    #[must_use]
+    pub fn may_be_late(
+        &self,
+        instance: &InstanceId,
+        announcement: &Announcement,
+        now: MonoTime,
+    ) -> bool {
+        let is_new = !self.instances.contains_key(instance);
+        is_new && self.rule.may_be_late(announcement, now)
     }
 
     /// Applies an announcement. Returns the instance and whether anything but its lease changed.
@@ -76,7 +87,8 @@
     ) -> Result<(LocalInstance, bool), AnnounceError> {
         let known = self.instances.get(instance);
         let restarted = known.is_some_and(|known| known.started_before(announcement));
-        let is_leaving = known.is_some_and(|known| known.is_leaving) && !restarted;
+        let has_left = self.left_runs.includes(instance, announcement.order, now);
+        let is_leaving = has_left || known.is_some_and(|known| known.is_leaving) && !restarted;
         if let Some(known) = known
             && known.is_newer_than(announcement)
         {
@@ -102,13 +114,18 @@
         leased.unconfirmed_until = match known {
             Some(known) if known.is_confirmed_by(announcement) => None,
             Some(known) => known.unconfirmed_until,
-            None => match self.rule.first_use(instance, announcement, now) {
+            None => match self.rule.first_use(announcement, now) {
                 FirstUse::Confirmed => None,
                 FirstUse::Until(deadline) => Some(deadline),
             },
         };
         leased.end_trust(now);
-        let changed = restarted || known.is_none_or(|known| known.local != leased.local);
+        if is_leaving && !leased.is_leaving {
+            self.left_runs.note_return(instance);
+        }
+        let is_new_leave = leased.note_leave(&self.left_runs, now);
+        let changed =
+            restarted || is_new_leave || known.is_none_or(|known| known.local != leased.local);
         let local = leased.local.clone();
         self.instances.insert(instance.clone(), leased);
         Ok((local, changed))
@@ -130,6 +147,7 @@
                 && started_before(leased.order, order)
             {
                 leased.mark_gone(now);
+                leased.note_leave(&self.left_runs, now);
                 replaced.push(leased.local.clone());
             }
         }
@@ -138,23 +156,42 @@
 
     /// Turns an instance that leaves to draining and returns it; `None` if it already drains, is gone or is
     /// unknown. Its lease goes on.
-    pub fn drain_leaving(&mut self, instance: &InstanceId) -> Option<LocalInstance> {
+    pub fn drain_leaving(&mut self, instance: &InstanceId, now: MonoTime) -> Option<LocalInstance> {
         let leased = self.instances.get_mut(instance)?;
-        leased.is_leaving = true;
-        if leased.local.phase != InstancePhase::Ready {
-            return None;
+        let was_ready = leased.drain_leaving();
+        leased.note_leave(&self.left_runs, now);
+        was_ready.then(|| leased.local.clone())
+    }
+
+    /// Turns the instances to draining whose runs have left, as this process has learnt after it took them
+    /// in, and returns them.
+    pub fn drain_left(&mut self, now: MonoTime) -> Vec<LocalInstance> {
+        let mut drained = Vec::new();
+        for (name, leased) in &mut self.instances {
+            let has_left = self.left_runs.includes(name, leased.order, now);
+            if has_left && !leased.is_leaving && leased.drain_leaving() {
+                drained.push(leased.local.clone());
+            }
         }
-        leased.local.phase = InstancePhase::Draining;
-        Some(leased.local.clone())
+        drained
     }
 
     /// Marks `instance` as gone and returns it; `None` if it is unknown.
     pub fn remove(&mut self, instance: &InstanceId, now: MonoTime) -> Option<LocalInstance> {
         let leased = self.instances.get_mut(instance)?;
         leased.mark_gone(now);
+        leased.note_leave(&self.left_runs, now);
         Some(leased.local.clone())
     }
 
+    /// The run of `instance` that announced its leave last; none if it has not, or without an order.
+    #[must_use]
+    pub fn leaving_run(&self, instance: &InstanceId) -> Option<InstanceRun> {
+        let leased = self.instances.get(instance)?;
+        let order = leased.order.filter(|_| leased.is_leaving)?;
+        Some(order.run())
+    }
+
     /// Whether an instance that started later has announced the same address.
     fn is_replaced(&self, instance: &InstanceId, announcement: &Announcement) -> bool {
         self.instances.iter().any(|(name, leased)| {
@@ -215,7 +252,8 @@
         let leased = self.instances.get(instance);
         leased.is_some_and(|leased| {
             let is_ready = leased.local.phase == InstancePhase::Ready;
-            is_ready && !leased.expiry.has_passed(now) && !leased.has_trust_ended(now)
+            let has_left = self.left_runs.includes(instance, leased.order, now);
+            is_ready && !has_left && !leased.expiry.has_passed(now) && !leased.has_trust_ended(now)
         })
     }
 
@@ -253,6 +291,22 @@
         }
     }
 
+    /// Adds the run to `left_runs` if it has announced its leave. Returns whether that was not known.
+    fn note_leave(&self, left_runs: &LeftRuns, now: MonoTime) -> bool {
+        let order = self.order.filter(|_| self.is_leaving);
+        order.is_some_and(|order| left_runs.note(&self.local.instance, order.run(), now))
+    }
+
+    /// Drains the instance for good, as it leaves. Returns whether it was ready.
+    fn drain_leaving(&mut self) -> bool {
+        self.is_leaving = true;
+        let was_ready = self.local.phase == InstancePhase::Ready;
+        if was_ready {
+            self.local.phase = InstancePhase::Draining;
+        }
+        was_ready
+    }
+
     fn has_trust_ended(&self, now: MonoTime) -> bool {
         self.unconfirmed_until
             .is_some_and(|deadline| deadline.has_passed(now))
--- a/src/instances/announcement.rs
+++ b/src/instances/announcement.rs
@@ -1,10 +1,11 @@
 //! Body of the HTTP request by which a backend server registers its instance.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::ServiceId;
+use crate::ids::{InstanceRun, ServiceId};
 use crate::instances::AnnounceError;
 use crate::units::{Slots, TimeSpan};
 use crate::wire::InstancePhase;
@@ -13,6 +14,9 @@
 pub const MIN_LEASE: TimeSpan = TimeSpan::from_millis(500);
 /// Longest lease that an instance may request.
 pub const MAX_LEASE: TimeSpan = TimeSpan::from_secs(60);
+/// Time in which announcements that were sent before some moment may arrive after it. They are a few
+/// seconds late at most.
+pub const LATE_ANNOUNCEMENTS: Duration = Duration::from_secs(30);
 
 /// State of an instance as announced by its backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -48,6 +52,14 @@
     pub sequence: u64,
 }
 
+impl AnnounceOrder {
+    /// The run that the announcement belongs to.
+    #[must_use]
+    pub const fn run(self) -> InstanceRun {
+        InstanceRun(self.started_millis)
+    }
+}
+
 impl Announcement {
     /// Parses an announcement from JSON and validates it.
     ///
--- a/src/members/gossip_action.rs
+++ b/src/members/gossip_action.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::{RegionId, Revision, ServiceId};
+use crate::ids::{InstanceId, InstanceRun, RegionId, Revision, ServiceId};
 use crate::wire::{GossipMessage, RunReport};
 
 /// An effect that the caller of `GossipCore` carries out.
@@ -19,6 +19,9 @@
     ReportRevision(Revision, SocketAddr),
     /// Report what another daemon says of requests that may end instances.
     ReportRuns(Vec<RunReport>),
+    /// Report that this run of an instance beside the daemon has left, as an earlier process of the daemon
+    /// published.
+    ReportLeft(InstanceId, InstanceRun),
     /// Pull the differing owners from this peer, because the views differ too much for datagrams.
     PullView(SocketAddr),
     /// Query a daemon of another region for a service without ready instances in the own one.
--- a/src/members/gossip_core.rs
+++ b/src/members/gossip_core.rs
@@ -175,12 +175,6 @@
         std::mem::take(&mut context.actions)
     }
 
-    /// Whether an earlier boot published that `instance` is gone, as far as other daemons have reported.
-    #[must_use]
-    pub fn has_left(&self, instance: &InstanceId) -> bool {
-        self.local_records.has_left(instance)
-    }
-
     /// Publishes the record of a local instance, unless it is equivalent to the published one.
     pub fn publish(
         &mut self,
--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -139,6 +139,13 @@
             return false;
         }
         let is_own = record.daemon == self.view.own().daemon;
+        if is_own
+            && record.states_leave()
+            && let Some(run) = record.left_run
+        {
+            let report = GossipAction::ReportLeft(record.instance.clone(), run);
+            context.actions.push(report);
+        }
         if is_own || self.local_records.get(&record.instance).is_some() {
             let refuted = self.refute_instance(record, context);
             if refuted || is_own {
@@ -198,7 +205,10 @@
             return true;
         };
         let has_moved = record.daemon != own.daemon && self.view.is_live(&record.daemon);
-        if has_moved || record.incarnation < own.incarnation || *record == own {
+        let mut aligned = record.clone();
+        // Other daemons keep leaves that this boot has not heard of.
+        aligned.left_run = own.left_run;
+        if has_moved || record.incarnation < own.incarnation || aligned == own {
             return false;
         }
         self.local_records.advance_past(record.incarnation);
@@ -211,7 +221,6 @@
     /// Tracks a record of an earlier boot, which is published as gone unless the instance
     /// announces itself again.
     fn track_earlier_boot(&mut self, record: &InstanceRecord, now: MonoTime) {
-        self.local_records.note_left(record);
         let known = self.view.records().get(&record.instance);
         let is_newer = known.is_none_or(|known| record.incarnation > known.incarnation);
         if is_newer && record.phase != InstancePhase::Gone {
--- a/src/members/local_records.rs
+++ b/src/members/local_records.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use crate::hash::{FastMap, FastSet};
+use crate::hash::FastMap;
 use crate::ids::{Incarnation, InstanceId};
 use crate::time::{Deadline, MonoTime};
-use crate::wire::{InstancePhase, InstanceRecord};
+use crate::wire::InstanceRecord;
 
 // Time in which an instance of an earlier boot must announce itself to this boot.
 const ORPHAN_TIMEOUT: Duration = Duration::from_secs(4);
@@ -18,10 +18,6 @@
     incarnation: Incarnation,
     records: FastMap<InstanceId, InstanceRecord>,
     orphans: FastMap<InstanceId, (Deadline, InstanceRecord)>,
-    /// Records of earlier boots are below this.
-    boot_incarnation: Incarnation,
-    /// Instances that an earlier boot published as gone.
-    left: FastSet<InstanceId>,
 }
 
 impl LocalRecords {
@@ -33,8 +29,6 @@
             incarnation,
             records: FastMap::default(),
             orphans: FastMap::default(),
-            boot_incarnation: incarnation,
-            left: FastSet::default(),
         }
     }
 
@@ -79,23 +73,6 @@
         self.records.remove(instance)
     }
 
-    /// Whether an earlier boot published that `instance` is gone, as far as other daemons have reported.
-    #[must_use]
-    pub fn has_left(&self, instance: &InstanceId) -> bool {
-        self.left.contains(instance)
-    }
-
-    /// Takes in a record of this daemon that this boot does not hold: of an earlier boot, or one that
-    /// this boot has removed.
-    ///
-    /// `Draining` counts for nothing: a boot that stops publishes it for all its instances.
-    pub fn note_left(&mut self, record: &InstanceRecord) {
-        let is_gone = record.phase == InstancePhase::Gone;
-        if is_gone && record.incarnation < self.boot_incarnation {
-            self.left.insert(record.instance.clone());
-        }
-    }
-
     /// Adds the record of an earlier boot as an orphan: its instance has not announced itself to
     /// this boot.
     pub fn add_orphan(&mut self, record: &InstanceRecord, now: MonoTime) {
--- a/src/members/member_sources.rs
+++ b/src/members/member_sources.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use crate::crashes::SuspectsHandle;
-use crate::ids::{BootId, DaemonId, RegionId, Revision, ZoneId};
+use crate::ids::{BootId, DaemonId, InstanceId, InstanceRun, RegionId, Revision, ZoneId};
 use crate::peers::{FleetKey, PeerPool};
 use crate::platform::PlatformService;
 use crate::time::ProcessClock;
 
+/// Takes in that a run of an instance has left.
+pub type LeaveObserver = Rc<dyn Fn(&InstanceId, InstanceRun)>;
+
 /// Identity of this daemon and the dependencies of `MembersHandle`.
 #[derive(Clone)]
 pub struct MemberSources {
@@ -39,6 +42,9 @@
     pub on_revision: Rc<dyn Fn(Revision, SocketAddr)>,
     /// The requests that may end instances, as this daemon knows them.
     pub suspects: SuspectsHandle,
+    /// Called with each run of an instance beside this daemon that has left, as other daemons heard from an
+    /// earlier process of it.
+    pub on_left: LeaveObserver,
     /// Time over which daemons that start together spread their first read of the directory.
     pub start_spread: Duration,
     /// Seed of the random generator.
--- a/src/members/members_handle.rs
+++ b/src/members/members_handle.rs
@@ -125,13 +125,6 @@
         core.instances_of_regions(service, now)
     }
 
-    /// Whether an earlier boot of this daemon published that `instance` is gone, as far as other daemons
-    /// have reported.
-    #[must_use]
-    pub fn has_left(&self, instance: &InstanceId) -> bool {
-        self.state.core.borrow().has_left(instance)
-    }
-
     /// Publishes the record of a local instance under a higher incarnation, if it has changed.
     pub fn publish(&self, record: InstanceRecord) {
         let actions = self.with_core(|core, rng, now| core.publish(&record, now, rng));
@@ -221,6 +214,9 @@
                     (self.state.sources.on_revision)(revision, from);
                 }
                 GossipAction::ReportRuns(runs) => self.state.sources.suspects.receive(&runs),
+                GossipAction::ReportLeft(instance, run) => {
+                    (self.state.sources.on_left)(&instance, run);
+                }
                 GossipAction::PullView(peer) => {
                     actix_rt::spawn(self.clone().pull(peer));
                 }
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -50,7 +50,7 @@
 pub use live_member::LiveMember;
 pub use local_records::LocalRecords;
 pub use member_directory::{MemberDirectory, MemberRow};
-pub use member_sources::MemberSources;
+pub use member_sources::{LeaveObserver, MemberSources};
 pub use member_table::{MemberChange, MemberEntry, MemberTable};
 pub use members_handle::MembersHandle;
 pub use message_builder::MessageBuilder;
--- a/src/members/record_table.rs
+++ b/src/members/record_table.rs
@@ -42,7 +42,11 @@
 
 impl RecordTable {
     /// Merges a record; only a higher incarnation replaces the known record of the instance.
+    ///
+    /// A record that knows of no leave keeps the one of the record it replaces: the daemon that published
+    /// both may have lost it in a restart.
     pub fn merge(&mut self, record: &InstanceRecord, now: MonoTime) -> RecordChange {
+        let mut record = record.clone();
         if let Some(known) = self.records.get(&record.instance) {
             if record.incarnation < known.incarnation {
                 return RecordChange::Stale;
@@ -50,6 +54,9 @@
             if record.incarnation == known.incarnation {
                 return RecordChange::Same;
             }
+            if known.daemon == record.daemon {
+                record.left_run = record.left_run.or(known.left_run);
+            }
         }
         self.remove(&record.instance.clone());
         if record.phase == InstancePhase::Gone {
@@ -57,7 +64,7 @@
             let tombstone = (end, record.instance.clone(), record.incarnation);
             self.tombstones.push_back(tombstone);
         }
-        self.insert(record);
+        self.insert(&record);
         RecordChange::Newer
     }
 
--- a/src/wire/instance_record.rs
+++ b/src/wire/instance_record.rs
@@ -6,7 +6,7 @@
 use bincode::{Decode, Encode};
 use serde::Serialize;
 
-use crate::ids::{DaemonId, Incarnation, InstanceId, RegionId, ServiceId, ZoneId};
+use crate::ids::{DaemonId, Incarnation, InstanceId, InstanceRun, RegionId, ServiceId, ZoneId};
 use crate::units::{Percent, Rate, Slots};
 
 /// Lifecycle phase that an instance announces.
@@ -69,6 +69,9 @@
     /// Requests per second that the instance takes while it is cold, or may be; none while it is
     /// warm or its service bounds no cold instance.
     pub cold_rate: Option<Rate>,
+    /// Newest run of the instance that announced its leave, 0 if it has returned since; none if the
+    /// publishing process knows of no leave. Other daemons keep it for the next process of that daemon.
+    pub left_run: Option<InstanceRun>,
 }
 
 impl HealthState {
@@ -92,6 +95,13 @@
         self.is_leaving() || matches!(self.health, HealthState::Suspect | HealthState::Ejected)
     }
 
+    /// Whether it states that a run of the instance has left and not returned.
+    #[must_use]
+    pub fn states_leave(&self) -> bool {
+        self.left_run
+            .is_some_and(|run| run > InstanceRun::default())
+    }
+
     /// Whether the instance is draining or gone and accepts no new requests.
     #[must_use]
     pub const fn is_leaving(&self) -> bool {
--- a/tests/announce_restart.rs
+++ b/tests/announce_restart.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use wagtailtrack::ids::InstanceId;
-use wagtailtrack::instances::{AnnounceOrder, AnnounceTable, Announcement, RenewalRule};
+use wagtailtrack::ids::{InstanceId, InstanceRun};
+use wagtailtrack::instances::{AnnounceOrder, AnnounceTable, Announcement, LeftRuns, RenewalRule};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::{Slots, TimeSpan};
 use wagtailtrack::wire::InstancePhase;
@@ -14,6 +14,8 @@
 const START: MonoTime = MonoTime::from_millis(1_000);
 /// Unix time of the start of the process.
 const START_MILLIS: u64 = 500;
+/// Start of the instance's run that [`announcement`] belongs to.
+const RUN: InstanceRun = InstanceRun(START_MILLIS - 1);
 const TRUST: Duration = Duration::from_secs(3);
 
 fn after_start(millis: u64) -> MonoTime {
@@ -21,7 +23,12 @@
 }
 
 fn table() -> AnnounceTable {
-    AnnounceTable::open(RenewalRule::open(START, START_MILLIS, TRUST))
+    table_with(&LeftRuns::default())
+}
+
+fn table_with(left_runs: &LeftRuns) -> AnnounceTable {
+    let rule = RenewalRule::open(START, START_MILLIS, TRUST);
+    AnnounceTable::open(rule, left_runs.clone())
 }
 
 fn desk() -> InstanceId {
@@ -37,7 +44,7 @@
         slots: Slots::fixed(3),
         lease: TimeSpan::from_secs(12),
         order: Some(AnnounceOrder {
-            started_millis: START_MILLIS - 1,
+            started_millis: RUN.0,
             sequence,
         }),
         cold: None,
@@ -78,15 +85,77 @@
     assert!(!table.accepts_work(&desk(), after_start(4_000)));
 }
 
-/// Guards against a late announcement that is trusted although other daemons know that the instance left.
+/// Guards against late announcements that bring back a run that has left: several of them confirmed each
+/// other, although all had been sent before the leave.
 #[test]
-fn late_announcement_of_known_leave() {
-    let mut table = table();
-    table.note_left(&desk());
+fn left_run_stays_out() {
+    let left_runs = LeftRuns::default();
+    left_runs.recall(&desk(), RUN, START);
+    let mut table = table_with(&left_runs);
+    for (sequence, millis) in [(5, 700), (6, 2_200), (7, 3_700), (8, 29_000)] {
+        let late = ready(sequence);
+        let outcome = table.announce(&desk(), &late, after_start(millis));
+        assert!(outcome.is_err(), "{sequence}");
+        assert!(!table.accepts_work(&desk(), after_start(millis)));
+    }
+    let mut next_run = ready(1);
+    next_run.order.as_mut().unwrap().started_millis = RUN.0 + 1;
     table
-        .announce(&desk(), &ready(5), after_start(700))
+        .announce(&desk(), &next_run, after_start(29_100))
+        .unwrap();
+    assert!(table.accepts_work(&desk(), after_start(29_100)));
+}
+
+/// Guards against a new run that stays out of use for good because the clock was set back before its start.
+#[test]
+fn earlier_start_after_retention() {
+    let left_runs = LeftRuns::default();
+    left_runs.recall(&desk(), RUN, START);
+    let mut table = table_with(&left_runs);
+    let first = ready(1);
+    table
+        .announce(&desk(), &first, after_start(30_000))
         .unwrap();
-    assert!(!table.accepts_work(&desk(), after_start(700)));
+    assert!(table.accepts_work(&desk(), after_start(30_000)));
+}
+
+/// Guards against a run that stays in use if the process learns only after its late announcements that it
+/// has left.
+#[test]
+fn leave_learnt_late() {
+    let left_runs = LeftRuns::default();
+    let mut table = table_with(&left_runs);
+    for (sequence, millis) in [(5, 700), (6, 2_200)] {
+        let late = ready(sequence);
+        table.announce(&desk(), &late, after_start(millis)).unwrap();
+    }
+    left_runs.recall(&desk(), RUN, START);
+    assert!(!table.accepts_work(&desk(), after_start(2_300)));
+    let drained = table.drain_left(after_start(2_300));
+    assert_eq!(drained[0].phase, InstancePhase::Draining);
+    let outcome = table.announce(&desk(), &ready(7), after_start(3_700));
+    assert!(outcome.is_err());
+    assert!(table.drain_left(after_start(2_300)).is_empty());
+}
+
+/// Guards against an instance that stays out of use although it has announced `starting` after its leave,
+/// and other daemons still report the leave.
+#[test]
+fn returned_run_serves() {
+    let left_runs = LeftRuns::default();
+    let mut table = table_with(&left_runs);
+    let phases = [
+        InstancePhase::Draining,
+        InstancePhase::Starting,
+        InstancePhase::Ready,
+    ];
+    for (sequence, phase) in (5..).zip(phases) {
+        let next = announcement(phase, sequence);
+        table.announce(&desk(), &next, after_start(700)).unwrap();
+    }
+    left_runs.recall(&desk(), RUN, START);
+    assert!(table.accepts_work(&desk(), after_start(700)));
+    assert_eq!(left_runs.newest(&desk()), Some(InstanceRun::default()));
 }
 
 /// Guards against an instance that drained before the restart and stays in use after it.
@@ -126,7 +195,6 @@
 #[test]
 fn second_announcement_confirms() {
     let mut table = table();
-    table.note_left(&desk());
     table
         .announce(&desk(), &ready(5), after_start(4_000))
         .unwrap();
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use wagtailtrack::ids::{BootId, Incarnation, RegionId, Revision, ServiceId, ZoneId};
+use wagtailtrack::ids::{
+    BootId, Incarnation, InstanceId, InstanceRun, RegionId, Revision, ServiceId, ZoneId,
+};
 use wagtailtrack::members::{DatagramCodec, GossipAction, GossipCore};
 use wagtailtrack::peers::FleetKey;
 use wagtailtrack::time::MonoTime;
@@ -53,6 +55,8 @@
     pub revisions: Vec<(usize, Revision)>,
     /// Reports on requests, by the daemon that has heard of them.
     pub runs: Vec<(usize, RunReport)>,
+    /// Leaves of instances before a restart, by the daemon that was told of them.
+    pub leaves: Vec<(usize, InstanceId, InstanceRun)>,
     pub is_recording: bool,
     pub recording: Vec<(usize, usize, Vec<u8>)>,
     codec: DatagramCodec,
@@ -116,6 +120,7 @@
         slots: Slots::new(3).unwrap(),
         median_micros: 25_000,
         cold_rate: None,
+        left_run: None,
     }
 }
 
@@ -132,6 +137,7 @@
             blocked_links: BTreeSet::new(),
             revisions: Vec::new(),
             runs: Vec::new(),
+            leaves: Vec::new(),
             is_recording: false,
             recording: Vec::new(),
             codec: DatagramCodec::open(FleetKey::open("a secret of the fleet")),
@@ -299,6 +305,7 @@
                 GossipAction::ReportRuns(runs) => {
                     self.runs.extend(runs.into_iter().map(|run| (from, run)));
                 }
+                GossipAction::ReportLeft(instance, run) => self.leaves.push((from, instance, run)),
                 GossipAction::PullView(peer) => self.pull(from, index(peer)),
                 GossipAction::PullService {
                     service,
--- a/tests/health_spread.rs
+++ b/tests/health_spread.rs
@@ -28,6 +28,7 @@
         slots: "3".parse().unwrap(),
         median_micros: (MEDIAN_MILLIS * 1e3) as u32,
         cold_rate: None,
+        left_run: None,
     };
     ServiceBaseline::from_records(&[record("one"), record("two"), record("three")])
 }
--- a/tests/instances_http.rs
+++ b/tests/instances_http.rs
@@ -1,12 +1,16 @@
 //! The announcement server's HTTP interface: registration, renewal, drain and the refusal of
 //! invalid requests.
 
+mod common;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use wagtailtrack::instances::{AnnounceServer, AnnounceSources, LocalInstance, RenewalRule};
+use wagtailtrack::instances::{
+    AnnounceServer, AnnounceSources, LeaveJournal, LeftRuns, LocalInstance, RenewalRule,
+};
 use wagtailtrack::time::ProcessClock;
 use wagtailtrack::wire::InstancePhase;
 
@@ -25,12 +29,15 @@
         let changes: Rc<RefCell<Vec<LocalInstance>>> = Rc::default();
         let stopping: Rc<RefCell<bool>> = Rc::default();
         let (reported, is_stopping) = (Rc::clone(&changes), Rc::clone(&stopping));
+        let clock = ProcessClock::open();
+        let platform = Rc::new(common::MemoryPlatform::default());
+        let daemon = "daemon-1".parse().unwrap();
         let server = AnnounceServer::bind(AnnounceSources {
+            journal: LeaveJournal::open(platform, &daemon, LeftRuns::default(), clock),
             reader: Rc::new(wagtailtrack::instances::Announcement::parse),
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            clock: ProcessClock::open(),
+            clock,
             renewal_rule: RenewalRule::default(),
-            has_left: Rc::new(|_| false),
             on_change: Rc::new(move |local| reported.borrow_mut().push(local)),
             on_announcement: Rc::new(|_, _| {}),
             is_stopping: Rc::new(move || *is_stopping.borrow()),
--- a/tests/members_order.rs
+++ b/tests/members_order.rs
@@ -6,7 +6,7 @@
 
 use arbtest::arbtest;
 use gossip_net::{GossipNet, SEEDS, address, instance};
-use wagtailtrack::ids::Incarnation;
+use wagtailtrack::ids::{Incarnation, InstanceRun};
 use wagtailtrack::members::{RecordChange, RecordTable};
 use wagtailtrack::time::MonoTime;
 use wagtailtrack::units::Slots;
@@ -146,6 +146,32 @@
     }
 }
 
+/// Guards against a daemon that does not hear after a restart which of its instances have left: other daemons
+/// told it by the name alone, and not if it had published a record meanwhile.
+#[test]
+fn leaves_outlive_restart() {
+    for (seed, announces_first) in SEEDS.into_iter().zip([false, true].into_iter().cycle()) {
+        let mut net = GossipNet::open(8, 1, seed);
+        net.loss = 0.1;
+        net.run_until(MINUTE, |net| net.all_count(8));
+        let mut record = with_slots(4, 3);
+        net.publish(4, &record);
+        net.run_until(MINUTE, |net| all_hold(net, &record));
+        let run = InstanceRun(77);
+        (record.phase, record.left_run) = (InstancePhase::Gone, Some(run));
+        net.publish(4, &record);
+        net.run(Duration::from_millis(10));
+        net.restart(4, 2, 1_000);
+        net.leaves.clear();
+        if announces_first {
+            (record.phase, record.left_run) = (InstancePhase::Ready, None);
+            net.publish(4, &record);
+        }
+        let leave = (4, record.instance.clone(), run);
+        net.run_until(Duration::from_secs(3), |net| net.leaves.contains(&leave));
+    }
+}
+
 /// Guards against losing the instance records of a daemon that was declared dead by mistake and
 /// refutes it later.
 #[test]
--- a/tests/members_rows.rs
+++ b/tests/members_rows.rs
@@ -28,6 +28,7 @@
         own_revision: Rc::new(|| Revision(0)),
         on_revision: Rc::new(|_, _| {}),
         suspects: common::no_suspects(),
+        on_left: Rc::new(|_, _| {}),
         start_spread: Duration::ZERO,
         seed: 7,
     })
--- a/tests/members_sockets.rs
+++ b/tests/members_sockets.rs
@@ -87,6 +87,7 @@
         own_revision: Rc::new(move || Revision(revision)),
         on_revision: Rc::new(move |revision, _| reported.set(reported.get().max(revision))),
         suspects: common::no_suspects(),
+        on_left: Rc::new(|_, _| {}),
         start_spread: Duration::ZERO,
         seed: 7,
     })
@@ -134,6 +135,7 @@
             slots: Slots::new(3).unwrap(),
             median_micros: 0,
             cold_rate: None,
+            left_run: None,
         };
         third.handle.publish(record.clone());
         let sees = |one: &&RunningMember| one.handle.instances_of(&record.service).len() == 1;
--- a/tests/models/service_records.rs
+++ b/tests/models/service_records.rs
@@ -21,6 +21,7 @@
         slots: Slots::new(slots).unwrap(),
         median_micros: 20_000,
         cold_rate: None,
+        left_run: None,
     }
 }
 
--- a/tests/process_announce.rs
+++ b/tests/process_announce.rs
@@ -310,9 +310,11 @@
     for daemon in &mut desk.fleet.daemons {
         daemon.ready().await;
     }
-    announce(&desk, 2).await;
-    // As long as a daemon that has just started trusts first announcements.
-    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    // They confirm each other to a process that knows nothing of the leave.
+    for sequence in 2..5 {
+        announce(&desk, sequence).await;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+    }
     let answer = client.get("/v1/instances").await.unwrap();
     let instances: Vec<Value> = serde_json::from_slice(&answer.body).unwrap();
     let leaving = instances
--- a/tests/zone_sockets.rs
+++ b/tests/zone_sockets.rs
@@ -63,6 +63,7 @@
         own_revision: Rc::new(|| Revision(0)),
         on_revision: Rc::new(|_, _| {}),
         suspects: common::no_suspects(),
+        on_left: Rc::new(|_, _| {}),
         start_spread: Duration::from_millis(300),
         seed: index as u64,
     };
