Apply announcements of instances whose service is not configured

Cause: apply_announcement kept the announcement of an unconfigured service and returned. The dispatcher of the time when the service was configured stayed as it was, with its queue. The last check before a request is sent did not ask whether the instance takes work.

Announcements change the dispatcher that there is. Requests that wait for an instance that is gone, or that belongs to another service now, are refused at once. The last check asks for the instance's lease and phase.

--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -108,23 +108,42 @@
     /// Applies an announcement of a local instance: adds, updates or removes the instance, and
     /// publishes its state.
     ///
-    /// An instance of a service that is not configured is kept until the service is.
+    /// An instance of a service that is not configured is kept until the service is. If the service was
+    /// configured before, requests may still wait or run, and the instance's dispatcher stays for them.
     pub fn apply_announcement(&self, local: &LocalInstance) {
-        let Some(spec) = (self.sources.spec_of)(&local.service) else {
+        let spec = (self.sources.spec_of)(&local.service);
+        let was_used = self.end_replaced(local);
+        let mut unconfigured = self.unconfigured.borrow_mut();
+        if local.phase == InstancePhase::Gone || spec.is_some() {
+            unconfigured.remove(&local.instance);
+        } else {
             log::warn!(target: log_target::EGRESS, instance:% = local.instance, service:% = local.service; "Instance announced for a service that is not configured.");
-            self.unconfigured
-                .borrow_mut()
-                .insert(local.instance.clone(), local.clone());
-            return;
+            unconfigured.insert(local.instance.clone(), local.clone());
+        }
+        drop(unconfigured);
+        let is_configured = spec.is_some();
+        if local.phase != InstancePhase::Gone {
+            self.update_dispatcher(local, spec.as_ref());
+        }
+        if is_configured || was_used {
+            self.publish(local);
+        }
+    }
+
+    /// Removes the dispatcher of the instance that `local` announces if the instance is gone or belongs to
+    /// another service now, and refuses the requests that wait for it. Returns whether there was a
+    /// dispatcher.
+    fn end_replaced(&self, local: &LocalInstance) -> bool {
+        let Some(dispatcher) = self.dispatcher(&local.instance) else {
+            return false;
         };
-        self.unconfigured.borrow_mut().remove(&local.instance);
-        if local.phase == InstancePhase::Gone {
+        let is_same_service = dispatcher.borrow().local().service == local.service;
+        if local.phase == InstancePhase::Gone || !is_same_service {
+            dispatcher.borrow_mut().refuse_waiting();
             self.dispatchers.borrow_mut().remove(&local.instance);
             self.end_cold_watch(&local.instance);
-        } else {
-            self.update_dispatcher(local, &spec);
         }
-        self.publish(local);
+        true
     }
 
     /// Starts no further request from now on and publishes the instances' state. Requests that run
@@ -238,16 +257,18 @@
         self.publish(&local);
     }
 
-    fn update_dispatcher(&self, local: &LocalInstance, spec: &ServiceSpec) {
+    /// Applies an announcement to the instance's dispatcher, which is created if the service is configured.
+    fn update_dispatcher(&self, local: &LocalInstance, spec: Option<&ServiceSpec>) {
         let now = self.sources.clock.now();
         let mut dispatchers = self.dispatchers.borrow_mut();
-        match dispatchers.get(&local.instance) {
-            Some(dispatcher) => {
+        match (dispatchers.get(&local.instance), spec) {
+            (Some(dispatcher), _) => {
                 dispatcher
                     .borrow_mut()
                     .apply_announcement(local.clone(), spec, now)
             }
-            None => {
+            (None, None) => {}
+            (None, Some(spec)) => {
                 let seed = fastrand::u64(..);
                 let mut dispatcher = InstanceDispatcher::open(local.clone(), spec, seed, now);
                 self.gate.prepare(&mut dispatcher, now);
--- a/src/egress/instance_dispatcher.rs
+++ b/src/egress/instance_dispatcher.rs
@@ -85,18 +85,25 @@
         &self.local
     }
 
-    /// Applies a new announcement and the service's present configuration. An instance that announces
-    /// that it starts may be cold.
+    /// Applies a new announcement and the service's present configuration; the one applied last stays if
+    /// there is none. An instance that announces that it starts may be cold.
     ///
     /// If the instance takes no more work, the waiting requests are refused so that they can go
     /// to other instances.
-    pub fn apply_announcement(&mut self, local: LocalInstance, spec: &ServiceSpec, now: MonoTime) {
+    pub fn apply_announcement(
+        &mut self,
+        local: LocalInstance,
+        spec: Option<&ServiceSpec>,
+        now: MonoTime,
+    ) {
         let phase = std::mem::replace(&mut self.local, local).phase;
         if phase != self.local.phase && self.local.phase == InstancePhase::Starting {
             self.cold.forget(now);
         }
-        self.queue.configure(self.local.slots, spec);
-        self.health.set_recovery(spec.recovery);
+        if let Some(spec) = spec {
+            self.queue.configure(self.local.slots, spec);
+            self.health.set_recovery(spec.recovery);
+        }
         if !self.is_ready() {
             self.refuse_waiting();
         }
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -209,11 +209,11 @@
         self.into_execution().run(guard).await
     }
 
-    /// Lets a request that may run through the gates of the shutdown, of the zone, of requests that end
+    /// Lets a request that may run through the gates of the instance, of the shutdown, of the zone, of requests that end
     /// instances and of a cold instance, which may have closed while it waited. No request passes to the
     /// instance after this.
     fn pass_gates(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
-        match self.pass_zone_gate(self.pass_stop(outcome)) {
+        match self.pass_zone_gate(self.pass_instance(outcome)) {
             StartOutcome::Run if !self.is_dispatcher_current() => {
                 StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER)
             }
@@ -229,10 +229,10 @@
         }
     }
 
-    /// Refuses a request that would run now, or that left the queue, if the daemon shuts down: its exit
-    /// might cut the request off.
-    fn pass_stop(&self, outcome: StartOutcome) -> StartOutcome {
-        match outcome.has_left_queue() && self.egress.is_stopping() {
+    /// Refuses a request that would run now, or that left the queue, if the instance takes no work any more:
+    /// it may leave, or the exit of the daemon might cut the request off.
+    fn pass_instance(&self, outcome: StartOutcome) -> StartOutcome {
+        match outcome.has_left_queue() && !self.egress.accepts_requests(&self.dispatcher) {
             true => StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER),
             false => outcome,
         }
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -369,7 +369,7 @@
     for phase in [InstancePhase::Starting, InstancePhase::Ready] {
         let mut local = desk.local().clone();
         local.phase = phase;
-        desk.apply_announcement(local, &spec(Some(rate(4.0))), restart);
+        desk.apply_announcement(local, Some(&spec(Some(rate(4.0)))), restart);
         assert_eq!(desk.cold().coldness(restart), Coldness::Unknown);
     }
 }
--- a/tests/common/gated_egress.rs
+++ b/tests/common/gated_egress.rs
@@ -62,6 +62,14 @@
     requests: Arc<AtomicUsize>,
     /// The health of the instance that was published last.
     pub health: Rc<Cell<HealthState>>,
+    /// The phase of the instance that was published last.
+    pub phase: Rc<Cell<InstancePhase>>,
+    /// Whether the service of the instance is configured.
+    pub is_configured: Rc<Cell<bool>>,
+    /// Whether the announcements of the instance let it take work.
+    pub accepts_work: Rc<Cell<bool>>,
+    /// The instance as it was announced first.
+    pub local: LocalInstance,
 }
 
 impl GatedEgress {
@@ -70,29 +78,36 @@
         let (address, requests) = spawn_instance();
         let gate = Rc::new(Cell::new(gate));
         let health = Rc::new(Cell::new(HealthState::Healthy));
-        let (source, published) = (Rc::clone(&gate), Rc::clone(&health));
+        let phase = Rc::new(Cell::new(InstancePhase::Ready));
+        let (is_configured, accepts_work) = (Rc::new(Cell::new(true)), Rc::new(Cell::new(true)));
+        let (source, published) = (Rc::clone(&gate), (Rc::clone(&health), Rc::clone(&phase)));
+        let (has_spec, takes_work) = (Rc::clone(&is_configured), Rc::clone(&accepts_work));
         let egress = EgressHandle::spawn(EgressSources {
             clock: ProcessClock::open(),
             client_options: ClientOptions::default(),
             slot_hold: Duration::from_secs(2),
             durations: MetricsExport::open().unwrap().durations(),
-            spec_of: Rc::new(|_| Some(desk_spec())),
+            spec_of: Rc::new(move |_| has_spec.get().then(desk_spec)),
             records_of: Rc::new(|_| Vec::new().into()),
             member_count: Rc::new(|| 1),
-            accepts_work: Rc::new(|_| true),
+            accepts_work: Rc::new(move |_| takes_work.get()),
             on_leaving: Rc::new(|_| {}),
-            publish: Rc::new(move |_, state, _, _| published.set(state)),
+            publish: Rc::new(move |local, state, _, _| {
+                published.0.set(state);
+                published.1.set(local.phase);
+            }),
             zone_gate: Rc::new(move || source.get()),
             suspects: no_suspects(),
             call_rates: Rc::new(RefCell::new(CallRates::open(MonoTime::ZERO))),
         });
-        egress.apply_announcement(&LocalInstance {
+        let local = LocalInstance {
             instance: "desk-1".parse().unwrap(),
             service: "desk".parse().unwrap(),
             address,
             phase: InstancePhase::Ready,
             slots: Slots::new(1).unwrap(),
-        });
+        };
+        egress.apply_announcement(&local);
         let served = egress.clone();
         let handler: PeerHandler = Rc::new(move |opening, stream| {
             let egress = served.clone();
@@ -112,9 +127,20 @@
             gate,
             requests,
             health,
+            phase,
+            is_configured,
+            accepts_work,
+            local,
         }
     }
 
+    /// Announces the instance in `phase`.
+    pub fn announce(&self, phase: InstancePhase) {
+        let mut local = self.local.clone();
+        local.phase = phase;
+        self.egress.apply_announcement(&local);
+    }
+
     /// Offers the request `number`.
     pub async fn offer(&self, number: u64, idempotent: bool) -> PeerStream {
         let address = self.listener.address();
