Start no request that the shutdown would cut off

Requests whose work usually takes longer than the rest of the shutdown were accepted and cut off as well.

Cause: whether a request is served was decided once, when its head arrived. Nobody asked again when its body was complete, a token had been waited for, or a slot was free.

The ingress now knows until when a request of a route may start, from the times that the route's requests take, and refuses it as not run once that has passed: while the body or a token is waited for, before each offer, and before go. The egress starts no request that usually takes longer than until the exit of its own daemon. Route times are kept for all routes; only zone-local routing uses them as before.

--- a/src/balance/route_time.rs
+++ b/src/balance/route_time.rs
@@ -8,6 +8,8 @@
 const DEVIATION_WEIGHT: f64 = 0.25;
 /// Deviations from the mean that the estimate allows for.
 const ALLOWED_DEVIATIONS: f64 = 2.0;
+/// Deviations from the mean that the usual time includes.
+const USUAL_DEVIATIONS: f64 = 1.0;
 /// Largest sample as a multiple of the mean, so that a faulty instance hardly counts.
 const MAX_SAMPLE_MEANS: f64 = 3.0;
 
@@ -37,7 +39,16 @@
 
     /// Returns the time that most requests do not exceed.
     pub(super) fn expected(&self) -> Duration {
-        let secs = self.mean_secs + ALLOWED_DEVIATIONS * self.deviation_secs;
+        self.span(ALLOWED_DEVIATIONS)
+    }
+
+    /// Returns the usual time, with which a part of the requests takes longer.
+    pub(super) fn usual(&self) -> Duration {
+        self.span(USUAL_DEVIATIONS)
+    }
+
+    fn span(&self, deviations: f64) -> Duration {
+        let secs = self.mean_secs + deviations * self.deviation_secs;
         Duration::try_from_secs_f64(secs.max(0.0)).unwrap_or(Duration::MAX)
     }
 }
--- a/src/balance/service_zones.rs
+++ b/src/balance/service_zones.rs
@@ -2,15 +2,12 @@
 
 use std::time::Duration;
 
-use crate::balance::route_time::RouteTime;
 use crate::balance::{OtherZone, OverflowShare, ZoneCounts, ZonePressure, ZoneRoom};
 use crate::hash::FastMap;
-use crate::ids::{RouteId, ZoneId};
+use crate::ids::ZoneId;
 use crate::time::MonoTime;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord};
 
-/// Most routes of a service whose times are estimated.
-const MAX_ROUTES: usize = 64;
 /// Part of its slots with which a zone takes part in the choice however busy it is.
 const MIN_SPARE_PART: f64 = 0.02;
 /// Spare part of the emptiest zone below which only some requests are offered to other zones, as most
@@ -30,14 +27,13 @@
     pub pressure: f64,
 }
 
-/// Pressures, overflow share, route times and counts of one service.
+/// Pressures, overflow share and counts of one service.
 #[derive(Debug)]
 pub struct ServiceZones {
     home: ZonePressure,
     others: FastMap<ZoneId, ZonePressure>,
     share: OverflowShare,
     logged_share: f64,
-    routes: FastMap<RouteId, RouteTime>,
     /// Counts of the requests served.
     pub counts: ZoneCounts,
 }
@@ -49,7 +45,6 @@
             others: FastMap::default(),
             share: OverflowShare::default(),
             logged_share: 0.0,
-            routes: FastMap::default(),
             counts: ZoneCounts::default(),
         }
     }
@@ -139,21 +134,6 @@
         }
     }
 
-    /// Adds the time of a request that did not wait for a slot.
-    pub fn observe_time(&mut self, route: &RouteId, span: Duration) {
-        if let Some(time) = self.routes.get_mut(route) {
-            time.observe(span);
-        } else if self.routes.len() < MAX_ROUTES {
-            self.routes.insert(route.clone(), RouteTime::open(span));
-        }
-    }
-
-    /// Returns how long requests of `route` take without a wait; none if unknown.
-    #[must_use]
-    pub fn expected_time(&self, route: &RouteId) -> Option<Duration> {
-        self.routes.get(route).map(RouteTime::expected)
-    }
-
     /// Returns the present overflow share.
     #[must_use]
     pub fn share(&self, now: MonoTime) -> f64 {
--- a/src/balance/zone_router.rs
+++ b/src/balance/zone_router.rs
@@ -4,7 +4,7 @@
 
 use crate::balance::{ServiceZones, ZoneLine};
 use crate::hash::FastMap;
-use crate::ids::{RouteId, ServiceId};
+use crate::ids::ServiceId;
 use crate::time::{Deadline, MonoTime};
 
 /// Mean time between requests that are sent to another zone to learn of its instances.
@@ -24,12 +24,6 @@
         self.services.entry(service.clone()).or_default()
     }
 
-    /// Returns the time that most requests of `route` to `service` do not exceed; none if unknown.
-    #[must_use]
-    pub fn expected_time(&self, service: &ServiceId, route: &RouteId) -> Option<Duration> {
-        self.services.get(service)?.expected_time(route)
-    }
-
     /// Whether a request that may be a sample is to be one. Samples come at random times, so that
     /// those of all ingresses are spread evenly.
     pub fn take_sample(&mut self, now: MonoTime, rng: &mut fastrand::Rng) -> bool {
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -140,6 +140,7 @@
         let limits = ShutdownLimits::between(now, deadline);
         self.stopping.set(true);
         self.ingress.stop(limits);
+        self.egress.begin_stop(deadline);
         let lease_holder = self.limits.clone();
         let hand_over = actix_rt::spawn(async move { lease_holder.hand_over().await });
         let accept_until = limits.accept_until.min(now.after(DRAIN_NOTICE));
--- a/src/egress/egress_handle.rs
+++ b/src/egress/egress_handle.rs
@@ -16,14 +16,14 @@
 use crate::evacuation::ZoneGate;
 use crate::hash::FastMap;
 use crate::health::{HealthChange, ServiceBaseline, ServiceSample};
-use crate::ids::{InstanceId, ServiceId};
+use crate::ids::{InstanceId, RouteId, ServiceId};
 use crate::instances::LocalInstance;
 use crate::logs::log_target;
 use crate::metrics::DurationMetrics;
 use crate::peers::PeerStream;
-use crate::resource::ServiceSpec;
+use crate::resource::{RequestClass, ServiceSpec};
 use crate::retry::CallRates;
-use crate::time::ProcessClock;
+use crate::time::{Deadline, ProcessClock};
 use crate::units::Rate;
 use crate::wire::{HealthState, InstancePhase, InstanceRecord, RequestOffer};
 
@@ -83,6 +83,8 @@
     unconfigured: Rc<RefCell<FastMap<InstanceId, LocalInstance>>>,
     pub(super) cold_watch: Rc<RefCell<ColdWatch>>,
     stopping: Rc<watch::Sender<bool>>,
+    /// When the process ends, once its shutdown has begun.
+    exit_by: Rc<Cell<Option<Deadline>>>,
     in_flight: Rc<Cell<usize>>,
     pub(crate) gate: EvacuationGate,
 }
@@ -99,6 +101,7 @@
             unconfigured: Rc::default(),
             cold_watch: Rc::default(),
             stopping: Rc::default(),
+            exit_by: Rc::default(),
             in_flight: Rc::default(),
         };
         actix_rt::spawn(handle.clone().run_ticks());
@@ -146,6 +149,12 @@
         true
     }
 
+    /// Starts no request from now on that usually takes longer than until `exit_by`, when the process ends
+    /// and would cut it off. All others still start until [`Self::stop`].
+    pub fn begin_stop(&self, exit_by: Deadline) {
+        self.exit_by.set(Some(exit_by));
+    }
+
     /// Starts no further request from now on and publishes the instances' state. Requests that run
     /// continue; those that wait for a slot or for `Go` are refused so that they can go to other
     /// instances.
@@ -165,6 +174,21 @@
         accepts && dispatcher.is_ready() && !self.is_stopping()
     }
 
+    /// Whether a request of `route` and `class` that starts now can end before the process does.
+    pub(crate) fn ends_in_time(
+        &self,
+        dispatcher: &SharedDispatcher,
+        route: &RouteId,
+        class: RequestClass,
+    ) -> bool {
+        let Some(exit_by) = self.exit_by.get() else {
+            return true;
+        };
+        let dispatcher = dispatcher.borrow();
+        let mean_time = dispatcher.queue().mean_time(route, class);
+        mean_time <= exit_by.remaining(self.sources.clock.now())
+    }
+
     /// Whether [`Self::stop`] was called.
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -229,10 +229,15 @@
         }
     }
 
-    /// Refuses a request that would run now, or that left the queue, if the instance takes no work any more:
-    /// it may leave, or the exit of the daemon might cut the request off.
+    /// Refuses a request that would run now, or that left the queue, if the instance takes no work any more
+    /// because it leaves, or if the exit of the daemon might cut the request off.
     fn pass_instance(&self, outcome: StartOutcome) -> StartOutcome {
-        match outcome.has_left_queue() && !self.egress.accepts_requests(&self.dispatcher) {
+        let (dispatcher, offer) = (&self.dispatcher, &self.offer);
+        let may_start = self.egress.accepts_requests(dispatcher)
+            && self
+                .egress
+                .ends_in_time(dispatcher, &offer.route, offer.class);
+        match outcome.has_left_queue() && !may_start {
             true => StartOutcome::Refused(RefusalReason::NotReady, NOT_READY_RETRY_AFTER),
             false => outcome,
         }
--- a/src/ingress/attempt_loop.rs
+++ b/src/ingress/attempt_loop.rs
@@ -77,7 +77,7 @@
         mut self,
         guard: InFlightGuard,
     ) -> Result<Response<BoxBody>, RequestRefusal> {
-        if self.request.is_cut_off() {
+        if !self.request.may_start() {
             return Err(RequestRefusal::Stopping);
         }
         let mut next = self.choose_next();
@@ -123,8 +123,12 @@
         }
     }
 
-    /// Chooses the instance of the next offer; none when no instance may take the request.
+    /// Chooses the instance of the next offer; none when no instance may take the request, or none can
+    /// complete it before the daemon ends.
     fn choose_next(&mut self) -> Option<ChosenInstance> {
+        if !self.request.may_start() {
+            return None;
+        }
         match self.request.standing() {
             RequestStanding::Suspected(_) => self.request.choose_for_suspect(&self.history),
             RequestStanding::Clear | RequestStanding::Refused(_) => self
@@ -162,6 +166,9 @@
         let record = &chosen.record;
         match outcome {
             AttemptOutcome::Complete { head, body, load } => {
+                if !self.request.is_zone_local() {
+                    self.request.observe_time(begin);
+                }
                 self.take_response(&chosen, &head, load);
                 let follow_up = match self.is_improvable(&head) {
                     true => self.follow_up(ExecutionVerdict::MayHaveRun, false),
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -1,5 +1,6 @@
 //! Runs one attempt at a request: sends the offer over a stream to an egress and reads the response.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -14,7 +15,7 @@
 use crate::ingress::shutdown_signal::ShutdownSignal;
 use crate::ingress::{
     AttemptAction, AttemptEvent, AttemptFailure, AttemptMachine, BodyBudget, BodyReservation,
-    ResponseLoss,
+    ResponseLoss, WorkTimes,
 };
 use crate::logs::log_target;
 use crate::peers::{PeerError, PeerPool, PeerReceiver, PeerSender, TrafficPurpose};
@@ -71,6 +72,8 @@
     /// Address of the egress.
     pub(crate) address: SocketAddr,
     pub(crate) deadline: Deadline,
+    /// Returns how long requests of the route take; none if unknown.
+    pub(crate) work_times: &'a dyn Fn() -> Option<WorkTimes>,
     /// Largest response body that is buffered until complete, in bytes.
     pub(crate) buffer_bytes: usize,
     /// Memory for the responses to all callers.
@@ -90,20 +93,38 @@
             offer.body = std::mem::take(&mut body).into();
         }
         let mut machine = AttemptMachine::open(needs_go);
+        let may_run = Cell::new(false);
         let timeout = self.deadline.remaining(self.clock.now()) + DEADLINE_GRACE;
         let result = {
-            let exchange = pin!(self.exchange(offer, body, &mut machine));
+            let exchange = pin!(self.exchange(offer, body, &mut machine, &may_run));
             let exchange = actix_rt::time::timeout(timeout, exchange);
-            let cut_off = self.shutdown.wait_answer_deadline(self.clock);
+            let cut_off = self.wait_cut_off(&may_run);
             match select(pin!(exchange), pin!(cut_off)).await {
                 Either::Left((Ok(result), _)) => result.map_err(|error| self.loss_of(&error)),
                 Either::Left((Err(_), _)) => Err(Some(ResponseLoss::TimedOut)),
-                Either::Right(_) => Err(Some(ResponseLoss::ShutDown)),
+                Either::Right(_) => Err(may_run.get().then_some(ResponseLoss::ShutDown)),
             }
         };
         result.unwrap_or_else(|cause| lost_outcome(&mut machine, cause))
     }
 
+    /// Waits until the shutdown gives the attempt up: once the request can no longer be completed if no
+    /// instance has it, or else when all requests must be answered.
+    async fn wait_cut_off(&self, may_run: &Cell<bool>) {
+        self.shutdown
+            .wait_last_start(self.clock, self.deadline, self.work_times)
+            .await;
+        if may_run.get() {
+            self.shutdown.wait_answer_deadline(self.clock).await;
+        }
+    }
+
+    /// Whether the request may be sent to an instance now.
+    fn may_start(&self) -> bool {
+        let last_start = self.shutdown.last_start(self.deadline, self.work_times);
+        last_start.is_none_or(|last_start| !last_start.has_passed(self.clock.now()))
+    }
+
     /// Returns why the response is lost after a failure on the way to the egress; none if the offer
     /// provably never arrived.
     fn loss_of(&self, error: &PeerError) -> Option<ResponseLoss> {
@@ -116,6 +137,7 @@
         mut offer: RequestOffer,
         body: Bytes,
         machine: &mut AttemptMachine,
+        may_run: &Cell<bool>,
     ) -> Result<AttemptOutcome, PeerError> {
         let stream = self.peers.open_stream(self.address).await?;
         // Opening a connection can take a second, which the instance must not get on top.
@@ -123,6 +145,12 @@
         offer.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
         stream.set_purpose(TrafficPurpose::Requests);
         let (mut sender, mut receiver) = stream.split();
+        if let Some(last_start) = self.shutdown.last_start(self.deadline, self.work_times) {
+            let wait = last_start.remaining(self.clock.now()).as_micros();
+            let wait_micros = u64::try_from(wait).unwrap_or(u64::MAX);
+            offer.max_wait_micros = offer.max_wait_micros.min(wait_micros);
+        }
+        may_run.set(offer.idempotent);
         machine.handle_event(AttemptEvent::OfferSent);
         let opening = match body.len() > MAX_PART_BYTES {
             true => PeerOpening::LongRequest(Box::new(offer), body.len() as u64),
@@ -131,7 +159,13 @@
         sender.send(&opening).await?;
         loop {
             match receiver.receive_required().await? {
+                EgressMessage::Ready if !self.may_start() => {
+                    machine.handle_event(AttemptEvent::Refused);
+                    let (reason, load) = (RefusalReason::NotReady, InstanceLoad::default());
+                    return Ok(refused_outcome(reason, 0, load));
+                }
                 EgressMessage::Ready => {
+                    may_run.set(true);
                     if machine.handle_event(AttemptEvent::Ready) == AttemptAction::SendGo
                         && let Err(cause) = send_body(&mut sender, &body).await
                     {
@@ -267,7 +301,7 @@
 }
 
 /// Ends the attempt without a word of the egress, with what the state machine says that this proves.
-/// Without a `cause` the offer never arrived.
+/// Without a `cause` the offer never arrived, or was withdrawn before go.
 fn lost_outcome(machine: &mut AttemptMachine, cause: Option<ResponseLoss>) -> AttemptOutcome {
     let event = match cause {
         Some(_) => AttemptEvent::Lost,
--- a/src/ingress/backup_attempt.rs
+++ b/src/ingress/backup_attempt.rs
@@ -15,7 +15,7 @@
 use crate::logs::log_target;
 use crate::resource::RequestClass;
 use crate::retry::ServiceBudgets;
-use crate::time::Deadline;
+use crate::time::{Deadline, MonoTime};
 use crate::wire::InstanceRecord;
 
 impl CallerRequest<'_> {
@@ -23,12 +23,14 @@
     pub(crate) async fn attempt(&self, chosen: ChosenInstance) -> EndedAttempt {
         let sources = &self.ingress.sources;
         let begin = sources.clock.now();
+        let work_times = || self.ingress.work_times(&self.plan);
         let task = AttemptTask {
             peers: &sources.peers,
             clock: sources.clock,
             shutdown: &self.ingress.shutdown,
             address: chosen.record.egress,
             deadline: self.deadline,
+            work_times: &work_times,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
             answer_budget: &self.ingress.answer_budget,
             suspects: &sources.suspects,
@@ -106,11 +108,18 @@
         self.route_time().or(median)
     }
 
-    /// How long requests of the route take, as zone-local routing has seen; none if it has not.
+    /// How long requests of the route take without a wait for a slot, which only the brief offers of
+    /// zone-local routing show; none if unknown.
     fn route_time(&self) -> Option<Duration> {
-        let state = self.ingress.state.borrow();
-        state
-            .zones
-            .expected_time(&self.plan.service, &self.plan.route)
+        let times = &self.ingress.state.borrow().route_times;
+        let time = times.expected(&self.plan.service, &self.plan.route);
+        time.filter(|_| self.is_zone_local())
+    }
+
+    /// Adds the time of an attempt that began at `begin` and has its whole response now.
+    pub(crate) fn observe_time(&self, begin: MonoTime) {
+        let span = self.ingress.sources.clock.now().since(begin);
+        let times = &mut self.ingress.state.borrow_mut().route_times;
+        times.observe(&self.plan.service, &self.plan.route, span);
     }
 }
--- a/src/ingress/caller_request.rs
+++ b/src/ingress/caller_request.rs
@@ -83,19 +83,13 @@
         self.deadline.has_passed(self.ingress.sources.clock.now())
     }
 
-    /// Whether the daemon shuts down and every request must be answered now.
-    pub(crate) fn is_cut_off(&self) -> bool {
-        let now = self.ingress.sources.clock.now();
-        self.ingress.shutdown.must_answer(now)
-    }
-
     pub(crate) fn refusal(&self, history: &AttemptHistory) -> RequestRefusal {
         match history.refusal(self.deadline_passed()) {
             refusal if refusal.verdict() != ExecutionVerdict::NotRun => refusal,
             RequestRefusal::NoCapacity(Some(RefusalReason::EndsInstances), _) => {
                 RequestRefusal::EndsInstances
             }
-            _ if self.is_cut_off() => RequestRefusal::Stopping,
+            _ if !self.may_start() => RequestRefusal::Stopping,
             RequestRefusal::NoCapacity(None, span) if self.is_evacuated() => {
                 RequestRefusal::NoCapacity(Some(RefusalReason::Evacuated), span)
             }
--- a/src/ingress/ingress_handle.rs
+++ b/src/ingress/ingress_handle.rs
@@ -7,7 +7,9 @@
 
 use serde_json::json;
 
-use crate::balance::{InstancePicker, ServiceZones, TrafficSplitter, ZoneLine, ZoneRouter};
+use crate::balance::{
+    InstancePicker, RouteTimes, ServiceZones, TrafficSplitter, ZoneLine, ZoneRouter,
+};
 use crate::baseline::{RoundRobin, StaticLimiter};
 use crate::config::ConfigHandle;
 use crate::crashes::SuspectsHandle;
@@ -73,6 +75,7 @@
     pub(crate) static_limiter: StaticLimiter,
     pub(crate) traffic_splitters: FastMap<RouteId, TrafficSplitter>,
     pub(crate) zones: ZoneRouter,
+    pub(crate) route_times: RouteTimes,
     pub(crate) credits: CreditLedger,
     pub(crate) totals: RequestTotals,
     pub(crate) avoided_zones: AvoidedZones,
@@ -119,6 +122,7 @@
             static_limiter: StaticLimiter::default(),
             traffic_splitters: FastMap::default(),
             zones: ZoneRouter::default(),
+            route_times: RouteTimes::default(),
             credits: CreditLedger::default(),
             totals: RequestTotals::default(),
             avoided_zones: AvoidedZones::default(),
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -15,6 +15,7 @@
 mod held_body;
 mod ingress_handle;
 mod instance_choice;
+mod last_start;
 mod offer_kind;
 mod offer_wait;
 mod overdue_rule;
@@ -41,7 +42,7 @@
 pub use request_refusal::RequestRefusal;
 pub use request_totals::RequestTotals;
 pub use response_loss::ResponseLoss;
-pub use shutdown_signal::{RequestArrival, ShutdownLimits};
+pub use shutdown_signal::{RequestArrival, ShutdownLimits, WorkTimes};
 
 use actix_http::header::HeaderName;
 
--- a/src/ingress/request_task.rs
+++ b/src/ingress/request_task.rs
@@ -139,7 +139,8 @@
     let secret = secret.ok();
     let goal = plan.goal.map(|span| arrived.after(span));
     let mut reservation = ingress.body_budget.reserve();
-    let body = request_body(ingress, request, &mut reservation).await?;
+    let reading = request_body(ingress, request, &mut reservation);
+    let body = ingress.while_startable(&plan, deadline, reading).await?;
     let target = request_target(request);
     if let Some(secret) = &secret {
         check_key_exposure(&target, &body, secret)?;
@@ -149,7 +150,8 @@
     if ingress.sources.suspects.standing(digest).is_refused() {
         return Err(RequestRefusal::EndsInstances);
     }
-    let token = admit(ingress, &plan, deadline).await?;
+    let admission = admit(ingress, &plan, deadline);
+    let token = ingress.while_startable(&plan, deadline, admission).await?;
     let call = CallerRequest {
         ingress,
         id,
--- a/src/ingress/retry_decision.rs
+++ b/src/ingress/retry_decision.rs
@@ -21,7 +21,7 @@
             Some("the deadline has passed")
         } else if !is_unreached && request.is_too_late() {
             Some("too little time is left for another attempt")
-        } else if request.is_cut_off() {
+        } else if !request.may_start() {
             Some("the daemon shuts down")
         } else if !is_unreached && !request.with_budget(ServiceBudgets::try_retry) {
             Some("the retry budget is exhausted")
--- a/src/ingress/shutdown_signal.rs
+++ b/src/ingress/shutdown_signal.rs
@@ -34,6 +34,15 @@
     pub answer_by: Deadline,
 }
 
+/// How long the requests of a route take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkTimes {
+    /// What they usually take.
+    pub usual: Duration,
+    /// What most do not exceed.
+    pub most: Duration,
+}
+
 /// What decides whether a request is accepted during a shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestArrival {
@@ -75,6 +84,30 @@
         !self.accept_until.has_passed(arrival.at) || arrival.deadline < self.answer_by
     }
 
+    /// Until when a request with this deadline may be sent to an instance, so that it ends in time; none
+    /// if its deadline ends it before.
+    ///
+    /// A request that has been accepted may be sent much later: its body arrives in parts, it waits for a
+    /// token or a slot, or is repeated. As long as new requests are accepted, it starts if it usually ends in
+    /// time; later, when its caller has other daemons to turn to, if it most likely does. If `work_times` are
+    /// unknown, it starts as long as new requests are accepted.
+    #[must_use]
+    pub fn last_start(
+        &self,
+        deadline: Deadline,
+        work_times: Option<WorkTimes>,
+    ) -> Option<Deadline> {
+        if deadline < self.answer_by {
+            return None;
+        }
+        let Some(times) = work_times else {
+            return Some(self.accept_until);
+        };
+        let usual_start = self.answer_by.before(times.usual);
+        let likely_start = self.answer_by.before(times.most);
+        Some(likely_start.max(usual_start.min(self.accept_until)))
+    }
+
     /// Whether the listener stays open at `now`, after the instances have begun to drain: while
     /// requests run beside the daemon, which may make calls. No call ends in time after `answer_by`.
     #[must_use]
@@ -107,20 +140,44 @@
         limits.is_none_or(|limits| limits.accepts(arrival))
     }
 
-    /// Whether requests without an answer are given up at `now`.
-    pub(crate) fn must_answer(&self, now: MonoTime) -> bool {
-        let limits = self.state.limits.get();
-        limits.is_some_and(|limits| limits.answer_by.has_passed(now))
+    /// Until when a request may be sent to an instance; none if the shutdown sets no bound. See
+    /// [`ShutdownLimits::last_start`].
+    pub(crate) fn last_start(
+        &self,
+        deadline: Deadline,
+        work_times: impl FnOnce() -> Option<WorkTimes>,
+    ) -> Option<Deadline> {
+        let limits = self.state.limits.get()?;
+        limits.last_start(deadline, work_times())
+    }
+
+    /// Waits for the shutdown and then until the request may no longer be sent to an instance. Does not
+    /// return if the shutdown sets no bound.
+    pub(crate) async fn wait_last_start(
+        &self,
+        clock: ProcessClock,
+        deadline: Deadline,
+        work_times: impl FnOnce() -> Option<WorkTimes>,
+    ) {
+        self.wait_begun().await;
+        match self.last_start(deadline, work_times) {
+            Some(last_start) => actix_rt::time::sleep(last_start.remaining(clock.now())).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Waits for the shutdown and then until requests without an answer are given up.
     pub(crate) async fn wait_answer_deadline(&self, clock: ProcessClock) {
+        self.wait_begun().await;
+        if let Some(limits) = self.state.limits.get() {
+            actix_rt::time::sleep(limits.answer_by.remaining(clock.now())).await;
+        }
+    }
+
+    async fn wait_begun(&self) {
         let begun = self.state.begun.notified();
         if !self.has_begun() {
             begun.await;
         }
-        if let Some(limits) = self.state.limits.get() {
-            actix_rt::time::sleep(limits.answer_by.remaining(clock.now())).await;
-        }
     }
 }
--- a/src/ingress/zone_attempts.rs
+++ b/src/ingress/zone_attempts.rs
@@ -76,7 +76,7 @@
     }
 
     /// Whether requests stay in the zone of the ingress while it has room in time.
-    fn is_zone_local(&self) -> bool {
+    pub(super) fn is_zone_local(&self) -> bool {
         let sources = &self.ingress.sources;
         sources.proxy.zone_overflow == ZoneOverflow::Local && !sources.baseline.round_robin
     }
@@ -157,7 +157,8 @@
     fn wait_limits(&self, room: &ZoneRoom) -> WaitLimits {
         let now = self.ingress.sources.clock.now();
         let route = &self.plan.route;
-        let time = self.with_zones(|zones, _, _, _| zones.expected_time(route));
+        let times = &self.ingress.state.borrow().route_times;
+        let time = times.expected(&self.plan.service, route);
         WaitLimits::open(
             self.goal.map(|goal| goal.remaining(now)),
             self.deadline.remaining(now),
--- a/src/ingress/zone_outcomes.rs
+++ b/src/ingress/zone_outcomes.rs
@@ -30,9 +30,7 @@
                     self.with_zones(|zones, _, rng, now| zones.on_home_free(now, rng));
                 }
                 if matches!(outcome, AttemptOutcome::Complete { .. }) && chosen.wait == NO_WAIT {
-                    self.with_zones(|zones, _, _, now| {
-                        zones.observe_time(&self.plan.route, now.since(begin));
-                    });
+                    self.observe_time(begin);
                 }
                 if !is_home && attempts.is_brief_offer {
                     self.with_zones(|zones, _, _, now| zones.on_other(&record.zone, false, now));
--- a/src/queue/instance_queue.rs
+++ b/src/queue/instance_queue.rs
@@ -162,6 +162,12 @@
         }
     }
 
+    /// Mean service time of a class, in seconds.
+    #[must_use]
+    pub fn mean_secs(&self, class: RequestClass) -> f64 {
+        self.scheduler.mean_secs(class)
+    }
+
     /// Highest age among the running requests, after scaling by class; none when nothing runs.
     ///
     /// Ages are scaled to the service time of the shortest class, so that a request of a long
--- a/src/queue/slot_queue.rs
+++ b/src/queue/slot_queue.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use crate::ids::RouteId;
 use crate::queue::{
     EnqueueOutcome, InstanceQueue, QueueAction, RequestKey, UrgencyQueue, UrgentRequest,
 };
-use crate::resource::{QueueOrder, ServiceSpec};
+use crate::resource::{QueueOrder, RequestClass, ServiceSpec};
 use crate::time::MonoTime;
 use crate::units::Slots;
 use crate::wire::InstanceLoad;
@@ -99,6 +100,16 @@
         }
     }
 
+    /// Mean time that requests of `route` and `class` take at the instance.
+    #[must_use]
+    pub fn mean_time(&self, route: &RouteId, class: RequestClass) -> Duration {
+        let secs = match self {
+            Self::Classes(queue) => queue.mean_secs(class),
+            Self::Urgency(queue) => queue.mean_secs(route),
+        };
+        Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
+    }
+
     /// Number of slots in use and of waiting requests.
     #[must_use]
     pub fn load(&self) -> InstanceLoad {
--- a/src/queue/urgency_queue.rs
+++ b/src/queue/urgency_queue.rs
@@ -148,6 +148,12 @@
         self.slots = slots.get();
     }
 
+    /// Mean service time of a route, in seconds.
+    #[must_use]
+    pub fn mean_secs(&self, route: &RouteId) -> f64 {
+        self.estimates.mean_secs(route)
+    }
+
     /// Number of slots in use and of waiting requests, and the priorities that would not get a slot in
     /// time.
     #[must_use]
--- a/src/time/deadline.rs
+++ b/src/time/deadline.rs
@@ -31,6 +31,14 @@
         now >= self.0
     }
 
+    /// Returns the deadline that passes `span` earlier.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Self {
+        let span_micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        let micros = self.0.micros().saturating_sub(span_micros);
+        Self(MonoTime::from_micros(micros))
+    }
+
     /// Returns the time left at `now`, or zero once the deadline has passed.
     #[must_use]
     pub const fn remaining(self, now: MonoTime) -> Duration {
--- a/tests/egress_stop.rs
+++ b/tests/egress_stop.rs
@@ -6,6 +6,7 @@
 
 use common::{GatedEgress, eventually, refusal};
 use wagtailtrack::evacuation::ZoneGate;
+use wagtailtrack::time::ProcessClock;
 use wagtailtrack::wire::{EgressMessage, IngressMessage, RefusalReason};
 
 /// Longest time until a refusal; a held slot would expire after 2 s.
@@ -59,3 +60,31 @@
     assert_eq!(refusal(&mut held).await, Some(RefusalReason::NotReady));
     assert_eq!(egress.arrived(), 0);
 }
+
+/// Guards against a request that starts in the first seconds of a shutdown and is cut off by its end, and
+/// against one that is refused although it ends before.
+#[actix_rt::test]
+async fn cut_off_not_started() {
+    let egress = GatedEgress::open(ZoneGate::Open).await;
+    let clock = ProcessClock::open();
+    let mut observed = egress.offer(1, true).await;
+    eventually("a complete run", async || egress.egress.in_flight() == 0).await;
+    assert_eq!(refusal(&mut observed).await, None);
+    // The instance takes 300 ms.
+    for (millis, refused) in [(2_000, None), (100, Some(RefusalReason::NotReady))] {
+        let exit_by = clock.now().after(Duration::from_millis(millis));
+        egress.egress.begin_stop(exit_by);
+        for is_idempotent in [true, false] {
+            let mut stream = egress.offer(millis, is_idempotent).await;
+            if !is_idempotent {
+                let ready: EgressMessage = stream.receive_required().await.unwrap();
+                assert_eq!(ready, EgressMessage::Ready);
+                let go = IngressMessage::Go { body: Vec::new() };
+                stream.send(&go).await.unwrap();
+            }
+            assert_eq!(refusal(&mut stream).await, refused, "{millis} ms");
+            eventually("an idle egress", async || egress.egress.in_flight() == 0).await;
+        }
+    }
+    assert_eq!(egress.arrived(), 3);
+}
--- a/tests/process_closing.rs
+++ b/tests/process_closing.rs
@@ -159,3 +159,91 @@
     }
     String::from_utf8(bytes).unwrap()
 }
+
+/// Time that a filing takes where bodies end late, and sizes and pauses of their parts.
+const LATE_WORK: Duration = Duration::from_secs(1);
+const BODY_PARTS: usize = 10;
+const PART: [u8; 1_000] = [b'x'; 1_000];
+
+/// Files a request on `socket` whose body takes `span`. Returns the status, and when it came.
+async fn post_slowly(
+    mut socket: TcpStream,
+    key: String,
+    tag: String,
+    span: Duration,
+) -> (String, Instant) {
+    let length = BODY_PARTS * PART.len();
+    let head = format!(
+        "POST /filings HTTP/1.1\r\nhost: desk\r\nauthorization: Bearer {key}\r\nx-tag: {tag}\r\nx-deadline-ms: 20000\r\ncontent-length: {length}\r\n\r\n"
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let (mut reader, mut writer) = socket.into_split();
+    let writing = actix_rt::spawn(async move {
+        for part in 0..BODY_PARTS {
+            if part > 0 {
+                actix_rt::time::sleep(span / (BODY_PARTS as u32 - 1)).await;
+            }
+            // The daemon may have refused the request and closed the connection.
+            if writer.write_all(&PART).await.is_err() {
+                break;
+            }
+        }
+        writer
+    });
+    let mut status = [0; 12];
+    let has_status = reader.read_exact(&mut status).await.is_ok();
+    let answered = Instant::now();
+    writing.abort();
+    let status = String::from_utf8_lossy(&status[9..]).into_owned();
+    (if has_status { status } else { String::new() }, answered)
+}
+
+/// Guards against requests whose bodies end late in a shutdown: they were passed on to an instance, and cut off
+/// while it ran them. Those that would end in time must still be served.
+#[actix_rt::test]
+async fn bodies_that_end_late() {
+    let plan = FleetPlan {
+        tables: "[proxy]\nshutdown = \"6s\"\n".to_owned(),
+        ..FleetPlan::of(2)
+    };
+    let mut desk = DeskFleet::open_with("closing-late-bodies", plan, |plan| {
+        plan.service_time = format!("{}ms", LATE_WORK.as_millis());
+        plan.slots = 12;
+    })
+    .await;
+    let warm = (0..8).map(|number| {
+        let caller = desk.caller(0);
+        actix_rt::spawn(async move {
+            let tag = format!("warm-{number}");
+            caller.send(Method::POST, "/filings", &tag, b"").await
+        })
+    });
+    for sending in warm.collect::<Vec<_>>() {
+        assert!(sending.await.unwrap().unwrap().status.is_success());
+    }
+    let key = unlimited_key(&desk).await;
+    let mut sockets = Vec::new();
+    for _ in 0..2 {
+        let callers = desk.fleet.daemons[0].callers();
+        sockets.push(TcpStream::connect(callers).await.unwrap());
+    }
+    let post = |socket, tag: &str, span| {
+        actix_rt::spawn(post_slowly(socket, key.clone(), tag.to_owned(), span))
+    };
+    // The daemon answers all requests 5.35 s after the signal.
+    let late = post(sockets.remove(0), "late", Duration::from_millis(4_800));
+    let in_time = post(sockets.remove(0), "in-time", Duration::from_millis(3_000));
+    let stopped_at = Instant::now();
+    desk.fleet.daemons[0].process.terminate();
+    let (status, answered) = late.await.unwrap();
+    assert_eq!(status, "503");
+    let answered_after = answered.duration_since(stopped_at);
+    assert!(
+        answered_after < Duration::from_millis(4_700),
+        "refused {answered_after:?} after the signal, after its last byte"
+    );
+    assert_eq!(in_time.await.unwrap().0, "200");
+    assert!(desk.fleet.daemons[0].process.ended().await.success());
+    assert_eq!(desk.times_ran("late").await, 0);
+    assert_eq!(desk.times_ran("in-time").await, 1);
+}
--- a/tests/shutdown_limits.rs
+++ b/tests/shutdown_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailtrack::ingress::{RequestArrival, ShutdownLimits};
+use wagtailtrack::ingress::{RequestArrival, ShutdownLimits, WorkTimes};
 use wagtailtrack::resource::RequestClass;
 use wagtailtrack::time::MonoTime;
 
@@ -78,6 +78,37 @@
     }
 }
 
+/// Guards against a request that is sent to an instance although the shutdown would cut it off, and against
+/// one that is refused although it would end in time.
+#[test]
+fn last_start_by_work_times() {
+    let limits = limits();
+    let late = at(0).after(Duration::from_secs(60));
+    let last_start = |usual: u64, most: u64| {
+        let times = WorkTimes {
+            usual: Duration::from_millis(usual),
+            most: Duration::from_millis(most),
+        };
+        let last_start = limits.last_start(late, Some(times)).unwrap();
+        let left = limits.answer_by.remaining(last_start.time());
+        u64::try_from(left.as_millis()).unwrap()
+    };
+    assert_eq!(last_start(1_000, 1_500), 1_500);
+    let half = limits.answer_by.remaining(limits.accept_until.time());
+    let half = u64::try_from(half.as_millis()).unwrap();
+    assert_eq!(last_start(1_000, half + 500), half);
+    assert_eq!(last_start(half + 300, half + 500), half + 300);
+    assert_eq!(limits.last_start(late, None), Some(limits.accept_until));
+    let times = WorkTimes {
+        usual: Duration::from_secs(60),
+        most: Duration::from_secs(60),
+    };
+    let beyond = limits.last_start(late, Some(times));
+    assert!(beyond.unwrap().has_passed(at(0)));
+    let early = limits.answer_by.before(Duration::from_millis(1));
+    assert_eq!(limits.last_start(early, Some(times)), None);
+}
+
 /// Guards against a listener that is closed while a run may make calls, and against one that stays open
 /// when there is no run left or no call could end in time.
 #[test]
