--- a/src/balance/route_time.rs
+++ b/src/balance/route_time.rs
@@ -42,7 +42,7 @@
         self.span(ALLOWED_DEVIATIONS)
     }
 
-    /// Returns the usual time, with which a part of the requests takes longer.
+    /// Returns the time that requests usually take; some take longer.
     pub(super) fn usual(&self) -> Duration {
         self.span(USUAL_DEVIATIONS)
     }
