Keep one check of the last start, and copy no ignored record

Behaviour stays as it is. A record that gossip repeats was copied before it was compared; now only one that is stored is. An attempt and its request each worked out until when it may start: the attempt asks the request. A record states a leave in one accessor. Tests share the table that knows of a leave.

--- a/src/daemon/daemon_builder.rs
+++ b/src/daemon/daemon_builder.rs
@@ -40,7 +40,6 @@
     peers: PeerPool,
     pub(crate) suspects: SuspectsHandle,
     call_rates: Rc<RefCell<CallRates>>,
-    left_runs: LeftRuns,
     pub(crate) journal: LeaveJournal,
     platform: Rc<dyn PlatformService>,
     adapters: ProtocolAdapters,
@@ -60,11 +59,10 @@
         let platform = Rc::clone(&adapters.platform);
         let platform: Rc<dyn PlatformService> =
             Rc::new(TimedPlatform::open(platform, clock, metrics.durations()));
-        let left_runs = LeftRuns::default();
         let journal = LeaveJournal::open(
             Rc::clone(&platform),
             &settings.daemon,
-            left_runs.clone(),
+            LeftRuns::default(),
             clock,
         );
         let rules = CrashRules {
@@ -82,7 +80,6 @@
             key,
             stopping: Rc::default(),
             headers: Rc::new(HeaderRules::open(&settings.headers)),
-            left_runs,
             journal,
             platform,
             adapters,
@@ -131,7 +128,7 @@
     ) -> io::Result<MembersHandle> {
         let own = config.clone();
         let announced = config.clone();
-        let (left_runs, clock) = (self.left_runs.clone(), self.clock);
+        let (left_runs, clock) = (self.journal.left_runs(), self.clock);
         let sources = MemberSources {
             daemon: settings.daemon.clone(),
             boot: self.boot,
@@ -210,7 +207,7 @@
         let publisher = RecordPublisher {
             settings: settings.clone(),
             members: members.clone(),
-            left_runs: self.left_runs.clone(),
+            left_runs: self.journal.left_runs(),
         };
         EgressHandle::spawn(EgressSources {
             clock: self.clock,
--- a/src/egress/offer_task.rs
+++ b/src/egress/offer_task.rs
@@ -209,9 +209,9 @@
         self.into_execution().run(guard).await
     }
 
-    /// Lets a request that may run through the gates of the instance, of the shutdown, of the zone, of requests that end
-    /// instances and of a cold instance, which may have closed while it waited. No request passes to the
-    /// instance after this.
+    /// Lets a request that may run through the gates of the instance and the shutdown, of the zone, of
+    /// requests that end instances and of a cold instance, which may have closed while it waited. No request
+    /// passes to the instance after this.
     fn pass_gates(&self, outcome: StartOutcome, key: RequestKey) -> StartOutcome {
         match self.pass_zone_gate(self.pass_instance(outcome)) {
             StartOutcome::Run if !self.is_dispatcher_current() => {
--- a/src/ingress/attempt_task.rs
+++ b/src/ingress/attempt_task.rs
@@ -15,7 +15,7 @@
 use crate::ingress::shutdown_signal::ShutdownSignal;
 use crate::ingress::{
     AttemptAction, AttemptEvent, AttemptFailure, AttemptMachine, BodyBudget, BodyReservation,
-    ResponseLoss, WorkTimes,
+    ResponseLoss,
 };
 use crate::logs::log_target;
 use crate::peers::{PeerError, PeerPool, PeerReceiver, PeerSender, TrafficPurpose};
@@ -72,8 +72,8 @@
     /// Address of the egress.
     pub(crate) address: SocketAddr,
     pub(crate) deadline: Deadline,
-    /// Returns how long requests of the route take; none if unknown.
-    pub(crate) work_times: &'a dyn Fn() -> Option<WorkTimes>,
+    /// Returns until when the request may be sent to an instance; none if the shutdown sets no bound.
+    pub(crate) last_start: &'a dyn Fn() -> Option<Deadline>,
     /// Largest response body that is buffered until complete, in bytes.
     pub(crate) buffer_bytes: usize,
     /// Memory for the responses to all callers.
@@ -112,7 +112,7 @@
     /// instance has it, or else when all requests must be answered.
     async fn wait_cut_off(&self, may_run: &Cell<bool>) {
         self.shutdown
-            .wait_last_start(self.clock, self.deadline, self.work_times)
+            .wait_last_start(self.clock, self.last_start)
             .await;
         if may_run.get() {
             self.shutdown.wait_answer_deadline(self.clock).await;
@@ -121,8 +121,7 @@
 
     /// Whether the request may be sent to an instance now.
     fn may_start(&self) -> bool {
-        let last_start = self.shutdown.last_start(self.deadline, self.work_times);
-        last_start.is_none_or(|last_start| !last_start.has_passed(self.clock.now()))
+        (self.last_start)().is_none_or(|last_start| !last_start.has_passed(self.clock.now()))
     }
 
     /// Returns why the response is lost after a failure on the way to the egress; none if the offer
@@ -145,7 +144,7 @@
         offer.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
         stream.set_purpose(TrafficPurpose::Requests);
         let (mut sender, mut receiver) = stream.split();
-        if let Some(last_start) = self.shutdown.last_start(self.deadline, self.work_times) {
+        if let Some(last_start) = (self.last_start)() {
             let wait = last_start.remaining(self.clock.now()).as_micros();
             let wait_micros = u64::try_from(wait).unwrap_or(u64::MAX);
             offer.max_wait_micros = offer.max_wait_micros.min(wait_micros);
--- a/src/ingress/backup_attempt.rs
+++ b/src/ingress/backup_attempt.rs
@@ -23,14 +23,14 @@
     pub(crate) async fn attempt(&self, chosen: ChosenInstance) -> EndedAttempt {
         let sources = &self.ingress.sources;
         let begin = sources.clock.now();
-        let work_times = || self.ingress.work_times(&self.plan);
+        let last_start = || self.last_start();
         let task = AttemptTask {
             peers: &sources.peers,
             clock: sources.clock,
             shutdown: &self.ingress.shutdown,
             address: chosen.record.egress,
             deadline: self.deadline,
-            work_times: &work_times,
+            last_start: &last_start,
             buffer_bytes: sources.proxy.buffer_answer.as_usize(),
             answer_budget: &self.ingress.answer_budget,
             suspects: &sources.suspects,
--- a/src/ingress/last_start.rs
+++ b/src/ingress/last_start.rs
@@ -13,7 +13,7 @@
 impl IngressHandle {
     /// How long requests of the plan's route take; none if unknown. Where the route has not been
     /// observed, the slowest instance of its service counts.
-    pub(crate) fn work_times(&self, plan: &RequestPlan) -> Option<WorkTimes> {
+    fn work_times(&self, plan: &RequestPlan) -> Option<WorkTimes> {
         let times = &self.state.borrow().route_times;
         let (service, route) = (&plan.service, &plan.route);
         if let (Some(usual), Some(most)) =
@@ -28,6 +28,12 @@
         Some(WorkTimes { usual, most: usual })
     }
 
+    /// Until when a request may be sent to an instance; none if the shutdown sets no bound.
+    fn last_start(&self, plan: &RequestPlan, deadline: Deadline) -> Option<Deadline> {
+        let limits = self.shutdown.limits()?;
+        limits.last_start(deadline, self.work_times(plan))
+    }
+
     /// Carries out a step before the first attempt at a request, or refuses the request once it can no
     /// longer be completed before the daemon ends.
     pub(crate) async fn while_startable<T>(
@@ -36,10 +42,10 @@
         deadline: Deadline,
         step: impl Future<Output = Result<T, RequestRefusal>>,
     ) -> Result<T, RequestRefusal> {
-        let work_times = || self.work_times(plan);
+        let last_start = || self.last_start(plan, deadline);
         let ended = self
             .shutdown
-            .wait_last_start(self.sources.clock, deadline, work_times);
+            .wait_last_start(self.sources.clock, last_start);
         match select(pin!(step), pin!(ended)).await {
             Either::Left((result, _)) => result,
             Either::Right(_) => Err(RequestRefusal::Stopping),
@@ -57,7 +63,6 @@
 
     /// Until when an attempt may begin; none if the shutdown sets no bound.
     pub(crate) fn last_start(&self) -> Option<Deadline> {
-        let work_times = || self.ingress.work_times(&self.plan);
-        self.ingress.shutdown.last_start(self.deadline, work_times)
+        self.ingress.last_start(&self.plan, self.deadline)
     }
 }
--- a/src/ingress/shutdown_signal.rs
+++ b/src/ingress/shutdown_signal.rs
@@ -140,27 +140,20 @@
         limits.is_none_or(|limits| limits.accepts(arrival))
     }
 
-    /// Until when a request may be sent to an instance; none if the shutdown sets no bound. See
-    /// [`ShutdownLimits::last_start`].
-    pub(crate) fn last_start(
-        &self,
-        deadline: Deadline,
-        work_times: impl FnOnce() -> Option<WorkTimes>,
-    ) -> Option<Deadline> {
-        let limits = self.state.limits.get()?;
-        limits.last_start(deadline, work_times())
+    /// The deadlines of the shutdown; none before it begins.
+    pub(crate) fn limits(&self) -> Option<ShutdownLimits> {
+        self.state.limits.get()
     }
 
-    /// Waits for the shutdown and then until the request may no longer be sent to an instance. Does not
-    /// return if the shutdown sets no bound.
+    /// Waits for the shutdown and then until `last_start`, after which the request may no longer be sent to an
+    /// instance. Does not return if the shutdown sets no bound.
     pub(crate) async fn wait_last_start(
         &self,
         clock: ProcessClock,
-        deadline: Deadline,
-        work_times: impl FnOnce() -> Option<WorkTimes>,
+        last_start: impl FnOnce() -> Option<Deadline>,
     ) {
         self.wait_begun().await;
-        match self.last_start(deadline, work_times) {
+        match last_start() {
             Some(last_start) => actix_rt::time::sleep(last_start.remaining(clock.now())).await,
             None => std::future::pending().await,
         }
--- a/src/instances/announce_server.rs
+++ b/src/instances/announce_server.rs
@@ -199,11 +199,10 @@
         if is_new && (self.sources.is_stopping)() {
             return Err(AnnounceError::Stopping);
         }
-        let table = self.table.borrow();
-        if table.may_be_late(instance, announcement, now) {
+        let may_be_late = self.table.borrow().may_be_late(instance, announcement, now);
+        if may_be_late {
             self.sources.journal.recall();
         }
-        drop(table);
         let outcome = self
             .table
             .borrow_mut()
--- a/src/members/gossip_receive.rs
+++ b/src/members/gossip_receive.rs
@@ -139,10 +139,7 @@
             return false;
         }
         let is_own = record.daemon == self.view.own().daemon;
-        if is_own
-            && record.states_leave()
-            && let Some(run) = record.left_run
-        {
+        if is_own && let Some(run) = record.stated_leave() {
             let report = GossipAction::ReportLeft(record.instance.clone(), run);
             context.actions.push(report);
         }
--- a/src/members/record_table.rs
+++ b/src/members/record_table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::hash::{FastMap, FastSet};
-use crate::ids::{DaemonId, Incarnation, InstanceId, RegionId, ServiceId, ZoneId};
+use crate::ids::{DaemonId, Incarnation, InstanceId, InstanceRun, RegionId, ServiceId, ZoneId};
 use crate::members::NameDigest;
 use crate::time::{Deadline, MonoTime};
 use crate::wire::{InstancePhase, InstanceRecord};
@@ -46,7 +46,7 @@
     /// A record that knows of no leave keeps the one of the record it replaces: the daemon that published
     /// both may have lost it in a restart.
     pub fn merge(&mut self, record: &InstanceRecord, now: MonoTime) -> RecordChange {
-        let mut record = record.clone();
+        let mut left_run = record.left_run;
         if let Some(known) = self.records.get(&record.instance) {
             if record.incarnation < known.incarnation {
                 return RecordChange::Stale;
@@ -55,7 +55,7 @@
                 return RecordChange::Same;
             }
             if known.daemon == record.daemon {
-                record.left_run = record.left_run.or(known.left_run);
+                left_run = left_run.or(known.left_run);
             }
         }
         self.remove(&record.instance.clone());
@@ -64,7 +64,7 @@
             let tombstone = (end, record.instance.clone(), record.incarnation);
             self.tombstones.push_back(tombstone);
         }
-        self.insert(&record);
+        self.insert(record, left_run);
         RecordChange::Newer
     }
 
@@ -141,8 +141,9 @@
         }
     }
 
-    fn insert(&mut self, record: &InstanceRecord) {
-        let record = self.intern_names(record);
+    fn insert(&mut self, record: &InstanceRecord, left_run: Option<InstanceRun>) {
+        let mut record = self.intern_names(record);
+        record.left_run = left_run;
         let owner = self.owners.entry(record.daemon.clone()).or_default();
         owner.instances.push(record.instance.clone());
         owner.digest ^= digest_of(&record);
--- a/src/wire/instance_record.rs
+++ b/src/wire/instance_record.rs
@@ -95,11 +95,10 @@
         self.is_leaving() || matches!(self.health, HealthState::Suspect | HealthState::Ejected)
     }
 
-    /// Whether it states that a run of the instance has left and not returned.
+    /// The newest run of the instance that has left and not returned, if the record states one.
     #[must_use]
-    pub fn states_leave(&self) -> bool {
-        self.left_run
-            .is_some_and(|run| run > InstanceRun::default())
+    pub fn stated_leave(&self) -> Option<InstanceRun> {
+        self.left_run.filter(|run| *run > InstanceRun::default())
     }
 
     /// Whether the instance is draining or gone and accepts no new requests.
--- a/tests/announce_restart.rs
+++ b/tests/announce_restart.rs
@@ -31,6 +31,13 @@
     AnnounceTable::open(rule, left_runs.clone())
 }
 
+/// The table of a process that knows from the start that `RUN` has left.
+fn table_after_leave() -> AnnounceTable {
+    let left_runs = LeftRuns::default();
+    left_runs.recall(&desk(), RUN, START);
+    table_with(&left_runs)
+}
+
 fn desk() -> InstanceId {
     "desk-1".parse().unwrap()
 }
@@ -89,9 +96,7 @@
 /// other, although all had been sent before the leave.
 #[test]
 fn left_run_stays_out() {
-    let left_runs = LeftRuns::default();
-    left_runs.recall(&desk(), RUN, START);
-    let mut table = table_with(&left_runs);
+    let mut table = table_after_leave();
     for (sequence, millis) in [(5, 700), (6, 2_200), (7, 3_700), (8, 29_000)] {
         let late = ready(sequence);
         let outcome = table.announce(&desk(), &late, after_start(millis));
@@ -109,9 +114,7 @@
 /// Guards against a new run that stays out of use for good because the clock was set back before its start.
 #[test]
 fn earlier_start_after_retention() {
-    let left_runs = LeftRuns::default();
-    left_runs.recall(&desk(), RUN, START);
-    let mut table = table_with(&left_runs);
+    let mut table = table_after_leave();
     let first = ready(1);
     table
         .announce(&desk(), &first, after_start(30_000))
